--- /dev/null
+++ b/coordination/admit/src/lib.rs
@@ -0,0 +1,9 @@
+//! Limits: bounded fair queues, retry budgets, early refusal.
+
+mod budget;
+mod queue;
+
+pub use crate::{
+    budget::Budget,
+    queue::{Bounds, Queue, Waiting},
+};
--- /dev/null
+++ b/coordination/route/src/lib.rs
@@ -0,0 +1,5 @@
+//! Choice of the owner for a request and of entry addresses for a caller.
+
+mod directory;
+
+pub use crate::directory::{Choice, Directory, OwnedTarget};
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! To be written.
+
+fn main() {}
--- /dev/null
+++ b/protocol/wire/src/lib.rs
@@ -0,0 +1,31 @@
+//! Messages between the hosts of the system, and the types they share.
+//!
+//! Everything here is plain data: a message is encoded with `postcard` by
+//! [`encode`] and decoded by [`decode`]. No module of this crate decides anything.
+
+mod codec;
+mod command;
+mod error;
+mod id;
+mod log;
+mod message;
+mod target;
+
+pub use crate::{
+    codec::{DecodeError, MAX_FRAME_BYTES, decode, encode},
+    command::{
+        Action, Claim, ClaimKey, Command, DeclFile, Intent, Move, Outcome, Proposal, Publish,
+        Settle,
+    },
+    error::{ErrorKind, Fault, Ran, Retry, Row},
+    id::{
+        AdapterId, CallerId, DomainId, Fence, Fingerprint, GroupId, HostId, Incarnation, Index,
+        RequestId, Revision, TargetId, Term, VoterId, request_host, request_id,
+    },
+    log::{Entry, EntryBody, LogBody, LogMsg, Member, Membership, Role, Snapshot},
+    message::{
+        Answer, Ask, Credit, Digest, Fail, Forward, Grant, Head, PeerMsg, Piece, Pin, Renew,
+        Residency, SlotDone, SlotGrant, Urgency, Want,
+    },
+    target::{Capacity, Load, TargetInfo, TargetKind, TargetReport},
+};
--- /dev/null
+++ b/transport/web/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be written.
