--- a/coordination/lease/src/grantor.rs
+++ b/coordination/lease/src/grantor.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wire::{DomainId, Grant, HostId, Incarnation, Index, Renew};
+use wire::{DomainForce, DomainId, Grant, HostId, Incarnation, Index, Renew};
 
 use crate::Terms;
 
@@ -75,7 +75,7 @@
 
     /// Returns per failure domain how many live hosts have applied the index
     /// and how many have not.
-    pub fn in_force(&self, now: Duration, index: Index) -> Vec<(DomainId, u32, u32)> {
+    pub fn in_force(&self, now: Duration, index: Index) -> Vec<DomainForce> {
         let _ = (now, index);
         todo!()
     }
--- a/coordination/node/src/io.rs
+++ b/coordination/node/src/io.rs
@@ -7,7 +7,7 @@
 use replog::{Recovered, Write};
 use serde::{Deserialize, Serialize};
 use wire::{
-    Action, CallerId, DomainId, Fault, Fence, HostId, Incarnation, Index, PeerMsg, Publish,
+    Action, CallerId, DomainForce, Fault, Fence, HostId, Incarnation, Index, PeerMsg, Publish,
     RequestId, TargetId, TargetReport,
 };
 
@@ -255,6 +255,15 @@
     Alarm(String),
 }
 
+/// An accepted publish and how far it has come.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Published {
+    /// The receipt.
+    pub receipt: Receipt,
+    /// How far it has come by failure domain.
+    pub domains: Vec<DomainForce>,
+}
+
 /// What a host wants done, in order.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Output {
@@ -316,9 +325,8 @@
     Published {
         /// The operator's request.
         tag: Tag,
-        /// The receipt and whether it is in force everywhere, by failure domain:
-        /// live hosts that have applied it and live hosts that have not.
-        result: Result<(Receipt, Vec<(DomainId, u32, u32)>), Fault>,
+        /// The confirmation, or why the publish was refused.
+        result: Result<Published, Fault>,
     },
     /// Write a log line.
     Changed(Change),
--- a/coordination/node/src/lib.rs
+++ b/coordination/node/src/lib.rs
@@ -6,6 +6,8 @@
 mod node;
 
 pub use crate::{
-    io::{Call, CallFailure, Caller, Change, Input, Order, OrderResult, Output, Start, Tag},
+    io::{
+        Call, CallFailure, Caller, Change, Input, Order, OrderResult, Output, Published, Start, Tag,
+    },
     node::Node,
 };
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -24,8 +24,8 @@
     },
     log::{Entry, EntryBody, LogBody, LogMsg, Member, Membership, Role, Snapshot},
     message::{
-        Answer, Ask, Credit, Digest, Fail, Forward, Grant, Head, PeerMsg, Piece, Pin, Renew,
-        Residency, SlotDone, SlotGrant, Urgency, Want,
+        Answer, Ask, Credit, Digest, DomainForce, Fail, Forward, Grant, Head, PeerMsg, Piece, Pin,
+        Renew, Residency, SlotDone, SlotGrant, Urgency, Want,
     },
     target::{Capacity, Load, TargetInfo, TargetKind, TargetReport},
 };
--- a/protocol/wire/src/message.rs
+++ b/protocol/wire/src/message.rs
@@ -218,6 +218,17 @@
     pub ok: bool,
 }
 
+/// How far an index has come in one failure domain.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DomainForce {
+    /// The failure domain.
+    pub domain: DomainId,
+    /// Live hosts that have applied the index.
+    pub applied: u32,
+    /// Live hosts that have not.
+    pub lagging: u32,
+}
+
 /// A question to the leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ask {
@@ -267,7 +278,7 @@
         tag: u64,
         /// The highest index known as committed.
         commit: Index,
-        /// Each failure domain with its count of hosts with and without.
-        domains: Vec<(DomainId, u32, u32)>,
+        /// The counts of each failure domain.
+        domains: Vec<DomainForce>,
     },
 }
