--- a/coordination/node/src/io.rs
+++ b/coordination/node/src/io.rs
@@ -177,6 +177,10 @@
     pub ran: String,
     /// The run of the target the call is meant for.
     pub incarnation: Incarnation,
+    /// The owner's fencing number.
+    pub fence: Fence,
+    /// When the owner's lease ends; the call must not be sent after that.
+    pub until: Duration,
     /// Urgency for the target; lower is sooner.
     pub priority: u8,
     /// Whether the answer is streamed.
@@ -200,6 +204,8 @@
     pub addr: String,
     /// The fencing number.
     pub fence: Fence,
+    /// When the owner's lease ends; the order must not be sent after that.
+    pub until: Duration,
     /// The run of the target the order is meant for.
     pub incarnation: Incarnation,
     /// What to do.
--- a/coordination/node/src/node.rs
+++ b/coordination/node/src/node.rs
@@ -4,7 +4,7 @@
 
 use api::{AuditPage, StatusBody};
 use decl::Settings;
-use wire::HostId;
+use wire::{Fence, HostId};
 
 use crate::{Input, Output, Start};
 
@@ -33,8 +33,8 @@
         todo!()
     }
 
-    /// Returns the host that a target should report to.
-    pub fn report_to(&self, target: &str) -> Option<HostId> {
+    /// Returns the host that a target should report to and its fencing number.
+    pub fn report_to(&self, target: &str) -> Option<(HostId, Fence)> {
         let _ = target;
         todo!()
     }
--- a/protocol/api/src/lib.rs
+++ b/protocol/api/src/lib.rs
@@ -26,6 +26,8 @@
     pub const RAN: &str = "x-ran";
     /// The run of the target's process.
     pub const INCARNATION: &str = "x-incarnation";
+    /// The owner's fencing number; a target that checks it refuses older ones.
+    pub const FENCE: &str = "x-fence";
     /// The target's name, for the caller.
     pub const TARGET: &str = "x-target";
     /// A better entry address for the caller.
--- a/protocol/api/src/target.rs
+++ b/protocol/api/src/target.rs
@@ -102,6 +102,8 @@
 pub struct ReportReply {
     /// Address to report to from now on: the owner's.
     pub report_to: Option<String>,
+    /// The owner's fencing number, to be named in the reports made from now on.
+    pub fence: u64,
 }
 
 /// An order to a target, sent at `POST /v1/orders`. The answer comes when the
--- a/protocol/wire/src/command.rs
+++ b/protocol/wire/src/command.rs
@@ -49,6 +49,10 @@
 /// An order that a target may carry out although its sender lost ownership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Intent {
+    /// The host that sends the order.
+    pub host: HostId,
+    /// The run of that host.
+    pub run: Incarnation,
     /// The ordered target.
     pub target: TargetId,
     /// The run of the target the order was meant for.
@@ -162,6 +166,8 @@
     pub incarnation: Incarnation,
     /// Counts the proposals of that run.
     pub seq: u64,
+    /// All proposals of that run below this number have ended.
+    pub floor: u64,
     /// Wall-clock time at the proposer, in milliseconds since the epoch.
     pub at: u64,
     /// The command.
