--- a/coordination/lease/src/lib.rs
+++ b/coordination/lease/src/lib.rs
@@ -15,6 +15,8 @@
 
 use std::time::Duration;
 
+use wire::Term;
+
 /// Parameters of leases, the same on all hosts.
 #[derive(Debug, Clone, Copy)]
 pub struct Terms {
@@ -25,3 +27,17 @@
     /// Time after which a host whose configuration lags gets no lease.
     pub lag: Duration,
 }
+
+/// Digest rounds count up within a leader's term, which is their upper part:
+/// rounds of a later leader are always higher.
+const ROUND_BITS: u32 = 32;
+
+/// Returns the round a leader of a term starts from.
+fn first_round(term: Term) -> u64 {
+    term << ROUND_BITS
+}
+
+/// Returns the term of the leader that counted a round.
+fn epoch(round: u64) -> Term {
+    round >> ROUND_BITS
+}
--- a/coordination/route/src/directory.rs
+++ b/coordination/route/src/directory.rs
@@ -1,8 +1,18 @@
 //! What a host knows of the other hosts.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use wire::{Digest, DomainId, Grant, HostId, Pin, TargetId, TargetKind};
+use wire::{AdapterId, Digest, DomainId, Grant, HostId, Pin, TargetId, TargetKind};
+
+use crate::pick::{Candidate, hash, home, lighter};
+
+/// How long a host that did not answer is left out.
+const SUSPECT_TIME: Duration = Duration::from_secs(3);
+/// Entry addresses given to a caller.
+const ENTRIES: usize = 3;
 
 /// A target with its owner, as routing needs it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -28,39 +38,65 @@
     pub resident: bool,
 }
 
+/// Owners of one kind of target with the requests their targets run at once.
+type Owners = BTreeMap<HostId, u32>;
+
 /// Digests of all hosts, from the leader's grants.
 #[derive(Debug, Default)]
-pub struct Directory {}
+pub struct Directory {
+    models: BTreeMap<String, Owners>,
+    services: BTreeMap<String, Owners>,
+    hosts: BTreeMap<HostId, DomainId>,
+    digests: BTreeMap<HostId, Digest>,
+    /// Hosts that hold an adapter, from the digests.
+    holders: BTreeMap<AdapterId, BTreeSet<HostId>>,
+    own: Option<HostId>,
+    /// Hosts without a lease, from the latest grant.
+    expired: BTreeSet<HostId>,
+    /// Hosts that did not answer, with the time until which they are left out.
+    silent: BTreeMap<HostId, Duration>,
+}
 
 impl Directory {
     /// Replaces the targets and their owners after a change of the registry.
     pub fn set_targets(&mut self, targets: Vec<OwnedTarget>) {
-        let _ = targets;
-        todo!()
+        self.models.clear();
+        self.services.clear();
+        for target in targets {
+            let owners = match target.kind {
+                TargetKind::Engine { model } => self.models.entry(model).or_default(),
+                TargetKind::Service { service } => self.services.entry(service).or_default(),
+            };
+            *owners.entry(target.owner).or_default() += target.requests;
+        }
     }
 
     /// Replaces the hosts with their failure domains.
     pub fn set_hosts(&mut self, hosts: Vec<(HostId, DomainId)>) {
-        let _ = hosts;
-        todo!()
+        self.hosts = hosts.into_iter().collect();
     }
 
-    /// Takes the digests of a grant.
+    /// Takes the digests of a grant that the host's lease holder has taken.
+    /// Others, late or repeated ones, must be left out.
     pub fn granted(&mut self, now: Duration, grant: &Grant) {
-        let _ = (now, grant);
-        todo!()
+        self.silent.retain(|_, until| now < *until);
+        self.expired = grant.suspect.iter().copied().collect();
+        for (host, digest) in &grant.digests {
+            if self.own != Some(*host) {
+                self.set_digest(*host, digest.clone());
+            }
+        }
     }
 
     /// Replaces this host's own digest.
     pub fn set_own(&mut self, host: HostId, digest: Digest) {
-        let _ = (host, digest);
-        todo!()
+        self.own = Some(host);
+        self.set_digest(host, digest);
     }
 
-    /// Notes that a host did not answer.
+    /// Notes that a host did not answer. The note holds for a few seconds.
     pub fn suspect(&mut self, now: Duration, host: HostId) {
-        let _ = (now, host);
-        todo!()
+        self.silent.insert(host, now + SUSPECT_TIME);
     }
 
     /// Chooses the owner for a request of an entry in `domain`, leaving out the
@@ -74,14 +110,146 @@
         domain: &str,
         tried: &[HostId],
     ) -> Option<Choice> {
-        let _ = (now, pin, domain, tried);
-        todo!()
+        let salt = now.as_nanos() as u64;
+        match pin {
+            Pin::Service { service } => {
+                let owners = self.candidates(now, self.services.get(service)?, domain, tried);
+                let best = lighter(owners.iter(), salt)?;
+                Some(Choice { host: best.host, resident: true })
+            }
+            Pin::Adapter { id, name } => {
+                let owners = self.candidates(now, self.models.get(model_of(name))?, domain, tried);
+                self.choose_owner(&owners, *id, hash(name.as_bytes()), salt)
+            }
+        }
     }
 
     /// Returns entry hosts for a caller, best first: over two failure domains
     /// or more where there are, none that is leaving, suspect or lagging.
     pub fn entries(&self, now: Duration, pin: Option<&Pin>) -> Vec<HostId> {
-        let _ = (now, pin);
-        todo!()
+        let owners = pin.and_then(|pin| self.owners(pin));
+        let holders = match pin {
+            Some(Pin::Adapter { id, .. }) => self.holders.get(id),
+            _ => None,
+        };
+        let salt = hash(&now.as_nanos().to_le_bytes());
+        let mut ranked = Vec::new();
+        for (&host, domain) in &self.hosts {
+            if !self.is_usable(now, host) {
+                continue;
+            }
+            let owns = owners.is_some_and(|owners| owners.contains_key(&host));
+            let holds = owns && holders.is_some_and(|holders| holders.contains(&host));
+            let load = self.candidate(host, 0, true).quarters();
+            let order = hash(&[salt.to_le_bytes(), u64::from(host).to_le_bytes()].concat());
+            let unknown = !self.digests.contains_key(&host);
+            ranked.push((unknown, !holds, !owns, load, order, host, domain));
+        }
+        ranked.sort_unstable();
+        spread(ranked.into_iter().map(|row| (row.5, row.6)).collect())
+    }
+
+    fn owners(&self, pin: &Pin) -> Option<&Owners> {
+        match pin {
+            Pin::Adapter { name, .. } => self.models.get(model_of(name)),
+            Pin::Service { service } => self.services.get(service),
+        }
+    }
+
+    fn choose_owner(
+        &self,
+        owners: &[Candidate],
+        adapter: AdapterId,
+        name: u64,
+        salt: u64,
+    ) -> Option<Choice> {
+        let holders = self.holders.get(&adapter);
+        let holds = |owner: &&Candidate| holders.is_some_and(|hosts| hosts.contains(&owner.host));
+        let free = owners.iter().filter(holds).filter(|owner| !owner.is_full());
+        if let Some(best) = lighter(free, salt) {
+            return Some(Choice { host: best.host, resident: true });
+        }
+        let free = owners.iter().filter(|owner| !owner.is_full());
+        if let Some(home) = home(free, name) {
+            return Some(Choice { host: home.host, resident: false });
+        }
+        if let Some(best) = lighter(owners.iter().filter(holds), salt) {
+            return Some(Choice { host: best.host, resident: true });
+        }
+        let home = home(owners.iter(), name)?;
+        Some(Choice { host: home.host, resident: false })
+    }
+
+    fn candidates(
+        &self,
+        now: Duration,
+        owners: &Owners,
+        domain: &str,
+        tried: &[HostId],
+    ) -> Vec<Candidate> {
+        let mut candidates = Vec::with_capacity(owners.len());
+        for (&host, &requests) in owners {
+            if tried.contains(&host) || !self.is_usable(now, host) {
+                continue;
+            }
+            let near = self.hosts.get(&host).is_some_and(|other| other == domain);
+            candidates.push(self.candidate(host, requests, near));
+        }
+        candidates
+    }
+
+    fn candidate(&self, host: HostId, requests: u32, near: bool) -> Candidate {
+        let digest = self.digests.get(&host);
+        let capacity = digest.map_or(requests, |digest| digest.capacity.max(requests));
+        let (running, queued) = digest.map_or((0, 0), |digest| (digest.running, digest.queued));
+        Candidate { host, near, weight: requests.max(1), capacity, running, queued }
+    }
+
+    fn is_usable(&self, now: Duration, host: HostId) -> bool {
+        if self.expired.contains(&host) && self.own != Some(host) {
+            return false;
+        }
+        if self.silent.get(&host).is_some_and(|until| now < *until) {
+            return false;
+        }
+        !self.digests.get(&host).is_some_and(|digest| digest.leaving)
+    }
+
+    fn set_digest(&mut self, host: HostId, digest: Digest) {
+        if let Some(old) = self.digests.remove(&host) {
+            for row in &old.resident {
+                let Some(hosts) = self.holders.get_mut(&row.adapter) else { continue };
+                hosts.remove(&host);
+                if hosts.is_empty() {
+                    self.holders.remove(&row.adapter);
+                }
+            }
+        }
+        for row in &digest.resident {
+            if row.targets > 0 {
+                self.holders.entry(row.adapter).or_default().insert(host);
+            }
+        }
+        self.digests.insert(host, digest);
+    }
+}
+
+/// Returns the base model in `model@adapter@version`.
+fn model_of(name: &str) -> &str {
+    name.split('@').next().unwrap_or(name)
+}
+
+/// Takes the first hosts, the last of them from another failure domain if all
+/// before it share one.
+fn spread(ranked: Vec<(HostId, &DomainId)>) -> Vec<HostId> {
+    let mut entries: Vec<(HostId, &DomainId)> = ranked.iter().copied().take(ENTRIES).collect();
+    let Some(&(_, first)) = entries.first() else { return Vec::new() };
+    let other = ranked.iter().find(|(_, domain)| *domain != first);
+    if let Some(&other) = other
+        && entries.iter().all(|(_, domain)| *domain == first)
+    {
+        entries.truncate(ENTRIES - 1);
+        entries.push(other);
     }
+    entries.into_iter().map(|(host, _)| host).collect()
 }
--- a/protocol/wire/src/message.rs
+++ b/protocol/wire/src/message.rs
@@ -162,8 +162,8 @@
     pub applied: Index,
     /// The last digest round it has received.
     pub round: u64,
-    /// Its own digest.
-    pub digest: Digest,
+    /// Its own digest; none if the leader has confirmed this one.
+    pub digest: Option<Digest>,
 }
 
 /// The leader's answer to a renewal.
--- a/state/claims/src/lib.rs
+++ b/state/claims/src/lib.rs
@@ -5,6 +5,6 @@
 mod strikes;
 
 pub use crate::{
-    claims::{ClaimReply, Claims, Retention},
-    strikes::Strikes,
+    claims::{ClaimReply, Claims, MAX_AHEAD_MS, Retention},
+    strikes::{MAX_STRUCK, QUARANTINE_STRIKES, STRIKE_AGE_MS, Strikes},
 };
