--- a/coordination/lease/src/balance.rs
+++ b/coordination/lease/src/balance.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use wire::{HostId, Move};
+use wire::{HostId, Incarnation, Move};
 
 use crate::{LiveHost, Registry, Target};
 
@@ -11,7 +11,7 @@
 
 /// Returns the moves that give every target a live owner: the target's failure
 /// domain first, even load, little movement. `limit` bounds the moves that only
-/// improve the balance; targets without a live owner always move.
+/// improve the balance and are under way; targets without a live owner always move.
 ///
 /// A live owner is never replaced in one step: the target is released first,
 /// and given away once the former owner has applied the release or lost its
@@ -19,26 +19,31 @@
 /// leader may carry the moves out, but for targets that never had an owner.
 pub fn balance(registry: &Registry, live: &[LiveHost], limit: usize) -> Vec<Move> {
     let mut plan = Plan::new(registry, live);
+    if plan.loads.is_empty() {
+        return Vec::new();
+    }
     let mut moves = Vec::new();
     for target in registry.targets() {
-        let Some(owner) = target.owner else { continue };
-        match plan.live.get(&owner.0) {
-            Some(host) if host.incarnation != owner.1 => continue,
-            Some(host) if host.leaving => {
-                moves.push(Move { target: target.id, owner: None });
-            }
-            _ => continue,
+        if plan.is_leaving(target) {
+            moves.push(Move { target: target.id, owner: None });
         }
     }
+    let mut pending = 0;
     for target in registry.targets() {
-        if !plan.is_free(target) {
+        let free = plan.is_free(target);
+        if !free && target.owner.is_some() {
             continue;
         }
-        if let Some(owner) = plan.place(target) {
+        // A released target that is not free yet takes its place in the loads,
+        // so that no more are released than it needs.
+        let Some(owner) = plan.place(target) else { continue };
+        if free {
             moves.push(Move { target: target.id, owner: Some(owner) });
+        } else {
+            pending += 1;
         }
     }
-    plan.improve(registry, limit, &mut moves);
+    plan.improve(registry, limit.saturating_sub(pending), &mut moves);
     moves
 }
 
@@ -71,6 +76,13 @@
         Plan { live, loads, mean }
     }
 
+    /// Returns whether a target's owner is live and about to leave.
+    fn is_leaving(&self, target: &Target) -> bool {
+        let Some((host, incarnation)) = target.owner else { return false };
+        let live = self.live.get(&host);
+        live.is_some_and(|live| live.incarnation == incarnation && live.leaving)
+    }
+
     /// Returns whether a target can be given an owner now.
     fn is_free(&self, target: &Target) -> bool {
         let Some((host, incarnation)) = target.owner.or(target.former) else { return true };
@@ -82,14 +94,17 @@
     }
 
     /// Gives a target to the cheapest host.
-    fn place(&mut self, target: &Target) -> Option<(HostId, wire::Incarnation)> {
-        let cheapest =
-            self.loads.iter().min_by_key(|(host, load)| **load + self.cost(**host, target));
-        let host = *cheapest?.0;
+    fn place(&mut self, target: &Target) -> Option<(HostId, Incarnation)> {
+        let host = self.cheapest(target)?;
         *self.loads.get_mut(&host)? += weight(target);
         Some((host, self.live.get(&host)?.incarnation))
     }
 
+    fn cheapest(&self, target: &Target) -> Option<HostId> {
+        let cost = |(host, load): &(&HostId, &i64)| **load + self.cost(**host, target);
+        self.loads.iter().min_by_key(cost).map(|(host, _)| *host)
+    }
+
     /// What it costs that a host owns a target, in units of load.
     fn cost(&self, host: HostId, target: &Target) -> i64 {
         let same = self.live.get(&host).is_some_and(|host| host.domain == target.info.domain);
@@ -117,9 +132,8 @@
         }
         let Some(load) = self.loads.get(&owner) else { return false };
         let here = load + self.cost(owner, target);
-        let cheapest =
-            self.loads.iter().min_by_key(|(host, load)| **load + self.cost(**host, target));
-        let Some((&other, load)) = cheapest else { return false };
+        let Some(other) = self.cheapest(target) else { return false };
+        let Some(load) = self.loads.get(&other) else { return false };
         let there = load + weight(target) + self.cost(other, target);
         if other == owner || here - there <= self.mean / HYSTERESIS_PARTS {
             return false;
--- a/coordination/lease/src/grantor.rs
+++ b/coordination/lease/src/grantor.rs
@@ -86,7 +86,8 @@
         self.expected = hosts.into_iter().collect();
     }
 
-    /// Notes that the commit index was `commit` at this time.
+    /// Notes that the commit index was `commit` at this time. It must cover
+    /// this leader's first entry; no lease is granted before it is noted.
     pub fn committed(&mut self, now: Duration, commit: Index) {
         if let Some((at, last)) = self.commits.back_mut() {
             if commit <= *last {
@@ -175,7 +176,7 @@
                 continue;
             }
             known.reported = true;
-            lost.push((host, known.incarnation + 1));
+            lost.push((host, known.incarnation.saturating_add(1)));
         }
         lost
     }
--- a/coordination/lease/src/holder.rs
+++ b/coordination/lease/src/holder.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wire::{Digest, DomainId, Grant, Incarnation, Index, Renew};
+use wire::{Digest, DomainId, Grant, Incarnation, Index, Renew, Term};
 
 use crate::{Terms, epoch};
 
@@ -47,8 +47,10 @@
     taken: Option<Duration>,
     asked: Vec<Asked>,
     round: u64,
-    /// The digest the leader has, and the epoch of that leader's rounds.
-    confirmed: Option<(Digest, u64)>,
+    /// The digest the leader has for certain, and that leader's term.
+    confirmed: Option<(Digest, Term)>,
+    /// When a digest was last sent.
+    told: Option<Duration>,
     /// The highest demand seen in a grant.
     seen: Index,
     back: Option<(Index, Index)>,
@@ -70,6 +72,7 @@
             asked: Vec::new(),
             round: 0,
             confirmed: None,
+            told: None,
             seen: 0,
             back: None,
             hurry: false,
@@ -84,6 +87,11 @@
         self.hurry = false;
         self.sent = Some(now);
         let changed = self.changed(digest).then(|| digest.clone());
+        if changed.is_some() {
+            // Whether it arrives is not known until it is answered.
+            self.confirmed = None;
+            self.told = Some(now);
+        }
         self.asked.retain(|asked| asked.sent + self.terms.lease > now);
         self.asked.push(Asked { sent: now, digest: changed.clone() });
         Some(Renew {
@@ -123,7 +131,9 @@
         self.seen = grant.applied;
         self.taken = Some(grant.sent);
         self.round = grant.round;
-        if let Some(digest) = asked.digest {
+        if self.told == Some(grant.sent)
+            && let Some(digest) = asked.digest
+        {
             self.confirmed = Some((digest, epoch(grant.round)));
         }
         self.extend(now, grant);
@@ -176,7 +186,8 @@
         if grant.term.is_zero() {
             return;
         }
-        let until = (grant.sent + grant.term).saturating_sub(self.terms.margin);
+        let term = grant.term.min(self.terms.lease);
+        let until = (grant.sent + term).saturating_sub(self.terms.margin);
         if until <= now {
             return;
         }
--- a/state/claims/src/claims.rs
+++ b/state/claims/src/claims.rs
@@ -13,8 +13,6 @@
 
 /// How far ahead of the table's clock a key may have been made, in milliseconds.
 pub const MAX_AHEAD_MS: u64 = 60 * 60 * 1000;
-/// An answer longer than this part of all kept bytes is not kept.
-const BODY_PARTS: usize = 16;
 
 /// How long outcomes are kept, and how many.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -181,7 +179,7 @@
     }
 
     fn grant_new(&mut self, claim: &Claim) -> ClaimReply {
-        if claim.made <= self.floor || claim.made > self.clock + MAX_AHEAD_MS {
+        if claim.made <= self.floor || claim.made > self.horizon() {
             return ClaimReply::Refused(ErrorKind::KeyExpired);
         }
         self.entries.insert(claim.key.clone(), Entry::new(claim));
@@ -194,7 +192,7 @@
         let Some(old) = self.entries.remove(&claim.key) else { return };
         self.ended.remove(&(old.made, claim.key.clone()));
         let mut entry = Entry::new(claim);
-        entry.made = old.made.max(claim.made);
+        entry.made = old.made.max(claim.made.min(self.horizon()));
         self.entries.insert(claim.key.clone(), entry);
         self.open.insert(claim.key.clone());
     }
@@ -202,7 +200,7 @@
     /// Takes the latest time given for a key. It decides when the key is
     /// dropped, so that a later time never outlives the entry.
     fn remake(&mut self, key: &ClaimKey, made: u64) {
-        let made = made.min(self.clock + MAX_AHEAD_MS);
+        let made = made.min(self.horizon());
         let Some(entry) = self.entries.get_mut(key) else { return };
         if made <= entry.made {
             return;
@@ -213,6 +211,11 @@
         entry.made = made;
     }
 
+    /// Returns the latest time that a key may be made at.
+    fn horizon(&self) -> u64 {
+        self.clock.saturating_add(MAX_AHEAD_MS)
+    }
+
     fn end(&mut self, key: &ClaimKey, outcome: Outcome) {
         let Some(entry) = self.entries.get_mut(key) else { return };
         self.bytes -= entry.bytes();
@@ -278,11 +281,11 @@
     }
 }
 
-/// Returns what is kept of an outcome: an answer that would push too many
-/// others out is not, and its call can't be told from one in doubt.
+/// Returns what is kept of an outcome. An answer above the bound is not, and a
+/// resend is told that its call is in doubt.
 fn kept(outcome: Outcome, bytes: usize) -> Outcome {
     match outcome {
-        Outcome::Done { body, .. } if body.len() > bytes / BODY_PARTS => Outcome::InDoubt,
+        Outcome::Done { body, .. } if body.len() > bytes => Outcome::InDoubt,
         outcome => outcome,
     }
 }
--- a/state/claims/src/strikes.rs
+++ b/state/claims/src/strikes.rs
@@ -62,7 +62,7 @@
 
     fn expire(&mut self) {
         while let Some((at, print)) = self.order.first().copied() {
-            let old = at + STRIKE_AGE_MS < self.clock;
+            let old = at.saturating_add(STRIKE_AGE_MS) < self.clock;
             if !old && self.order.len() <= MAX_STRUCK {
                 return;
             }
