--- a/coordination/lease/src/grantor.rs
+++ b/coordination/lease/src/grantor.rs
@@ -120,11 +120,13 @@
             incarnation: renew.incarnation,
             term: Duration::ZERO,
             applied: 0,
-            round: self.round.min(named),
+            round: self.round,
             digests: Vec::new(),
             suspect: Vec::new(),
         };
-        if self.hosts.get(&from).is_some_and(|known| renew.incarnation < known.incarnation) {
+        // A renewal that later ones overtook could be shown a higher index than
+        // they were, which the host would take for lost state.
+        if self.hosts.get(&from).is_some_and(|known| known.is_past(&renew)) {
             return grant;
         }
         self.note(from, renew);
@@ -216,9 +218,6 @@
             self.hosts.remove(&from);
         }
         let known = self.hosts.entry(from).or_insert_with(|| Known::new(&renew));
-        if renew.sent < known.sent {
-            return;
-        }
         known.sent = renew.sent;
         known.domain = renew.domain;
         known.applied = known.applied.max(renew.applied);
@@ -340,6 +339,11 @@
         }
     }
 
+    /// Returns whether a renewal is of an earlier run or older than another.
+    fn is_past(&self, renew: &Renew) -> bool {
+        (renew.incarnation, renew.sent) < (self.incarnation, self.sent)
+    }
+
     fn live(&self, now: Duration) -> bool {
         self.until.is_some_and(|until| now < until)
     }
--- a/coordination/lease/src/holder.rs
+++ b/coordination/lease/src/holder.rs
@@ -45,6 +45,8 @@
     sent: Option<Duration>,
     /// The `sent` of the last grant that was taken.
     taken: Option<Duration>,
+    /// When it was taken.
+    taken_at: Duration,
     asked: Vec<Asked>,
     round: u64,
     /// The digest the leader has for certain, and that leader's term.
@@ -69,6 +71,7 @@
             start: 0,
             sent: None,
             taken: None,
+            taken_at: Duration::ZERO,
             asked: Vec::new(),
             round: 0,
             confirmed: None,
@@ -119,17 +122,14 @@
         let Some(place) = self.asked.iter().position(|asked| asked.sent == grant.sent) else {
             return false;
         };
-        if grant.applied < self.seen {
-            // A leader that has not committed anything yet shows nothing.
-            if grant.applied > 0 || !grant.term.is_zero() {
-                self.back = Some((self.seen, grant.applied));
-            }
+        if !self.follows(grant) {
             return false;
         }
         let asked = self.asked.swap_remove(place);
         self.asked.retain(|other| other.sent > grant.sent);
         self.seen = grant.applied;
         self.taken = Some(grant.sent);
+        self.taken_at = now;
         self.round = grant.round;
         if self.told == Some(grant.sent)
             && let Some(digest) = asked.digest
@@ -177,6 +177,24 @@
         now > sent && (self.hurry || now >= sent + self.terms.lease / parts)
     }
 
+    /// Returns whether a grant shows no earlier state than the ones before, and
+    /// notes if the replicated state must have been lost.
+    fn follows(&mut self, grant: &Grant) -> bool {
+        if grant.applied == 0 && grant.term.is_zero() {
+            return false;
+        }
+        let stale = epoch(grant.round) < epoch(self.round);
+        if grant.applied >= self.seen && !stale {
+            return true;
+        }
+        // A leader that was replaced can grant for one more lease.
+        let replaced = self.taken_at + self.terms.lease + self.terms.margin;
+        if !stale || (grant.sent > replaced && !grant.term.is_zero()) {
+            self.back = Some((self.seen, grant.applied));
+        }
+        false
+    }
+
     fn changed(&self, digest: &Digest) -> bool {
         let Some((confirmed, leader)) = &self.confirmed else { return true };
         *leader != epoch(self.round) || confirmed != digest
