--- /dev/null
+++ b/coordination/lease/tests/grantor.rs
@@ -0,0 +1,228 @@
+//! The leader's side of leases, case by case.
+
+mod common;
+
+use lease::Grantor;
+use wire::{Digest, DomainForce, Grant, Renew, Residency};
+
+use crate::common::{TERMS, ms, renew};
+
+fn grantor() -> Grantor {
+    let mut grantor = Grantor::new(ms(0), TERMS, 1);
+    grantor.committed(ms(0), 100);
+    grantor
+}
+
+fn ask(grantor: &mut Grantor, at: u64, host: u32, incarnation: u64, applied: u64) -> Grant {
+    grantor.renew(ms(at), Some(ms(at)), host, renew(host, incarnation, ms(at), applied))
+}
+
+fn live(grantor: &Grantor, at: u64) -> Vec<u32> {
+    grantor.live(ms(at)).iter().map(|host| host.host).collect()
+}
+
+#[test]
+fn no_lease_reaches_past_the_quorum() {
+    let cases = [
+        ("quorum now", Some(10_000), 4000),
+        ("quorum a second ago", Some(9000), 3000),
+        ("quorum a lease ago", Some(6000), 0),
+        ("quorum long ago", Some(1000), 0),
+        ("no quorum", None, 0),
+        ("a clock step ahead is not credited", Some(12_000), 4000),
+    ];
+    for (name, quorum_at, term) in cases {
+        let mut grantor = grantor();
+        let renew = renew(1, 1, ms(10_000), 100);
+        let grant = grantor.renew(ms(10_000), quorum_at.map(ms), 1, renew);
+        assert_eq!(grant.term, ms(term), "{name}");
+        let until = if term > 0 { 10_000 + term + 400 } else { 0 };
+        assert_eq!(live(&grantor, until.saturating_sub(1)).len(), usize::from(term > 0), "{name}");
+        assert!(live(&grantor, until).is_empty(), "{name}");
+    }
+}
+
+#[test]
+fn a_leader_that_noted_no_commit_grants_nothing() {
+    let mut grantor = Grantor::new(ms(0), TERMS, 1);
+    assert_eq!(ask(&mut grantor, 100, 1, 1, 0).term, ms(0));
+    assert!(live(&grantor, 100).is_empty());
+}
+
+#[test]
+fn a_lagging_host_gets_no_renewal() {
+    let mut grantor = grantor();
+    assert_eq!(ask(&mut grantor, 1000, 1, 1, 100).applied, 100);
+    grantor.committed(ms(1500), 101);
+    grantor.committed(ms(1510), 102);
+    grantor.committed(ms(3000), 110);
+    let mut table = String::new();
+    // Index 102 was committed by 1510 and is due 2000 ms later, 110 at 5000.
+    for (at, applied) in [
+        (2000, 100),
+        (3400, 100),
+        (3600, 100),
+        (3700, 101),
+        (3800, 102),
+        (4990, 102),
+        (5010, 102),
+        (5020, 110),
+    ] {
+        let grant = ask(&mut grantor, at, 1, 1, applied);
+        let term = grant.term.as_millis();
+        table.push_str(&format!("{at}: applied {applied}, {term} ms, needs {}\n", grant.applied));
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn a_host_without_a_lease_must_reach_the_commit() {
+    let mut grantor = grantor();
+    ask(&mut grantor, 0, 1, 1, 100);
+    grantor.committed(ms(6000), 300);
+    // Its lease ran out at 4400, and it comes back.
+    assert_eq!(ask(&mut grantor, 6100, 1, 1, 100).applied, 300);
+    // A host that never lost its lease has until the allowed lag.
+    ask(&mut grantor, 6100, 2, 1, 300);
+    grantor.committed(ms(6200), 400);
+    assert_eq!(ask(&mut grantor, 6300, 2, 1, 300).applied, 300);
+    // So has the first, but what it needed when it came back stays.
+    let grant = ask(&mut grantor, 6300, 1, 1, 100);
+    assert_eq!((grant.term, grant.applied), (ms(4000), 300));
+}
+
+#[test]
+fn runs_replace_each_other() {
+    let mut grantor = grantor();
+    ask(&mut grantor, 1000, 1, 5, 100);
+    assert!(grantor.lost(ms(1000)).is_empty());
+    assert!(grantor.is_live(ms(1000), 1, 5));
+    // A new run ends the one before.
+    ask(&mut grantor, 1100, 1, 6, 100);
+    assert_eq!(grantor.lost(ms(1100)), [(1, 6)]);
+    assert!(!grantor.is_live(ms(1100), 1, 5) && grantor.is_live(ms(1100), 1, 6));
+    // A late renewal of the old run gets nothing and changes nothing.
+    let late = ask(&mut grantor, 1200, 1, 5, 100);
+    assert_eq!((late.term, late.applied, late.incarnation), (ms(0), 0, 5));
+    assert!(grantor.is_live(ms(1200), 1, 6));
+    // The lease ends for certain at 1100 + 4000 + 400, and is reported once.
+    assert!(grantor.lost(ms(5499)).is_empty());
+    assert_eq!(grantor.lost(ms(5500)), [(1, 7)]);
+    assert!(grantor.lost(ms(5600)).is_empty());
+    // The same run comes back and is lost again.
+    ask(&mut grantor, 6000, 1, 6, 100);
+    assert_eq!(grantor.lost(ms(20_000)), [(1, 7)]);
+}
+
+#[test]
+fn a_refused_host_is_not_live_and_not_lost() {
+    let mut grantor = grantor();
+    grantor.committed(ms(3000), 200);
+    assert_eq!(ask(&mut grantor, 6000, 1, 1, 0).term, ms(0));
+    assert!(live(&grantor, 6000).is_empty() && grantor.lost(ms(60_000)).is_empty());
+}
+
+#[test]
+fn settles_after_a_lease_and_the_margin() {
+    let grantor = Grantor::new(ms(500), TERMS, 1);
+    assert!(!grantor.settled(ms(4899)));
+    assert!(grantor.settled(ms(4900)));
+}
+
+fn rows(rows: &[DomainForce]) -> String {
+    let row = |row: &DomainForce| format!("{:?}+{}-{}", row.domain, row.applied, row.lagging);
+    rows.iter().map(row).collect::<Vec<_>>().join(" ")
+}
+
+#[test]
+fn in_force_counts_hosts_whose_leases_run() {
+    let mut grantor = grantor();
+    let mut table = String::new();
+    ask(&mut grantor, 1000, 1, 1, 100);
+    ask(&mut grantor, 1000, 2, 1, 100);
+    ask(&mut grantor, 2500, 4, 1, 90);
+    grantor.committed(ms(2500), 101);
+    for (at, host, applied) in [
+        (2600, 1, 101),
+        (4300, 2, 100),
+        (4400, 1, 101),
+        (4500, 1, 101),
+        (8000, 1, 101),
+        (8800, 1, 101),
+    ] {
+        ask(&mut grantor, at, host, 1, applied);
+        let force = rows(&grantor.in_force(ms(at), 101));
+        table.push_str(&format!("{at}: {force}\n"));
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn suspects_have_no_lease() {
+    let mut grantor = grantor();
+    grantor.set_hosts([1, 2, 3]);
+    ask(&mut grantor, 100, 2, 1, 100);
+    // Host 3 was never heard, but may hold a lease of an earlier leader.
+    assert!(ask(&mut grantor, 4000, 1, 1, 100).suspect.is_empty());
+    assert_eq!(ask(&mut grantor, 4399, 1, 1, 100).suspect, []);
+    assert_eq!(ask(&mut grantor, 4500, 1, 1, 100).suspect, [2, 3]);
+    ask(&mut grantor, 4600, 3, 1, 100);
+    assert_eq!(ask(&mut grantor, 4700, 1, 1, 100).suspect, [2]);
+}
+
+fn digest(adapters: u32, running: u32) -> Digest {
+    let resident = (0..adapters).map(|adapter| Residency { adapter, targets: 1 }).collect();
+    Digest { resident, running, capacity: 64, ..Digest::default() }
+}
+
+fn tell(grantor: &mut Grantor, at: u64, host: u32, round: u64, digest: Option<Digest>) -> Grant {
+    let renew = Renew { round, digest, ..renew(host, 1, ms(at), 100) };
+    grantor.renew(ms(at), Some(ms(at)), host, renew)
+}
+
+#[test]
+fn grants_carry_what_changed_since_the_named_round() {
+    let mut grantor = grantor();
+    let mut table = String::new();
+    let mut note = |step: &str, grant: &Grant| {
+        let hosts: Vec<_> = grant.digests.iter().map(|(host, d)| (*host, d.running)).collect();
+        let (term, round) = (grant.round >> 32, grant.round & 0xFFFF_FFFF);
+        table.push_str(&format!("{step}: round {term}/{round} {hosts:?}\n"));
+    };
+    let first = tell(&mut grantor, 1, 1, 0, Some(digest(3, 1)));
+    note("host 1 alone", &first);
+    tell(&mut grantor, 2, 2, 0, Some(digest(3, 2)));
+    let grant = tell(&mut grantor, 3, 1, first.round, None);
+    note("host 2 came", &grant);
+    let grant = tell(&mut grantor, 4, 1, grant.round, None);
+    note("nothing new", &grant);
+    tell(&mut grantor, 5, 2, 0, Some(digest(3, 2)));
+    let grant = tell(&mut grantor, 6, 1, grant.round, None);
+    note("the same digest again", &grant);
+    tell(&mut grantor, 7, 2, 0, Some(digest(3, 9)));
+    let late = tell(&mut grantor, 8, 1, first.round, None);
+    note("a lost grant is made up for", &late);
+    let other = tell(&mut grantor, 9, 1, 99 << 32 | 7, None);
+    note("a round of another leader", &other);
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn large_rounds_come_in_parts_and_miss_nothing() {
+    let mut grantor = grantor();
+    for host in 1..=60 {
+        tell(&mut grantor, u64::from(host), host, 0, Some(digest(20 + host, host)));
+    }
+    let mut seen = std::collections::BTreeMap::new();
+    let mut round = 0;
+    for n in 0..60 {
+        let grant = tell(&mut grantor, 100 + n, 99, round, None);
+        assert!(wire::encode(&grant).len() < 1500);
+        round = grant.round;
+        for (host, digest) in grant.digests {
+            seen.insert(host, digest);
+        }
+    }
+    assert_eq!(seen.len(), 60);
+    assert!(seen.iter().all(|(host, seen)| *seen == digest(20 + host, *host)));
+}
--- /dev/null
+++ b/coordination/lease/tests/holder.rs
@@ -0,0 +1,236 @@
+//! A host's side of its lease, case by case.
+
+mod common;
+
+use std::time::Duration;
+
+use lease::{Grantor, Holder};
+use wire::{Digest, Grant, Residency};
+
+use crate::common::{TERMS, ms};
+
+const TERM: u64 = 7;
+const ROUND: u64 = TERM << 32;
+
+fn holder() -> Holder {
+    Holder::new(TERMS, "a".into(), 3)
+}
+
+fn ask(holder: &mut Holder, at: u64) -> wire::Renew {
+    holder.due(ms(at), 10, &Digest::default()).expect("a renewal is due")
+}
+
+fn grant(sent: u64, term: u64, applied: u64) -> Grant {
+    Grant {
+        sent: ms(sent),
+        incarnation: 3,
+        term: ms(term),
+        applied,
+        round: ROUND,
+        digests: Vec::new(),
+        suspect: Vec::new(),
+    }
+}
+
+/// Renewals sent at these times, then grants `(taken at, sent, term, demand)`.
+type Case = (&'static str, &'static [u64], &'static [(u64, u64, u64, u64)], &'static str);
+
+#[test]
+fn leases() {
+    // The lease of a term of 4000 ms ends 3600 ms after the renewal was sent.
+    let cases: &[Case] = &[
+        ("counts from sent", &[1000], &[(1500, 1000, 4000, 5)], "10:..4600"),
+        ("shorter term", &[1000], &[(1500, 1000, 2000, 5)], "10:..2600"),
+        ("longer than a lease is cut", &[1000], &[(1500, 1000, 90_000, 5)], "10:..4600"),
+        ("refused", &[1000], &[(1500, 1000, 0, 5)], "none"),
+        ("arrives too late", &[1000], &[(4700, 1000, 4000, 5)], "none"),
+        ("demand not met", &[1000], &[(1500, 1000, 4000, 11)], "11:..4600"),
+        (
+            "a refusal leaves the lease",
+            &[1000, 2000],
+            &[(1100, 1000, 4000, 5), (2100, 2000, 0, 5)],
+            "10:..4600",
+        ),
+        ("extended", &[1000, 2000], &[(1100, 1000, 4000, 5), (2100, 2000, 4000, 5)], "10:..5600"),
+        (
+            "a higher demand holds for the added time",
+            &[1000, 2000],
+            &[(1100, 1000, 4000, 5), (2100, 2000, 4000, 20)],
+            "10:..4600 20:..5600",
+        ),
+        (
+            "the first demand holds for all",
+            &[1000, 2000],
+            &[(1100, 1000, 4000, 20), (2100, 2000, 4000, 20)],
+            "20:..5600",
+        ),
+        (
+            "after the end the new demand counts",
+            &[1000, 5000],
+            &[(1100, 1000, 4000, 5), (5100, 5000, 4000, 20)],
+            "20:..8600",
+        ),
+        (
+            "overtaken grants are left out",
+            &[1000, 2000],
+            &[(2100, 2000, 2000, 5), (2200, 1000, 4000, 5)],
+            "10:..3600",
+        ),
+        ("not asked for", &[1000], &[(1500, 1200, 4000, 5)], "none"),
+    ];
+    let mut table = String::new();
+    for (name, asks, grants, expected) in cases {
+        let mut holder = holder();
+        let mut events: Vec<_> = asks.iter().map(|at| (*at, None)).collect();
+        events.extend(
+            grants.iter().map(|(at, sent, term, demand)| (*at, Some(grant(*sent, *term, *demand)))),
+        );
+        events.sort_by_key(|(at, _)| *at);
+        let mut last = 0;
+        for (at, event) in events {
+            last = at;
+            match event {
+                None => _ = ask(&mut holder, at),
+                Some(grant) => _ = holder.granted(ms(at), &grant),
+            }
+        }
+        let seen = describe(&holder, last);
+        table.push_str(&format!("{name}: {seen}\n"));
+        assert_eq!(seen, *expected, "{name}");
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// For which applied index the lease counts from `now` until when.
+fn describe(holder: &Holder, now: u64) -> String {
+    let mut parts: Vec<String> = Vec::new();
+    let mut best = now;
+    for applied in [0, 10, 11, 20] {
+        let until = (now..20_000).take_while(|at| holder.valid(ms(*at), applied)).last();
+        let Some(until) = until.map(|at| at + 1) else { continue };
+        assert_eq!(holder.valid_until(applied), Some(ms(until)));
+        if until > best {
+            parts.push(format!("{applied}:..{until}"));
+            best = until;
+        }
+    }
+    if parts.is_empty() { "none".into() } else { parts.join(" ") }
+}
+
+#[test]
+fn another_run_s_grant_is_left_out() {
+    let mut holder = holder();
+    ask(&mut holder, 1000);
+    assert!(!holder.granted(ms(1100), &Grant { incarnation: 2, ..grant(1000, 4000, 5) }));
+    assert!(!holder.valid(ms(1100), 10));
+    assert!(holder.granted(ms(1100), &grant(1000, 4000, 5)));
+    assert!(holder.valid(ms(1100), 10));
+}
+
+#[test]
+fn renewals_come_at_quarters_and_sooner_without_an_answer() {
+    let mut holder = holder();
+    let mut times = Vec::new();
+    for at in (0..12_000).step_by(20) {
+        if let Some(renew) = holder.due(ms(at), 10, &Digest::default()) {
+            times.push(at);
+            // Answered between the second and the fifth second only.
+            if (2000..5000).contains(&at) {
+                let sent = renew.sent.as_millis() as u64;
+                holder.granted(ms(at), &grant(sent, 4000, 5));
+            }
+        }
+    }
+    insta::assert_snapshot!(format!("{times:?}"));
+}
+
+#[test]
+fn hurry_makes_a_renewal_due_once() {
+    let mut holder = holder();
+    ask(&mut holder, 1000);
+    holder.granted(ms(1010), &grant(1000, 4000, 5));
+    assert!(holder.due(ms(1100), 10, &Digest::default()).is_none());
+    holder.hurry();
+    assert!(holder.due(ms(1100), 10, &Digest::default()).is_some());
+    assert!(holder.due(ms(1200), 10, &Digest::default()).is_none());
+}
+
+/// Grants `(sent, term of the leader, demand)` and the alarm after the last.
+type BackCase = (&'static str, &'static [(u64, u64, u64)], Option<(u64, u64)>);
+
+#[test]
+fn lost_state_is_seen() {
+    let cases: &[BackCase] = &[
+        ("goes on", &[(1000, 7, 90), (2000, 7, 91), (3000, 8, 95)], None),
+        ("same leader shows less", &[(1000, 7, 90), (2000, 7, 89)], Some((90, 89))),
+        ("later leader shows less", &[(1000, 7, 90), (2000, 8, 12)], Some((90, 12))),
+        ("a replaced leader answers late", &[(1000, 8, 90), (2000, 7, 89)], None),
+        ("an earlier term for long", &[(1000, 8, 90), (9000, 1, 12)], Some((90, 12))),
+        ("an earlier term with more", &[(1000, 8, 90), (9000, 1, 120)], Some((90, 120))),
+    ];
+    for (name, grants, expected) in cases {
+        let mut holder = holder();
+        let mut taken = true;
+        for (sent, term, demand) in *grants {
+            ask(&mut holder, *sent);
+            let grant = Grant { round: term << 32, ..grant(*sent, 4000, *demand) };
+            taken = holder.granted(ms(sent + 10), &grant);
+        }
+        assert_eq!(holder.went_back(), *expected, "{name}");
+        assert_eq!(taken, *name == "goes on", "{name}");
+    }
+}
+
+#[test]
+fn the_digest_is_sent_until_the_leader_has_it() {
+    let mut holder = holder();
+    let mut grantor = Grantor::new(ms(0), TERMS, TERM);
+    grantor.committed(ms(0), 5);
+    let empty = Digest::default();
+    let full = Digest { resident: vec![Residency { adapter: 1, targets: 1 }], ..empty.clone() };
+    // (digest of the moment, whether the renewal arrives, whether the grant does)
+    let steps = [
+        (&empty, false, false),
+        (&empty, true, false),
+        (&empty, true, true),
+        (&empty, true, true),
+        (&full, true, false),
+        // The leader has the full one, although it was not confirmed.
+        (&empty, true, true),
+        (&empty, true, true),
+        (&full, false, false),
+        (&full, true, true),
+        (&full, true, true),
+    ];
+    let mut sent = Vec::new();
+    for (n, (digest, arrives, answered)) in steps.into_iter().enumerate() {
+        let now = ms(1000 * (n as u64 + 1));
+        let renew = holder.due(now, 10, digest).expect("due");
+        sent.push(renew.digest.is_some());
+        if arrives {
+            let grant = grantor.renew(now, Some(now), 1, renew);
+            if answered {
+                assert!(holder.granted(now, &grant));
+                // What the leader tells others is what the host last said.
+                assert_eq!(spread(&mut grantor, now), *digest);
+            }
+        }
+    }
+    let expected = [true, true, true, false, true, true, false, true, true, false];
+    assert_eq!(sent, expected);
+
+    // A new leader has nothing yet.
+    let mut grantor = Grantor::new(ms(20_000), TERMS, TERM + 1);
+    grantor.committed(ms(20_000), 6);
+    let renew = holder.due(ms(20_000), 10, &full).expect("due");
+    let first = grantor.renew(ms(20_000), Some(ms(20_000)), 1, renew);
+    assert!(holder.granted(ms(20_000), &first));
+    assert_eq!(holder.due(ms(21_000), 10, &full).expect("due").digest, Some(full));
+}
+
+/// What another host is told of host 1.
+fn spread(grantor: &mut Grantor, now: Duration) -> Digest {
+    let renew = common::renew(9, 1, now, 10);
+    let grant = grantor.renew(now, Some(now), 9, renew);
+    grant.digests.into_iter().find(|(host, _)| *host == 1).expect("host 1").1
+}
--- a/coordination/lease/tests/schedule.rs
+++ b/coordination/lease/tests/schedule.rs
@@ -223,7 +223,8 @@
 
     fn send(&mut self, to: HostId, msg: impl Fn(()) -> Msg) {
         while !self.chance(25) {
-            let delay = if self.chance(self.modes.slow) { self.below(6000) } else { self.below(200) };
+            let delay =
+                if self.chance(self.modes.slow) { self.below(6000) } else { self.below(200) };
             self.wire.push((self.real + ms(delay), to, msg(())));
             if self.chance(95) {
                 return;
