--- /dev/null
+++ b/state/claims/tests/common/mod.rs
@@ -0,0 +1,51 @@
+//! Shared parts of the tests.
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use claims::{ClaimReply, Retention};
+use wire::{Claim, ClaimKey, Outcome, Settle};
+
+/// A moment in milliseconds since the epoch.
+pub const START: u64 = 1_800_000_000_000;
+pub const DAY: u64 = 24 * 60 * 60 * 1000;
+pub const HOUR: u64 = 60 * 60 * 1000;
+
+pub const RETENTION: Retention =
+    Retention { age: Duration::from_secs(24 * 60 * 60), count: 1000, bytes: 100_000 };
+
+pub fn key(name: &str) -> ClaimKey {
+    ClaimKey { caller: "troupe".into(), key: name.into() }
+}
+
+/// A claim of a request of host `request / 100`, in that host's first run.
+pub fn claim(name: &str, request: u64, made: u64) -> Claim {
+    Claim {
+        key: key(name),
+        print: [7; 16],
+        host: (request / 100) as u32,
+        incarnation: 1,
+        request,
+        made,
+    }
+}
+
+pub fn settle(name: &str, request: u64, outcome: Outcome) -> Settle {
+    Settle { key: key(name), request, outcome }
+}
+
+pub fn done(body: &'static str) -> Outcome {
+    Outcome::Done { status: 200, body: Bytes::from_static(body.as_bytes()) }
+}
+
+/// A reply in one word or two.
+pub fn word(reply: &ClaimReply) -> String {
+    match reply {
+        ClaimReply::Granted => "granted".into(),
+        ClaimReply::Done { status, body } => {
+            format!("done {status} {}", String::from_utf8_lossy(body))
+        }
+        ClaimReply::Refused(kind) => format!("refused {}", kind.row().code),
+    }
+}
