--- a/coordination/node/src/lib.rs
+++ b/coordination/node/src/lib.rs
@@ -2,8 +2,23 @@
 //! outputs come out. The daemon is a loop around [`Node`]; tests hold several
 //! in one process.
 
+mod core;
+mod desk;
+mod digest;
+mod effect;
+mod entry;
+mod failure;
+mod held;
 mod io;
+mod machine;
+mod member;
 mod node;
+mod orders;
+mod owner;
+mod pin;
+mod stats;
+mod status;
+mod view;
 
 pub use crate::{
     io::{
--- /dev/null
+++ b/coordination/node/src/pin.rs
@@ -0,0 +1,43 @@
+//! Binding a request to what the configuration in force declares.
+
+use decl::Call;
+use history::Config;
+use sha2::{Digest, Sha256};
+use wire::{ErrorKind, Fault, Fingerprint, Pin};
+
+use crate::Caller;
+
+/// Returns what a request is bound to and the declared call it belongs to.
+pub(crate) fn pin_request(config: &Config, caller: &Caller) -> Result<(Pin, Call), Fault> {
+    let service = caller.service.as_deref();
+    let name = caller.call.as_deref();
+    let model = caller.model.as_deref();
+    if let Some(model) = model {
+        let info = config.resolve(model).map_err(|kind| Fault::new(kind, model))?;
+        let call = config.call(service, name, Some(model)).map_err(Fault::from)?;
+        let pin = Pin::Adapter { id: info.id, name: info.name.clone() };
+        return Ok((pin, call.clone()));
+    }
+    let Some(service) = service else {
+        return Err(Fault::new(ErrorKind::BadRequest, "neither a model nor a service is named"));
+    };
+    let call = config.call(Some(service), name, None).map_err(|kind| Fault::new(kind, service))?;
+    Ok((Pin::Service { service: service.to_owned() }, call.clone()))
+}
+
+/// Digests what a target would see of a request.
+pub(crate) fn fingerprint(pin: &Pin, path: &str, body: &[u8]) -> Fingerprint {
+    let name = match pin {
+        Pin::Adapter { name, .. } => name,
+        Pin::Service { service } => service,
+    };
+    let mut hasher = Sha256::new();
+    for part in [name.as_bytes(), path.as_bytes(), body] {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    let hash = hasher.finalize();
+    let mut print = Fingerprint::default();
+    print.copy_from_slice(&hash[..print.len()]);
+    print
+}
--- /dev/null
+++ b/coordination/node/src/status.rs
@@ -0,0 +1,125 @@
+//! What a host shows of itself and of the system.
+
+use std::time::Duration;
+
+use api::{AuditPage, DomainForce, HostRow, QuarantineRow, ServiceReceipt, StatusBody, TargetRow};
+use wire::{HostId, Membership, Pin, Role, Urgency};
+
+use crate::{Node, held::Held, view::View};
+
+impl Node {
+    /// Returns the entry hosts that a caller of `model` should use, best first.
+    pub fn entries(&self, now: Duration, model: Option<&str>) -> Vec<HostId> {
+        let view = self.view();
+        let info = model.and_then(|model| view.config.adapters.get(model));
+        let pin = info.map(|info| Pin::Adapter { id: info.id, name: info.name.clone() });
+        self.with_directory(|dir| dir.entries(now, pin.as_ref()))
+    }
+
+    /// Returns the state of the system as this host sees it.
+    pub fn status(&self, now: Duration) -> StatusBody {
+        let view = self.view();
+        let (alarms, members) = {
+            let core = self.core();
+            (core.alarms().to_vec(), core.replica().status().members)
+        };
+        let ctx = self.ctx(now);
+        let hosts = self.host_rows(now, &members);
+        let owner = self.owner();
+        StatusBody {
+            host: self.host(),
+            leader: view.leader,
+            term: view.term,
+            lease: ctx.lease.is_some(),
+            commit: view.commit,
+            applied: view.applied,
+            alarms,
+            hosts,
+            targets: target_rows(&view, &owner.targets),
+            services: service_rows(&view),
+            queued: owner.policy.queued() as u32,
+            stall_seconds: owner.stats.stalled(),
+            batch_fullness: owner.stats.fullness(),
+            quarantine: quarantine_rows(&view),
+        }
+    }
+
+    fn host_rows(&self, now: Duration, members: &Membership) -> Vec<HostRow> {
+        let mut rows = Vec::new();
+        for live in self.member().live(now) {
+            rows.push(HostRow {
+                host: live.host,
+                domain: live.domain,
+                role: role(members, live.host).to_owned(),
+                live: true,
+                applied: live.applied,
+            });
+        }
+        rows
+    }
+
+    /// Returns at most `limit` audit entries from a sequence on.
+    pub fn audit(&self, from: u64, limit: usize) -> AuditPage {
+        let core = self.core();
+        let history = &core.machine().history;
+        let (last, head) = history.head();
+        let entries = history.entries(from).iter().take(limit).map(history::to_api).collect();
+        AuditPage { entries, last, head: hex(&head) }
+    }
+}
+
+fn role(members: &Membership, host: HostId) -> &'static str {
+    match members.members.iter().find(|member| member.host == host) {
+        Some(member) if member.role == Role::Voter => "voter",
+        Some(_) => "learner",
+        None => "observer",
+    }
+}
+
+fn target_rows(
+    view: &View,
+    held: &std::collections::BTreeMap<wire::TargetId, Held>,
+) -> Vec<TargetRow> {
+    let mut rows = Vec::new();
+    for target in view.registry.targets() {
+        let own = held.get(&target.id);
+        rows.push(TargetRow {
+            name: target.info.name.clone(),
+            domain: target.info.domain.clone(),
+            owner: target.owner.map(|(host, _)| host),
+            fence: target.fence,
+            resident: own.map(|held| resident(view, held)).unwrap_or_default(),
+            running: own.map_or(0, |held| held.running.len() as u32),
+            leaving: own.is_some_and(|held| held.leaving),
+        });
+    }
+    rows
+}
+
+fn resident(view: &View, held: &Held) -> Vec<String> {
+    let ready = held.adapters.keys().filter(|&&id| held.is_ready(id));
+    ready.filter_map(|&id| view.config.names.get(id as usize)).cloned().collect()
+}
+
+fn service_rows(view: &View) -> Vec<ServiceReceipt> {
+    let mut rows = Vec::new();
+    for (service, info) in &view.config.services {
+        rows.push(ServiceReceipt {
+            service: service.clone(),
+            version: info.declaration.version,
+            digest: hex(&info.digest),
+            index: info.index,
+        });
+    }
+    rows
+}
+
+fn quarantine_rows(view: &View) -> Vec<QuarantineRow> {
+    let list = view.strikes.list();
+    list.into_iter().map(|(print, strikes)| QuarantineRow { print: hex(&print), strikes }).collect()
+}
+
+/// Writes bytes in hexadecimal.
+pub fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- a/protocol/wire/src/codec.rs
+++ b/protocol/wire/src/codec.rs
@@ -30,9 +30,15 @@
     if frame.len() > MAX_FRAME_BYTES {
         return Err(DecodeError::TooLong(frame.len()));
     }
-    let (msg, rest) = postcard::take_from_bytes(frame)?;
+    decode_state(frame)
+}
+
+/// Decodes a value that fills all the bytes, which this system encoded itself
+/// and which may be longer than a frame.
+pub fn decode_state<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
+    let (value, rest) = postcard::take_from_bytes(bytes)?;
     if !rest.is_empty() {
         return Err(DecodeError::Trailing(rest.len()));
     }
-    Ok(msg)
+    Ok(value)
 }
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -12,7 +12,7 @@
 mod target;
 
 pub use crate::{
-    codec::{DecodeError, MAX_FRAME_BYTES, decode, encode},
+    codec::{DecodeError, MAX_FRAME_BYTES, decode, decode_state, encode},
     command::{
         Action, Claim, ClaimKey, Command, DeclFile, Intent, Move, Outcome, Proposal, Publish,
         Settle,
