Read declaration and settings files, report every mistake with its line

Each value is checked by a small function where it is read. Unknown sections and keys and duplicates are refused. Example files for both users.

--- a/protocol/decl/src/declaration.rs
+++ b/protocol/decl/src/declaration.rs
@@ -5,7 +5,24 @@
 use serde::{Deserialize, Serialize};
 use wire::{HostId, Urgency};
 
-use crate::FileError;
+use crate::{
+    FileError,
+    document::{Document, Section},
+    reader::{Checked, Reader},
+    value,
+};
+
+/// The service whose declaration names the voters. No other has this name.
+pub const SYSTEM_SERVICE: &str = "system";
+
+const SERVICE: &str = "service";
+const ADAPTERS: &str = "adapters";
+const CLUSTER: &str = "cluster";
+const CALL_PREFIX: &str = "call ";
+const CALL_KEYS: [&str; 4] = ["path", "urgency", "idempotent", "deadline"];
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+const MIN_DEADLINE: Duration = Duration::from_millis(1);
+const MAX_DEADLINE: Duration = Duration::from_secs(3600);
 
 /// What a service's requests go to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,10 +71,150 @@
     pub calls: BTreeMap<String, Call>,
 }
 
+#[derive(Clone, Copy, PartialEq)]
+enum Kind {
+    Model,
+    Plain,
+    System,
+}
+
 impl Declaration {
     /// Reads a declaration. All mistakes are reported, not just the first.
     pub fn parse(file: &str, text: &str) -> Result<Declaration, Vec<FileError>> {
-        let _ = (file, text);
-        todo!()
+        let document = Document::parse(file, text)?;
+        let mut reader = Reader::new(&document);
+        let declaration = read(&mut reader);
+        reader.finish(declaration)
+    }
+
+    /// Returns the full names, `model@adapter@version`, of all adapters.
+    pub fn adapter_names(&self) -> Vec<String> {
+        let ServiceKind::Model { model, adapters } = &self.kind else {
+            return Vec::new();
+        };
+        let mut names = Vec::new();
+        for (adapter, versions) in adapters {
+            for version in versions {
+                names.push(format!("{model}@{adapter}@{version}"));
+            }
+        }
+        names
+    }
+}
+
+fn read(reader: &mut Reader<'_>) -> Option<Declaration> {
+    let service = reader.required(SERVICE, "name", value::name);
+    let version = reader.required(SERVICE, "version", value::whole(1..=u64::MAX));
+    let words = [("model", Kind::Model), ("plain", Kind::Plain), ("system", Kind::System)];
+    let word = reader.required(SERVICE, "kind", value::choice(&words));
+    let calls = read_calls(reader);
+    let kind = word.and_then(|it| read_kind(reader, it));
+    if let Some(word) = word {
+        check_shape(reader, word, service.as_deref());
+    }
+    Some(Declaration { service: service?, version: version?, kind: kind?, calls })
+}
+
+/// Checks which sections and keys a kind has.
+fn check_shape(reader: &mut Reader<'_>, kind: Kind, service: Option<&str>) {
+    let (sections, keys): (&[&str], &[&str]) = match kind {
+        Kind::Model => (&[SERVICE, ADAPTERS], &["name", "version", "kind", "model"]),
+        Kind::Plain => (&[SERVICE], &["name", "version", "kind"]),
+        Kind::System => (&[SERVICE, CLUSTER], &["name", "version", "kind"]),
+    };
+    let mut calls = 0;
+    for section in &reader.document.sections {
+        if section.name == SERVICE {
+            reader.only_keys(section, keys);
+        }
+        if section.name == CLUSTER && kind == Kind::System {
+            reader.only_keys(section, &["voters"]);
+        }
+        if sections.contains(&section.name.as_str()) {
+            continue;
+        }
+        if section.name.starts_with(CALL_PREFIX) && kind != Kind::System {
+            calls += 1;
+            continue;
+        }
+        let allowed = sections.join("], [");
+        let call = if kind == Kind::System { "" } else { ", [call NAME]" };
+        let message = format!("unknown section for this kind; allowed: [{allowed}]{call}");
+        reader.refuse(&section.name, "", message);
+    }
+    if calls == 0 && kind != Kind::System {
+        reader.refuse(SERVICE, "", "the service has no call; add a section [call NAME]");
+    }
+    let system = service == Some(SYSTEM_SERVICE);
+    if service.is_some() && system != (kind == Kind::System) {
+        let message =
+            format!("the name `{SYSTEM_SERVICE}` and the kind `system` only go with each other");
+        reader.refuse(SERVICE, "name", message);
     }
 }
+
+fn read_kind(reader: &mut Reader<'_>, kind: Kind) -> Option<ServiceKind> {
+    match kind {
+        Kind::Plain => Some(ServiceKind::Plain),
+        Kind::Model => {
+            let model = reader.required(SERVICE, "model", value::name);
+            let adapters = read_adapters(reader);
+            Some(ServiceKind::Model { model: model?, adapters })
+        }
+        Kind::System => {
+            let voters = reader.required(CLUSTER, "voters", |it| value::list(it, value::host));
+            Some(ServiceKind::System { voters: voters? })
+        }
+    }
+}
+
+fn read_adapters(reader: &mut Reader<'_>) -> BTreeMap<String, Vec<String>> {
+    let mut adapters = BTreeMap::new();
+    let keys = reader.document.section(ADAPTERS).map_or(&[][..], |it| &it.keys);
+    if keys.is_empty() {
+        reader.refuse(ADAPTERS, "", "no adapter; allowed: one line `ADAPTER = VERSION, ...` each");
+    }
+    for key in keys {
+        if let Err(message) = value::name(&key.name) {
+            reader.refuse(ADAPTERS, &key.name, message);
+        }
+        let versions = reader.check(ADAPTERS, key, |it| value::list(it, value::name));
+        adapters.insert(key.name.clone(), versions.unwrap_or_default());
+    }
+    adapters
+}
+
+fn read_calls(reader: &mut Reader<'_>) -> BTreeMap<String, Call> {
+    let mut calls = BTreeMap::new();
+    for section in &reader.document.sections {
+        let Some(name) = section.name.strip_prefix(CALL_PREFIX) else {
+            continue;
+        };
+        let name = name.trim();
+        if let Err(message) = value::name(name) {
+            reader.refuse(&section.name, "", message);
+        }
+        reader.only_keys(section, &CALL_KEYS);
+        let Some(call) = read_call(reader, section, name) else {
+            continue;
+        };
+        if calls.insert(name.to_owned(), call).is_some() {
+            reader.refuse(&section.name, "", format!("the call `{name}` stands twice"));
+        }
+    }
+    calls
+}
+
+fn read_call(reader: &mut Reader<'_>, section: &Section, name: &str) -> Option<Call> {
+    let words = [("high", Urgency::High), ("normal", Urgency::Normal), ("low", Urgency::Low)];
+    let path = reader.required(&section.name, "path", value::path);
+    let urgency = reader.or(&section.name, "urgency", Urgency::default(), value::choice(&words));
+    let idempotent = reader.required(&section.name, "idempotent", yes_no);
+    let limits = value::duration(MIN_DEADLINE..=MAX_DEADLINE);
+    let deadline = reader.or(&section.name, "deadline", DEFAULT_DEADLINE, limits);
+    Some(Call { name: name.to_owned(), path: path?, urgency, idempotent: idempotent?, deadline })
+}
+
+fn yes_no(text: &str) -> Checked<bool> {
+    value::choice(&[("yes", true), ("no", false)])(text)
+}
--- a/protocol/decl/src/error.rs
+++ b/protocol/decl/src/error.rs
@@ -1,19 +1,49 @@
 //! Errors of files.
 
-use thiserror::Error;
+use std::fmt;
 
 /// One mistake in a file.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("{file}:{line}: [{section}] {field}: {message}")]
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub struct FileError {
     /// The file.
     pub file: String,
     /// The line, from 1.
     pub line: usize,
-    /// The section.
+    /// The section; empty before the first.
     pub section: String,
-    /// The key.
+    /// The key; empty where the whole section is meant.
     pub field: String,
     /// What is wrong and what is allowed.
     pub message: String,
 }
+
+impl FileError {
+    pub(crate) fn new(
+        file: &str,
+        line: usize,
+        section: &str,
+        field: &str,
+        message: impl Into<String>,
+    ) -> FileError {
+        FileError {
+            file: file.to_owned(),
+            line,
+            section: section.to_owned(),
+            field: field.to_owned(),
+            message: message.into(),
+        }
+    }
+}
+
+impl fmt::Display for FileError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: ", self.file, self.line)?;
+        if !self.section.is_empty() {
+            write!(f, "[{}] ", self.section)?;
+        }
+        if !self.field.is_empty() {
+            write!(f, "{}: ", self.field)?;
+        }
+        f.write_str(&self.message)
+    }
+}
--- a/protocol/decl/src/lib.rs
+++ b/protocol/decl/src/lib.rs
@@ -1,11 +1,14 @@
 //! Declaration and settings files.
 
 mod declaration;
+mod document;
 mod error;
+mod reader;
 mod settings;
+mod value;
 
 pub use crate::{
-    declaration::{Call, Declaration, ServiceKind},
+    declaration::{Call, Declaration, SYSTEM_SERVICE, ServiceKind},
     error::FileError,
     settings::{Limits, LogFormat, Peer, Settings, Timing, Weights},
 };
--- /dev/null
+++ b/protocol/decl/tests/examples.rs
@@ -0,0 +1,51 @@
+//! Every example file is accepted.
+
+use std::{fs, path::Path};
+
+use decl::{Declaration, Settings};
+
+const USERS: [(&str, usize, usize); 2] = [("maison", 10, 3), ("derwent", 11, 3)];
+
+fn texts(folder: &Path) -> Vec<(String, String)> {
+    let mut texts = Vec::new();
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            continue;
+        }
+        let text = fs::read_to_string(&path).unwrap();
+        texts.push((path.display().to_string(), text));
+    }
+    texts
+}
+
+#[test]
+fn declarations_parse() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for (user, ..) in USERS {
+        let files = texts(&root.join(user));
+        assert_eq!(files.len(), 3, "{user}");
+        for (name, text) in files {
+            Declaration::parse(&name, &text).unwrap();
+        }
+    }
+}
+
+#[test]
+fn settings_parse_and_differ_only_in_the_host() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for (user, hosts, founders) in USERS {
+        let files = texts(&root.join(user).join("hosts"));
+        assert_eq!(files.len(), hosts, "{user}");
+        let shared = files[0].1.split_once("[hosts]").unwrap().1;
+        let mut folders = 0;
+        for (name, text) in &files {
+            let settings = Settings::parse(name, text).unwrap();
+            assert_eq!(settings.peers.len(), hosts);
+            assert_eq!(settings.founders.len(), founders);
+            assert_eq!(text.split_once("[hosts]").unwrap().1, shared, "{name}");
+            folders += usize::from(settings.data_dir.is_some());
+        }
+        assert_eq!(folders, founders);
+    }
+}
