--- a/protocol/decl/src/declaration.rs
+++ b/protocol/decl/src/declaration.rs
@@ -69,6 +69,8 @@
     pub kind: ServiceKind,
     /// Its calls by name.
     pub calls: BTreeMap<String, Call>,
+    /// The call that stands first in the file; requests that name none use it.
+    pub first_call: Option<String>,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -112,7 +114,8 @@
     if let Some(word) = word {
         check_shape(reader, word, service.as_deref());
     }
-    Some(Declaration { service: service?, version: version?, kind: kind?, calls })
+    let first_call = first_call(reader.document);
+    Some(Declaration { service: service?, version: version?, kind: kind?, calls, first_call })
 }
 
 /// Checks which sections and keys a kind has.
@@ -184,6 +187,11 @@
     adapters
 }
 
+fn first_call(document: &Document) -> Option<String> {
+    let mut names = document.sections.iter().filter_map(|it| it.name.strip_prefix(CALL_PREFIX));
+    names.next().map(|it| it.trim().to_owned())
+}
+
 fn read_calls(reader: &mut Reader<'_>) -> BTreeMap<String, Call> {
     let mut calls = BTreeMap::new();
     for section in &reader.document.sections {
--- a/state/history/src/config.rs
+++ b/state/history/src/config.rs
@@ -1,12 +1,12 @@
 //! The configuration in force.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::collections::BTreeMap;
 
-use decl::Declaration;
+use decl::{Call, Declaration, ServiceKind};
 use serde::{Deserialize, Serialize};
-use wire::{AdapterId, Fault, HostId, Index, Publish, Revision};
+use wire::{AdapterId, ErrorKind, HostId, Index, Revision};
 
-use crate::{Entry, Hash};
+use crate::Hash;
 
 /// A service in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,6 +28,8 @@
     pub name: String,
     /// Whether a declaration in force names it.
     pub declared: bool,
+    /// The services whose declarations in force name it, in order of names.
+    pub services: Vec<String>,
 }
 
 /// The configuration in force at a revision.
@@ -45,46 +47,105 @@
     pub voters: Vec<HostId>,
 }
 
-/// Confirms an accepted publish; a resend gets the same.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Receipt {
-    /// The log index of the change, on a resend the highest of its services.
-    pub index: Index,
-    /// The audit sequence at that change.
-    pub sequence: u64,
-    /// The audit hash at that change.
-    pub head: Hash,
-    /// Each service with its version and file digest, in order of names.
-    pub services: Vec<(String, u64, Hash)>,
-}
+impl Config {
+    /// Finds an adapter version that a declaration in force names.
+    ///
+    /// Fails with [`ErrorKind::WrongVersion`] if the adapter is declared in
+    /// other versions only, else with [`ErrorKind::UnknownAdapter`].
+    pub fn resolve(&self, model: &str) -> Result<&AdapterInfo, ErrorKind> {
+        if let Some(info) = self.adapters.get(model)
+            && info.declared
+        {
+            return Ok(info);
+        }
+        if self.declares_other_version(model) {
+            return Err(ErrorKind::WrongVersion);
+        }
+        Err(ErrorKind::UnknownAdapter)
+    }
 
-/// The replicated configuration with its audit trail.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-pub struct History {
-    config: Arc<Config>,
-    entries: Vec<Entry>,
-}
+    fn declares_other_version(&self, model: &str) -> bool {
+        let mut parts = model.splitn(3, '@');
+        let (Some(base), Some(adapter)) = (parts.next(), parts.next()) else {
+            return false;
+        };
+        let prefix = format!("{base}@{adapter}@");
+        let versions = self.adapters.range(prefix.clone()..);
+        versions.take_while(|it| it.0.starts_with(&prefix)).any(|it| it.1.declared)
+    }
 
-impl History {
-    /// Applies a publish at a log index. `at` is in milliseconds since the epoch.
-    pub fn apply(&mut self, index: Index, at: u64, publish: &Publish) -> Result<Receipt, Fault> {
-        let _ = (index, at, publish);
-        todo!()
+    /// Finds the declared call of a request.
+    ///
+    /// A request that names a model may leave out its service, which then is
+    /// the first in force that declares the adapter and has the call, and its
+    /// call, which then is the first of the service's file.
+    pub fn call(
+        &self,
+        service: Option<&str>,
+        call: Option<&str>,
+        model: Option<&str>,
+    ) -> Result<&Call, ErrorKind> {
+        let Some(model) = model else {
+            let service = service.ok_or(ErrorKind::UnknownService)?;
+            let call = call.ok_or(ErrorKind::UnknownService)?;
+            return self.service_call(service, Some(call), false);
+        };
+        let adapter = self.resolve(model)?;
+        if let Some(service) = service {
+            let call = self.service_call(service, call, true)?;
+            let declares = adapter.services.iter().any(|it| it == service);
+            return if declares { Ok(call) } else { Err(ErrorKind::UnknownAdapter) };
+        }
+        for service in &adapter.services {
+            if let Ok(call) = self.service_call(service, call, true) {
+                return Ok(call);
+            }
+        }
+        Err(ErrorKind::UnknownService)
     }
 
-    /// Returns the configuration in force.
-    pub fn config(&self) -> &Arc<Config> {
-        &self.config
+    fn service_call(
+        &self,
+        service: &str,
+        call: Option<&str>,
+        model: bool,
+    ) -> Result<&Call, ErrorKind> {
+        let info = self.services.get(service).ok_or(ErrorKind::UnknownService)?;
+        let declaration = &info.declaration;
+        if model != matches!(declaration.kind, ServiceKind::Model { .. }) {
+            return Err(ErrorKind::UnknownService);
+        }
+        let name = call.or(declaration.first_call.as_deref()).ok_or(ErrorKind::UnknownService)?;
+        declaration.calls.get(name).ok_or(ErrorKind::UnknownService)
     }
 
-    /// Returns the audit entries from a sequence on.
-    pub fn entries(&self, from: u64) -> &[Entry] {
-        let _ = from;
-        &self.entries
+    /// Puts a service into force. [`Config::settle`] must follow.
+    pub(crate) fn put(&mut self, info: ServiceInfo) {
+        self.services.insert(info.declaration.service.clone(), info);
     }
 
-    /// Returns the newest sequence and its hash.
-    pub fn head(&self) -> (u64, Hash) {
-        todo!()
+    /// Recomputes what follows from the services: adapters and voters.
+    pub(crate) fn settle(&mut self, revision: Revision) {
+        self.revision = revision;
+        self.voters.clear();
+        for adapter in self.adapters.values_mut() {
+            adapter.services.clear();
+        }
+        for (service, info) in &self.services {
+            if let ServiceKind::System { voters } = &info.declaration.kind {
+                self.voters = voters.clone();
+            }
+            for name in info.declaration.adapter_names() {
+                let adapter = self.adapters.entry(name.clone()).or_insert_with(|| {
+                    let id = self.names.len() as AdapterId;
+                    self.names.push(name.clone());
+                    AdapterInfo { id, name, declared: true, services: Vec::new() }
+                });
+                adapter.services.push(service.clone());
+            }
+        }
+        for adapter in self.adapters.values_mut() {
+            adapter.declared = !adapter.services.is_empty();
+        }
     }
 }
--- a/state/history/src/lib.rs
+++ b/state/history/src/lib.rs
@@ -3,8 +3,14 @@
 
 mod audit;
 mod config;
+mod export;
+mod history;
+mod publish;
 
 pub use crate::{
-    audit::{Break, Change, Entry, Hash, digest, verify},
-    config::{AdapterInfo, Config, History, Receipt, ServiceInfo},
+    audit::{Break, Change, Entry, Hash, digest, verify, verify_head},
+    config::{AdapterInfo, Config, ServiceInfo},
+    export::{from_api, from_hex, to_api, to_hex},
+    history::{History, Receipt},
+    publish::{MAX_FILES, MAX_LABEL_BYTES},
 };
