--- a/coordination/admit/src/lib.rs
+++ b/coordination/admit/src/lib.rs
@@ -5,5 +5,5 @@
 
 pub use crate::{
     budget::Budget,
-    queue::{Bounds, Queue, Waiting},
+    queue::{Bounds, Depth, Lane, Need, Queue, Waiting},
 };
--- /dev/null
+++ b/coordination/place/src/fleet.rs
@@ -0,0 +1,172 @@
+//! The owner's targets, indexed by what they hold.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
+
+use wire::{AdapterId, RequestId, TargetId};
+
+use crate::{Resident, TargetView};
+
+/// Weight of the newest sample in a target's mean running time.
+const TOOK_WEIGHT: f64 = 0.1;
+
+/// A target with what the policy adds to its view.
+#[derive(Debug)]
+pub(crate) struct Target {
+    /// The view as last set, with later starts and loads added.
+    pub(crate) view: TargetView,
+    /// A request for which the target is kept free until it can run alone.
+    pub(crate) reserved: Option<RequestId>,
+    /// Mean running time of a request in seconds, zero when unknown.
+    pub(crate) took: f64,
+}
+
+impl Target {
+    /// Returns how many requests can start.
+    pub(crate) fn room(&self) -> u32 {
+        let view = &self.view;
+        if !view.open || view.alone || self.reserved.is_some() {
+            return 0;
+        }
+        view.batch.saturating_sub(view.running + view.foreign)
+    }
+
+    /// Returns whether a request can run alone.
+    pub(crate) fn is_empty(&self) -> bool {
+        let view = &self.view;
+        view.open && !view.alone && view.running == 0 && view.foreign < view.batch
+    }
+
+    /// Returns the used share of the batch.
+    pub(crate) fn fill(&self) -> f64 {
+        let used = self.view.running + self.view.foreign;
+        f64::from(used) / f64::from(self.view.batch.max(1))
+    }
+
+    /// Returns requests that end per second when the batch is full.
+    pub(crate) fn pace(&self) -> f64 {
+        if self.took <= 0.0 {
+            return f64::INFINITY;
+        }
+        f64::from(self.view.batch) / self.took
+    }
+
+    /// Returns whether it holds an adapter or is loading it.
+    pub(crate) fn holds(&self, adapter: AdapterId) -> bool {
+        self.view.resident.iter().any(|resident| resident.adapter == adapter)
+    }
+
+    /// Returns how many adapters fit besides those it holds.
+    pub(crate) fn space(&self) -> usize {
+        (self.view.slots as usize).saturating_sub(self.view.resident.len())
+    }
+}
+
+/// All targets of an owner.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    targets: BTreeMap<TargetId, Target>,
+    holders: HashMap<AdapterId, BTreeSet<TargetId>>,
+}
+
+impl Fleet {
+    /// Sets a target.
+    pub(crate) fn set(&mut self, view: TargetView) {
+        let id = view.id;
+        let old = self.targets.remove(&id);
+        let (reserved, took) = old.as_ref().map_or((None, 0.0), |old| (old.reserved, old.took));
+        let target = Target { view, reserved, took };
+        for resident in old.iter().flat_map(|old| &old.view.resident) {
+            let is_kept = target.view.open && is_ready(&target, resident.adapter);
+            if !is_kept {
+                self.unhold(resident.adapter, id);
+            }
+        }
+        if target.view.open {
+            for resident in &target.view.resident {
+                if resident.ready {
+                    self.holders.entry(resident.adapter).or_default().insert(id);
+                }
+            }
+        }
+        self.targets.insert(id, target);
+    }
+
+    /// Removes a target.
+    pub(crate) fn remove(&mut self, id: TargetId) -> Option<TargetView> {
+        let old = self.targets.remove(&id)?;
+        for resident in &old.view.resident {
+            self.unhold(resident.adapter, id);
+        }
+        Some(old.view)
+    }
+
+    /// Returns a target.
+    pub(crate) fn get(&self, id: TargetId) -> Option<&Target> {
+        self.targets.get(&id)
+    }
+
+    /// Returns a target to change.
+    pub(crate) fn get_mut(&mut self, id: TargetId) -> Option<&mut Target> {
+        self.targets.get_mut(&id)
+    }
+
+    /// Returns all targets.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.targets.values()
+    }
+
+    /// Returns the open targets on which an adapter is ready.
+    pub(crate) fn holders(&self, adapter: AdapterId) -> impl Iterator<Item = &Target> {
+        let ids = self.holders.get(&adapter).into_iter().flatten();
+        ids.filter_map(|id| self.targets.get(id))
+    }
+
+    /// Returns on how many targets an adapter is ready.
+    pub(crate) fn copies(&self, adapter: AdapterId) -> usize {
+        self.holders.get(&adapter).map_or(0, BTreeSet::len)
+    }
+
+    /// Adds a start to a view until the owner sets it anew.
+    pub(crate) fn start(&mut self, id: TargetId, alone: bool) {
+        let Some(target) = self.targets.get_mut(&id) else { return };
+        target.view.running += 1;
+        target.view.alone |= alone;
+    }
+
+    /// Adds an ordered load to a view until the owner sets it anew.
+    pub(crate) fn order(&mut self, id: TargetId, adapter: AdapterId, victim: Option<AdapterId>) {
+        if let Some(victim) = victim {
+            self.unhold(victim, id);
+        }
+        let Some(target) = self.targets.get_mut(&id) else { return };
+        target.view.resident.retain(|resident| Some(resident.adapter) != victim);
+        let resident = Resident { adapter, users: 0, idle: false, ready: false };
+        target.view.resident.push(resident);
+    }
+
+    /// Takes a sample of a target's running time.
+    pub(crate) fn finished(&mut self, id: TargetId, took: Duration) {
+        let Some(target) = self.targets.get_mut(&id) else { return };
+        let took = took.as_secs_f64();
+        if target.took <= 0.0 {
+            target.took = took;
+            return;
+        }
+        target.took += TOOK_WEIGHT * (took - target.took);
+    }
+
+    fn unhold(&mut self, adapter: AdapterId, id: TargetId) {
+        let Some(ids) = self.holders.get_mut(&adapter) else { return };
+        ids.remove(&id);
+        if ids.is_empty() {
+            self.holders.remove(&adapter);
+        }
+    }
+}
+
+fn is_ready(target: &Target, adapter: AdapterId) -> bool {
+    target.view.resident.iter().any(|resident| resident.adapter == adapter && resident.ready)
+}
--- a/coordination/place/src/lib.rs
+++ b/coordination/place/src/lib.rs
@@ -1,6 +1,9 @@
 //! Which request starts on which target, which adapter is loaded next, and
 //! which one makes room for it.
 
+mod demand;
+mod fleet;
+mod owner;
 mod planner;
 mod policy;
 
--- a/coordination/place/src/planner.rs
+++ b/coordination/place/src/planner.rs
@@ -1,8 +1,17 @@
 //! The planner of one weight store, on the leader.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
 
-use wire::{HostId, SlotDone, SlotGrant, Want};
+use wire::{AdapterId, HostId, SlotDone, SlotGrant, Term, Want};
+
+/// The share of a slot's term that the owner is not told of: it counts from
+/// the receipt of the grant, the planner from the sending.
+const MARGIN_PARTS: u32 = 8;
+/// Bits of a slot's number that count within a leader's term.
+const TERM_SHIFT: u32 = 32;
 
 /// Parameters of the planner.
 #[derive(Debug, Clone, Copy)]
@@ -15,42 +24,155 @@
     pub term: Duration,
 }
 
+impl PlannerSettings {
+    /// Grants that fit into one window of [`PlannerSettings::window`].
+    fn burst(&self) -> usize {
+        (self.rate.floor() as usize).max(1)
+    }
+
+    /// A window with room for the burst.
+    fn window(&self) -> Duration {
+        Duration::from_secs_f64(self.burst() as f64 / self.rate.max(1e-6))
+    }
+}
+
+/// A want's place in the order of grants: the greatest goes first.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Score(f64);
+
+impl Eq for Score {}
+
+impl PartialOrd for Score {
+    fn partial_cmp(&self, other: &Score) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Score {
+    fn cmp(&self, other: &Score) -> std::cmp::Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Slot {
+    host: HostId,
+    adapter: AdapterId,
+    granted: Duration,
+    until: Duration,
+}
+
 /// Grants load slots to owners. Never exceeds the store's rate or the number in
 /// flight, also after a change of leader.
 #[derive(Debug)]
 pub struct StorePlanner {
-    _settings: PlannerSettings,
+    settings: PlannerSettings,
+    starts: Duration,
+    next: u64,
+    wants: BTreeMap<HostId, Vec<Want>>,
+    order: BTreeSet<(Score, HostId, AdapterId)>,
+    slots: BTreeMap<u64, Slot>,
+    recent: VecDeque<Duration>,
 }
 
 impl StorePlanner {
-    /// Starts to plan. Slots of the leader before may be in use for a term.
+    /// Starts to plan. Slots of the leader before may be in use for a term,
+    /// unless there was none.
     pub fn new(now: Duration, settings: PlannerSettings, founding: bool) -> StorePlanner {
-        let _ = (now, founding);
-        StorePlanner { _settings: settings }
+        StorePlanner {
+            settings,
+            starts: if founding { now } else { now + settings.term },
+            next: 1,
+            wants: BTreeMap::new(),
+            order: BTreeSet::new(),
+            slots: BTreeMap::new(),
+            recent: VecDeque::new(),
+        }
+    }
+
+    /// Numbers the slots apart from those of other leaders' terms, so that a
+    /// late [`SlotDone`] for one of theirs ends none of this planner's.
+    pub fn numbered(mut self, term: Term) -> StorePlanner {
+        self.next = (term << TERM_SHIFT) | 1;
+        self
     }
 
     /// Replaces the wants of a host.
-    pub fn wants(&mut self, now: Duration, host: HostId, wants: Vec<Want>) {
-        let _ = (now, host, wants);
-        todo!()
+    pub fn wants(&mut self, _now: Duration, host: HostId, wants: Vec<Want>) {
+        self.remove_host(host);
+        for want in &wants {
+            if want.score.is_finite() {
+                self.order.insert((Score(want.score), host, want.adapter));
+            }
+        }
+        self.wants.insert(host, wants);
     }
 
-    /// Notes the end of a granted load.
-    pub fn done(&mut self, now: Duration, host: HostId, done: SlotDone) {
-        let _ = (now, host, done);
-        todo!()
+    /// Notes the end of a granted load. A slot that was not used gives its
+    /// share of the rate back.
+    pub fn done(&mut self, _now: Duration, host: HostId, done: SlotDone) {
+        let Some(slot) = self.slots.get(&done.slot).copied() else { return };
+        if slot.host != host {
+            return;
+        }
+        self.slots.remove(&done.slot);
+        if done.used {
+            return;
+        }
+        if let Some(at) = self.recent.iter().position(|&granted| granted == slot.granted) {
+            self.recent.remove(at);
+        }
     }
 
     /// Forgets the wants of a host without a lease. Its slots stay taken until
     /// their term ends.
     pub fn remove_host(&mut self, host: HostId) {
-        let _ = host;
-        todo!()
+        for want in self.wants.remove(&host).unwrap_or_default() {
+            self.order.remove(&(Score(want.score), host, want.adapter));
+        }
     }
 
     /// Grants what can be granted now.
     pub fn grant(&mut self, now: Duration) -> Vec<(HostId, SlotGrant)> {
-        let _ = now;
-        todo!()
+        let mut grants = Vec::new();
+        if now < self.starts {
+            return grants;
+        }
+        self.slots.retain(|_, slot| slot.until > now);
+        while self.has_room(now) {
+            let Some((score, host, adapter)) = self.order.pop_last() else { break };
+            if self.is_granted(host, adapter) {
+                continue;
+            }
+            if let Some(wants) = self.wants.get_mut(&host) {
+                wants.retain(|want| want.adapter != adapter || want.score != score.0);
+            }
+            grants.push((host, self.take(now, host, adapter)));
+        }
+        grants
+    }
+
+    fn has_room(&mut self, now: Duration) -> bool {
+        if self.slots.len() >= self.settings.loads {
+            return false;
+        }
+        let window = self.settings.window();
+        while self.recent.front().is_some_and(|&granted| granted + window <= now) {
+            self.recent.pop_front();
+        }
+        self.recent.len() < self.settings.burst()
+    }
+
+    fn is_granted(&self, host: HostId, adapter: AdapterId) -> bool {
+        self.slots.values().any(|slot| slot.host == host && slot.adapter == adapter)
+    }
+
+    fn take(&mut self, now: Duration, host: HostId, adapter: AdapterId) -> SlotGrant {
+        let term = self.settings.term;
+        let slot = self.next;
+        self.next += 1;
+        self.slots.insert(slot, Slot { host, adapter, granted: now, until: now + term });
+        self.recent.push_back(now);
+        SlotGrant { slot, adapter, term: term - term / MARGIN_PARTS }
     }
 }
--- a/coordination/place/src/policy.rs
+++ b/coordination/place/src/policy.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use wire::{AdapterId, DomainId, ErrorKind, RequestId, TargetId, TargetKind, Want};
 
+use crate::owner::Owner;
+
 /// An adapter on a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resident {
@@ -130,6 +132,5 @@
 
 /// Makes the policy that hosts run.
 pub fn owner_policy(settings: PolicySettings) -> Box<dyn Policy> {
-    let _ = settings;
-    todo!()
+    Box::new(Owner::new(settings))
 }
