--- a/coordination/node/src/core.rs
+++ b/coordination/node/src/core.rs
@@ -105,12 +105,7 @@
     }
 
     /// Carries out what the log wants done.
-    pub(crate) fn carry_out(
-        &mut self,
-        now: Duration,
-        outputs: Vec<LogOutput>,
-        fx: &mut Effects,
-    ) {
+    pub(crate) fn carry_out(&mut self, now: Duration, outputs: Vec<LogOutput>, fx: &mut Effects) {
         let mut snapshot_due = false;
         for output in outputs {
             match output {
@@ -139,14 +134,8 @@
         let seq = self.next;
         self.next += 1;
         let floor = self.pending.keys().next().copied().unwrap_or(seq);
-        let proposal = Proposal {
-            host: self.host,
-            incarnation: self.run,
-            seq,
-            floor,
-            at: self.wall,
-            command,
-        };
+        let proposal =
+            Proposal { host: self.host, incarnation: self.run, seq, floor, at: self.wall, command };
         self.pending.insert(seq, Pending { proposal: proposal.clone(), sent: now });
         self.hand_over(now, proposal, fx);
     }
--- a/coordination/node/src/desk.rs
+++ b/coordination/node/src/desk.rs
@@ -54,10 +54,8 @@
         result: &Result<Receipt, Fault>,
         fx: &mut Effects,
     ) {
-        let found = self
-            .jobs
-            .iter_mut()
-            .find(|(_, job)| job.receipt.is_none() && job.publish == *publish);
+        let found =
+            self.jobs.iter_mut().find(|(_, job)| job.receipt.is_none() && job.publish == *publish);
         let Some((&tag, job)) = found else { return };
         match result {
             Ok(receipt) => {
--- a/coordination/node/src/entry.rs
+++ b/coordination/node/src/entry.rs
@@ -267,7 +267,9 @@
         let found = self
             .requests
             .iter()
-            .find(|(_, request)| request.claim == settle.request && request.stage == Stage::Settling)
+            .find(|(_, request)| {
+                request.claim == settle.request && request.stage == Stage::Settling
+            })
             .map(|(tag, _)| *tag);
         let Some(tag) = found else { return };
         self.tell(tag, fx);
@@ -329,14 +331,7 @@
         request.head = Some(head);
     }
 
-    fn piece(
-        &mut self,
-        ctx: &Ctx,
-        dir: &Directory,
-        tag: Tag,
-        piece: Piece,
-        fx: &mut Effects,
-    ) {
+    fn piece(&mut self, ctx: &Ctx, dir: &Directory, tag: Tag, piece: Piece, fx: &mut Effects) {
         let Some(request) = self.requests.get_mut(&tag) else { return };
         if piece.offset != request.received || request.head.is_none() {
             let detail = format!("piece at {}, expected {}", piece.offset, request.received);
@@ -382,14 +377,7 @@
     }
 
     /// Takes the end of an attempt without a whole answer.
-    fn failed(
-        &mut self,
-        ctx: &Ctx,
-        dir: &Directory,
-        tag: Tag,
-        fault: Fault,
-        fx: &mut Effects,
-    ) {
+    fn failed(&mut self, ctx: &Ctx, dir: &Directory, tag: Tag, fault: Fault, fx: &mut Effects) {
         let Some(request) = self.requests.get_mut(&tag) else { return };
         if let Stage::Sent { request: id, owner } = request.stage {
             self.attempts.remove(&id);
@@ -498,7 +486,13 @@
     }
 
     /// Takes note that a host is lost: what it had will not be answered.
-    pub(crate) fn owner_lost(&mut self, ctx: &Ctx, dir: &Directory, host: HostId, fx: &mut Effects) {
+    pub(crate) fn owner_lost(
+        &mut self,
+        ctx: &Ctx,
+        dir: &Directory,
+        host: HostId,
+        fx: &mut Effects,
+    ) {
         let tags: Vec<Tag> = self
             .requests
             .iter()
--- a/coordination/node/src/failure.rs
+++ b/coordination/node/src/failure.rs
@@ -10,7 +10,7 @@
 use crate::{
     CallFailure, Change, Output,
     effect::Effects,
-    owner::{Owner, Running, Stage, call},
+    owner::{Owner, Stage, call},
     view::Ctx,
 };
 
@@ -194,7 +194,7 @@
             Stage::Running(running) => {
                 if running.resume.is_some_and(|at| ctx.now >= at) {
                     running.resume = None;
-                    self.resume(ctx, id, fx);
+                    self.resume(id, fx);
                     return;
                 }
                 if !attempt.head && attempt.forward.idempotent && ctx.now >= attempt.deadline {
@@ -219,13 +219,12 @@
         }
     }
 
-    fn resume(&mut self, ctx: &Ctx, id: RequestId, fx: &mut Effects) {
+    fn resume(&mut self, id: RequestId, fx: &mut Effects) {
         let Some(attempt) = self.attempts.get(&id) else { return };
         let Stage::Running(running) = &attempt.stage else { return };
         let fence = self.targets.get(&running.target).map_or(0, |held| held.fence);
         // A resumption starts nothing, so the lease does not bind it.
         let until = Duration::MAX;
-        let running: &Running = running;
         let offset = Some(attempt.offset);
         fx.out(Output::Call(call(attempt, running, fence, until, offset)));
     }
--- a/coordination/node/src/member.rs
+++ b/coordination/node/src/member.rs
@@ -6,11 +6,11 @@
     time::Duration,
 };
 
-use lease::{Grantor, Holder, LiveHost, Registry, Terms, balance};
+use lease::{Grantor, Holder, LiveHost, Terms, balance};
 use place::{PlannerSettings, StorePlanner};
 use wire::{
-    Command, Digest, Grant, HostId, Incarnation, Index, Intent, Move, PeerMsg, Renew, SlotDone,
-    Term, Want,
+    Command, Digest, Grant, HostId, Incarnation, Index, Intent, PeerMsg, Renew, SlotDone, Term,
+    Want,
 };
 
 use crate::{
@@ -41,8 +41,7 @@
 /// The table of leases.
 #[derive(Debug)]
 pub(crate) struct Member {
-    host: HostId,
-    run: Incarnation,
+    hosts: Vec<HostId>,
     terms: Terms,
     planner: PlannerSettings,
     holder: Holder,
@@ -52,14 +51,14 @@
 
 impl Member {
     pub(crate) fn new(
-        host: HostId,
+        hosts: Vec<HostId>,
         run: Incarnation,
         domain: &str,
         terms: Terms,
         planner: PlannerSettings,
     ) -> Member {
         let holder = Holder::new(terms, domain.to_owned(), run);
-        Member { host, run, terms, planner, holder, lead: None, held: false }
+        Member { hosts, terms, planner, holder, lead: None, held: false }
     }
 
     /// Returns when the lease ends, if it counts now.
@@ -104,9 +103,11 @@
             return;
         }
         let founding = view.registry.targets().next().is_none();
+        let mut grantor = Grantor::new(ctx.now, self.terms, view.term);
+        grantor.set_hosts(self.hosts.iter().copied());
         self.lead = Some(Lead {
             term: view.term,
-            grantor: Grantor::new(ctx.now, self.terms),
+            grantor,
             planner: StorePlanner::new(ctx.now, self.planner, founding),
             balanced: Duration::ZERO,
             proposed: None,
@@ -130,6 +131,11 @@
         fx.out(Output::Changed(Change::Lease(held)));
     }
 
+    /// Makes a renewal due: the leader waits to hear that a change is applied.
+    pub(crate) fn hurry(&mut self) {
+        self.holder.hurry();
+    }
+
     /// Answers a host that asks for a lease.
     pub(crate) fn asked(&mut self, ctx: &Ctx, from: HostId, renew: Renew, fx: &mut Effects) {
         self.follow(ctx);
@@ -138,13 +144,15 @@
         fx.send(from, PeerMsg::Grant(grant));
     }
 
-    pub(crate) fn granted(&mut self, ctx: &Ctx, grant: &Grant, fx: &mut Effects) {
-        self.holder.granted(ctx.now, grant);
+    /// Takes a grant. Returns false if it is of no use.
+    pub(crate) fn granted(&mut self, ctx: &Ctx, grant: &Grant, fx: &mut Effects) -> bool {
+        let taken = self.holder.granted(ctx.now, grant);
         if let Some((seen, shown)) = self.holder.went_back() {
             let text = format!("commit index went back from {seen} to {shown}");
             fx.out(Output::Changed(Change::Alarm(text)));
         }
         self.note_lease(ctx, fx);
+        taken
     }
 
     pub(crate) fn wants(&mut self, now: Duration, from: HostId, wants: Vec<Want>) {
@@ -176,7 +184,6 @@
         let live = self.grantor.live(ctx.now);
         self.withdraw_intents(&live, &ctx.view, fx);
         let moves = balance(&ctx.view.registry, &live, BALANCE_MOVES);
-        let moves = hand_over(&ctx.view.registry, &live, moves);
         if moves.is_empty() {
             return;
         }
@@ -213,29 +220,6 @@
     }
 }
 
-/// Makes each move safe: a live owner first gives the target up, and the next
-/// owner gets it once the former one has applied that or lost its lease.
-fn hand_over(registry: &Registry, live: &[LiveHost], moves: Vec<Move>) -> Vec<Move> {
-    let mut safe = Vec::new();
-    for mv in moves {
-        let Some(target) = registry.get(mv.target) else { continue };
-        if target.owner.is_some_and(|owner| find(live, owner).is_some()) {
-            safe.push(Move { target: mv.target, owner: None });
-            continue;
-        }
-        let former = target.former.and_then(|owner| find(live, owner));
-        if former.is_some_and(|host| host.applied < target.fence) {
-            continue;
-        }
-        safe.push(mv);
-    }
-    safe
-}
-
-fn find(live: &[LiveHost], owner: (HostId, Incarnation)) -> Option<&LiveHost> {
-    live.iter().find(|host| (host.host, host.incarnation) == owner)
-}
-
 fn is_replaced(intent: &Intent, live: &[LiveHost]) -> bool {
     live.iter().any(|host| host.host == intent.host && host.incarnation > intent.run)
 }
--- a/coordination/node/src/node.rs
+++ b/coordination/node/src/node.rs
@@ -12,7 +12,9 @@
 use place::{PlannerSettings, PolicySettings, owner_policy};
 use replog::Replica;
 use route::{Directory, OwnedTarget};
-use wire::{Answer, Ask, Command, Credit, Fence, HostId, Incarnation, PeerMsg, Piece, TargetReport};
+use wire::{
+    Answer, Ask, Command, Credit, Fence, HostId, Incarnation, PeerMsg, Piece, TargetReport,
+};
 
 use crate::{
     Change, Input, Output, Start,
@@ -82,11 +84,8 @@
         let mut fx = Effects::default();
         core.carry_out(now, outputs, &mut fx);
 
-        let terms = Terms {
-            lease: settings.timing.lease,
-            margin: DRIFT_MARGIN,
-            lag: settings.timing.lag,
-        };
+        let terms =
+            Terms { lease: settings.timing.lease, margin: DRIFT_MARGIN, lag: settings.timing.lag };
         let planner = PlannerSettings {
             rate: settings.limits.store_rate,
             loads: settings.limits.store_loads,
@@ -96,12 +95,13 @@
         let mut directory = Directory::default();
         let hosts = settings.peers.iter().map(|peer| (peer.host, peer.domain.clone()));
         directory.set_hosts(hosts.collect());
+        let hosts = settings.peers.iter().map(|peer| peer.host).collect();
         let view = core.view();
         let node = Node {
             host,
             run,
             core: Mutex::new(core),
-            member: Mutex::new(Member::new(host, run, &settings.domain, terms, planner)),
+            member: Mutex::new(Member::new(hosts, run, &settings.domain, terms, planner)),
             owner: Mutex::new(Owner::new(host, run, policy)),
             entry: Mutex::new(Entry::new(
                 host,
@@ -312,7 +312,9 @@
 
     fn granted(&self, now: Duration, grant: &wire::Grant, fx: &mut Effects) {
         let ctx = self.ctx(now);
-        self.member().granted(&ctx, grant, fx);
+        if !self.member().granted(&ctx, grant, fx) {
+            return;
+        }
         self.change_directory(|dir| dir.granted(now, grant));
         let lost = {
             let mut life = lock(&self.life);
@@ -339,13 +341,13 @@
         lock(&self.desk).announce(&ctx, &report.info, fx);
         let Some(target) = ctx.view.registry.named(&report.info.name) else { return };
         match target.owner {
-            Some((host, run)) if host == self.host => {
-                if run == self.run {
-                    self.owner().report(&ctx, &report, fx);
-                }
+            Some(owner) if owner == (self.host, self.run) => {
+                self.owner().report(&ctx, &report, fx);
             }
-            Some((host, _)) => fx.send(host, PeerMsg::Report(Box::new(report))),
-            None => {}
+            Some((host, _)) if host != self.host => {
+                fx.send(host, PeerMsg::Report(Box::new(report)));
+            }
+            _ => {}
         }
     }
 
@@ -384,6 +386,9 @@
     /// Gives the result of an applied command to the table that waits for it.
     fn applied(&self, now: Duration, event: &Event, fx: &mut Effects) {
         let proposal = &event.proposal;
+        if is_awaited(&proposal.command) {
+            self.member().hurry();
+        }
         if proposal.host != self.host || proposal.incarnation != self.run {
             return;
         }
@@ -448,6 +453,11 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Returns whether others wait until every host has applied a command.
+fn is_awaited(command: &Command) -> bool {
+    matches!(command, Command::Publish(_) | Command::Assign(_) | Command::Strike(_))
+}
+
 fn owned_targets(view: &View) -> Vec<OwnedTarget> {
     let mut owned = Vec::new();
     for target in view.registry.targets() {
--- a/coordination/node/src/owner.rs
+++ b/coordination/node/src/owner.rs
@@ -10,8 +10,8 @@
 use lease::Registry;
 use place::{Decision, Policy};
 use wire::{
-    AdapterId, Answer, Command, Credit, ErrorKind, Fail, Fault, Fingerprint, Forward, Head, HostId,
-    Incarnation, Index, PeerMsg, Piece, Pin, RequestId, TargetId, TargetReport, Urgency,
+    AdapterId, Answer, Command, Credit, ErrorKind, Fail, Fault, Forward, Head, HostId, Incarnation,
+    Index, PeerMsg, Piece, Pin, RequestId, TargetId, TargetReport, Urgency,
 };
 
 use crate::{
@@ -172,7 +172,12 @@
         self.refuse_all(queued, ErrorKind::NoTarget, fx);
     }
 
-    pub(crate) fn refuse_all(&mut self, mut ids: Vec<RequestId>, kind: ErrorKind, fx: &mut Effects) {
+    pub(crate) fn refuse_all(
+        &mut self,
+        mut ids: Vec<RequestId>,
+        kind: ErrorKind,
+        fx: &mut Effects,
+    ) {
         ids.sort_unstable();
         for id in ids {
             self.policy.cancel(id);
@@ -181,7 +186,13 @@
     }
 
     /// Takes a request from an entry.
-    pub(crate) fn forward(&mut self, ctx: &Ctx, entry: HostId, forward: Box<Forward>, fx: &mut Effects) {
+    pub(crate) fn forward(
+        &mut self,
+        ctx: &Ctx,
+        entry: HostId,
+        forward: Box<Forward>,
+        fx: &mut Effects,
+    ) {
         if self.attempts.contains_key(&forward.request) {
             return;
         }
@@ -480,10 +491,6 @@
         }
         self.pump(ctx, fx);
     }
-
-    pub(crate) fn print(&self, id: RequestId) -> Option<Fingerprint> {
-        Some(self.attempts.get(&id)?.forward.print)
-    }
 }
 
 /// Composes the call of an attempt, or the call that asks for the rest of its
--- a/coordination/node/src/pin.rs
+++ b/coordination/node/src/pin.rs
@@ -37,7 +37,5 @@
         hasher.update(part);
     }
     let hash = hasher.finalize();
-    let mut print = Fingerprint::default();
-    print.copy_from_slice(&hash[..print.len()]);
-    print
+    std::array::from_fn(|place| hash[place])
 }
--- a/coordination/node/src/status.rs
+++ b/coordination/node/src/status.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use api::{AuditPage, DomainForce, HostRow, QuarantineRow, ServiceReceipt, StatusBody, TargetRow};
-use wire::{HostId, Membership, Pin, Role, Urgency};
+use api::{AuditPage, HostRow, QuarantineRow, ServiceReceipt, StatusBody, TargetRow};
+use wire::{HostId, Membership, Pin, Role};
 
 use crate::{Node, held::Held, view::View};
 
