Add stand-ins for model engines and plain services

They announce themselves, take orders, stream answers that can be resumed and cancelled, and count what they really ran, loaded and evicted in use.

--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,11 @@
-//! To be written.
+//! Stand-ins for model engines and plain services, for sessions of whole processes.
+
+pub mod announce;
+pub mod answer;
+pub mod counts;
+pub mod engine;
+pub mod options;
+pub mod process;
+pub mod server;
+pub mod service;
+pub mod text;
--- /dev/null
+++ b/tests/src/process.rs
@@ -0,0 +1,41 @@
+//! Runs a stand-in as a process.
+
+use std::{io::stderr, process::ExitCode, sync::Arc};
+
+use slog::{Drain, Logger, error, info, o};
+use tokio::sync::Notify;
+
+use crate::{
+    announce::{Announced, announce, leave_on_signal},
+    options::Options,
+    server::{Handler, serve},
+};
+
+/// Runs a stand-in until SIGTERM and the end of its last request.
+pub async fn run<T: Announced + Handler>(target: Arc<T>, options: Options) -> ExitCode {
+    let log = logger(&options.name);
+    let wake = Arc::new(Notify::new());
+    info!(log, "started"; "addr" => %options.addr, "incarnation" => options.incarnation);
+    tokio::spawn(announce(target.clone(), options.clone(), wake.clone()));
+    tokio::select! {
+        result = serve(options.addr, target.clone(), log.clone()) => {
+            if let Err(err) = result {
+                error!(log, "could not listen"; "addr" => %options.addr, "error" => %err);
+            }
+            ExitCode::FAILURE
+        }
+        result = leave_on_signal(target, &options, &wake, &log) => match result {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(err) => {
+                error!(log, "could not wait for a signal"; "error" => %err);
+                ExitCode::FAILURE
+            }
+        },
+    }
+}
+
+fn logger(name: &str) -> Logger {
+    let decorator = slog_term::PlainSyncDecorator::new(stderr());
+    let drain = slog_term::FullFormat::new(decorator).build().fuse();
+    Logger::root(drain, o!("target" => name.to_owned()))
+}
