--- /dev/null
+++ b/transport/peer/src/hub.rs
@@ -0,0 +1,241 @@
+//! The peer layer of one host.
+
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    io,
+    net::{IpAddr, SocketAddr},
+    pin::Pin,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+};
+
+use thiserror::Error;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task::JoinHandle,
+};
+use wire::{HostId, Incarnation, LogBody, MAX_FRAME_BYTES, PeerMsg};
+
+use crate::{
+    auth::Key,
+    frame::{DATAGRAM_EXTRA, Datagram, FRAME_EXTRA, MAX_DATAGRAM_BYTES, Window},
+    link::Link,
+    listen,
+    stats::{Dropped, Stats},
+};
+
+/// What the peer layer needs to know.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// This host.
+    pub host: HostId,
+    /// This run of it.
+    pub run: Incarnation,
+    /// The hosts of the system with their addresses, this one included.
+    pub peers: BTreeMap<HostId, IpAddr>,
+    /// The port of every host, UDP and TCP.
+    pub port: u16,
+    /// The shared key; may be empty.
+    pub key: Vec<u8>,
+}
+
+/// What arrives from other hosts.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// A message.
+    Message {
+        /// The sender.
+        from: HostId,
+        /// The message.
+        msg: PeerMsg,
+    },
+    /// A connection with a host broke; messages may be lost in either direction.
+    Lost(HostId),
+}
+
+/// A boxed future.
+pub type BoxFuture<'a> = Pin<Box<dyn Future<Output = ()> + Send + 'a>>;
+
+/// Takes what arrives. The connection is read no further until the future is
+/// ready.
+pub trait Inbox: Send + Sync + 'static {
+    /// Takes one event.
+    fn deliver(&self, event: Event) -> BoxFuture<'_>;
+}
+
+/// The peer layer could not start.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// The host is not among the peers.
+    #[error("could not find host {0} among the peers")]
+    NoSelf(HostId),
+    /// The port could not be used.
+    #[error("could not listen on {addr}")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// The refusal.
+        #[source]
+        source: io::Error,
+    },
+}
+
+/// What all tasks of the layer share.
+pub(crate) struct Shared {
+    pub(crate) config: Config,
+    pub(crate) key: Key,
+    pub(crate) inbox: Arc<dyn Inbox>,
+    pub(crate) stats: Arc<Stats>,
+    pub(crate) windows: BTreeMap<HostId, Mutex<Window>>,
+}
+
+impl Shared {
+    /// Returns the address of a peer, none for this host and strangers.
+    pub(crate) fn peer_ip(&self, host: HostId) -> Option<IpAddr> {
+        if host == self.config.host {
+            return None;
+        }
+        self.config.peers.get(&host).copied()
+    }
+
+    pub(crate) fn window(&self, host: HostId) -> std::sync::MutexGuard<'_, Window> {
+        self.windows[&host].lock().expect("no holder panics")
+    }
+}
+
+/// Sends messages to the other hosts and receives theirs.
+pub struct Hub {
+    shared: Arc<Shared>,
+    udp: Arc<UdpSocket>,
+    seq: AtomicU64,
+    links: BTreeMap<HostId, Link>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Hub {
+    /// Opens the sockets and starts the tasks of the layer on the present
+    /// runtime.
+    pub async fn start(config: Config, inbox: Arc<dyn Inbox>) -> Result<Hub, PeerError> {
+        let Some(&ip) = config.peers.get(&config.host) else {
+            return Err(PeerError::NoSelf(config.host));
+        };
+        let addr = SocketAddr::new(ip, config.port);
+        let refused = |source| PeerError::Listen { addr, source };
+        let udp = Arc::new(UdpSocket::bind(addr).await.map_err(refused)?);
+        let tcp = TcpListener::bind(addr).await.map_err(refused)?;
+        let others: Vec<HostId> =
+            config.peers.keys().copied().filter(|&host| host != config.host).collect();
+        let shared = Arc::new(Shared {
+            key: Key::new(&config.key),
+            inbox,
+            stats: Arc::new(Stats::default()),
+            windows: others.iter().map(|&host| (host, Mutex::default())).collect(),
+            config,
+        });
+        let mut links = BTreeMap::new();
+        for host in others {
+            links.insert(host, Link::start(shared.clone(), host));
+        }
+        let tasks = vec![
+            tokio::spawn(listen::accept(shared.clone(), tcp)),
+            tokio::spawn(receive(shared.clone(), udp.clone())),
+        ];
+        Ok(Hub { shared, udp, seq: AtomicU64::new(0), links, tasks })
+    }
+
+    /// Sends a message, or drops it and counts that.
+    pub fn send(&self, to: HostId, msg: &PeerMsg) {
+        let stats = &self.shared.stats;
+        let Some(link) = self.links.get(&to) else {
+            stats.drop_frames(Dropped::Unknown, 1);
+            return;
+        };
+        let payload = wire::encode(msg);
+        if payload.len() > MAX_FRAME_BYTES {
+            stats.drop_frames(Dropped::TooLong, 1);
+            link.overflow(msg);
+            return;
+        }
+        if fits_datagram(msg) && payload.len() + DATAGRAM_EXTRA <= MAX_DATAGRAM_BYTES {
+            self.send_datagram(to, msg, &payload);
+            return;
+        }
+        stats.sent(msg, payload.len() + FRAME_EXTRA);
+        link.send(msg, payload);
+    }
+
+    fn send_datagram(&self, to: HostId, msg: &PeerMsg, payload: &[u8]) {
+        let Some(ip) = self.shared.peer_ip(to) else { return };
+        let config = &self.shared.config;
+        // The first datagram has number 1; the window starts before it.
+        let seq = self.seq.fetch_add(1, Relaxed) + 1;
+        let datagram = Datagram { from: config.host, to, run: config.run, seq, payload };
+        let bytes = datagram.encode(&self.shared.key);
+        match self.udp.try_send_to(&bytes, SocketAddr::new(ip, config.port)) {
+            Ok(_) => self.shared.stats.sent(msg, bytes.len()),
+            Err(_) => self.shared.stats.drop_frames(Dropped::Overflow, 1),
+        }
+    }
+
+    /// Returns the counters.
+    pub fn stats(&self) -> Arc<Stats> {
+        self.shared.stats.clone()
+    }
+}
+
+impl Drop for Hub {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Whether a message may travel by UDP: it is repeated if it is lost.
+fn fits_datagram(msg: &PeerMsg) -> bool {
+    match msg {
+        PeerMsg::Renew(_) | PeerMsg::Grant(_) => true,
+        PeerMsg::Log(log) => match &log.body {
+            LogBody::Append { entries, .. } => entries.is_empty(),
+            LogBody::Install { .. } => false,
+            _ => true,
+        },
+        _ => false,
+    }
+}
+
+async fn receive(shared: Arc<Shared>, udp: Arc<UdpSocket>) {
+    let mut buf = [0; MAX_DATAGRAM_BYTES + 1];
+    loop {
+        // An error here tells of an earlier send, such as a closed port.
+        let Ok((len, addr)) = udp.recv_from(&mut buf).await else { continue };
+        match open(&shared, &buf[..len], addr.ip()) {
+            Ok((from, msg)) => {
+                shared.stats.received(&msg, len);
+                shared.inbox.deliver(Event::Message { from, msg }).await;
+            }
+            Err(why) => shared.stats.drop_frames(why, 1),
+        }
+    }
+}
+
+fn open(shared: &Shared, bytes: &[u8], ip: IpAddr) -> Result<(HostId, PeerMsg), Dropped> {
+    if bytes.len() > MAX_DATAGRAM_BYTES {
+        return Err(Dropped::TooLong);
+    }
+    let datagram = Datagram::decode(bytes).ok_or(Dropped::Malformed)?;
+    if datagram.to != shared.config.host || shared.peer_ip(datagram.from) != Some(ip) {
+        return Err(Dropped::Unknown);
+    }
+    if !Datagram::verify(bytes, &shared.key) {
+        return Err(Dropped::BadTag);
+    }
+    if !shared.window(datagram.from).accept(datagram.run, datagram.seq) {
+        return Err(Dropped::Replayed);
+    }
+    let msg = wire::decode(datagram.payload).map_err(|_| Dropped::Malformed)?;
+    Ok((datagram.from, msg))
+}
--- a/transport/peer/src/lib.rs
+++ b/transport/peer/src/lib.rs
@@ -1,1 +1,21 @@
-//! To be written.
+//! Messages between the hosts of the system.
+//!
+//! Small periodic messages travel by UDP, everything else by one TCP
+//! connection per direction and peer. Both are authenticated with a key that
+//! all hosts share; [`auth`] says what this covers. Messages of one connection
+//! arrive in order. When a connection breaks, messages may be lost, and both
+//! sides are told with [`Event::Lost`].
+
+pub mod auth;
+mod frame;
+mod hub;
+mod link;
+mod listen;
+mod stats;
+
+pub use crate::{
+    frame::MAX_DATAGRAM_BYTES,
+    hub::{Config, Event, Hub, Inbox, PeerError},
+    link::QUEUE_BYTES,
+    stats::{Dropped, Stats},
+};
