--- /dev/null
+++ b/transport/web/src/answer.rs
@@ -0,0 +1,152 @@
+//! Writing callers' answers.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll, ready},
+};
+
+use api::header;
+use bytes::{Bytes, BytesMut};
+use dropshot::Body;
+use http::{HeaderValue, Response, StatusCode, header::CONTENT_TYPE};
+use hyper::body::{Body as HttpBody, Frame};
+use wire::{ErrorKind, Fault};
+
+use crate::{
+    border::{Answer, Step},
+    error::{error_json, error_response},
+};
+
+/// Bytes of an answer that is not streamed which are kept back until it is
+/// whole, so that a late failure still gets a status of its own.
+const KEPT_BYTES: usize = 1024 * 1024;
+
+/// Waits for the start of an answer and returns the response. An answer that is
+/// not streamed is kept back until it is whole or exceeds [`KEPT_BYTES`].
+pub(crate) async fn respond(answer: Answer, stream: bool) -> Response<Body> {
+    let mut body = AnswerBody { answer, stream, kept: None, ended: false };
+    let head = body.answer.steps.recv().await;
+    let (status, target, ran, better) = match head {
+        Some(Step::Head { status, target, ran, better }) => (status, target, ran, better),
+        Some(Step::Failed(fault)) => return body.fail(&fault),
+        Some(Step::Piece { .. }) | None => return body.fail(&ErrorKind::Internal.into()),
+    };
+    if !stream && let Err(fault) = body.keep().await {
+        return body.fail(&fault);
+    }
+    let kind = if stream { "text/event-stream" } else { "application/json" };
+    let mut response = Response::new(());
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    headers.insert(header::WAS_RUN, HeaderValue::from_static("yes"));
+    let named =
+        [(header::TARGET, Some(target)), (header::RAN, Some(ran)), (header::BETTER, better)];
+    for (key, text) in named {
+        let Some(Ok(value)) = text.map(HeaderValue::try_from) else { continue };
+        headers.insert(key, value);
+    }
+    let body = body.into_body();
+    response.map(|()| body)
+}
+
+/// The body of an answer. Dropping it before its end tells that the caller left.
+struct AnswerBody {
+    answer: Answer,
+    stream: bool,
+    kept: Option<Bytes>,
+    ended: bool,
+}
+
+impl AnswerBody {
+    fn fail(mut self, fault: &Fault) -> Response<Body> {
+        self.ended = true;
+        error_response(fault)
+    }
+
+    /// Collects the pieces until the answer is whole or too long to keep.
+    async fn keep(&mut self) -> Result<(), Fault> {
+        let mut kept = BytesMut::new();
+        while !self.ended && kept.len() < KEPT_BYTES {
+            match self.answer.steps.recv().await {
+                Some(Step::Piece { bytes, last }) => {
+                    self.answer.progress.taken(bytes.len());
+                    kept.extend_from_slice(&bytes);
+                    self.ended = last;
+                }
+                Some(Step::Head { .. }) => {}
+                Some(Step::Failed(fault)) => return Err(fault),
+                None => return Err(ErrorKind::Internal.into()),
+            }
+        }
+        self.kept = Some(kept.freeze());
+        Ok(())
+    }
+
+    fn into_body(mut self) -> Body {
+        if !self.ended {
+            return Body::wrap(self);
+        }
+        // A whole answer goes out with its length.
+        Body::from(self.kept.take().unwrap_or_default())
+    }
+
+    /// Ends the body: a stream with a typed event, anything else with a broken
+    /// connection.
+    fn break_off(&mut self, fault: &Fault) -> Option<Result<Frame<Bytes>, io::Error>> {
+        self.ended = true;
+        if !self.stream {
+            return Some(Err(io::Error::other(fault.to_string())));
+        }
+        let mut event = b"event: error\ndata: ".to_vec();
+        event.extend_from_slice(&error_json(fault));
+        event.extend_from_slice(b"\n\n");
+        Some(Ok(Frame::data(event.into())))
+    }
+}
+
+impl HttpBody for AnswerBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if let Some(kept) = self.kept.take() {
+            return Poll::Ready(Some(Ok(Frame::data(kept))));
+        }
+        loop {
+            if self.ended {
+                return Poll::Ready(None);
+            }
+            let step = ready!(self.answer.steps.poll_recv(cx));
+            match step {
+                Some(Step::Piece { bytes, last }) => {
+                    self.ended = last;
+                    if bytes.is_empty() {
+                        continue;
+                    }
+                    self.answer.progress.taken(bytes.len());
+                    return Poll::Ready(Some(Ok(Frame::data(bytes))));
+                }
+                Some(Step::Head { .. }) => {}
+                Some(Step::Failed(fault)) => return Poll::Ready(self.break_off(&fault)),
+                None => return Poll::Ready(self.break_off(&ErrorKind::Internal.into())),
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ended && self.kept.is_none()
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.answer.progress.gone();
+        }
+    }
+}
--- /dev/null
+++ b/transport/web/src/operator.rs
@@ -0,0 +1,77 @@
+//! The API for operators.
+
+use std::sync::Arc;
+
+use api::{AuditPage, PublishBody, Receipt, StatusBody};
+use dropshot::{
+    ApiDescription, ApiDescriptionRegisterError, Body, HttpResponseOk, Query, RequestContext,
+    TypedBody, endpoint,
+};
+use http::{HeaderValue, Response, header::CONTENT_TYPE};
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+use crate::{border::Operator, error::Failure};
+
+/// The most audit entries in one answer.
+const MAX_AUDIT_ENTRIES: usize = 1000;
+
+const METRICS_TYPE: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
+
+type Context = Arc<dyn Operator>;
+
+/// Describes the API for operators.
+pub fn operator_api() -> Result<ApiDescription<Context>, ApiDescriptionRegisterError> {
+    let mut api = ApiDescription::new();
+    api.register(publish)?;
+    api.register(status)?;
+    api.register(audit)?;
+    api.register(metrics)?;
+    Ok(api)
+}
+
+/// Hands in declaration files, all or nothing.
+///
+/// The same publish may be sent again: it gets the same receipt.
+#[endpoint { method = POST, path = "/v1/publish" }]
+async fn publish(
+    context: RequestContext<Context>,
+    body: TypedBody<PublishBody>,
+) -> Result<HttpResponseOk<Receipt>, Failure> {
+    let receipt = context.context().publish(body.into_inner()).await?;
+    Ok(HttpResponseOk(receipt))
+}
+
+/// Returns the state of the system as this host sees it.
+#[endpoint { method = GET, path = "/v1/status" }]
+async fn status(context: RequestContext<Context>) -> Result<HttpResponseOk<StatusBody>, Failure> {
+    Ok(HttpResponseOk(context.context().status()))
+}
+
+/// Which part of the audit trail is wanted.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct AuditQuery {
+    /// The first sequence; 1 if left out.
+    from: Option<u64>,
+    /// The most entries; 1000 at most.
+    limit: Option<u32>,
+}
+
+/// Returns part of the audit trail.
+#[endpoint { method = GET, path = "/v1/audit" }]
+async fn audit(
+    context: RequestContext<Context>,
+    query: Query<AuditQuery>,
+) -> Result<HttpResponseOk<AuditPage>, Failure> {
+    let AuditQuery { from, limit } = query.into_inner();
+    let limit = limit.map_or(MAX_AUDIT_ENTRIES, |limit| limit as usize).min(MAX_AUDIT_ENTRIES);
+    Ok(HttpResponseOk(context.context().audit(from.unwrap_or(1), limit)))
+}
+
+/// Returns the host's metrics in the text format of prometheus.
+#[endpoint { method = GET, path = "/metrics" }]
+async fn metrics(context: RequestContext<Context>) -> Result<Response<Body>, Failure> {
+    let mut response = Response::new(Body::from(context.context().metrics()));
+    response.headers_mut().insert(CONTENT_TYPE, METRICS_TYPE);
+    Ok(response)
+}
--- /dev/null
+++ b/transport/web/src/request.rs
@@ -0,0 +1,126 @@
+//! Reading callers' requests.
+
+use std::time::Duration;
+
+use api::{MAX_BODY_BYTES, header};
+use bytes::Bytes;
+use dropshot::Body;
+use http::{HeaderMap, header::ACCEPT};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use node::Caller;
+use serde::{Deserialize, de::DeserializeOwned};
+use wire::{ErrorKind, Fault};
+
+/// The longest caller name, key or other name in a header, in bytes.
+const MAX_NAME_BYTES: usize = 256;
+
+/// The longest deadline a caller may give.
+const MAX_DEADLINE: Duration = Duration::from_secs(24 * 60 * 60);
+
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+const ANONYMOUS: &str = "anonymous";
+
+fn bad(detail: impl Into<String>) -> Fault {
+    Fault::new(ErrorKind::BadRequest, detail)
+}
+
+/// Reads a whole body within the limits of size and time.
+pub(crate) async fn read_body(body: Body) -> Result<Bytes, Fault> {
+    let reading = Limited::new(body, MAX_BODY_BYTES).collect();
+    let Ok(done) = tokio::time::timeout(BODY_TIMEOUT, reading).await else {
+        return Err(bad("the body did not arrive in time"));
+    };
+    match done {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => {
+            Err(Fault::new(ErrorKind::TooLarge, format!("the limit is {MAX_BODY_BYTES} bytes")))
+        }
+        Err(_) => Err(bad("the body is not whole")),
+    }
+}
+
+/// Reads a JSON body.
+pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Fault> {
+    serde_json::from_slice(body).map_err(|e| bad(format!("the body is not as expected: {e}")))
+}
+
+/// The fields of a completion request that decide where it goes.
+#[derive(Debug, Deserialize)]
+struct Completion {
+    model: String,
+    #[serde(default)]
+    stream: Option<bool>,
+}
+
+/// Makes a caller's completion request.
+pub(crate) fn completion(headers: &HeaderMap, body: Bytes) -> Result<Caller, Fault> {
+    let fields: Completion = parse(&body)?;
+    let parts: Vec<&str> = fields.model.split('@').collect();
+    if parts.len() != 3 || parts.iter().any(|part| part.is_empty()) {
+        return Err(bad("model must be MODEL@ADAPTER@VERSION"));
+    }
+    let mut caller = common(headers, body)?;
+    caller.service = name(headers, header::SERVICE)?;
+    caller.call = name(headers, header::CALL)?;
+    caller.model = Some(fields.model);
+    caller.stream = fields.stream.unwrap_or(false);
+    Ok(caller)
+}
+
+/// Makes a caller's call of a plain service.
+pub(crate) fn service_call(
+    headers: &HeaderMap,
+    service: String,
+    call: String,
+    body: Bytes,
+) -> Result<Caller, Fault> {
+    let accept = headers.get(ACCEPT).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let mut caller = common(headers, body)?;
+    caller.service = Some(service);
+    caller.call = Some(call);
+    caller.stream = accept.contains("text/event-stream");
+    Ok(caller)
+}
+
+fn common(headers: &HeaderMap, body: Bytes) -> Result<Caller, Fault> {
+    let deadline = number(headers, header::DEADLINE)?.map(Duration::from_millis);
+    if deadline.is_some_and(|deadline| deadline.is_zero() || deadline > MAX_DEADLINE) {
+        return Err(bad(format!("{} must be between 1 and 86400000", header::DEADLINE)));
+    }
+    Ok(Caller {
+        caller: name(headers, header::CALLER)?.unwrap_or_else(|| ANONYMOUS.to_owned()),
+        service: None,
+        call: None,
+        model: None,
+        deadline,
+        key: name(headers, header::KEY)?,
+        made: number(headers, header::KEY_MADE)?,
+        stream: false,
+        body,
+    })
+}
+
+/// Reads a header that may stand once.
+fn name(headers: &HeaderMap, key: &str) -> Result<Option<String>, Fault> {
+    let mut values = headers.get_all(key).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(bad(format!("header {key} stands more than once")));
+    }
+    let Ok(text) = value.to_str() else {
+        return Err(bad(format!("header {key} must be printable ASCII")));
+    };
+    if text.is_empty() || text.len() > MAX_NAME_BYTES {
+        return Err(bad(format!("header {key} must have 1 to {MAX_NAME_BYTES} bytes")));
+    }
+    Ok(Some(text.to_owned()))
+}
+
+fn number(headers: &HeaderMap, key: &str) -> Result<Option<u64>, Fault> {
+    let Some(text) = name(headers, key)? else { return Ok(None) };
+    match text.parse() {
+        Ok(number) => Ok(Some(number)),
+        Err(_) => Err(bad(format!("header {key} must be a whole number"))),
+    }
+}
--- /dev/null
+++ b/transport/web/src/target.rs
@@ -0,0 +1,406 @@
+//! Calls and orders to targets.
+//!
+//! Every call opens a connection of its own and is sent once. So a failure to
+//! connect is the only one after which the call is known not to be sent.
+
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    net::IpAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use api::{OrderBody, OrderReply, Refusal, STREAM_END, header};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, header::CONTENT_TYPE};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body as _, Incoming};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use node::{Call, CallFailure, Input, Order, OrderResult};
+use tokio::{task::AbortHandle, time::timeout};
+use wire::{Action, RequestId};
+
+use crate::{border::Inbox, credit::Credit};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The longest refusal or order reply, in bytes.
+const MAX_REPLY_BYTES: usize = 1024 * 1024;
+
+/// Cancelled calls that are remembered, in case the call itself comes after.
+const CANCELLED_CALLS: usize = 4096;
+
+const REFUSALS: [&str; 6] =
+    ["not_loaded", "old_fence", "other_incarnation", "full", "leaving", "load_failed"];
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+struct Running {
+    credit: Arc<Credit>,
+    abort: AbortHandle,
+}
+
+#[derive(Default)]
+struct Table {
+    running: HashMap<RequestId, Running>,
+    cancelled: HashSet<RequestId>,
+    order: VecDeque<RequestId>,
+}
+
+impl Table {
+    fn remember(&mut self, request: RequestId) {
+        if !self.cancelled.insert(request) {
+            return;
+        }
+        self.order.push_back(request);
+        if self.order.len() <= CANCELLED_CALLS {
+            return;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.cancelled.remove(&oldest);
+        }
+    }
+}
+
+/// The client towards targets.
+pub struct Targets {
+    client: HttpClient,
+    inbox: Arc<dyn Inbox>,
+    table: Arc<Mutex<Table>>,
+}
+
+impl Targets {
+    /// Makes a client that calls from the host's address.
+    pub fn new(ip: IpAddr, inbox: Arc<dyn Inbox>) -> Targets {
+        let mut connector = HttpConnector::new();
+        connector.set_local_address(Some(ip));
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .pool_max_idle_per_host(0)
+            .build(connector);
+        Targets { client, inbox, table: Arc::default() }
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().expect("no holder panics")
+    }
+
+    /// Starts a call; its events go to the inbox.
+    pub fn call(&self, call: Call) {
+        let request = call.request;
+        let credit = Arc::new(Credit::new(call.credit));
+        let mut table = self.table();
+        if table.cancelled.contains(&request) {
+            return;
+        }
+        let task = tokio::spawn(carry(
+            self.client.clone(),
+            self.inbox.clone(),
+            self.table.clone(),
+            call,
+            credit.clone(),
+        ));
+        table.running.insert(request, Running { credit, abort: task.abort_handle() });
+    }
+
+    /// Lets further bytes of an answer be read.
+    pub fn read(&self, request: RequestId, bytes: u32) {
+        if let Some(running) = self.table().running.get(&request) {
+            running.credit.add(bytes);
+        }
+    }
+
+    /// Stops a call and tells its target.
+    pub fn cancel(&self, request: RequestId, addr: &str) {
+        {
+            let mut table = self.table();
+            table.remember(request);
+            if let Some(running) = table.running.remove(&request) {
+                running.abort.abort();
+            }
+        }
+        let asking = Request::builder()
+            .method(Method::DELETE)
+            .uri(format!("http://{addr}/v1/requests/{request}"))
+            .body(Full::default());
+        let Ok(asking) = asking else { return };
+        let client = self.client.clone();
+        tokio::spawn(async move {
+            // The target notices the closed connection if this fails.
+            let _ = timeout(CANCEL_TIMEOUT, client.request(asking)).await;
+        });
+    }
+
+    /// Starts an order; its end goes to the inbox.
+    pub fn order(&self, order: Order) {
+        let client = self.client.clone();
+        let inbox = self.inbox.clone();
+        tokio::spawn(async move {
+            let number = order.order;
+            let asked = timeout(ORDER_TIMEOUT, send_order(&client, order)).await;
+            let result = asked.unwrap_or(OrderResult::Unknown);
+            inbox.deliver(Input::OrderEnded { order: number, result }).await;
+        });
+    }
+
+    /// Returns how many calls are in progress.
+    pub fn running(&self) -> usize {
+        self.table().running.len()
+    }
+}
+
+async fn carry(
+    client: HttpClient,
+    inbox: Arc<dyn Inbox>,
+    table: Arc<Mutex<Table>>,
+    call: Call,
+    credit: Arc<Credit>,
+) {
+    let request = call.request;
+    let ended = run(&client, &*inbox, &call, &credit).await;
+    table.lock().expect("no holder panics").running.remove(&request);
+    if let Err(failure) = ended {
+        inbox.deliver(Input::CallFailed { request, failure }).await;
+    }
+}
+
+fn wrong(why: impl Into<String>) -> CallFailure {
+    CallFailure::Wrong(why.into())
+}
+
+fn call_request(call: &Call) -> Result<Request<Full<Bytes>>, http::Error> {
+    let mut builder = Request::builder()
+        .header(header::REQUEST, call.request)
+        .header(header::INCARNATION, call.incarnation)
+        .header(header::PRIORITY, u16::from(call.priority))
+        .header(header::RAN, &call.ran)
+        .header(CONTENT_TYPE, "application/json");
+    if let Some(offset) = call.resume {
+        let (addr, request) = (&call.addr, call.request);
+        builder = builder
+            .method(Method::GET)
+            .uri(format!("http://{addr}/v1/requests/{request}?offset={offset}"));
+        return builder.body(Full::default());
+    }
+    builder = builder.method(Method::POST).uri(format!("http://{}{}", call.addr, call.path));
+    builder.body(Full::new(call.body.clone()))
+}
+
+async fn run(
+    client: &HttpClient,
+    inbox: &dyn Inbox,
+    call: &Call,
+    credit: &Credit,
+) -> Result<(), CallFailure> {
+    // A request that can't be made is not sent.
+    let asking = call_request(call).map_err(|_| CallFailure::NotSent)?;
+    let response = match client.request(asking).await {
+        Ok(response) => response,
+        Err(e) if e.is_connect() => return Err(CallFailure::NotSent),
+        Err(_) => return Err(CallFailure::Lost),
+    };
+    let (parts, body) = response.into_parts();
+    if parts.status == StatusCode::CONFLICT {
+        return answer_conflict(inbox, call, &parts.headers, body, credit).await;
+    }
+    deliver_head(inbox, call, parts.status, &parts.headers).await?;
+    if body.size_hint().exact().is_none() && !is_chunked(&parts.headers) {
+        return Err(wrong("the answer does not tell its length"));
+    }
+    Reader::new(call).read(inbox, body, credit).await
+}
+
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let value = headers.get(http::header::TRANSFER_ENCODING);
+    value.and_then(|value| value.to_str().ok()).is_some_and(|text| text.contains("chunked"))
+}
+
+/// A refusal ends the call; any other answer with this status is passed on.
+async fn answer_conflict(
+    inbox: &dyn Inbox,
+    call: &Call,
+    headers: &HeaderMap,
+    body: Incoming,
+    credit: &Credit,
+) -> Result<(), CallFailure> {
+    let body = collect(body).await.ok_or(CallFailure::Lost)?;
+    if let Some(word) = refusal(&body) {
+        return Err(CallFailure::Refused(word));
+    }
+    deliver_head(inbox, call, StatusCode::CONFLICT, headers).await?;
+    let mut reader = Reader { stream: false, ..Reader::new(call) };
+    reader.pass(inbox, body, true, credit).await;
+    Ok(())
+}
+
+async fn collect(body: Incoming) -> Option<Bytes> {
+    Some(Limited::new(body, MAX_REPLY_BYTES).collect().await.ok()?.to_bytes())
+}
+
+fn refusal(body: &[u8]) -> Option<String> {
+    let refusal: Refusal = serde_json::from_slice(body).ok()?;
+    REFUSALS.contains(&refusal.refused.as_str()).then_some(refusal.refused)
+}
+
+async fn deliver_head(
+    inbox: &dyn Inbox,
+    call: &Call,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> Result<(), CallFailure> {
+    check_echo(headers, header::REQUEST, &call.request.to_string())?;
+    check_echo(headers, header::RAN, &call.ran)?;
+    check_echo(headers, header::INCARNATION, &call.incarnation.to_string())?;
+    let input = Input::CallHead {
+        request: call.request,
+        status: status.as_u16(),
+        ran: call.ran.clone(),
+        incarnation: call.incarnation,
+    };
+    inbox.deliver(input).await;
+    Ok(())
+}
+
+fn check_echo(headers: &HeaderMap, key: &str, expected: &str) -> Result<(), CallFailure> {
+    let Some(value) = headers.get(key) else {
+        return Err(wrong(format!("the answer has no {key}")));
+    };
+    if value.as_bytes() != expected.as_bytes() {
+        let found = String::from_utf8_lossy(value.as_bytes());
+        return Err(wrong(format!("{key} is {found}, expected {expected}")));
+    }
+    Ok(())
+}
+
+/// Passes the pieces of one answer on.
+struct Reader {
+    request: RequestId,
+    stream: bool,
+    offset: u64,
+    /// The last bytes of a stream, as many as its end has.
+    tail: Vec<u8>,
+    resumed: bool,
+}
+
+impl Reader {
+    fn new(call: &Call) -> Reader {
+        Reader {
+            request: call.request,
+            stream: call.stream,
+            offset: call.resume.unwrap_or(0),
+            tail: Vec::new(),
+            resumed: call.resume.is_some(),
+        }
+    }
+
+    async fn read(
+        mut self,
+        inbox: &dyn Inbox,
+        mut body: Incoming,
+        credit: &Credit,
+    ) -> Result<(), CallFailure> {
+        // The end of a stream is kept back until the connection confirms it.
+        let mut kept = Bytes::new();
+        loop {
+            credit.available().await;
+            let Some(frame) = body.frame().await else { break };
+            let Ok(bytes) = frame.map_err(|_| CallFailure::Lost)?.into_data() else { continue };
+            if !kept.is_empty() {
+                self.pass(inbox, std::mem::take(&mut kept), false, credit).await;
+            }
+            self.extend_tail(&bytes);
+            if body.is_end_stream() || (self.stream && self.has_end()) {
+                kept = bytes;
+                continue;
+            }
+            self.pass(inbox, bytes, false, credit).await;
+        }
+        if self.stream && !self.has_end() {
+            return Err(CallFailure::Lost);
+        }
+        self.pass(inbox, kept, true, credit).await;
+        Ok(())
+    }
+
+    fn extend_tail(&mut self, bytes: &[u8]) {
+        self.tail.extend_from_slice(&bytes[bytes.len().saturating_sub(STREAM_END.len())..]);
+        let surplus = self.tail.len().saturating_sub(STREAM_END.len());
+        self.tail.drain(..surplus);
+    }
+
+    fn has_end(&self) -> bool {
+        if self.resumed && !self.tail.is_empty() {
+            return STREAM_END.ends_with(&self.tail);
+        }
+        self.tail == STREAM_END
+    }
+
+    /// Passes bytes on as far as the credit goes, and waits for more.
+    async fn pass(&mut self, inbox: &dyn Inbox, mut bytes: Bytes, last: bool, credit: &Credit) {
+        loop {
+            let mut room = 0;
+            if !bytes.is_empty() {
+                room = credit.available().await.min(bytes.len());
+            }
+            let piece = bytes.split_to(room);
+            credit.spend(piece.len());
+            let offset = self.offset;
+            self.offset += piece.len() as u64;
+            let last = last && bytes.is_empty();
+            let request = self.request;
+            inbox.deliver(Input::CallPiece { request, offset, bytes: piece, last }).await;
+            if bytes.is_empty() {
+                return;
+            }
+        }
+    }
+}
+
+async fn send_order(client: &HttpClient, order: Order) -> OrderResult {
+    let action = match order.action {
+        Action::Load => "load",
+        Action::Evict => "evict",
+    };
+    let body = OrderBody {
+        fence: order.fence,
+        incarnation: order.incarnation,
+        action: action.to_owned(),
+        adapter: order.adapter,
+    };
+    let json = serde_json::to_vec(&body).expect("an order is plain data");
+    let asking = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{}/v1/orders", order.addr))
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(json)));
+    let Ok(asking) = asking else { return OrderResult::NotSent };
+    match client.request(asking).await {
+        Ok(response) => read_reply(response).await,
+        Err(e) if e.is_connect() => OrderResult::NotSent,
+        Err(_) => OrderResult::Unknown,
+    }
+}
+
+async fn read_reply(response: Response<Incoming>) -> OrderResult {
+    let status = response.status();
+    let Some(body) = collect(response.into_body()).await else { return OrderResult::Unknown };
+    if status == StatusCode::CONFLICT
+        && let Some(word) = refusal(&body)
+    {
+        return OrderResult::Failed(word);
+    }
+    if status != StatusCode::OK {
+        return OrderResult::Unknown;
+    }
+    match serde_json::from_slice::<OrderReply>(&body) {
+        Ok(reply) => OrderResult::Done(reply.loaded),
+        Err(_) => OrderResult::Unknown,
+    }
+}
