--- a/transport/web/src/target.rs
+++ b/transport/web/src/target.rs
@@ -5,22 +5,26 @@
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
-    net::IpAddr,
+    io,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use api::{OrderBody, OrderReply, Refusal, STREAM_END, header};
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode, header::CONTENT_TYPE};
+use http::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    header::{CONTENT_TYPE, HOST},
+};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body as _, Incoming};
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::TokioExecutor,
+use hyper::{
+    body::{Body as _, Incoming},
+    client::conn::http1::{self, SendRequest},
 };
+use hyper_util::rt::TokioIo;
 use node::{Call, CallFailure, Input, Order, OrderResult};
-use tokio::{task::AbortHandle, time::timeout};
+use tokio::{net::TcpSocket, task::AbortHandle, time::timeout};
 use wire::{Action, RequestId};
 
 use crate::{border::Inbox, credit::Credit};
@@ -38,7 +42,37 @@
 const REFUSALS: [&str; 6] =
     ["not_loaded", "old_fence", "other_incarnation", "full", "leaving", "load_failed"];
 
-type HttpClient = Client<HttpConnector, Full<Bytes>>;
+/// Opens connections to targets.
+#[derive(Debug, Clone)]
+struct Connector {
+    ip: IpAddr,
+    start: Instant,
+}
+
+impl Connector {
+    /// Whether the host's clock has passed a lease's end.
+    fn is_past(&self, until: Duration) -> bool {
+        self.start.elapsed() >= until
+    }
+
+    /// Connects from the host's own address.
+    async fn open(&self, addr: &str) -> Option<SendRequest<Full<Bytes>>> {
+        timeout(CONNECT_TIMEOUT, self.connect(addr)).await.ok()?.ok()
+    }
+
+    async fn connect(&self, addr: &str) -> Result<SendRequest<Full<Bytes>>, io::Error> {
+        let to: SocketAddr = addr.parse().map_err(io::Error::other)?;
+        let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.bind(SocketAddr::new(self.ip, 0))?;
+        let stream = socket.connect(to).await?;
+        stream.set_nodelay(true)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
+        // Ends with the sender and the body of its answer.
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+}
 
 struct Running {
     credit: Arc<Credit>,
@@ -69,23 +103,16 @@
 
 /// The client towards targets.
 pub struct Targets {
-    client: HttpClient,
+    connector: Connector,
     inbox: Arc<dyn Inbox>,
     table: Arc<Mutex<Table>>,
 }
 
 impl Targets {
-    /// Makes a client that calls from the host's address.
-    pub fn new(ip: IpAddr, inbox: Arc<dyn Inbox>) -> Targets {
-        let mut connector = HttpConnector::new();
-        connector.set_local_address(Some(ip));
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .pool_max_idle_per_host(0)
-            .build(connector);
-        Targets { client, inbox, table: Arc::default() }
+    /// Makes a client that calls from the host's address. The host's clock
+    /// counts from `start`.
+    pub fn new(ip: IpAddr, start: Instant, inbox: Arc<dyn Inbox>) -> Targets {
+        Targets { connector: Connector { ip, start }, inbox, table: Arc::default() }
     }
 
     fn table(&self) -> MutexGuard<'_, Table> {
@@ -101,7 +128,7 @@
             return;
         }
         let task = tokio::spawn(carry(
-            self.client.clone(),
+            self.connector.clone(),
             self.inbox.clone(),
             self.table.clone(),
             call,
@@ -126,25 +153,21 @@
                 running.abort.abort();
             }
         }
-        let asking = Request::builder()
-            .method(Method::DELETE)
-            .uri(format!("http://{addr}/v1/requests/{request}"))
-            .body(Full::default());
-        let Ok(asking) = asking else { return };
-        let client = self.client.clone();
+        let connector = self.connector.clone();
+        let addr = addr.to_owned();
         tokio::spawn(async move {
             // The target notices the closed connection if this fails.
-            let _ = timeout(CANCEL_TIMEOUT, client.request(asking)).await;
+            let _ = timeout(CANCEL_TIMEOUT, send_cancel(&connector, &addr, request)).await;
         });
     }
 
     /// Starts an order; its end goes to the inbox.
     pub fn order(&self, order: Order) {
-        let client = self.client.clone();
+        let connector = self.connector.clone();
         let inbox = self.inbox.clone();
         tokio::spawn(async move {
             let number = order.order;
-            let asked = timeout(ORDER_TIMEOUT, send_order(&client, order)).await;
+            let asked = timeout(ORDER_TIMEOUT, send_order(&connector, order)).await;
             let result = asked.unwrap_or(OrderResult::Unknown);
             inbox.deliver(Input::OrderEnded { order: number, result }).await;
         });
@@ -157,14 +180,14 @@
 }
 
 async fn carry(
-    client: HttpClient,
+    connector: Connector,
     inbox: Arc<dyn Inbox>,
     table: Arc<Mutex<Table>>,
     call: Call,
     credit: Arc<Credit>,
 ) {
     let request = call.request;
-    let ended = run(&client, &*inbox, &call, &credit).await;
+    let ended = run(&connector, &*inbox, &call, &credit).await;
     table.lock().expect("no holder panics").running.remove(&request);
     if let Err(failure) = ended {
         inbox.deliver(Input::CallFailed { request, failure }).await;
@@ -176,36 +199,34 @@
 }
 
 fn call_request(call: &Call) -> Result<Request<Full<Bytes>>, http::Error> {
-    let mut builder = Request::builder()
+    let builder = Request::builder()
+        .header(HOST, &call.addr)
+        .header(header::FENCE, call.fence)
         .header(header::REQUEST, call.request)
         .header(header::INCARNATION, call.incarnation)
         .header(header::PRIORITY, u16::from(call.priority))
         .header(header::RAN, &call.ran)
         .header(CONTENT_TYPE, "application/json");
     if let Some(offset) = call.resume {
-        let (addr, request) = (&call.addr, call.request);
-        builder = builder
-            .method(Method::GET)
-            .uri(format!("http://{addr}/v1/requests/{request}?offset={offset}"));
-        return builder.body(Full::default());
+        let path = format!("/v1/requests/{}?offset={offset}", call.request);
+        return builder.method(Method::GET).uri(path).body(Full::default());
     }
-    builder = builder.method(Method::POST).uri(format!("http://{}{}", call.addr, call.path));
-    builder.body(Full::new(call.body.clone()))
+    builder.method(Method::POST).uri(&call.path).body(Full::new(call.body.clone()))
 }
 
 async fn run(
-    client: &HttpClient,
+    connector: &Connector,
     inbox: &dyn Inbox,
     call: &Call,
     credit: &Credit,
 ) -> Result<(), CallFailure> {
     // A request that can't be made is not sent.
     let asking = call_request(call).map_err(|_| CallFailure::NotSent)?;
-    let response = match client.request(asking).await {
-        Ok(response) => response,
-        Err(e) if e.is_connect() => return Err(CallFailure::NotSent),
-        Err(_) => return Err(CallFailure::Lost),
-    };
+    let mut sender = connector.open(&call.addr).await.ok_or(CallFailure::NotSent)?;
+    if connector.is_past(call.until) {
+        return Err(CallFailure::NotSent);
+    }
+    let response = sender.send_request(asking).await.map_err(|_| CallFailure::Lost)?;
     let (parts, body) = response.into_parts();
     if parts.status == StatusCode::CONFLICT {
         return answer_conflict(inbox, call, &parts.headers, body, credit).await;
@@ -363,7 +384,7 @@
     }
 }
 
-async fn send_order(client: &HttpClient, order: Order) -> OrderResult {
+async fn send_order(connector: &Connector, order: Order) -> OrderResult {
     let action = match order.action {
         Action::Load => "load",
         Action::Evict => "evict",
@@ -377,17 +398,35 @@
     let json = serde_json::to_vec(&body).expect("an order is plain data");
     let asking = Request::builder()
         .method(Method::POST)
-        .uri(format!("http://{}/v1/orders", order.addr))
+        .uri("/v1/orders")
+        .header(HOST, &order.addr)
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(json)));
     let Ok(asking) = asking else { return OrderResult::NotSent };
-    match client.request(asking).await {
+    let Some(mut sender) = connector.open(&order.addr).await else { return OrderResult::NotSent };
+    if connector.is_past(order.until) {
+        return OrderResult::NotSent;
+    }
+    match sender.send_request(asking).await {
         Ok(response) => read_reply(response).await,
-        Err(e) if e.is_connect() => OrderResult::NotSent,
         Err(_) => OrderResult::Unknown,
     }
 }
 
+async fn send_cancel(
+    connector: &Connector,
+    addr: &str,
+    request: RequestId,
+) -> Option<Response<Incoming>> {
+    let asking = Request::builder()
+        .method(Method::DELETE)
+        .uri(format!("/v1/requests/{request}"))
+        .header(HOST, addr)
+        .body(Full::default());
+    let mut sender = connector.open(addr).await?;
+    sender.send_request(asking.ok()?).await.ok()
+}
+
 async fn read_reply(response: Response<Incoming>) -> OrderResult {
     let status = response.status();
     let Some(body) = collect(response.into_body()).await else { return OrderResult::Unknown };
