--- /dev/null
+++ b/state/replog/src/peer.rs
@@ -0,0 +1,90 @@
+//! What a leader knows of the hosts it serves.
+
+use std::{collections::VecDeque, time::Duration};
+
+use wire::{Index, Role, Snapshot, VoterId};
+
+/// Messages with entries that may be unanswered at a time.
+const MAX_UNACKED: usize = 4;
+
+/// Progress of one host.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    /// The identity of its data folder.
+    pub(crate) voter: Option<VoterId>,
+    /// Its role as a member; an observer has none.
+    pub(crate) role: Option<Role>,
+    /// The next index to send.
+    pub(crate) next: Index,
+    /// The last index known to be on its disk.
+    pub(crate) matched: Index,
+    /// Whether it is unknown where its log agrees.
+    pub(crate) probing: bool,
+    /// Last indexes of messages that are unanswered.
+    pub(crate) unacked: VecDeque<Index>,
+    /// When the newest round it answered was sent.
+    pub(crate) acked: Option<Duration>,
+    /// When it was last heard of.
+    pub(crate) heard: Duration,
+    /// A snapshot on its way there.
+    pub(crate) install: Option<Transfer>,
+}
+
+/// A snapshot that is sent in chunks.
+#[derive(Debug)]
+pub(crate) struct Transfer {
+    pub(crate) snapshot: Snapshot,
+    pub(crate) offset: u64,
+    /// When the newest chunk was sent.
+    pub(crate) sent: Duration,
+}
+
+impl Peer {
+    pub(crate) fn new(
+        now: Duration,
+        voter: Option<VoterId>,
+        role: Option<Role>,
+        last: Index,
+    ) -> Peer {
+        Peer {
+            voter,
+            role,
+            next: last + 1,
+            matched: 0,
+            probing: true,
+            unacked: VecDeque::new(),
+            acked: None,
+            heard: now,
+            install: None,
+        }
+    }
+
+    pub(crate) fn may_send(&self) -> bool {
+        let limit = if self.probing { 1 } else { MAX_UNACKED };
+        self.unacked.len() < limit
+    }
+
+    /// Takes in that the host holds everything up to `index`.
+    pub(crate) fn advance(&mut self, index: Index) {
+        self.probing = false;
+        self.matched = self.matched.max(index);
+        self.next = self.next.max(self.matched + 1);
+        while self.unacked.front().is_some_and(|&last| last <= self.matched) {
+            self.unacked.pop_front();
+        }
+    }
+
+    /// Goes back to what the host says it holds. A refusal below what a member
+    /// has acknowledged is an old one.
+    pub(crate) fn retreat(&mut self, index: Index) -> bool {
+        if self.role.is_none() {
+            self.matched = self.matched.min(index);
+        }
+        if index < self.matched || index + 1 >= self.next {
+            return false;
+        }
+        self.next = index + 1;
+        self.unacked.clear();
+        true
+    }
+}
--- /dev/null
+++ b/state/replog/tests/harness/check.rs
@@ -0,0 +1,162 @@
+//! Steps of the fake link and disk, and what must hold at each of them.
+
+use super::*;
+
+impl World {
+    pub fn send(&mut self, from: HostId, to: HostId, msg: LogMsg) {
+        self.check_synced(from, &msg);
+        self.sent += 1;
+        self.bytes += wire::encode(&msg).len() as u64;
+        if self.cut.contains(&from) || self.cut.contains(&to) || !self.hosts.contains_key(&to) {
+            return;
+        }
+        let copies = 1 + u32::from(self.rng.random_bool(self.link.twice));
+        for _ in 0..copies {
+            if self.rng.random_bool(self.link.loss) {
+                continue;
+            }
+            let jitter = self.link.jitter.mul_f64(self.rng.random::<f64>());
+            self.at(self.link.delay + jitter, Event::Msg(from, to, msg.clone()));
+        }
+    }
+
+    /// Checks that what a message promises is on the sender's disk.
+    fn check_synced(&self, from: HostId, msg: &LogMsg) {
+        let Some(disk) = &self.hosts[&from].disk else { return };
+        let on_disk = &disk.synced;
+        match msg.body {
+            LogBody::Appended { index, taken: true, .. } => {
+                assert!(last(on_disk) >= index, "host {from} acknowledged {index} before sync");
+                assert!(on_disk.hard.term >= msg.term, "term acknowledged before sync");
+            }
+            LogBody::Voted { granted: true } => {
+                assert_eq!(on_disk.hard.term, msg.term, "host {from} voted before sync");
+                assert!(on_disk.hard.vote.is_some());
+            }
+            LogBody::Vote { .. } => {
+                assert_eq!(on_disk.hard.term, msg.term, "host {from} stood before sync");
+                assert_eq!(on_disk.hard.vote, Some(on_disk.voter));
+            }
+            LogBody::Found { group, .. } => assert_eq!(on_disk.hard.group, group),
+            _ => {}
+        }
+    }
+
+    pub fn apply(&mut self, host: HostId, entry: Entry) {
+        let now = self.now;
+        let h = self.hosts.get_mut(&host).unwrap();
+        assert_eq!(entry.index, h.applied + 1, "host {host} applies out of order");
+        h.applied = entry.index;
+        h.digest = digest(h.digest, &entry);
+        let after = h.digest;
+        self.committed_at.entry(entry.index).or_insert(now);
+        let known = self.committed.entry(entry.index).or_insert((entry.clone(), after));
+        assert_eq!(known.0, entry, "host {host} applies another entry");
+        assert_eq!(known.1, after, "host {host} came to another result");
+    }
+
+    pub fn restore(&mut self, host: HostId, snap: Snapshot) {
+        let h = self.hosts.get_mut(&host).unwrap();
+        assert!(snap.index >= h.applied, "host {host} goes back");
+        h.applied = snap.index;
+        let (state, _): (u64, &[u8]) = postcard::take_from_bytes(&snap.state).unwrap();
+        h.digest = state;
+        assert_eq!(self.committed[&snap.index].1, state, "host {host} restores another state");
+        self.snapshots += 1;
+    }
+
+    pub fn snapshot(&mut self, host: HostId) {
+        let h = &self.hosts[&host];
+        let mut state = postcard::to_stdvec(&h.digest).unwrap();
+        // Large enough for several chunks.
+        state.resize(600 * 1024, 0);
+        let index = h.applied;
+        self.input(host, Input::Compact { index, state: state.into() });
+    }
+
+    /// Returns the host whose first entry of its term is committed and that
+    /// leads in the highest term.
+    pub fn leader(&self) -> Option<HostId> {
+        let mut best = None;
+        for (&host, h) in &self.hosts {
+            let Some(status) = h.replica.as_ref().map(Replica::status) else { continue };
+            if status.leading {
+                best = best.max(Some((status.term, host)));
+            }
+        }
+        best.map(|(_, host)| host)
+    }
+
+    /// Runs until a host leads.
+    pub fn elect(&mut self) -> HostId {
+        for _ in 0..3000 {
+            if let Some(host) = self.leader().filter(|h| !self.cut.contains(h)) {
+                return host;
+            }
+            self.run(TICK);
+        }
+        panic!("no leader within 30 s");
+    }
+
+    /// Proposes on the leader, if there is one.
+    pub fn propose(&mut self, text: &str) {
+        if let Some(host) = self.leader() {
+            self.input(host, Input::Propose(Bytes::copy_from_slice(text.as_bytes())));
+        }
+    }
+
+    pub fn status(&self, host: HostId) -> replog::Status {
+        self.hosts[&host].replica.as_ref().unwrap().status()
+    }
+
+    /// Checks that every host has applied all that is committed.
+    pub fn check_converged(&self) {
+        let last = self.committed.keys().next_back().copied().unwrap_or(0);
+        for (host, h) in &self.hosts {
+            assert_eq!(h.applied, last, "host {host} has not caught up");
+            assert_eq!(h.digest, self.committed[&last].1, "host {host} differs");
+        }
+    }
+
+    pub fn data(&self) -> Vec<String> {
+        let mut out = Vec::new();
+        for (entry, _) in self.committed.values() {
+            if let EntryBody::Data(data) = &entry.body {
+                out.push(String::from_utf8_lossy(data).into_owned());
+            }
+        }
+        out
+    }
+}
+
+pub fn last(disk: &Recovered) -> Index {
+    let covered = disk.snapshot.as_ref().map_or(0, |s| s.index);
+    disk.entries.last().map_or(covered, |e| e.index)
+}
+
+fn digest(before: u64, entry: &Entry) -> u64 {
+    let mut hash = before ^ entry.index;
+    for byte in wire::encode(entry) {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    hash
+}
+
+pub fn apply_op(disk: &mut Recovered, op: &Op) {
+    match op {
+        Op::Hard(hard) => disk.hard = hard.clone(),
+        Op::Append(entries) => {
+            for entry in entries {
+                assert_eq!(entry.index, last(disk) + 1, "gap in the log");
+                disk.entries.push(entry.clone());
+            }
+        }
+        Op::Truncate(index) => disk.entries.retain(|e| e.index < *index),
+        Op::Snapshot(snap) => {
+            let held = |e: &Entry| e.index == snap.index && e.term == snap.term;
+            let holds = disk.entries.iter().any(held);
+            disk.entries.retain(|e| holds && e.index > snap.index);
+            disk.snapshot = Some(snap.clone());
+        }
+    }
+}
--- a/state/store/src/lib.rs
+++ b/state/store/src/lib.rs
@@ -1,4 +1,13 @@
 //! The files of a voter: identity, hard state, log and snapshot.
+//!
+//! Each file leads with a version number, then come records with their length
+//! and checksums. The log is appended to and synced once a write; the other
+//! files are replaced by renaming a synced temporary file.
+
+mod disk;
+mod file;
+mod journal;
+mod record;
 
 use std::path::PathBuf;
 
@@ -37,6 +46,24 @@
         /// The version this program writes.
         expected: u32,
     },
+    /// A file is gone that was there when the folder was in use.
+    #[error("could not open {path}: file is missing from a used data folder")]
+    Missing {
+        /// The file.
+        path: PathBuf,
+    },
+    /// Another process has the data folder open.
+    #[error("could not lock {path}: data folder is in use")]
+    Locked {
+        /// The lock file.
+        path: PathBuf,
+    },
+    /// An earlier write failed.
+    #[error("could not write {path}: an earlier write failed")]
+    Stopped {
+        /// The data folder.
+        path: PathBuf,
+    },
 }
 
 /// Where a voter's writes go.
@@ -46,11 +73,11 @@
 }
 
 /// Opens or creates the data folder at `dir`. A new folder gets the identity
-/// `voter`.
+/// `voter`. The folder stays locked until the disk is dropped.
 pub fn open(
     dir: &std::path::Path,
     voter: wire::VoterId,
 ) -> Result<(Box<dyn Disk>, Recovered), StoreError> {
-    let _ = (dir, voter);
-    todo!()
+    let (disk, recovered) = disk::FileDisk::open(dir, voter)?;
+    Ok((Box::new(disk), recovered))
 }
