--- /dev/null
+++ b/coordination/node/tests/common/mod.rs
@@ -0,0 +1,571 @@
+//! Several hosts and stand-in targets in one process and virtual time.
+
+#![allow(dead_code)]
+
+pub mod target;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use decl::Settings;
+use node::{Call, Caller, Change, Input, Node, Order, Output, Published, Start, Tag};
+use wire::{DeclFile, Fault, HostId, Incarnation, PeerMsg, Publish, RequestId};
+
+use self::target::Target;
+
+const LINK_DELAY: Duration = Duration::from_millis(2);
+const DISK_DELAY: Duration = Duration::from_millis(1);
+const TICK: Duration = Duration::from_millis(20);
+const REPORT_EVERY: Duration = Duration::from_millis(300);
+pub const WALL_START_MS: u64 = 1_700_000_000_000;
+
+/// Something that happens at a moment of virtual time.
+#[derive(Debug)]
+enum Event {
+    Input(HostId, Incarnation, Input),
+    Tick(HostId, Incarnation),
+    Report(usize),
+    /// The target goes on with a call.
+    Serve(usize, RequestId),
+    Ordered(usize, HostId, Incarnation, Order),
+}
+
+/// What a caller was told.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Told {
+    pub status: Option<u16>,
+    pub ran: String,
+    pub target: String,
+    pub body: Vec<u8>,
+    pub whole: bool,
+    pub fault: Option<Fault>,
+}
+
+impl Told {
+    pub fn ended(&self) -> bool {
+        self.whole || self.fault.is_some()
+    }
+}
+
+struct Host {
+    node: Option<Node>,
+    run: Incarnation,
+    disk: Option<replog::Recovered>,
+    /// When it was started, in virtual time.
+    frozen: Vec<(Duration, Event)>,
+    is_frozen: bool,
+    exited: Option<u32>,
+}
+
+/// The hosts, their links and the targets.
+pub struct Cluster {
+    pub now: Duration,
+    hosts: BTreeMap<HostId, Host>,
+    pub targets: Vec<Target>,
+    queue: BTreeMap<(Duration, u64), Event>,
+    seq: u64,
+    /// Pairs of hosts that do not hear each other.
+    pub cut: BTreeSet<(HostId, HostId)>,
+    pub told: BTreeMap<(HostId, Tag), Told>,
+    pub published: BTreeMap<Tag, Result<Published, Fault>>,
+    pub changes: Vec<(HostId, Change)>,
+    /// Every message and call, if recorded.
+    pub trace: Option<Vec<String>>,
+    next_tag: Tag,
+}
+
+pub fn settings(host: HostId, hosts: u32, voters: u32) -> Settings {
+    let mut text = format!(
+        "[host]\nid = {host}\nip = 127.1.0.{host}\ndomain = d{}\nseed = {host}\n",
+        host % 3
+    );
+    if host <= voters {
+        text.push_str("data_dir = /unused\n");
+    }
+    text.push_str("[hosts]\n");
+    for id in 1..=hosts {
+        text.push_str(&format!("{id} = 127.1.0.{id} d{}\n", id % 3));
+    }
+    let founders: Vec<String> = (1..=voters).map(|id| id.to_string()).collect();
+    text.push_str(&format!("[cluster]\nfounders = {}\n", founders.join(", ")));
+    Settings::parse("test.ini", &text).expect("test settings are valid")
+}
+
+impl Cluster {
+    /// Starts `hosts` hosts of which the first `voters` have disks.
+    pub fn new(hosts: u32, voters: u32) -> Cluster {
+        let mut cluster = Cluster {
+            now: Duration::ZERO,
+            hosts: BTreeMap::new(),
+            targets: Vec::new(),
+            queue: BTreeMap::new(),
+            seq: 0,
+            cut: BTreeSet::new(),
+            told: BTreeMap::new(),
+            published: BTreeMap::new(),
+            changes: Vec::new(),
+            trace: None,
+            next_tag: 1,
+        };
+        for host in 1..=hosts {
+            let disk = (host <= voters).then(|| replog::Recovered {
+                voter: (u64::from(host) << 48) | 1,
+                hard: replog::HardState::default(),
+                snapshot: None,
+                entries: Vec::new(),
+            });
+            cluster.hosts.insert(
+                host,
+                Host {
+                    node: None,
+                    run: 0,
+                    disk,
+                    frozen: Vec::new(),
+                    is_frozen: false,
+                    exited: None,
+                },
+            );
+        }
+        for host in 1..=hosts {
+            cluster.start(host);
+        }
+        cluster
+    }
+
+    fn count(&self) -> (u32, u32) {
+        let voters = self.hosts.values().filter(|host| host.disk.is_some()).count();
+        (self.hosts.len() as u32, voters as u32)
+    }
+
+    /// Starts a host, or starts it again after [`Cluster::kill`].
+    pub fn start(&mut self, id: HostId) {
+        let (hosts, voters) = self.count();
+        let now = self.now;
+        let wall = self.wall();
+        let Some(host) = self.hosts.get_mut(&id) else { return };
+        host.run += 1;
+        let run = host.run;
+        let start = Start { incarnation: run, disk: host.disk.clone(), wall };
+        let (node, outputs) = Node::new(now, settings(id, hosts, voters), start);
+        host.node = Some(node);
+        host.exited = None;
+        self.carry_out(id, outputs);
+        self.at(TICK, Event::Tick(id, run));
+    }
+
+    /// Ends a host's process at once. Its peers see their connections break.
+    pub fn kill(&mut self, id: HostId) {
+        let Some(host) = self.hosts.get_mut(&id) else { return };
+        host.node = None;
+        host.frozen.clear();
+        host.is_frozen = false;
+        for target in &mut self.targets {
+            target.disconnect(id);
+        }
+        let peers: Vec<(HostId, Incarnation)> =
+            self.hosts.iter().map(|(id, host)| (*id, host.run)).collect();
+        for (peer, run) in peers {
+            if peer != id {
+                self.at(LINK_DELAY, Event::Input(peer, run, Input::PeerLost(id)));
+            }
+        }
+    }
+
+    /// Stops a host's process until [`Cluster::thaw`].
+    pub fn freeze(&mut self, id: HostId) {
+        if let Some(host) = self.hosts.get_mut(&id) {
+            host.is_frozen = true;
+        }
+    }
+
+    pub fn thaw(&mut self, id: HostId) {
+        let Some(host) = self.hosts.get_mut(&id) else { return };
+        host.is_frozen = false;
+        for (_, event) in std::mem::take(&mut host.frozen) {
+            self.at(Duration::ZERO, event);
+        }
+    }
+
+    /// Cuts a host off from all others.
+    pub fn isolate(&mut self, id: HostId) {
+        for &other in self.hosts.keys() {
+            self.cut.insert((id, other));
+            self.cut.insert((other, id));
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    pub fn wall(&self) -> u64 {
+        WALL_START_MS + self.now.as_millis() as u64
+    }
+
+    pub fn node(&self, id: HostId) -> &Node {
+        self.hosts[&id].node.as_ref().expect("the host runs")
+    }
+
+    pub fn is_running(&self, id: HostId) -> bool {
+        self.hosts.get(&id).is_some_and(|host| host.node.is_some())
+    }
+
+    pub fn exited(&self, id: HostId) -> Option<u32> {
+        self.hosts.get(&id)?.exited
+    }
+
+    pub fn leader(&self) -> Option<HostId> {
+        let running = self.hosts.iter().filter(|(_, host)| host.node.is_some());
+        let mut leaders =
+            running.filter_map(|(_, host)| host.node.as_ref()?.status(self.now).leader.into());
+        leaders.next()
+    }
+
+    pub fn owner(&self, target: &str) -> Option<HostId> {
+        let mut found = None;
+        for host in self.hosts.values() {
+            let Some(node) = &host.node else { continue };
+            found = found.max(node.report_to(target).map(|(host, fence)| (fence, host)));
+        }
+        found.map(|(_, host)| host)
+    }
+
+    pub fn add_target(&mut self, target: Target) -> usize {
+        self.targets.push(target);
+        let place = self.targets.len() - 1;
+        self.at(Duration::ZERO, Event::Report(place));
+        place
+    }
+
+    fn at(&mut self, delay: Duration, event: Event) {
+        self.seq += 1;
+        self.queue.insert((self.now + delay, self.seq), event);
+    }
+
+    pub fn input(&mut self, id: HostId, input: Input) {
+        let run = self.hosts[&id].run;
+        self.at(Duration::ZERO, Event::Input(id, run, input));
+    }
+
+    /// Hands a caller's request to a host.
+    pub fn request(&mut self, id: HostId, caller: Caller) -> (HostId, Tag) {
+        let tag = self.next_tag;
+        self.next_tag += 1;
+        self.told.insert((id, tag), Told::default());
+        self.note(format!("caller {} -> host {id}: request {tag}", caller.caller));
+        self.input(id, Input::Request { tag, caller: Box::new(caller) });
+        (id, tag)
+    }
+
+    pub fn publish(&mut self, id: HostId, files: &[(&str, &str)]) -> Tag {
+        let tag = self.next_tag;
+        self.next_tag += 1;
+        let files = files
+            .iter()
+            .map(|(name, text)| DeclFile { name: (*name).to_owned(), text: (*text).to_owned() })
+            .collect();
+        let publish =
+            Publish { files, author: "operator".to_owned(), revision: "abc123".to_owned() };
+        let at = self.wall();
+        self.input(id, Input::Publish { tag, publish, at });
+        tag
+    }
+
+    fn note(&mut self, line: String) {
+        let now = self.now;
+        if let Some(trace) = &mut self.trace {
+            trace.push(format!("{:>7} ms  {line}", now.as_millis()));
+        }
+    }
+
+    /// Runs until a condition holds. Returns false if it did not within `limit`.
+    pub fn run_until(&mut self, limit: Duration, mut done: impl FnMut(&Cluster) -> bool) -> bool {
+        let end = self.now + limit;
+        while !done(self) {
+            if !self.step(end) {
+                return done(self);
+            }
+        }
+        true
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.step(end) {}
+        self.now = end;
+    }
+
+    fn step(&mut self, end: Duration) -> bool {
+        let Some((&(at, seq), _)) = self.queue.first_key_value() else { return false };
+        if at > end {
+            return false;
+        }
+        let Some(event) = self.queue.remove(&(at, seq)) else { return false };
+        self.now = self.now.max(at);
+        self.happen(event);
+        true
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Input(id, run, input) => self.deliver(id, run, input),
+            Event::Tick(id, run) => {
+                let wall = self.wall();
+                let Some(host) = self.hosts.get(&id) else { return };
+                if host.run != run || host.node.is_none() {
+                    return;
+                }
+                self.deliver(id, run, Input::Tick { wall });
+                self.at(TICK, Event::Tick(id, run));
+            }
+            Event::Report(place) => {
+                self.report(place);
+                self.at(REPORT_EVERY, Event::Report(place));
+            }
+            Event::Serve(place, request) => self.serve(place, request),
+            Event::Ordered(place, id, run, order) => {
+                let number = order.order;
+                let result = self.targets[place].order(&order);
+                let line =
+                    format!("{} -> host {id}: order {number} {result:?}", self.targets[place].name);
+                self.note(line);
+                let input = Input::OrderEnded { order: number, result };
+                self.at(LINK_DELAY, Event::Input(id, run, input));
+            }
+        }
+    }
+
+    fn deliver(&mut self, id: HostId, run: Incarnation, input: Input) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(&id) else { return };
+        if host.run != run {
+            return;
+        }
+        if host.is_frozen {
+            if !matches!(input, Input::Tick { .. }) {
+                host.frozen.push((now, Event::Input(id, run, input)));
+            }
+            return;
+        }
+        let Some(node) = &host.node else { return };
+        let outputs = node.handle(now, input);
+        self.carry_out(id, outputs);
+    }
+
+    fn carry_out(&mut self, id: HostId, outputs: Vec<Output>) {
+        let run = self.hosts[&id].run;
+        for output in outputs {
+            match output {
+                Output::Send { to, msg } => self.send(id, to, msg),
+                Output::Write(write) => {
+                    let Some(host) = self.hosts.get_mut(&id) else { continue };
+                    let Some(disk) = &mut host.disk else { continue };
+                    let ticket = write.ticket;
+                    target::write(disk, write);
+                    self.at(DISK_DELAY, Event::Input(id, run, Input::Synced(ticket)));
+                }
+                Output::Call(call) => self.call(id, run, call),
+                Output::Read { .. } => {}
+                Output::CancelCall { request, .. } => {
+                    self.note(format!("host {id}: cancel {request:x}"));
+                    for target in &mut self.targets {
+                        target.cancel(request);
+                    }
+                }
+                Output::Order(order) => self.order(id, run, order),
+                Output::Head { tag, status, target, ran } => {
+                    self.note(format!(
+                        "host {id} -> caller: request {tag} {status} {ran} by {target}"
+                    ));
+                    let told = self.told.entry((id, tag)).or_default();
+                    told.status = Some(status);
+                    told.ran = ran;
+                    told.target = target;
+                }
+                Output::Piece { tag, bytes, last } => {
+                    self.note(format!(
+                        "host {id} -> caller: request {tag} piece {:?} last {last}",
+                        String::from_utf8_lossy(&bytes)
+                    ));
+                    let told = self.told.entry((id, tag)).or_default();
+                    told.body.extend_from_slice(&bytes);
+                    told.whole |= last;
+                    let input = Input::Taken { tag, bytes: bytes.len() as u32 };
+                    self.at(Duration::ZERO, Event::Input(id, run, input));
+                }
+                Output::Failed { tag, fault } => {
+                    let row = fault.kind.row();
+                    self.note(format!(
+                        "host {id} -> caller: request {tag} {} ran {}",
+                        row.code,
+                        row.ran.as_str()
+                    ));
+                    self.told.entry((id, tag)).or_default().fault = Some(fault);
+                }
+                Output::Published { tag, result } => {
+                    self.published.insert(tag, result);
+                }
+                Output::Changed(change) => self.changes.push((id, change)),
+                Output::Exit(cut) => {
+                    if let Some(host) = self.hosts.get_mut(&id) {
+                        host.exited = Some(cut);
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: HostId, to: HostId, msg: PeerMsg) {
+        if self.cut.contains(&(from, to)) {
+            return;
+        }
+        if let Some(line) = describe(&msg) {
+            self.note(format!("host {from} -> host {to}: {line}"));
+        }
+        let Some(run) = self.hosts.get(&to).map(|host| host.run) else { return };
+        self.at(LINK_DELAY, Event::Input(to, run, Input::Peer { from, msg }));
+    }
+
+    fn find(&self, addr: &str) -> Option<usize> {
+        self.targets.iter().position(|target| target.addr == addr)
+    }
+
+    fn call(&mut self, id: HostId, run: Incarnation, call: Call) {
+        let request = call.request;
+        let Some(place) = self.find(&call.addr) else { return };
+        let verb = if call.resume.is_some() { "resume" } else { "call" };
+        let name = self.targets[place].name.clone();
+        self.note(format!("host {id} -> {name}: {verb} {request:x} {}", call.ran));
+        match self.targets[place].call(id, run, &call) {
+            Ok(()) => self.at(LINK_DELAY, Event::Serve(place, request)),
+            Err(failure) => {
+                self.note(format!("{name} -> host {id}: {request:x} {failure:?}"));
+                let input = Input::CallFailed { request, failure };
+                self.at(LINK_DELAY, Event::Input(id, run, input));
+            }
+        }
+    }
+
+    /// Lets a target take one step of an answer.
+    fn serve(&mut self, place: usize, request: RequestId) {
+        let now = self.now;
+        let step = self.targets[place].serve(now, request);
+        for (host, run, input) in step.inputs {
+            let line = format!("{} -> host {host}: {}", self.targets[place].name, brief(&input));
+            self.note(line);
+            self.at(LINK_DELAY, Event::Input(host, run, input));
+        }
+        if step.more {
+            let pace = self.targets[place].pace;
+            self.at(pace, Event::Serve(place, request));
+        }
+    }
+
+    fn order(&mut self, id: HostId, run: Incarnation, order: Order) {
+        let Some(place) = self.find(&order.addr) else { return };
+        let line = format!(
+            "host {id} -> {}: order {} {:?} {} fence {}",
+            self.targets[place].name, order.order, order.action, order.adapter, order.fence
+        );
+        self.note(line);
+        let delay = self.targets[place].order_time(&order);
+        self.at(delay, Event::Ordered(place, id, run, order));
+    }
+
+    fn report(&mut self, place: usize) {
+        let Some(report) = self.targets[place].report() else { return };
+        let owner = self.owner(&report.info.name).filter(|&id| self.is_running(id));
+        let any = self.hosts.iter().find(|(_, host)| host.node.is_some() && !host.is_frozen);
+        let Some(to) = owner.or(any.map(|(id, _)| *id)) else { return };
+        if let Some((_, fence)) = self.node(to).report_to(&report.info.name) {
+            self.targets[place].learn(fence);
+        }
+        self.input(to, Input::Report(report));
+    }
+}
+
+/// Names the messages that belong to a request's way.
+fn describe(msg: &PeerMsg) -> Option<String> {
+    match msg {
+        PeerMsg::Forward(forward) => Some(format!("forward {:x}", forward.request)),
+        PeerMsg::Answer(wire::Answer::Head(head)) => Some(format!("head {:x}", head.request)),
+        PeerMsg::Answer(wire::Answer::Piece(piece)) => {
+            Some(format!("piece {:x} at {} last {}", piece.request, piece.offset, piece.last))
+        }
+        PeerMsg::Answer(wire::Answer::Fail(fail)) => {
+            Some(format!("fail {:x} {}", fail.request, fail.fault.kind.row().code))
+        }
+        PeerMsg::Cancel(request) => Some(format!("cancel {request:x}")),
+        PeerMsg::Slots(grants) => Some(format!("slots {}", grants.len())),
+        PeerMsg::SlotDone(done) => Some(format!("slot done, ok {}", done.ok)),
+        PeerMsg::Propose(proposal) => {
+            let text = format!("{:?}", proposal.command);
+            let name = text.split(['(', ' ', '{']).next().unwrap_or_default().to_owned();
+            Some(format!("propose {name}"))
+        }
+        _ => None,
+    }
+}
+
+fn brief(input: &Input) -> String {
+    match input {
+        Input::CallHead { request, status, ran, .. } => format!("head {request:x} {status} {ran}"),
+        Input::CallPiece { request, offset, bytes, last } => format!(
+            "piece {request:x} at {offset} {:?} last {last}",
+            String::from_utf8_lossy(bytes)
+        ),
+        Input::CallFailed { request, failure } => format!("{request:x} {failure:?}"),
+        other => format!("{other:?}"),
+    }
+}
+
+/// A model request of a caller.
+pub fn completion(model: &str, prompt: &str) -> Caller {
+    Caller {
+        caller: "stylist".to_owned(),
+        service: None,
+        call: None,
+        model: Some(model.to_owned()),
+        deadline: None,
+        key: None,
+        made: None,
+        stream: false,
+        body: Bytes::from(prompt.to_owned()),
+    }
+}
+
+/// A booking call of a caller.
+pub fn booking(key: &str, body: &str) -> Caller {
+    Caller {
+        caller: "manager".to_owned(),
+        service: Some("booking".to_owned()),
+        call: Some("pay".to_owned()),
+        model: None,
+        deadline: None,
+        key: Some(key.to_owned()),
+        made: Some(WALL_START_MS),
+        stream: false,
+        body: Bytes::from(body.to_owned()),
+    }
+}
+
+pub const NOTES: &str = "[service]\nname = notes\nversion = 1\nkind = model\nmodel = base\n\
+[adapters]\na = v1\nb = v1\nc = v1\n\
+[call note]\npath = /v1/completions\nurgency = high\nidempotent = yes\ndeadline = 20s\n";
+
+pub const BOOKING: &str = "[service]\nname = booking\nversion = 1\nkind = plain\n\
+[call pay]\npath = /pay\nurgency = high\nidempotent = no\ndeadline = 10s\n\
+[call read]\npath = /read\nurgency = normal\nidempotent = yes\ndeadline = 10s\n";
+
+/// Starts hosts, publishes the test declarations, waits until they are in force.
+pub fn ready(hosts: u32, voters: u32) -> Cluster {
+    let mut cluster = Cluster::new(hosts, voters);
+    let tag = cluster.publish(1, &[("notes.ini", NOTES), ("booking.ini", BOOKING)]);
+    let done = cluster.run_until(Duration::from_secs(20), |it| it.published.contains_key(&tag));
+    assert!(done, "the publish ended: {:?}", cluster.node(1).status(cluster.now));
+    assert!(cluster.published[&tag].is_ok(), "{:?}", cluster.published[&tag]);
+    cluster
+}
--- /dev/null
+++ b/coordination/node/tests/common/target.rs
@@ -0,0 +1,349 @@
+//! A stand-in target at the interface of a host.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use node::{Call, CallFailure, Input, Order, OrderResult};
+use replog::{Op, Recovered, Write};
+use wire::{
+    Action, Capacity, Fence, HostId, Incarnation, Load, RequestId, TargetInfo, TargetKind,
+    TargetReport,
+};
+
+/// One run of a request at a target.
+#[derive(Debug, Clone)]
+pub struct Execution {
+    pub request: RequestId,
+    pub ran: String,
+    pub body: Bytes,
+    client: Option<(HostId, Incarnation)>,
+    answer: Vec<u8>,
+    sent: usize,
+    headed: bool,
+    pub ended: bool,
+}
+
+/// What one step of an answer leads to.
+#[derive(Debug, Default)]
+pub struct Step {
+    pub inputs: Vec<(HostId, Incarnation, Input)>,
+    pub more: bool,
+}
+
+/// A model engine or plain service.
+#[derive(Debug)]
+pub struct Target {
+    pub name: String,
+    pub addr: String,
+    pub info: TargetInfo,
+    pub incarnation: Incarnation,
+    pub up: bool,
+    pub leaving: bool,
+    pub loaded: BTreeSet<String>,
+    /// All executions, of all runs.
+    pub executions: Vec<Execution>,
+    /// Evictions of adapters in use.
+    pub violations: u32,
+    pub crashes: u32,
+    pub loads: u32,
+    /// Pieces per answer.
+    pub pieces: usize,
+    /// Time per piece.
+    pub pace: Duration,
+    pub load_time: Duration,
+    /// Loses the answers of calls whose body holds this text, after running them.
+    pub drop_answer: Option<String>,
+    fence: Fence,
+    seq: u64,
+    current: BTreeMap<RequestId, usize>,
+}
+
+impl Target {
+    pub fn engine(name: &str, last: u8, fenced: bool) -> Target {
+        Target::new(name, last, TargetKind::Engine { model: "base".to_owned() }, fenced)
+    }
+
+    pub fn service(name: &str, last: u8) -> Target {
+        Target::new(name, last, TargetKind::Service { service: "booking".to_owned() }, true)
+    }
+
+    fn new(name: &str, last: u8, kind: TargetKind, fenced: bool) -> Target {
+        let addr = format!("127.9.0.{last}:9000");
+        Target {
+            name: name.to_owned(),
+            addr: addr.clone(),
+            info: TargetInfo {
+                name: name.to_owned(),
+                addr,
+                domain: format!("d{}", last % 3),
+                kind,
+                capacity: Capacity { adapters: 2, requests: 4 },
+                fenced,
+            },
+            incarnation: 1,
+            up: true,
+            leaving: false,
+            loaded: BTreeSet::new(),
+            executions: Vec::new(),
+            violations: 0,
+            crashes: 0,
+            loads: 0,
+            pieces: 3,
+            pace: Duration::from_millis(10),
+            load_time: Duration::from_millis(250),
+            drop_answer: None,
+            fence: 0,
+            seq: 0,
+            current: BTreeMap::new(),
+        }
+    }
+
+    /// How often a body was run.
+    pub fn runs(&self, body: &str) -> usize {
+        self.executions.iter().filter(|it| it.body == body.as_bytes()).count()
+    }
+
+    pub fn crash(&mut self) {
+        self.up = false;
+        self.crashes += 1;
+        self.current.clear();
+        self.loaded.clear();
+    }
+
+    /// Starts the target again, cold.
+    pub fn restart(&mut self) {
+        self.up = true;
+        self.incarnation += 1;
+        self.seq = 0;
+        self.fence = 0;
+    }
+
+    pub fn disconnect(&mut self, host: HostId) {
+        for &place in self.current.values() {
+            let execution = &mut self.executions[place];
+            if execution.client.is_some_and(|(id, _)| id == host) {
+                execution.client = None;
+            }
+        }
+    }
+
+    pub fn learn(&mut self, fence: Fence) {
+        self.fence = self.fence.max(fence);
+    }
+
+    pub fn report(&mut self) -> Option<TargetReport> {
+        if !self.up {
+            return None;
+        }
+        self.seq += 1;
+        Some(TargetReport {
+            info: self.info.clone(),
+            incarnation: self.incarnation,
+            seq: self.seq,
+            fence: self.fence,
+            age: Duration::ZERO,
+            loaded: self.loaded.iter().cloned().collect(),
+            busy: self.busy().into_iter().collect(),
+            load: Load { running: self.current.len() as u32, queued: 0 },
+            leaving: self.leaving,
+        })
+    }
+
+    fn busy(&self) -> BTreeSet<String> {
+        self.current.values().map(|&place| self.executions[place].ran.clone()).collect()
+    }
+
+    fn is_engine(&self) -> bool {
+        matches!(self.info.kind, TargetKind::Engine { .. })
+    }
+
+    pub fn call(&mut self, host: HostId, run: Incarnation, call: &Call) -> Result<(), CallFailure> {
+        if !self.up {
+            return Err(CallFailure::NotSent);
+        }
+        if let Some(offset) = call.resume {
+            return self.resume(host, run, call.request, offset as usize);
+        }
+        let refused = |word: &str| Err(CallFailure::Refused(word.to_owned()));
+        if call.incarnation != self.incarnation {
+            return refused("other_incarnation");
+        }
+        if self.info.fenced && call.fence < self.fence {
+            return refused("old_fence");
+        }
+        if self.leaving {
+            return refused("leaving");
+        }
+        if self.is_engine() && !self.loaded.contains(&call.ran) {
+            return refused("not_loaded");
+        }
+        if self.current.len() >= self.info.capacity.requests as usize {
+            return refused("full");
+        }
+        self.learn(call.fence);
+        let mut answer = Vec::new();
+        for place in 0..self.pieces {
+            answer.extend_from_slice(format!("[{} {place}]", call.ran).as_bytes());
+        }
+        self.current.insert(call.request, self.executions.len());
+        self.executions.push(Execution {
+            request: call.request,
+            ran: call.ran.clone(),
+            body: call.body.clone(),
+            client: Some((host, run)),
+            answer,
+            sent: 0,
+            headed: false,
+            ended: false,
+        });
+        Ok(())
+    }
+
+    fn resume(
+        &mut self,
+        host: HostId,
+        run: Incarnation,
+        request: RequestId,
+        offset: usize,
+    ) -> Result<(), CallFailure> {
+        let found = self.executions.iter().rposition(|it| it.request == request);
+        let Some(place) = found else {
+            return Err(CallFailure::Refused("unknown_request".to_owned()));
+        };
+        self.current.insert(request, place);
+        let execution = &mut self.executions[place];
+        execution.client = Some((host, run));
+        execution.sent = offset;
+        execution.headed = false;
+        Ok(())
+    }
+
+    pub fn cancel(&mut self, request: RequestId) {
+        self.current.remove(&request);
+    }
+
+    /// Breaks the connections of all calls; they run on.
+    pub fn break_connections(&mut self) -> Vec<(HostId, Incarnation, Input)> {
+        let mut inputs = Vec::new();
+        for (&request, &place) in &self.current {
+            let Some((host, run)) = self.executions[place].client.take() else { continue };
+            let failure = CallFailure::Lost;
+            inputs.push((host, run, Input::CallFailed { request, failure }));
+        }
+        inputs
+    }
+
+    /// Takes one step of an answer.
+    pub fn serve(&mut self, _now: Duration, request: RequestId) -> Step {
+        let mut step = Step::default();
+        let Some(&place) = self.current.get(&request) else { return step };
+        if !self.up {
+            return step;
+        }
+        let body = self.executions[place].body.clone();
+        let text = String::from_utf8_lossy(&body).into_owned();
+        if text.contains("CRASH") {
+            self.lose_all(&mut step);
+            self.crash();
+            return step;
+        }
+        let pieces = self.pieces;
+        let incarnation = self.incarnation;
+        let execution = &mut self.executions[place];
+        let Some((host, run)) = execution.client else { return step };
+        if self.drop_answer.as_ref().is_some_and(|mark| text.contains(mark)) {
+            execution.ended = true;
+            let failure = CallFailure::Lost;
+            step.inputs.push((host, run, Input::CallFailed { request, failure }));
+            self.current.remove(&request);
+            return step;
+        }
+        if !execution.headed {
+            execution.headed = true;
+            let ran = execution.ran.clone();
+            let input = Input::CallHead { request, status: 200, ran, incarnation };
+            step.inputs.push((host, run, input));
+        }
+        let size = execution.answer.len().div_ceil(pieces);
+        let end = (execution.sent + size).min(execution.answer.len());
+        let bytes = Bytes::copy_from_slice(&execution.answer[execution.sent..end]);
+        let last = end == execution.answer.len();
+        let offset = execution.sent as u64;
+        execution.sent = end;
+        execution.ended = last;
+        step.inputs.push((host, run, Input::CallPiece { request, offset, bytes, last }));
+        step.more = !last;
+        if last {
+            self.current.remove(&request);
+        }
+        step
+    }
+
+    fn lose_all(&mut self, step: &mut Step) {
+        for (&request, &place) in &self.current {
+            let Some((host, run)) = self.executions[place].client else { continue };
+            let failure = CallFailure::Lost;
+            step.inputs.push((host, run, Input::CallFailed { request, failure }));
+        }
+    }
+
+    pub fn order_time(&self, order: &Order) -> Duration {
+        match order.action {
+            Action::Load => self.load_time,
+            Action::Evict => Duration::from_millis(5),
+        }
+    }
+
+    pub fn order(&mut self, order: &Order) -> OrderResult {
+        if !self.up {
+            return OrderResult::NotSent;
+        }
+        if order.incarnation != self.incarnation {
+            return OrderResult::Failed("other_incarnation".to_owned());
+        }
+        if self.info.fenced && order.fence < self.fence {
+            return OrderResult::Failed("old_fence".to_owned());
+        }
+        self.learn(order.fence);
+        match order.action {
+            Action::Load => {
+                if !self.loaded.contains(&order.adapter)
+                    && self.loaded.len() >= self.info.capacity.adapters as usize
+                {
+                    return OrderResult::Failed("full".to_owned());
+                }
+                self.loads += 1;
+                self.loaded.insert(order.adapter.clone());
+            }
+            Action::Evict => {
+                if self.busy().contains(&order.adapter) {
+                    self.violations += 1;
+                }
+                self.loaded.remove(&order.adapter);
+            }
+        }
+        OrderResult::Done(self.loaded.iter().cloned().collect())
+    }
+}
+
+/// Carries a write out on an in-memory disk.
+pub fn write(disk: &mut Recovered, write: Write) {
+    for op in write.ops {
+        match op {
+            Op::Hard(hard) => disk.hard = hard,
+            Op::Append(entries) => disk.entries.extend(entries),
+            Op::Truncate(from) => disk.entries.retain(|entry| entry.index < from),
+            Op::Snapshot(snapshot) => {
+                let kept = disk
+                    .entries
+                    .iter()
+                    .any(|entry| entry.index == snapshot.index && entry.term == snapshot.term);
+                disk.entries.retain(|entry| kept && entry.index > snapshot.index);
+                disk.snapshot = Some(snapshot);
+            }
+        }
+    }
+}
