--- a/coordination/node/tests/common/mod.rs
+++ b/coordination/node/tests/common/mod.rs
@@ -220,7 +220,7 @@
     pub fn leader(&self) -> Option<HostId> {
         let running = self.hosts.iter().filter(|(_, host)| host.node.is_some());
         let mut leaders =
-            running.filter_map(|(_, host)| host.node.as_ref()?.status(self.now).leader.into());
+            running.filter_map(|(_, host)| host.node.as_ref()?.status(self.now).leader);
         leaders.next()
     }
 
