--- a/tests/src/announce.rs
+++ b/tests/src/announce.rs
@@ -18,6 +18,7 @@
     sync::Notify,
     time::{Instant, sleep, timeout},
 };
+use wire::Fence;
 
 use crate::options::Options;
 
@@ -30,6 +31,8 @@
 pub trait Announced: Send + Sync + 'static {
     /// Returns the report's content as it is now. `seq` and `age_ms` are left zero.
     fn report(&self) -> ReportBody;
+    /// Notes a fencing number that an owner told it.
+    fn saw_fence(&self, fence: Fence);
     /// Stops taking new work.
     fn leave(&self);
     /// Returns whether no request is in progress.
@@ -60,33 +63,36 @@
         options,
     };
     loop {
-        reporter.turn(target.report()).await;
+        let reply = reporter.turn(target.report()).await;
+        if let Some(reply) = reply {
+            target.saw_fence(reply.fence);
+        }
         let _ = timeout(reporter.options.period, wake.notified()).await;
     }
 }
 
 impl Reporter {
-    async fn turn(&mut self, body: ReportBody) {
+    async fn turn(&mut self, body: ReportBody) -> Option<ReportReply> {
         self.delayed.push_back((Instant::now(), body));
-        let Some((made, mut body)) = self.newest_due() else {
-            return;
-        };
+        let (made, mut body) = self.newest_due()?;
         self.seq += 1;
         if self.rng.random_range(0..100) < self.options.dropped {
-            return;
+            return None;
         }
         body.seq = self.seq;
         body.age_ms = made.elapsed().as_millis() as u64;
-        let Some(addr) = self.owner.or_else(|| self.host()) else {
-            return;
-        };
-        match self.send(addr, &body).await {
-            Some(reply) => self.owner = reply.report_to.and_then(|it| it.parse().ok()),
+        let addr = self.owner.or_else(|| self.host())?;
+        let reply = self.send(addr, &body).await;
+        match &reply {
+            Some(reply) => {
+                self.owner = reply.report_to.as_ref().and_then(|it| it.parse().ok());
+            }
             None => {
                 self.owner = None;
                 self.next += 1;
             }
         }
+        reply
     }
 
     fn host(&self) -> Option<SocketAddr> {
--- a/tests/src/engine.rs
+++ b/tests/src/engine.rs
@@ -8,7 +8,7 @@
 
 use api::{
     KindBody, LoadBody, OrderBody, OrderReply, Refusal, ReportBody,
-    header::{INCARNATION, KEY, RAN, REQUEST},
+    header::{FENCE, INCARNATION, KEY, RAN, REQUEST},
 };
 use bytes::Bytes;
 use futures::future::{BoxFuture, FutureExt};
@@ -18,11 +18,13 @@
 use serde::Deserialize;
 use serde_json::json;
 use tokio::time::sleep;
+use wire::Fence;
 
 use crate::{
     announce::Announced,
     answer::{Generation, Phase},
     counts::Counts,
+    fence::Highest,
     options::Options,
     server::{Answer, Body, Handler, empty, header, json as json_response},
     text,
@@ -58,7 +60,7 @@
     loading: BTreeMap<String, u32>,
     running: BTreeMap<String, u32>,
     answers: BTreeMap<String, Arc<Generation>>,
-    fence: u64,
+    fence: Highest,
     leaving: bool,
     readers: u32,
     rng: ChaCha8Rng,
@@ -92,7 +94,7 @@
             loading: BTreeMap::new(),
             running: BTreeMap::new(),
             answers: BTreeMap::new(),
-            fence: 0,
+            fence: Highest::default(),
             leaving: false,
             readers: 0,
             rng: ChaCha8Rng::seed_from_u64(options.seed),
@@ -134,14 +136,10 @@
             return Err("other_incarnation");
         }
         let mut tables = self.lock();
-        if order.fence < tables.fence {
-            if self.options.fenced {
-                return Err("old_fence");
-            }
+        if order.fence < tables.fence.0 && !self.options.fenced {
             tables.counts.old_orders += 1;
         }
-        tables.fence = tables.fence.max(order.fence);
-        Ok(())
+        tables.fence.check(order.fence, self.options.fenced)
     }
 
     async fn load(&self, adapter: &str) -> Result<(), &'static str> {
@@ -208,6 +206,9 @@
             return Err("other_incarnation");
         }
         let mut tables = self.lock();
+        if let Ok(fence) = header(request, FENCE).parse() {
+            tables.fence.check(fence, self.options.fenced)?;
+        }
         if tables.leaving {
             return Err("leaving");
         }
@@ -355,7 +356,7 @@
             fenced: self.options.fenced,
             incarnation: self.options.incarnation,
             seq: 0,
-            fence: tables.fence,
+            fence: tables.fence.0,
             age_ms: 0,
             loaded: tables.loaded.iter().cloned().collect(),
             busy: tables.running.keys().cloned().collect(),
@@ -364,6 +365,10 @@
         }
     }
 
+    fn saw_fence(&self, fence: Fence) {
+        self.lock().fence.see(fence);
+    }
+
     fn leave(&self) {
         self.lock().leaving = true;
     }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod answer;
 pub mod counts;
 pub mod engine;
+pub mod fence;
 pub mod options;
 pub mod process;
 pub mod server;
--- a/tests/src/service.rs
+++ b/tests/src/service.rs
@@ -7,17 +7,19 @@
 
 use api::{
     LoadBody, Refusal, ReportBody,
-    header::{INCARNATION, KEY, RAN, REQUEST},
+    header::{FENCE, INCARNATION, KEY, RAN, REQUEST},
 };
 use bytes::Bytes;
 use futures::future::{BoxFuture, FutureExt};
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
+use wire::Fence;
 
 use crate::{
     announce::Announced,
     counts::Counts,
+    fence::Highest,
     options::Options,
     server::{Answer, Body, Handler, Hangup, empty, header, json},
 };
@@ -57,6 +59,7 @@
     flushing: u32,
     runs: u64,
     leaving: bool,
+    fence: Highest,
     counts: Counts,
 }
 
@@ -64,7 +67,14 @@
     /// Makes a service by name. A call takes `work`.
     pub fn new(name: String, options: Options, work: Duration) -> Arc<Service> {
         let counts = Counts { incarnation: options.incarnation, ..Counts::default() };
-        let tables = Tables { running: 0, flushing: 0, runs: 0, leaving: false, counts };
+        let tables = Tables {
+            running: 0,
+            flushing: 0,
+            runs: 0,
+            leaving: false,
+            fence: Highest::default(),
+            counts,
+        };
         Arc::new(Service { name, options, work, tables: Mutex::new(tables) })
     }
 
@@ -77,6 +87,7 @@
         let run = match self.admit(&request, &body) {
             Ok(run) => run,
             Err(reason) => {
+                self.lock().counts.refused(reason);
                 let refusal = Refusal { refused: reason.to_owned() };
                 return Ok(json(StatusCode::CONFLICT, &refusal));
             }
@@ -104,19 +115,17 @@
     fn admit(&self, request: &Request<Bytes>, body: &str) -> Result<u64, &'static str> {
         let mut tables = self.lock();
         let incarnation = header(request, INCARNATION);
-        let reason =
-            if !incarnation.is_empty() && incarnation != self.options.incarnation.to_string() {
-                Some("other_incarnation")
-            } else if tables.leaving {
-                Some("leaving")
-            } else if tables.running >= self.options.capacity.requests {
-                Some("full")
-            } else {
-                None
-            };
-        if let Some(reason) = reason {
-            tables.counts.refused(reason);
-            return Err(reason);
+        if !incarnation.is_empty() && incarnation != self.options.incarnation.to_string() {
+            return Err("other_incarnation");
+        }
+        if let Ok(fence) = header(request, FENCE).parse() {
+            tables.fence.check(fence, self.options.fenced)?;
+        }
+        if tables.leaving {
+            return Err("leaving");
+        }
+        if tables.running >= self.options.capacity.requests {
+            return Err("full");
         }
         tables.running += 1;
         tables.runs += 1;
@@ -152,7 +161,7 @@
             fenced: self.options.fenced,
             incarnation: self.options.incarnation,
             seq: 0,
-            fence: 0,
+            fence: tables.fence.0,
             age_ms: 0,
             loaded: Vec::new(),
             busy: Vec::new(),
@@ -161,6 +170,10 @@
         }
     }
 
+    fn saw_fence(&self, fence: Fence) {
+        self.lock().fence.see(fence);
+    }
+
     fn leave(&self) {
         self.lock().leaving = true;
     }
