--- /dev/null
+++ b/daemon/src/border.rs
@@ -0,0 +1,123 @@
+//! The host as the HTTP layer sees it.
+
+use std::{sync::Arc, time::Duration};
+
+use api::{
+    AuditPage, DomainForce, EntryAddress, PublishBody, Receipt, ReportReply, ServiceReceipt,
+    StatusBody, WhereBody,
+};
+use futures::future::BoxFuture;
+use node::{Caller, Input, Published};
+use tokio::{sync::oneshot, time::timeout};
+use web::border::{Answer, Entry, Operator};
+use wire::{DeclFile, ErrorKind, Fault, Publish, TargetReport};
+
+use crate::host::{Host, wall};
+
+/// How long a caller may use the addresses it was given, in seconds.
+const WHERE_LIFETIME: u64 = 10;
+
+/// How long an operator waits for a publish.
+const PUBLISH_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A host that is shared with the servers.
+pub(crate) struct Border(pub(crate) Arc<Host>);
+
+impl Entry for Border {
+    fn ask(&self, caller: Caller) -> BoxFuture<'_, Answer> {
+        let host = &self.0;
+        let (tag, answer) = host.callers.add(caller.model.clone(), &host.shards);
+        let input = Input::Request { tag, caller: Box::new(caller) };
+        Box::pin(async move {
+            host.shards.send(input).await;
+            answer
+        })
+    }
+
+    fn report(&self, report: TargetReport) -> BoxFuture<'_, ReportReply> {
+        let host = &self.0;
+        Box::pin(async move {
+            let name = report.info.name.clone();
+            host.shards.send(Input::Report(report)).await;
+            let Some((owner, fence)) = host.node.report_to(&name) else {
+                return ReportReply { report_to: None, fence: 0 };
+            };
+            ReportReply { report_to: host.entry_addr(owner), fence }
+        })
+    }
+
+    fn whereabouts(&self, model: Option<&str>) -> WhereBody {
+        let host = &self.0;
+        let mut entries = Vec::new();
+        for id in host.node.entries(host.now(), model) {
+            let Some(addr) = host.entry_addr(id) else { continue };
+            let Some(peer) = host.settings.peers.iter().find(|peer| peer.host == id) else {
+                continue;
+            };
+            entries.push(EntryAddress { addr, domain: peer.domain.clone() });
+        }
+        WhereBody { entries, lifetime: WHERE_LIFETIME }
+    }
+}
+
+impl Operator for Border {
+    fn publish(&self, body: PublishBody) -> BoxFuture<'_, Result<Receipt, Fault>> {
+        Box::pin(publish(&self.0, body))
+    }
+
+    fn status(&self) -> StatusBody {
+        self.0.node.status(self.0.now())
+    }
+
+    fn audit(&self, from: u64, limit: usize) -> AuditPage {
+        self.0.node.audit(from, limit)
+    }
+
+    fn metrics(&self) -> String {
+        let host = &self.0;
+        host.metrics.text(&self.status(), host.callers.count(), &host.hub.stats())
+    }
+}
+
+async fn publish(host: &Host, body: PublishBody) -> Result<Receipt, Fault> {
+    let mut files = Vec::with_capacity(body.files.len());
+    for file in body.files {
+        files.push(DeclFile { name: file.name, text: file.text });
+    }
+    let publish = Publish { files, author: body.author, revision: body.revision };
+    let tag = host.callers.tag();
+    let (sender, receiver) = oneshot::channel();
+    host.publishes.lock().expect("no holder panics").insert(tag, sender);
+    host.shards.send(Input::Publish { tag, publish, at: wall() }).await;
+    let answer = timeout(PUBLISH_TIMEOUT, receiver).await;
+    host.publishes.lock().expect("no holder panics").remove(&tag);
+    match answer {
+        Ok(Ok(result)) => result.map(receipt),
+        Ok(Err(_)) | Err(_) => Err(ErrorKind::NoQuorum.into()),
+    }
+}
+
+fn receipt(published: Published) -> Receipt {
+    let Published { receipt, domains } = published;
+    let mut services = Vec::with_capacity(receipt.services.len());
+    for (service, version, digest) in receipt.services {
+        let digest = history::to_hex(&digest);
+        services.push(ServiceReceipt { service, version, digest, index: receipt.index });
+    }
+    let mut in_force = Vec::with_capacity(domains.len());
+    for row in domains {
+        in_force.push(DomainForce {
+            domain: row.domain,
+            applied: row.applied,
+            lagging: row.lagging,
+        });
+    }
+    Receipt {
+        index: receipt.index,
+        sequence: receipt.sequence,
+        head: history::to_hex(&receipt.head),
+        services,
+        everywhere: in_force.iter().all(|row| row.lagging == 0),
+        in_force,
+    }
+}
--- /dev/null
+++ b/daemon/src/error.rs
@@ -0,0 +1,58 @@
+//! Why the daemon could not start or go on.
+
+use std::{io, path::PathBuf};
+
+use decl::FileError;
+use peer::PeerError;
+use store::StoreError;
+use thiserror::Error;
+use web::ServeError;
+
+/// The daemon could not start or go on.
+#[derive(Debug, Error)]
+pub(crate) enum DaemonError {
+    /// A file could not be read.
+    #[error("could not read {path}")]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The refusal.
+        #[source]
+        source: io::Error,
+    },
+    /// The settings have mistakes.
+    #[error("could not accept settings: {}", list(.0))]
+    Settings(Vec<FileError>),
+    /// The data folder is unusable.
+    #[error("could not open data folder")]
+    Store(#[from] StoreError),
+    /// The peer port is unusable.
+    #[error("could not start peer layer")]
+    Peer(#[from] PeerError),
+    /// The entry or operator port is unusable.
+    #[error("could not start server")]
+    Serve(#[from] ServeError),
+    /// The runtime or the signal handlers could not start.
+    #[error("could not start")]
+    Start(#[from] io::Error),
+    /// A worker ended.
+    #[error("could not go on: a worker ended")]
+    Worker,
+}
+
+fn list(errors: &[FileError]) -> String {
+    let lines: Vec<String> = errors.iter().map(FileError::to_string).collect();
+    lines.join("; ")
+}
+
+/// Writes an error with its causes on one line.
+pub(crate) fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/daemon/src/host.rs
@@ -0,0 +1,152 @@
+//! What all tasks of the daemon share, and carrying out a host's outputs.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use decl::Settings;
+use node::{Change, Input, Node, Output, Published, Tag};
+use peer::Hub;
+use slog::{Logger, error, info};
+use tokio::sync::{mpsc::Receiver, mpsc::UnboundedSender, oneshot};
+use web::{Targets, border::Step};
+use wire::{Fault, HostId};
+
+use crate::{callers::Callers, disk::DiskQueue, metrics::Metrics, shards::Shards};
+
+/// What an operator's publish came to.
+pub(crate) type PublishResult = Result<Published, Fault>;
+
+/// A running host.
+pub(crate) struct Host {
+    pub(crate) settings: Settings,
+    pub(crate) start: Instant,
+    pub(crate) node: Node,
+    pub(crate) hub: Hub,
+    pub(crate) targets: Targets,
+    pub(crate) shards: Shards,
+    pub(crate) callers: Arc<Callers>,
+    pub(crate) publishes: Mutex<HashMap<Tag, oneshot::Sender<PublishResult>>>,
+    pub(crate) disk: Option<DiskQueue>,
+    pub(crate) metrics: Metrics,
+    pub(crate) log: Logger,
+    pub(crate) exit: UnboundedSender<u32>,
+}
+
+/// Returns wall-clock time in milliseconds since the epoch.
+pub(crate) fn wall() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
+
+impl Host {
+    /// Time since the host's start.
+    pub(crate) fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Returns the entry address of a host.
+    pub(crate) fn entry_addr(&self, host: HostId) -> Option<String> {
+        let peer = self.settings.peers.iter().find(|peer| peer.host == host)?;
+        let addr = std::net::SocketAddr::new(peer.ip, self.settings.entry_port);
+        Some(addr.to_string())
+    }
+
+    /// Handles inputs until their queue closes.
+    pub(crate) async fn work(self: Arc<Host>, mut inputs: Receiver<Input>) {
+        while let Some(input) = inputs.recv().await {
+            let outputs = self.node.handle(self.now(), input);
+            self.carry_out(outputs);
+        }
+    }
+
+    /// Carries outputs out in order.
+    pub(crate) fn carry_out(&self, outputs: Vec<Output>) {
+        for output in outputs {
+            self.metrics.count(&output);
+            self.carry_out_one(output);
+        }
+    }
+
+    fn carry_out_one(&self, output: Output) {
+        match output {
+            Output::Send { to, msg } => self.hub.send(to, &msg),
+            Output::Write(write) => match &self.disk {
+                Some(disk) => disk.write(write),
+                None => error!(self.log, "write without data folder"),
+            },
+            Output::Call(call) => self.targets.call(call),
+            Output::Read { request, bytes } => self.targets.read(request, bytes),
+            Output::CancelCall { request, addr } => self.targets.cancel(request, &addr),
+            Output::Order(order) => self.targets.order(order),
+            Output::Head { tag, status, target, ran } => {
+                let better = self.better(tag);
+                self.callers.step(tag, Step::Head { status, target, ran, better });
+            }
+            Output::Piece { tag, bytes, last } => self.pass_piece(tag, bytes, last),
+            Output::Failed { tag, fault } => {
+                let code = fault.kind.row().code;
+                let waiting = self.callers.end(tag, Step::Failed(fault));
+                let Some(waiting) = waiting else { return };
+                self.metrics.ended(Some(code), waiting.since.elapsed());
+            }
+            Output::Published { tag, result } => self.answer_publish(tag, result),
+            Output::Changed(change) => self.log_change(&change),
+            Output::Exit(cut) => {
+                let _ = self.exit.send(cut);
+            }
+        }
+    }
+
+    fn pass_piece(&self, tag: Tag, bytes: bytes::Bytes, last: bool) {
+        let step = Step::Piece { bytes, last };
+        if !last {
+            self.callers.step(tag, step);
+            return;
+        }
+        let Some(waiting) = self.callers.end(tag, step) else { return };
+        self.metrics.ended(None, waiting.since.elapsed());
+    }
+
+    /// Returns a better entry address for a caller, if this one is not the best.
+    fn better(&self, tag: Tag) -> Option<String> {
+        let (model, since) = self.callers.asked(tag)?;
+        self.metrics.started(since.elapsed());
+        let best = *self.node.entries(self.now(), model.as_deref()).first()?;
+        if best == self.settings.host {
+            return None;
+        }
+        self.entry_addr(best)
+    }
+
+    fn answer_publish(&self, tag: Tag, result: PublishResult) {
+        let waiting = self.publishes.lock().expect("no holder panics").remove(&tag);
+        if let Some(waiting) = waiting {
+            let _ = waiting.send(result);
+        }
+    }
+
+    fn log_change(&self, change: &Change) {
+        match change {
+            Change::Leader { leader, term } => {
+                info!(self.log, "leader"; "leader" => leader, "term" => term);
+            }
+            Change::Lease(held) => info!(self.log, "lease"; "held" => held),
+            Change::Config { revision, sequence } => {
+                info!(self.log, "configuration"; "revision" => revision, "sequence" => sequence);
+            }
+            Change::Owns { target, fence } => {
+                info!(self.log, "owns target"; "target" => target, "fence" => fence);
+            }
+            Change::Disowns { target } => info!(self.log, "lost target"; "target" => target),
+            Change::Restarted { target } => {
+                info!(self.log, "target restarted"; "target" => target);
+            }
+            Change::Strike { count } => info!(self.log, "strike"; "count" => count),
+            Change::Leaving => info!(self.log, "leaving"),
+            Change::Alarm(text) => error!(self.log, "alarm"; "text" => text),
+        }
+    }
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,3 +1,27 @@
-//! To be written.
+//! The daemon of a host.
 
-fn main() {}
+mod border;
+mod callers;
+mod disk;
+mod error;
+mod host;
+mod logger;
+mod metrics;
+mod options;
+mod run;
+mod shards;
+
+use std::process::ExitCode;
+
+use crate::{error::chain, options::Options};
+
+fn main() -> ExitCode {
+    let options: Options = argh::from_env();
+    match run::run(&options) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("{}", chain(&e));
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/metrics.rs
@@ -0,0 +1,182 @@
+//! Metrics in the format of prometheus.
+
+use std::time::Duration;
+
+use api::StatusBody;
+use node::{Change, Output};
+use peer::{Dropped, Stats};
+use prometheus::{
+    Gauge, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry,
+    TextEncoder, core::Collector, proto::MetricFamily,
+};
+use wire::{Action, PeerMsg};
+
+const OK: &str = "ok";
+
+const SECONDS: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0];
+
+/// The counters that the daemon keeps.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    head: Histogram,
+    whole: Histogram,
+    calls: IntCounter,
+    resumes: IntCounter,
+    forwards: IntCounter,
+    orders: IntCounterVec,
+    changes: IntCounterVec,
+    state: GaugeVec,
+    callers: Gauge,
+}
+
+fn added<C: Collector + Clone + 'static>(registry: &Registry, collector: C) -> C {
+    registry.register(Box::new(collector.clone())).expect("metric names are unique");
+    collector
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    added(registry, IntCounter::new(name, help).expect("metric names are valid"))
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
+    let counters = IntCounterVec::new(Opts::new(name, help), &[label]);
+    added(registry, counters.expect("metric names are valid"))
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
+    let opts = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+    added(registry, Histogram::with_opts(opts).expect("metric names are valid"))
+}
+
+impl Metrics {
+    /// Makes the counters, all zero.
+    pub(crate) fn new() -> Metrics {
+        let registry = Registry::new();
+        let r = &registry;
+        let state =
+            GaugeVec::new(Opts::new("poplarhollow_state", "State of the host by name"), &["name"]);
+        let callers = Gauge::new("poplarhollow_callers", "Callers that wait for an answer");
+        Metrics {
+            requests: counters(
+                r,
+                "poplarhollow_requests_total",
+                "Callers' requests by the code of their answer",
+                "code",
+            ),
+            head: histogram(
+                r,
+                "poplarhollow_first_byte_seconds",
+                "Time from a request to the start of its answer",
+            ),
+            whole: histogram(
+                r,
+                "poplarhollow_request_seconds",
+                "Time from a request to the end of its answer",
+            ),
+            calls: counter(r, "poplarhollow_calls_total", "Calls to targets, resumes included"),
+            resumes: counter(r, "poplarhollow_resumes_total", "Answers resumed at a target"),
+            forwards: counter(
+                r,
+                "poplarhollow_forwards_total",
+                "Requests forwarded to other hosts",
+            ),
+            orders: counters(r, "poplarhollow_orders_total", "Orders to targets", "action"),
+            changes: counters(r, "poplarhollow_changes_total", "Changes of state", "kind"),
+            state: added(r, state.expect("metric names are valid")),
+            callers: added(r, callers.expect("metric names are valid")),
+            registry,
+        }
+    }
+
+    /// Counts an output.
+    pub(crate) fn count(&self, output: &Output) {
+        match output {
+            Output::Send { msg: PeerMsg::Forward(_), .. } => self.forwards.inc(),
+            Output::Call(call) => {
+                self.calls.inc();
+                self.resumes.inc_by(u64::from(call.resume.is_some()));
+            }
+            Output::Order(order) => {
+                let action = match order.action {
+                    Action::Load => "load",
+                    Action::Evict => "evict",
+                };
+                self.orders.with_label_values(&[action]).inc();
+            }
+            Output::Changed(change) => self.changes.with_label_values(&[kind(change)]).inc(),
+            _ => {}
+        }
+    }
+
+    /// Counts the start of an answer.
+    pub(crate) fn started(&self, after: Duration) {
+        self.head.observe(after.as_secs_f64());
+    }
+
+    /// Counts the end of a request.
+    pub(crate) fn ended(&self, code: Option<&str>, after: Duration) {
+        self.requests.with_label_values(&[code.unwrap_or(OK)]).inc();
+        self.whole.observe(after.as_secs_f64());
+    }
+
+    /// Writes all metrics.
+    pub(crate) fn text(&self, status: &StatusBody, callers: usize, stats: &Stats) -> String {
+        self.callers.set(callers as f64);
+        let state = [
+            ("lease", f64::from(u8::from(status.lease))),
+            ("leading", f64::from(u8::from(status.leader == Some(status.host)))),
+            ("term", status.term as f64),
+            ("commit", status.commit as f64),
+            ("applied", status.applied as f64),
+            ("alarms", status.alarms.len() as f64),
+            ("queued", f64::from(status.queued)),
+            ("stall_seconds", status.stall_seconds),
+            ("batch_fullness", status.batch_fullness),
+            ("quarantined", status.quarantine.len() as f64),
+        ];
+        for (name, value) in state {
+            self.state.with_label_values(&[name]).set(value);
+        }
+        let mut families = self.registry.gather();
+        families.extend(traffic(stats));
+        TextEncoder::new().encode_to_string(&families).expect("metrics are valid text")
+    }
+}
+
+/// Returns the peer layer's counters as metrics.
+fn traffic(stats: &Stats) -> Vec<MetricFamily> {
+    let registry = Registry::new();
+    let r = &registry;
+    for (way, rows) in [("sent", stats.all_sent()), ("received", stats.all_received())] {
+        let frames = format!("poplarhollow_peer_{way}_frames_total");
+        let bytes = format!("poplarhollow_peer_{way}_bytes_total");
+        let frames = counters(r, &frames, "Frames between hosts", "kind");
+        let bytes = counters(r, &bytes, "Bytes of the frames between hosts", "kind");
+        for row in rows {
+            frames.with_label_values(&[row.kind]).inc_by(row.frames);
+            bytes.with_label_values(&[row.kind]).inc_by(row.bytes);
+        }
+    }
+    let dropped = counters(r, "poplarhollow_peer_dropped_frames_total", "Frames dropped", "reason");
+    for why in Dropped::ALL {
+        dropped.with_label_values(&[why.as_str()]).inc_by(stats.dropped(why));
+    }
+    registry.gather()
+}
+
+fn kind(change: &Change) -> &'static str {
+    match change {
+        Change::Leader { .. } => "leader",
+        Change::Lease(_) => "lease",
+        Change::Config { .. } => "config",
+        Change::Owns { .. } => "owns",
+        Change::Disowns { .. } => "disowns",
+        Change::Restarted { .. } => "restarted",
+        Change::Strike { .. } => "strike",
+        Change::Leaving => "leaving",
+        Change::Alarm(_) => "alarm",
+    }
+}
--- /dev/null
+++ b/daemon/src/options.rs
@@ -0,0 +1,17 @@
+//! The command line of the daemon.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// Runs one host of a serving layer for LoRA adapters.
+#[derive(Debug, FromArgs)]
+pub(crate) struct Options {
+    /// settings file (INI)
+    #[argh(option)]
+    pub(crate) config: PathBuf,
+
+    /// worker threads; one per core and at most 4 if left out
+    #[argh(option)]
+    pub(crate) workers: Option<usize>,
+}
--- a/transport/peer/src/hub.rs
+++ b/transport/peer/src/hub.rs
@@ -10,6 +10,7 @@
         Arc, Mutex,
         atomic::{AtomicU64, Ordering::Relaxed},
     },
+    time::Duration,
 };
 
 use thiserror::Error;
@@ -27,6 +28,8 @@
     stats::{Dropped, Stats},
 };
 
+const FLUSH_PAUSE: Duration = Duration::from_millis(5);
+
 /// What the peer layer needs to know.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -180,6 +183,16 @@
         }
     }
 
+    /// Waits until the queues are empty, for a limited time.
+    pub async fn flush(&self, limit: Duration) {
+        let flushing = async {
+            while self.links.values().any(Link::is_busy) {
+                tokio::time::sleep(FLUSH_PAUSE).await;
+            }
+        };
+        let _ = tokio::time::timeout(limit, flushing).await;
+    }
+
     /// Returns the counters.
     pub fn stats(&self) -> Arc<Stats> {
         self.shared.stats.clone()
--- a/transport/peer/src/link.rs
+++ b/transport/peer/src/link.rs
@@ -107,6 +107,11 @@
         self.pipe.wake.notify_one();
     }
 
+    /// Whether messages wait.
+    pub(crate) fn is_busy(&self) -> bool {
+        !self.pipe.lock().frames.is_empty()
+    }
+
     /// Breaks the connection for a message that can't be sent.
     pub(crate) fn overflow(&self, msg: &PeerMsg) {
         if is_repeated(msg) {
