--- a/coordination/node/src/digest.rs
+++ b/coordination/node/src/digest.rs
@@ -1,6 +1,6 @@
 //! What an owner does with time, and what it tells the others of itself.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use wire::{AdapterId, Digest, ErrorKind, RequestId, Residency};
 
@@ -12,7 +12,7 @@
 
 impl Owner {
     /// Returns what the other hosts should know of this one.
-    pub(crate) fn digest(&self) -> Digest {
+    pub(crate) fn digest(&self, now: Duration) -> Digest {
         let mut digest = Digest {
             queued: self.policy.queued() as u32,
             leaving: self.leaving,
@@ -21,6 +21,9 @@
         let mut resident: BTreeMap<AdapterId, u16> = BTreeMap::new();
         for held in self.targets.values() {
             digest.running += held.running.len() as u32;
+            if !held.is_usable(now) {
+                continue;
+            }
             digest.capacity += held.info.capacity.requests;
             for &adapter in held.adapters.keys() {
                 if held.is_ready(adapter) {
@@ -44,6 +47,7 @@
         if ctx.lease.is_none() {
             self.refuse_queued(fx);
         }
+        self.refuse_unserved(ctx, fx);
         self.flush(ctx);
         self.pump(ctx, fx);
         self.send_wants(ctx, fx);
--- a/coordination/node/src/entry.rs
+++ b/coordination/node/src/entry.rs
@@ -389,6 +389,10 @@
         if fault.kind.row().ran != Ran::No && request.doubt.is_none() {
             request.doubt = Some(fault.clone());
         }
+        if self.may_wait(ctx, tag, &fault) {
+            self.wait(ctx, dir, tag, fx);
+            return;
+        }
         if self.may_retry(ctx, tag, &fault) {
             self.restart(ctx, dir, tag, fx);
             return;
@@ -396,6 +400,24 @@
         self.finish(tag, fault, fx);
     }
 
+    /// Returns whether a request may look for another owner: this one has no
+    /// target for it, and it ran nowhere.
+    fn may_wait(&self, ctx: &Ctx, tag: Tag, fault: &Fault) -> bool {
+        let Some(request) = self.requests.get(&tag) else { return false };
+        let displaced =
+            matches!(fault.kind, ErrorKind::NoLease | ErrorKind::NoTarget | ErrorKind::Leaving);
+        displaced && !request.started && request.present && ctx.now < request.route_until
+    }
+
+    /// Asks an owner that was not asked yet, or waits for the next tick.
+    fn wait(&mut self, ctx: &Ctx, dir: &Directory, tag: Tag, fx: &mut Effects) {
+        let Some(request) = self.requests.get_mut(&tag) else { return };
+        request.stage = Stage::Routing;
+        if dir.choose(ctx.now, &request.pin, &self.domain, &request.tried).is_some() {
+            self.route(ctx, dir, tag, fx);
+        }
+    }
+
     fn may_retry(&mut self, ctx: &Ctx, tag: Tag, fault: &Fault) -> bool {
         let Some(request) = self.requests.get(&tag) else { return false };
         if request.started || !request.present || request.attempts >= MAX_ATTEMPTS {
@@ -545,10 +567,7 @@
 fn is_passing(kind: ErrorKind) -> bool {
     matches!(
         kind,
-        ErrorKind::NoLease
-            | ErrorKind::Leaving
-            | ErrorKind::NoTarget
-            | ErrorKind::QueueFull
+        ErrorKind::QueueFull
             | ErrorKind::LoadFailed
             | ErrorKind::Refused
             | ErrorKind::TargetLost
--- a/coordination/node/src/held.rs
+++ b/coordination/node/src/held.rs
@@ -203,6 +203,12 @@
         heard && !self.leaving && !self.unreachable
     }
 
+    /// Returns whether requests may wait for the target: it takes new work, or
+    /// its next report may say so.
+    pub(crate) fn is_usable(&self, now: Duration) -> bool {
+        self.heard.is_some_and(|at| now < at + SILENCE) && !self.leaving
+    }
+
     /// Returns whether the target opened or closed since the last look.
     pub(crate) fn note_open(&mut self, now: Duration, lease: bool) -> bool {
         let open = lease && self.is_open(now);
--- a/coordination/node/src/member.rs
+++ b/coordination/node/src/member.rs
@@ -32,6 +32,8 @@
     balanced: Duration,
     /// Assignments under way, so that they are not proposed twice at once.
     proposed: Option<(Duration, Index)>,
+    /// Whether hosts that this leader never heard of were looked for.
+    swept: bool,
     /// Lost runs whose claims have yet to be put in doubt.
     lost: BTreeMap<HostId, Incarnation>,
     /// Intents whose withdrawal was proposed.
@@ -89,6 +91,7 @@
         for (host, grant) in lead.planner.grant(ctx.now) {
             fx.send(host, PeerMsg::Slots(vec![grant]));
         }
+        lead.sweep(ctx, &self.hosts);
         lead.assign(ctx, fx);
     }
 
@@ -111,6 +114,7 @@
             planner: StorePlanner::new(ctx.now, self.planner, founding),
             balanced: Duration::ZERO,
             proposed: None,
+            swept: false,
             lost: BTreeMap::new(),
             resolved: BTreeSet::new(),
         });
@@ -167,11 +171,30 @@
 }
 
 impl Lead {
+    /// Counts hosts as lost that hold no lease once all earlier leases ran out:
+    /// their claims must not stay open.
+    fn sweep(&mut self, ctx: &Ctx, hosts: &[HostId]) {
+        if self.swept || !self.grantor.settled(ctx.now) {
+            return;
+        }
+        self.swept = true;
+        let live = self.grantor.live(ctx.now);
+        for &host in hosts {
+            let run = live.iter().find(|it| it.host == host).map(|it| it.incarnation);
+            self.note_lost(host, run.unwrap_or(Incarnation::MAX));
+        }
+    }
+
+    fn note_lost(&mut self, host: HostId, before: Incarnation) {
+        let known = self.lost.entry(host).or_default();
+        *known = before.max(*known);
+    }
+
     /// Moves targets to live owners and withdraws what lost runs left behind.
     fn assign(&mut self, ctx: &Ctx, fx: &mut Effects) {
         for (host, before) in self.grantor.lost(ctx.now) {
             self.planner.remove_host(host);
-            self.lost.insert(host, before);
+            self.note_lost(host, before);
         }
         if ctx.now < self.balanced + BALANCE_EVERY {
             return;
--- a/coordination/node/src/node.rs
+++ b/coordination/node/src/node.rs
@@ -354,7 +354,7 @@
     fn tick(&self, now: Duration, wall: u64, fx: &mut Effects) {
         self.on_core(fx, |core, fx| core.tick(now, wall, fx));
         let ctx = self.ctx(now);
-        let digest = self.owner().digest();
+        let digest = self.owner().digest(now);
         self.change_directory(|dir| dir.set_own(self.host, digest.clone()));
         self.member().tick(&ctx, &digest, fx);
         lock(&self.desk).tick(&ctx, fx);
--- a/coordination/node/src/orders.rs
+++ b/coordination/node/src/orders.rs
@@ -316,13 +316,14 @@
 
     /// Gives up the jobs on a target that is lost or restarted. Orders that were
     /// sent stay known until they are answered, for their intents.
-    pub(crate) fn drop_jobs(&mut self, target: TargetId, fx: &mut Effects) {
+    pub(crate) fn drop_jobs(&mut self, ctx: &Ctx, target: TargetId, fx: &mut Effects) {
         let mut ended = Vec::new();
         for (&id, job) in &mut self.jobs {
-            if job.order.target != target {
+            if job.order.target != target || job.orphan {
                 continue;
             }
             job.orphan = true;
+            self.policy.loaded(ctx.now, job.order, false);
             if job.stage != Stage::Sent {
                 ended.push(id);
             }
--- a/coordination/node/src/owner.rs
+++ b/coordination/node/src/owner.rs
@@ -124,7 +124,7 @@
         }
         self.registry = Arc::clone(&ctx.view.registry);
         let registry = Arc::clone(&self.registry);
-        self.give_up(&registry, fx);
+        self.give_up(ctx, &registry, fx);
         for target in registry.targets() {
             if !is_owned(target, self.host, self.run) {
                 continue;
@@ -138,10 +138,10 @@
             fx.out(Output::Changed(Change::Owns { target: name, fence: target.fence }));
             self.targets.insert(target.id, Held::new(target));
         }
-        self.refuse_unserved(fx);
+        self.refuse_unserved(ctx, fx);
     }
 
-    fn give_up(&mut self, registry: &Registry, fx: &mut Effects) {
+    fn give_up(&mut self, ctx: &Ctx, registry: &Registry, fx: &mut Effects) {
         let mut lost = Vec::new();
         for (&id, held) in &self.targets {
             let kept = registry.get(id).is_some_and(|target| {
@@ -155,18 +155,19 @@
             let Some(held) = self.targets.remove(&id) else { continue };
             self.dirty.remove(&id);
             self.policy.remove_target(id);
-            self.drop_jobs(id, fx);
+            self.drop_jobs(ctx, id, fx);
             fx.out(Output::Changed(Change::Disowns { target: held.info.name }));
         }
     }
 
-    /// Refuses queued requests that no owned target serves any more.
-    fn refuse_unserved(&mut self, fx: &mut Effects) {
+    /// Refuses queued requests that no owned target can serve for now; another
+    /// owner may.
+    pub(crate) fn refuse_unserved(&mut self, ctx: &Ctx, fx: &mut Effects) {
         let queued: Vec<RequestId> = self
             .attempts
             .iter()
             .filter(|(_, attempt)| attempt.stage == Stage::Queued)
-            .filter(|(_, attempt)| !self.targets.values().any(|t| t.serves(&attempt.forward.pin)))
+            .filter(|(_, attempt)| !self.can_serve(ctx, &attempt.forward.pin))
             .map(|(id, _)| *id)
             .collect();
         self.refuse_all(queued, ErrorKind::NoTarget, fx);
@@ -227,7 +228,7 @@
         if ctx.lease.is_none() {
             return Err(ErrorKind::NoLease);
         }
-        if !self.targets.values().any(|held| held.serves(&forward.pin)) {
+        if !self.can_serve(ctx, &forward.pin) {
             return Err(ErrorKind::NoTarget);
         }
         if !self.knows(ctx, &forward.pin) {
@@ -239,6 +240,12 @@
         Ok(())
     }
 
+    /// Returns whether an owned target serves a request's model or service and
+    /// takes new work, or did until a moment ago.
+    fn can_serve(&self, ctx: &Ctx, pin: &Pin) -> bool {
+        self.targets.values().any(|held| held.serves(pin) && held.is_usable(ctx.now))
+    }
+
     /// Returns whether this host numbers the adapter as the entry does. It does
     /// unless its configuration is behind.
     fn knows(&self, ctx: &Ctx, pin: &Pin) -> bool {
@@ -484,7 +491,7 @@
             let name = report.info.name.clone();
             fx.out(Output::Changed(Change::Restarted { target: name }));
             self.crashed(ctx, id, report.incarnation, fx);
-            self.drop_jobs(id, fx);
+            self.drop_jobs(ctx, id, fx);
         }
         if target.intents.iter().any(|open| open.intent.incarnation < report.incarnation) {
             fx.propose(Command::Restarted { target: id, incarnation: report.incarnation });
--- a/coordination/node/tests/common/mod.rs
+++ b/coordination/node/tests/common/mod.rs
@@ -174,6 +174,21 @@
         }
     }
 
+    /// Starts a host again if its process ended or was asked to end.
+    pub fn restart(&mut self, id: HostId) {
+        if self.hosts.get(&id).is_some_and(|host| host.node.is_some()) {
+            self.kill(id);
+        }
+        self.start(id);
+    }
+
+    /// Breaks the connections of a target's calls.
+    pub fn break_target(&mut self, place: usize) {
+        for (host, run, input) in self.targets[place].break_connections() {
+            self.at(LINK_DELAY, Event::Input(host, run, input));
+        }
+    }
+
     /// Stops a host's process until [`Cluster::thaw`].
     pub fn freeze(&mut self, id: HostId) {
         if let Some(host) = self.hosts.get_mut(&id) {
