--- a/state/replog/src/lead.rs
+++ b/state/replog/src/lead.rs
@@ -202,7 +202,7 @@
         };
         let limit = if peer.role.is_some() { self.log.last() } else { self.commit };
         peer.next = peer.next.min(limit + 1);
-        if peer.install.is_some() || peer.next > limit || !peer.may_send() {
+        if peer.install.is_some() || peer.next > limit {
             return false;
         }
         let prev = peer.next - 1;
@@ -210,6 +210,9 @@
             self.start_install(host);
             return false;
         };
+        if !peer.may_send() {
+            return false;
+        }
         let entries = self.log.slice(peer.next, limit, MAX_BATCH_BYTES);
         let last = prev + entries.len() as u64;
         peer.next = last + 1;
@@ -293,12 +296,17 @@
         let Some(snapshot) = self.log.snapshot().cloned() else {
             return;
         };
-        let sent = self.now;
-        if let Role::Leader(lead) = &mut self.role
-            && let Some(peer) = lead.peers.get_mut(&host)
-        {
-            peer.install = Some(Transfer { snapshot, offset: 0, sent });
+        let (now, election) = (self.now, self.settings.election);
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let Some(peer) = lead.peers.get_mut(&host) else {
+            return;
+        };
+        if !within(now, peer.heard, election) {
+            return;
         }
+        peer.install = Some(Transfer { snapshot, offset: 0, sent: now });
         self.send_chunk(host);
     }
 
@@ -322,15 +330,19 @@
         self.send(host, LogBody::Install { round, head, total, offset, chunk, commit });
     }
 
-    /// Sends a chunk again that was not answered for half an election time.
+    /// Sends a chunk again that a live host did not answer for half an election
+    /// time.
     fn resend_chunk(&mut self, host: HostId) {
         let Role::Leader(lead) = &self.role else {
             return;
         };
-        let Some(transfer) = lead.peers.get(&host).and_then(|p| p.install.as_ref()) else {
+        let election = self.settings.election;
+        let live = |p: &&Peer| within(self.now, p.heard, election);
+        let peer = lead.peers.get(&host).filter(live);
+        let Some(transfer) = peer.and_then(|p| p.install.as_ref()) else {
             return;
         };
-        if !within(self.now, transfer.sent, self.settings.election / 2) {
+        if !within(self.now, transfer.sent, election / 2) {
             self.send_chunk(host);
         }
     }
--- a/state/replog/tests/harness/check.rs
+++ b/state/replog/tests/harness/check.rs
@@ -1,11 +1,16 @@
 //! Steps of the fake link and disk, and what must hold at each of them.
 
+use wire::Membership;
+
 use super::*;
 
 impl World {
     pub fn send(&mut self, from: HostId, to: HostId, msg: LogMsg) {
         self.check_synced(from, &msg);
         self.sent += 1;
+        if !matches!(msg.body, LogBody::Hello { .. }) {
+            *self.sent_by.entry(from).or_default() += 1;
+        }
         self.bytes += wire::encode(&msg).len() as u64;
         if self.cut.contains(&from) || self.cut.contains(&to) || !self.hosts.contains_key(&to) {
             return;
@@ -42,6 +47,19 @@
         }
     }
 
+    /// Checks that no other leader may still rely on its quorum.
+    pub fn check_leases(&self, host: HostId) {
+        let group = self.status(host).group;
+        for (other, h) in &self.hosts {
+            let Some(status) = h.replica.as_ref().map(Replica::status) else { continue };
+            let Some(at) = status.quorum_at else { continue };
+            if *other == host || status.group != group {
+                continue;
+            }
+            assert!(self.now >= at + ELECTION, "host {host} leads within the lease of {other}");
+        }
+    }
+
     pub fn apply(&mut self, host: HostId, entry: Entry) {
         let now = self.now;
         let h = self.hosts.get_mut(&host).unwrap();
@@ -118,6 +136,23 @@
         }
     }
 
+    /// Checks that consecutive memberships differ in one member.
+    pub fn check_member_steps(&self) {
+        let mut before: Option<&Membership> = None;
+        for (entry, _) in self.committed.values() {
+            let EntryBody::Members(next) = &entry.body else { continue };
+            if let Some(before) = before {
+                let hosts = |m: &Membership| m.members.iter().map(|m| m.host).collect::<Vec<_>>();
+                let all: BTreeSet<HostId> =
+                    [hosts(before), hosts(next)].concat().into_iter().collect();
+                let of = |m: &Membership, h| m.members.iter().find(|m| m.host == h).copied();
+                let changed = all.iter().filter(|&&h| of(before, h) != of(next, h)).count();
+                assert_eq!(changed, 1, "{before:?} then {next:?}");
+            }
+            before = Some(next);
+        }
+    }
+
     pub fn data(&self) -> Vec<String> {
         let mut out = Vec::new();
         for (entry, _) in self.committed.values() {
--- a/state/replog/tests/harness/mod.rs
+++ b/state/replog/tests/harness/mod.rs
@@ -1,7 +1,7 @@
 //! Replicas in memory on a fake link, in virtual time, with checks at each step.
 #![allow(dead_code)]
 
-mod check;
+pub mod check;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use replog::{Alarm, HardState, Input, Op, Output, Recovered, Replica, Settings, Write};
-use wire::{Entry, EntryBody, HostId, Index, LogBody, LogMsg, Snapshot, Term, VoterId};
+use wire::{Entry, EntryBody, GroupId, HostId, Index, LogBody, LogMsg, Snapshot, Term, VoterId};
 
 use self::check::apply_op;
 
@@ -70,12 +70,15 @@
     pub cut: BTreeSet<HostId>,
     pub rng: ChaCha8Rng,
     pub sent: u64,
+    /// Votes, acknowledgements and leaders' messages, by sender.
+    pub sent_by: BTreeMap<HostId, u64>,
+    pub writes: u64,
     pub bytes: u64,
     pub snapshots: u64,
     /// Entries known to be committed, with the digest after each.
     pub committed: BTreeMap<Index, (Entry, u64)>,
     pub committed_at: BTreeMap<Index, Duration>,
-    leaders: BTreeMap<Term, HostId>,
+    leaders: BTreeMap<(GroupId, Term), HostId>,
     events: BTreeMap<(Duration, u64), Event>,
     seq: u64,
     voters: u64,
@@ -95,6 +98,8 @@
             cut: BTreeSet::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             sent: 0,
+            sent_by: BTreeMap::new(),
+            writes: 0,
             bytes: 0,
             snapshots: 0,
             committed: BTreeMap::new(),
@@ -238,6 +243,7 @@
             match output {
                 Output::Send { to, msg } => self.send(host, to, msg),
                 Output::Write(write) => {
+                    self.writes += 1;
                     let h = self.hosts.get_mut(&host).unwrap();
                     let run = h.run;
                     let disk = h.disk.as_mut().expect("only voters write");
@@ -251,8 +257,10 @@
                 Output::SnapshotDue => self.snapshot(host),
                 Output::Leader { leader, term } => {
                     if leader == Some(host) {
-                        let known = *self.leaders.entry(term).or_insert(host);
+                        let group = self.status(host).group;
+                        let known = *self.leaders.entry((group, term)).or_insert(host);
                         assert_eq!(known, host, "two leaders in term {term}");
+                        self.check_leases(host);
                     }
                 }
                 Output::Alarm(alarm) => {
