--- /dev/null
+++ b/cli/src/error.rs
@@ -0,0 +1,66 @@
+//! Errors of the command line and their exit codes.
+
+use std::{fmt, process::ExitCode};
+
+/// Exit code of a command that failed.
+const FAILURE_EXIT: u8 = 1;
+/// Exit code of a wrong command line.
+pub(crate) const USAGE_EXIT: u8 = 2;
+/// Exit code of a command whose outcome is unknown.
+const UNKNOWN_EXIT: u8 = 3;
+
+/// How a command ended without success.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// It had no effect, or a known one.
+    Failed,
+    /// The command line is wrong.
+    Usage,
+    /// It may have had its effect.
+    Unknown,
+}
+
+/// A command's error, shown on one line.
+#[derive(Debug)]
+pub(crate) struct Error {
+    pub(crate) kind: Kind,
+    message: String,
+}
+
+impl Error {
+    pub(crate) fn failed(message: impl Into<String>) -> Error {
+        Error { kind: Kind::Failed, message: message.into() }
+    }
+
+    pub(crate) fn usage(message: impl Into<String>) -> Error {
+        Error { kind: Kind::Usage, message: message.into() }
+    }
+
+    pub(crate) fn unknown(message: impl Into<String>) -> Error {
+        Error { kind: Kind::Unknown, message: message.into() }
+    }
+
+    /// Says what was being done.
+    pub(crate) fn context(self, what: &str) -> Error {
+        Error { kind: self.kind, message: format!("{what}: {}", self.message) }
+    }
+
+    /// Says what to do next.
+    pub(crate) fn advise(self, advice: &str) -> Error {
+        Error { kind: self.kind, message: format!("{}; {advice}", self.message) }
+    }
+
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        ExitCode::from(match self.kind {
+            Kind::Failed => FAILURE_EXIT,
+            Kind::Usage => USAGE_EXIT,
+            Kind::Unknown => UNKNOWN_EXIT,
+        })
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message.replace('\n', "; "))
+    }
+}
--- /dev/null
+++ b/cli/src/publish.rs
@@ -0,0 +1,178 @@
+//! `publish`: hands in declarations until a host confirms them.
+
+use std::{
+    fs,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use api::{FileBody, PublishBody, Receipt};
+use bytes::Bytes;
+use decl::Declaration;
+use http::Method;
+use tokio::time::sleep;
+
+use crate::{
+    client::{Addresses, Client, Failure, HOSTS, block_on, parse},
+    cmd::Publish,
+    error::Error,
+};
+
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time between two rounds over the hosts.
+const PAUSE: Duration = Duration::from_millis(300);
+const MAX_WAIT: u64 = 3600;
+const PATH: &str = "/v1/publish";
+
+impl Publish {
+    pub(crate) fn run(self) -> Result<(), Error> {
+        if self.files.is_empty() {
+            return Err(Error::usage("no file to publish; name declarations"));
+        }
+        let author = self.author.clone().or_else(|| std::env::var("USER").ok());
+        let Some(author) = author.filter(|it| !it.is_empty()) else {
+            return Err(Error::usage("no author; add --author"));
+        };
+        if self.revision.is_empty() {
+            return Err(Error::usage("the revision is empty; name that of the reviewed code"));
+        }
+        let addrs = Addresses::or_env(self.host.clone(), HOSTS)?;
+        let files = read_files(&self.files)?;
+        let body = PublishBody { files, author, revision: self.revision.clone() };
+        let body = serde_json::to_vec(&body).map_err(|err| Error::failed(err.to_string()))?;
+        let receipt = block_on(async {
+            let publisher = Publisher {
+                client: Client::new(EXCHANGE_TIMEOUT),
+                addrs,
+                body: Bytes::from(body),
+                until: Instant::now() + Duration::from_secs(self.wait.min(MAX_WAIT)),
+            };
+            let accepted = publisher.hand_in().await;
+            let accepted = accepted.map_err(|err| err.context("could not publish"))?;
+            Ok(publisher.wait_in_force(accepted).await)
+        })?;
+        if self.json {
+            let text = serde_json::to_string_pretty(&receipt);
+            println!("{}", text.map_err(|err| Error::failed(err.to_string()))?);
+            return Ok(());
+        }
+        print(&receipt);
+        Ok(())
+    }
+}
+
+/// Reads the files and checks them before anything is sent.
+fn read_files(paths: &[PathBuf]) -> Result<Vec<FileBody>, Error> {
+    let mut files = Vec::new();
+    let mut mistakes = Vec::new();
+    for path in paths {
+        let name = path.display().to_string();
+        let text = match fs::read_to_string(path) {
+            Ok(text) => text,
+            Err(err) => {
+                mistakes.push(format!("{name}: could not read file: {err}"));
+                continue;
+            }
+        };
+        if let Err(errors) = Declaration::parse(&name, &text) {
+            mistakes.extend(errors.iter().map(ToString::to_string));
+        }
+        files.push(FileBody { name, text });
+    }
+    if mistakes.is_empty() {
+        return Ok(files);
+    }
+    let message = format!("could not publish: {}; nothing was sent", mistakes.join("\n"));
+    Err(Error::failed(message))
+}
+
+struct Publisher {
+    client: Client,
+    addrs: Addresses,
+    body: Bytes,
+    until: Instant,
+}
+
+impl Publisher {
+    /// Asks the hosts in turn, round after round, until one accepts or refuses.
+    /// The same files may be handed in again: they get the same receipt.
+    async fn hand_in(&self) -> Result<Receipt, Error> {
+        let mut unknown = None;
+        loop {
+            let mut answered = false;
+            let mut last = Failure::NotSent("no address of a host".to_owned());
+            for addr in &self.addrs.0 {
+                let sent = self
+                    .client
+                    .exchange(*addr, Method::POST, PATH, &[], self.body.clone())
+                    .await
+                    .and_then(|it| parse(*addr, &it));
+                let failure = match sent {
+                    Ok(receipt) => return Ok(receipt),
+                    Err(failure) => failure,
+                };
+                if !failure.try_elsewhere(true) {
+                    return Err(failure.into());
+                }
+                answered |= !matches!(failure, Failure::NotSent(_));
+                if failure.is_unknown() {
+                    unknown = Some(failure);
+                } else {
+                    last = failure;
+                }
+            }
+            let over = Instant::now() + PAUSE >= self.until;
+            if over || !answered {
+                return Err(self.give_up(unknown, last));
+            }
+            sleep(PAUSE).await;
+        }
+    }
+
+    fn give_up(&self, unknown: Option<Failure>, last: Failure) -> Error {
+        match unknown {
+            None => last.into(),
+            Some(Failure::Lost(message)) => Error::unknown(format!(
+                "{message}; the outcome is unknown; run the command again: files that were accepted get the same receipt"
+            )),
+            Some(failure) => failure.into(),
+        }
+    }
+
+    /// Hands the files in again until they are in force everywhere.
+    async fn wait_in_force(&self, accepted: Receipt) -> Receipt {
+        let mut receipt = accepted;
+        while !receipt.everywhere && Instant::now() + PAUSE < self.until {
+            sleep(PAUSE).await;
+            for addr in &self.addrs.0 {
+                let body = self.body.clone();
+                let sent = self.client.exchange(*addr, Method::POST, PATH, &[], body).await;
+                let Ok(again) = sent.and_then(|it| parse::<Receipt>(*addr, &it)) else {
+                    continue;
+                };
+                if again.index == receipt.index {
+                    receipt = again;
+                }
+                break;
+            }
+        }
+        receipt
+    }
+}
+
+fn print(receipt: &Receipt) {
+    println!("accepted at index {}, audit sequence {}", receipt.index, receipt.sequence);
+    println!("audit head {}", receipt.head);
+    for service in &receipt.services {
+        println!("{} version {} digest {}", service.service, service.version, service.digest);
+    }
+    for domain in &receipt.in_force {
+        let total = domain.applied + domain.lagging;
+        println!("{}: in force on {} of {total} live hosts", domain.domain, domain.applied);
+    }
+    if receipt.everywhere {
+        println!("in force everywhere");
+    } else {
+        println!("not yet in force everywhere; run the command again to see how far it is");
+    }
+}
--- /dev/null
+++ b/cli/src/whereabouts.rs
@@ -0,0 +1,36 @@
+//! `where`: entry addresses for an adapter.
+
+use std::time::Duration;
+
+use api::WhereBody;
+
+use crate::{
+    client::{Addresses, Client, ENTRIES, block_on, url_part},
+    cmd::Where,
+    error::Error,
+};
+
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(5);
+
+impl Where {
+    pub(crate) fn run(self) -> Result<(), Error> {
+        let addrs = Addresses::or_env(self.entry, ENTRIES)?;
+        let path = match &self.model {
+            Some(model) => format!("/v1/where?model={}", url_part(model)?),
+            None => "/v1/where".to_owned(),
+        };
+        let client = Client::new(EXCHANGE_TIMEOUT);
+        let answer = block_on(async { client.get::<WhereBody>(&addrs, &path).await });
+        let answer = answer.map_err(|err| err.context("could not ask for entry addresses"))?;
+        if self.json {
+            let text = serde_json::to_string_pretty(&answer);
+            println!("{}", text.map_err(|err| Error::failed(err.to_string()))?);
+            return Ok(());
+        }
+        for entry in &answer.entries {
+            println!("{} {}", entry.addr, entry.domain);
+        }
+        println!("use these for {} s", answer.lifetime);
+        Ok(())
+    }
+}
--- a/protocol/decl/src/lib.rs
+++ b/protocol/decl/src/lib.rs
@@ -1,6 +1,7 @@
 //! Declaration and settings files.
 
 mod declaration;
+mod detect;
 mod document;
 mod error;
 mod reader;
@@ -9,6 +10,7 @@
 
 pub use crate::{
     declaration::{Call, Declaration, SYSTEM_SERVICE, ServiceKind},
+    detect::FileKind,
     error::FileError,
     settings::{Limits, LogFormat, Peer, Settings, Timing, Weights},
 };
--- a/state/history/src/audit.rs
+++ b/state/history/src/audit.rs
@@ -1,5 +1,7 @@
 //! The audit trail: entries chained by hash.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use thiserror::Error;
@@ -122,9 +124,11 @@
 pub fn verify(entries: &[Entry]) -> Result<Hash, Break> {
     let mut previous = Hash::default();
     let mut index = 0;
+    let mut versions = BTreeMap::new();
     for (i, entry) in entries.iter().enumerate() {
         let sequence = i as u64 + 1;
         verify_entry(entry, sequence, previous, index)?;
+        verify_versions(entry, &mut versions)?;
         previous = entry.hash;
         index = entry.index;
     }
@@ -146,6 +150,27 @@
     Ok(())
 }
 
+/// Checks that each change raises the version it says it replaced.
+fn verify_versions<'a>(
+    entry: &'a Entry,
+    versions: &mut BTreeMap<&'a str, u64>,
+) -> Result<(), Break> {
+    if entry.changes.is_empty() {
+        return Err(Break::new(entry.sequence, "nothing was changed"));
+    }
+    for change in &entry.changes {
+        let before = versions.insert(&change.service, change.version).unwrap_or_default();
+        if change.replaced != before || change.version <= before {
+            let message = format!(
+                "{} goes from version {} to {} while version {before} was in force",
+                change.service, change.replaced, change.version
+            );
+            return Err(Break::new(entry.sequence, message));
+        }
+    }
+    Ok(())
+}
+
 fn verify_entry(entry: &Entry, sequence: u64, previous: Hash, index: Index) -> Result<(), Break> {
     if entry.sequence != sequence {
         let message = format!("entry {} stands in its place", entry.sequence);
--- a/state/history/tests/trail.rs
+++ b/state/history/tests/trail.rs
@@ -120,3 +120,19 @@
         assert_eq!(verify(&entries).unwrap_err().sequence, 7);
     }
 }
+
+/// An entry that could never have been accepted is found even where the hashes agree.
+#[test]
+fn a_change_that_lowers_a_version_is_found() {
+    for (replaced, version) in [(6, 6), (6, 5), (5, 7), (0, 7)] {
+        let mut entries = trail();
+        entries[6].changes[0].replaced = replaced;
+        entries[6].changes[0].version = version;
+        entries[6].hash = entries[6].compute_hash();
+        assert_eq!(verify(&entries).unwrap_err().sequence, 7);
+    }
+    let mut entries = trail();
+    entries[6].changes.clear();
+    entries[6].hash = entries[6].compute_hash();
+    assert!(verify(&entries).is_err());
+}
