--- a/cli/src/advice.rs
+++ b/cli/src/advice.rs
@@ -16,7 +16,6 @@
     ("unknown_service", "see `poplarhollow status` for the services in force"),
     ("key_missing", "add --key"),
     ("key_reused", "use a new key"),
-    ("key_busy", "run the command again with the same key"),
     ("key_expired", "find out at the service whether the call ran, then use a new key"),
     ("in_doubt", "find out at the service whether the call ran, then use a new key"),
     ("quarantined", "change the request"),
@@ -24,11 +23,8 @@
 ];
 
 /// Advice by the error's own word.
-const BY_RETRY: &[(&str, &str)] = &[
-    ("later", "run the command again later"),
-    ("elsewhere", "name another host"),
-    ("same-key", "run the command again with the same key"),
-];
+const BY_RETRY: &[(&str, &str)] =
+    &[("later", "run the command again later"), ("elsewhere", "name another host")];
 
 /// Turns a host's error into the command's.
 pub(crate) fn explain(detail: &ErrorDetail) -> Error {
--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -95,12 +95,14 @@
 fn about_service(declaration: &Declaration) -> String {
     let Declaration { service, version, kind, calls, .. } = declaration;
     let start = format!("service {service}, version {version}");
+    let names: Vec<_> = calls.keys().map(String::as_str).collect();
+    let calls = names.join(", ");
     match kind {
         ServiceKind::System { voters } => format!("{start}, voters {voters:?}"),
-        ServiceKind::Plain => format!("{start}, {} calls", calls.len()),
+        ServiceKind::Plain => format!("{start}, calls {calls}"),
         ServiceKind::Model { model, .. } => {
             let adapters = declaration.adapter_names().len();
-            format!("{start}, {} calls, {adapters} adapter versions of {model}", calls.len())
+            format!("{start}, {adapters} adapter versions of {model}, calls {calls}")
         }
     }
 }
--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -116,7 +116,9 @@
     pub(crate) fn new(timeout: Duration) -> Client {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let hyper = HyperClient::builder(TokioExecutor::new()).build(connector);
+        // A request goes out once; whether to send it again is decided here.
+        let mut builder = HyperClient::builder(TokioExecutor::new());
+        let hyper = builder.retry_canceled_requests(false).build(connector);
         Client { hyper, timeout }
     }
 
@@ -222,8 +224,15 @@
     }
 }
 
-fn lost(addr: SocketAddr, err: &dyn std::error::Error) -> Failure {
-    Failure::Lost(format!("the connection to {addr} was lost: {err}"))
+/// Says that a connection was lost, with the chain of causes.
+pub(crate) fn lost(addr: SocketAddr, err: &dyn std::error::Error) -> Failure {
+    let mut message = format!("the connection to {addr} was lost: {err}");
+    let mut cause = err.source();
+    while let Some(err) = cause {
+        message.push_str(&format!(": {err}"));
+        cause = err.source();
+    }
+    Failure::Lost(message)
 }
 
 /// Runs a command's exchanges.
--- a/cli/src/publish.rs
+++ b/cli/src/publish.rs
@@ -112,7 +112,7 @@
                     Err(failure) => failure,
                 };
                 if !failure.try_elsewhere(true) {
-                    return Err(failure.into());
+                    return Err(refused(unknown, failure));
                 }
                 answered |= !matches!(failure, Failure::NotSent(_));
                 if failure.is_unknown() {
@@ -123,22 +123,12 @@
             }
             let over = Instant::now() + PAUSE >= self.until;
             if over || !answered {
-                return Err(self.give_up(unknown, last));
+                return Err(give_up(unknown, last));
             }
             sleep(PAUSE).await;
         }
     }
 
-    fn give_up(&self, unknown: Option<Failure>, last: Failure) -> Error {
-        match unknown {
-            None => last.into(),
-            Some(Failure::Lost(message)) => Error::unknown(format!(
-                "{message}; the outcome is unknown; run the command again: files that were accepted get the same receipt"
-            )),
-            Some(failure) => failure.into(),
-        }
-    }
-
     /// Hands the files in again until they are in force everywhere.
     async fn wait_in_force(&self, accepted: Receipt) -> Receipt {
         let mut receipt = accepted;
@@ -160,6 +150,28 @@
     }
 }
 
+/// Refusals that also hold for the same files at another host, now and later.
+const FINAL: [&str; 3] = ["bad_declaration", "stale_version", "version_taken"];
+
+/// A refusal at one host leaves an unknown outcome at another as it is, unless
+/// it is about the files themselves.
+fn refused(unknown: Option<Failure>, refusal: Failure) -> Error {
+    match &refusal {
+        Failure::Answered(detail) if FINAL.contains(&detail.code.as_str()) => refusal.into(),
+        _ => give_up(unknown, refusal),
+    }
+}
+
+fn give_up(unknown: Option<Failure>, last: Failure) -> Error {
+    match unknown {
+        None => last.into(),
+        Some(Failure::Lost(message)) => Error::unknown(message).advise(
+            "the outcome is unknown; run the command again: files that were accepted get the same receipt",
+        ),
+        Some(failure) => failure.into(),
+    }
+}
+
 fn print(receipt: &Receipt) {
     println!("accepted at index {}, audit sequence {}", receipt.index, receipt.sequence);
     println!("audit head {}", receipt.head);
--- a/cli/src/request.rs
+++ b/cli/src/request.rs
@@ -17,10 +17,9 @@
 use serde_json::{Value, json};
 
 use crate::{
-    advice::explain,
-    client::{Addresses, Client, ENTRIES, Failure, block_on, url_part},
+    client::{Addresses, Client, ENTRIES, Failure, block_on, lost, url_part},
     cmd::Request,
-    error::{Error, Kind},
+    error::Error,
 };
 
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(600);
@@ -38,15 +37,29 @@
         let addrs = Addresses::or_env(self.entry.clone(), ENTRIES)?;
         let made = self.key_made.unwrap_or_else(now);
         let sent = self.build(made)?;
-        let result = block_on(async { self.send(&addrs, &sent).await });
-        result.map_err(|err| match (&self.key, err.kind) {
-            (Some(key), Kind::Unknown) => {
-                err.context(WHAT).advise(&format!("ask again with --key {key} --key-made {made}"))
-            }
-            _ => err.context(WHAT),
+        block_on(async {
+            let result = self.send(&addrs, &sent).await;
+            result.map_err(|failure| self.explain(failure, made).context(WHAT))
         })
     }
 
+    /// Says what to do about a failure.
+    fn explain(&self, failure: Failure, made: u64) -> Error {
+        let again = match &self.key {
+            Some(key) => format!("ask again with --key {key} --key-made {made}"),
+            None => "ask again if the call is idempotent".to_owned(),
+        };
+        match failure {
+            Failure::Lost(message) => {
+                Error::unknown(message).advise(&format!("the outcome is unknown; {again}"))
+            }
+            Failure::Answered(detail) if detail.retry == "same-key" => {
+                Error::unknown(detail.message).advise(&again)
+            }
+            failure => failure.into(),
+        }
+    }
+
     fn build(&self, made: u64) -> Result<Sent, Error> {
         let optional = [
             (CALLER, self.caller.clone()),
@@ -79,7 +92,7 @@
     }
 
     /// Sends the request to the first entry that takes it.
-    async fn send(&self, addrs: &Addresses, sent: &Sent) -> Result<(), Error> {
+    async fn send(&self, addrs: &Addresses, sent: &Sent) -> Result<(), Failure> {
         let client = Client::new(EXCHANGE_TIMEOUT);
         let mut failure = Failure::NotSent("no address of a host".to_owned());
         for addr in &addrs.0 {
@@ -94,16 +107,18 @@
                 break;
             }
         }
-        Err(failure.into())
+        Err(failure)
     }
 
-    async fn read(&self, addr: SocketAddr, response: Response<Incoming>) -> Result<(), Error> {
+    async fn read(&self, addr: SocketAddr, response: Response<Incoming>) -> Result<(), Failure> {
         let about = about(addr, response.headers());
         if self.stream {
-            read_stream(response.into_body(), self.json).await?;
+            let read = read_stream(addr, response.into_body(), self.json).await;
+            println!();
+            read?;
         } else {
             let collected = response.into_body().collect().await;
-            let body = collected.map_err(|err| broken(&err))?.to_bytes();
+            let body = collected.map_err(|err| lost(addr, &err))?.to_bytes();
             println!("{}", self.render(&body));
         }
         eprintln!("{about}");
@@ -134,16 +149,12 @@
     format!("answered by {} with {} by way of {addr}", text(TARGET), text(RAN))
 }
 
-fn broken(err: &hyper::Error) -> Error {
-    Error::unknown(format!("the connection was lost before the answer was whole: {err}"))
-}
-
 /// Prints the events of a stream as they come. It must end with its last event.
-async fn read_stream(mut body: Incoming, raw: bool) -> Result<(), Error> {
+async fn read_stream(addr: SocketAddr, mut body: Incoming, raw: bool) -> Result<(), Failure> {
     let mut rest = BytesMut::new();
     let mut ended = false;
     while let Some(frame) = body.frame().await {
-        let Ok(bytes) = frame.map_err(|err| broken(&err))?.into_data() else {
+        let Ok(bytes) = frame.map_err(|err| lost(addr, &err))?.into_data() else {
             continue;
         };
         rest.extend_from_slice(&bytes);
@@ -153,22 +164,21 @@
             ended = print_event(&event, raw)?;
         }
     }
-    println!();
     if ended {
         return Ok(());
     }
-    Err(Error::unknown("the answer ended before it was whole; run the command again"))
+    Err(Failure::Lost("the answer ended before it was whole".to_owned()))
 }
 
 /// Prints one event. Returns whether it is the stream's last.
-fn print_event(event: &[u8], raw: bool) -> Result<bool, Error> {
+fn print_event(event: &[u8], raw: bool) -> Result<bool, Failure> {
     if STREAM_END.strip_suffix(b"\n\n") == Some(event) {
         return Ok(true);
     }
     let text = String::from_utf8_lossy(event);
     let data = text.lines().find_map(|it| it.strip_prefix("data: ")).unwrap_or_default();
     if let Ok(body) = serde_json::from_str::<ErrorBody>(data) {
-        return Err(explain(&body.error));
+        return Err(Failure::Answered(body.error));
     }
     if raw {
         println!("{data}");
--- /dev/null
+++ b/cli/tests/hosts.rs
@@ -0,0 +1,230 @@
+//! What commands print, and how they exit, for each thing that hosts may do.
+
+mod support;
+
+use std::{fmt::Write, path::Path};
+
+use support::{Host, Reply, file, run, run_with};
+
+const DECLARATION: &str = "[service]\nname = book\nversion = 3\nkind = plain\n\
+    [call pay]\npath = /pay\nidempotent = no\n";
+
+fn receipt(everywhere: bool) -> Reply {
+    let lagging = u32::from(!everywhere);
+    Reply::Answer(
+        200,
+        format!(
+            r#"{{"index":7,"sequence":2,"head":"ab","everywhere":{everywhere},
+            "services":[{{"service":"book","version":3,"digest":"cd","index":7}}],
+            "in_force":[{{"domain":"north","applied":3,"lagging":{lagging}}}]}}"#
+        ),
+    )
+}
+
+fn error(status: u16, code: &str, ran: &str, retry: &str) -> Reply {
+    Reply::Answer(
+        status,
+        format!(
+            r#"{{"error":{{"code":"{code}","message":"message of {code}","ran":"{ran}","retry":"{retry}"}}}}"#
+        ),
+    )
+}
+
+fn answer(body: &str) -> Reply {
+    Reply::Answer(200, body.to_owned())
+}
+
+/// Runs a command once per case, with hosts that give the case's replies.
+/// No reply means that nobody listens.
+fn session(option: &str, cases: &[(&str, Vec<Vec<Reply>>)], args: &[&str]) -> String {
+    let mut out = String::new();
+    for (name, hosts) in cases {
+        let mut started = Vec::new();
+        for (i, replies) in hosts.iter().enumerate() {
+            let absent = replies.is_empty();
+            started.push(if absent { Host::absent(i) } else { Host::start(replies.clone()) });
+        }
+        let shown = run_with(&started, option, args);
+        let asked: Vec<_> = started.iter().map(|it| it.seen().len()).collect();
+        writeln!(out, "== {name}\n{shown}requests by host: {asked:?}\n").unwrap();
+    }
+    out
+}
+
+#[test]
+fn publish_tries_other_hosts_and_tells_unknown_from_refused() {
+    let path = file("publish.ini", DECLARATION);
+    let taken = error(409, "version_taken", "no", "never");
+    let no_lease = error(503, "no_lease", "no", "elsewhere");
+    let no_quorum = error(503, "no_quorum", "unknown", "same-key");
+    let hangup = Reply::Hangup;
+    let cases = [
+        ("accepted", vec![vec![receipt(true)]]),
+        ("accepted, in force later", vec![vec![receipt(false)]]),
+        ("taken", vec![vec![taken.clone()], vec![receipt(true)]]),
+        ("nobody listens", vec![vec![], vec![]]),
+        ("first is absent", vec![vec![], vec![receipt(true)]]),
+        ("first hangs up", vec![vec![hangup.clone()], vec![receipt(true)]]),
+        ("first hangs up, second refuses", vec![vec![hangup.clone()], vec![taken]]),
+        ("first hangs up, second is absent", vec![vec![hangup.clone()], vec![]]),
+        (
+            "first hangs up, second forbids",
+            vec![vec![hangup.clone()], vec![error(403, "forbidden", "no", "never")]],
+        ),
+        ("forbidden", vec![vec![error(403, "forbidden", "no", "never")]]),
+        ("all hang up", vec![vec![hangup.clone()], vec![hangup]]),
+        ("no quorum", vec![vec![no_quorum]]),
+        ("no lease, then accepted", vec![vec![no_lease.clone()], vec![receipt(true)]]),
+        ("no lease", vec![vec![no_lease.clone()], vec![no_lease]]),
+        ("not readable", vec![vec![answer("{}")]]),
+        ("cut", vec![vec![Reply::Cut("{".to_owned())]]),
+        ("no reason", vec![vec![Reply::Answer(500, "oops".to_owned())]]),
+    ];
+    let path = path.display().to_string();
+    let args = ["publish", &path, "--revision", "r1", "--author", "ada", "--wait", "0"];
+    insta::assert_snapshot!(session("--host", &cases, &args));
+}
+
+#[test]
+fn publish_asks_again_until_in_force() {
+    let path = file("again.ini", DECLARATION).display().to_string();
+    let no_quorum = error(503, "no_quorum", "unknown", "same-key");
+    let replies = vec![no_quorum, receipt(false), receipt(false), receipt(true)];
+    let args = ["publish", &path, "--revision", "r1", "--author", "ada", "--json"];
+    insta::assert_snapshot!(session("--host", &[("four rounds", vec![replies])], &args));
+}
+
+#[test]
+fn publish_sends_nothing_bad() {
+    let path = file("bad.ini", &DECLARATION.replace("= 3", "= x")).display().to_string();
+    let host = Host::start(vec![receipt(true)]);
+    let addr = host.addr.to_string();
+    let args = ["publish", &path, "--revision", "r", "--author", "ada", "--host", &addr];
+    let shown = run(&args).replace(&path, "bad.ini");
+    assert!(host.seen().is_empty());
+    insta::assert_snapshot!(shown);
+}
+
+#[test]
+fn requests_are_not_sent_twice() {
+    let good = answer(r#"{"choices":[{"text":" one two"}]}"#);
+    let cases = [
+        ("answered", vec![vec![good.clone()]]),
+        ("first is absent", vec![vec![], vec![good.clone()]]),
+        ("first leaves", vec![vec![error(503, "leaving", "no", "elsewhere")], vec![good.clone()]]),
+        ("first hangs up", vec![vec![Reply::Hangup], vec![good.clone()]]),
+        ("in doubt", vec![vec![error(409, "in_doubt", "unknown", "never")], vec![good.clone()]]),
+        ("key busy", vec![vec![error(409, "key_busy", "unknown", "same-key")]]),
+        ("key reused", vec![vec![error(422, "key_reused", "no", "never")]]),
+        ("failed", vec![vec![error(502, "target_failed", "yes", "later")], vec![good]]),
+        ("cut", vec![vec![Reply::Cut("{".to_owned())]]),
+    ];
+    let args = ["request", "--model", "m@a@v1", "--prompt", "x", "--key", "k1", "--key-made", "5"];
+    insta::assert_snapshot!(session("--entry", &cases, &args));
+}
+
+#[test]
+fn streams_must_be_whole() {
+    let event = |it: &str| format!("data: {{\"choices\":[{{\"text\":\"{it}\"}}]}}\n\n");
+    let two = event(" one") + &event(" two");
+    let done = "data: [DONE]\n\n";
+    let fault = r#"event: error
+data: {"error":{"code":"target_lost","message":"m","ran":"unknown","retry":"later"}}
+
+"#;
+    let cases = [
+        ("whole", vec![vec![Reply::Answer(200, two.clone() + done)]]),
+        ("no end", vec![vec![Reply::Answer(200, two.clone())]]),
+        ("cut", vec![vec![Reply::Cut(two.clone())]]),
+        ("cut in the end", vec![vec![Reply::Cut(two.clone() + "data: [DO")]]),
+        ("error", vec![vec![Reply::Answer(200, two + fault)]]),
+        ("empty", vec![vec![Reply::Answer(200, "\n\n".to_owned())]]),
+    ];
+    let args = ["request", "--model", "m@a@v1", "--prompt", "x", "--stream"];
+    insta::assert_snapshot!(session("--entry", &cases, &args));
+}
+
+#[test]
+fn a_request_is_sent_as_asked() {
+    let mut out = String::new();
+    let cases: [&[&str]; 2] = [
+        &[
+            "request",
+            "--model",
+            "m@a@v1",
+            "--service",
+            "s",
+            "--call",
+            "c",
+            "--prompt",
+            "p",
+            "--max-tokens",
+            "5",
+            "--stream",
+            "--caller",
+            "ada",
+            "--deadline-ms",
+            "900",
+        ],
+        &[
+            "request",
+            "--service",
+            "book",
+            "--call",
+            "pay",
+            "--prompt",
+            "{}",
+            "--key",
+            "k",
+            "--key-made",
+            "12",
+        ],
+    ];
+    for args in cases {
+        let host = Host::start(vec![answer("data: [DONE]\n\n")]);
+        let addr = host.addr.to_string();
+        let shown = run(&[args, &["--entry", &addr]].concat());
+        assert!(shown.starts_with("exit 0"), "{shown}");
+        writeln!(out, "{}\n", host.seen().join("\n")).unwrap();
+    }
+    insta::assert_snapshot!(out);
+}
+
+#[test]
+fn questions_are_asked_elsewhere() {
+    let place = r#"{"entries":[{"addr":"127.0.0.1:8000","domain":"north"}],"lifetime":10}"#;
+    let cases = [
+        ("answered", vec![vec![answer(place)]]),
+        ("first hangs up", vec![vec![Reply::Hangup], vec![answer(place)]]),
+        ("unknown", vec![vec![error(404, "unknown_adapter", "no", "never")]]),
+        ("nobody listens", vec![vec![]]),
+        ("all hang up", vec![vec![Reply::Hangup]]),
+    ];
+    insta::assert_snapshot!("where", session("--entry", &cases, &["where", "m@a@v1"]));
+    let status = r#"{"host":2,"leader":1,"term":4,"lease":true,"commit":9,"applied":9,
+        "alarms":["trail went back"],
+        "hosts":[{"host":1,"domain":"north","role":"voter","live":true,"applied":9}],
+        "targets":[{"name":"t1","domain":"north","owner":1,"fence":5,"resident":["m@a@v1"],
+            "running":2,"leaving":false}],
+        "services":[{"service":"book","version":3,"digest":"cd","index":7}],
+        "queued":4,"stall_seconds":1.25,"batch_fullness":0.5,
+        "quarantine":[{"print":"ff","strikes":2}]}"#;
+    let cases = [("answered", vec![vec![answer(status)]])];
+    insta::assert_snapshot!("status", session("--host", &cases, &["status"]));
+}
+
+#[test]
+fn check_reports_every_mistake() {
+    let good = file("good.ini", DECLARATION);
+    let bad = file("bad2.ini", &DECLARATION.replace("= 3", "= x").replace("= no", "= maybe"));
+    let other = file("other.ini", "[x]\n");
+    let root = Path::new(env!("CARGO_TARGET_TMPDIR")).display().to_string();
+    let files = [&good, &bad, &other, &good, Path::new("absent.ini")];
+    let files: Vec<_> = files.iter().map(|it| it.display().to_string()).collect();
+    let mut args = vec!["check"];
+    args.extend(files.iter().map(String::as_str));
+    let mut shown = run(&args);
+    args.push("--json");
+    shown.push_str(&run(&args));
+    insta::assert_snapshot!(shown.replace(&root, "."));
+}
