--- /dev/null
+++ b/coordination/place/benches/rig/owners.rs
@@ -0,0 +1,241 @@
+//! The policy as the system runs it: owners, a directory and a planner.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
+
+use admit::{Bounds, Waiting};
+use place::{
+    Decision, LoadOrder, PlannerSettings, Policy, PolicySettings, Resident, StorePlanner,
+    TargetView, owner_policy,
+};
+use wire::{Pin, SlotDone, SlotGrant, TargetKind};
+
+use super::{
+    BATCH, Fault, SLOTS, Scenario, Scheme, mix,
+    world::{IN_FLIGHT, Request, World},
+};
+
+const LEADER_TERM: Duration = Duration::from_secs(5);
+const WANTS_EVERY: Duration = Duration::from_millis(50);
+
+struct Host {
+    policy: Box<dyn Policy>,
+    engines: Vec<usize>,
+    requests: HashMap<u64, Request>,
+    dirty: BTreeSet<usize>,
+    is_up: bool,
+}
+
+pub struct Owners {
+    hosts: Vec<Host>,
+    owner: Vec<usize>,
+    planner: StorePlanner,
+    settings: PlannerSettings,
+    grants: BTreeMap<(usize, u32), (usize, SlotGrant, LoadOrder)>,
+    holders: HashMap<u32, Vec<usize>>,
+    loads: Vec<f64>,
+    refresh: Duration,
+    domains: usize,
+}
+
+impl Owners {
+    pub fn new(scenario: &Scenario, count: usize) -> Owners {
+        let site = scenario.site;
+        let owner: Vec<usize> = (0..site.engines).map(|engine| engine % count).collect();
+        let settings = PolicySettings {
+            bounds: Bounds { total: 2_000, caller: 400 },
+            stall: site.stall,
+            batch: site.batch,
+            load: Duration::from_millis(250),
+            seed: 7,
+        };
+        let hosts = (0..count).map(|host| {
+            let engines: Vec<usize> = (0..site.engines).filter(|&e| owner[e] == host).collect();
+            Host {
+                policy: owner_policy(settings),
+                dirty: engines.iter().copied().collect(),
+                engines,
+                requests: HashMap::new(),
+                is_up: true,
+            }
+        });
+        let settings = PlannerSettings { rate: site.rate, loads: IN_FLIGHT, term: LEADER_TERM };
+        let is_stale = scenario.fault == Fault::StaleReports;
+        Owners {
+            hosts: hosts.collect(),
+            owner,
+            planner: StorePlanner::new(Duration::ZERO, settings, true),
+            settings,
+            grants: BTreeMap::new(),
+            holders: HashMap::new(),
+            loads: vec![0.0; count],
+            refresh: Duration::from_millis(if is_stale { 10_000 } else { 500 }),
+            domains: site.domains,
+        }
+    }
+
+    /// Chooses the owner as the directory does.
+    fn choose(&self, adapter: u32) -> usize {
+        let resident = self.holders.get(&adapter).into_iter().flatten().copied();
+        let resident = resident.filter(|&host| self.hosts[host].is_up);
+        if let Some(host) = resident.min_by(|&a, &b| self.loads[a].total_cmp(&self.loads[b])) {
+            return host;
+        }
+        let up = (0..self.hosts.len()).filter(|&host| self.hosts[host].is_up);
+        up.max_by_key(|&host| mix(u64::from(adapter), host as u64)).expect("a host is up")
+    }
+
+    fn refresh(&mut self, world: &World) {
+        self.holders.clear();
+        for (engine, target) in world.engines.iter().enumerate() {
+            for held in target.held.iter().filter(|held| held.ready.is_some()) {
+                let hosts = self.holders.entry(held.adapter).or_default();
+                if !hosts.contains(&self.owner[engine]) {
+                    hosts.push(self.owner[engine]);
+                }
+            }
+        }
+        for (host, load) in self.hosts.iter().zip(&mut self.loads) {
+            let engines = host.engines.iter().map(|&engine| world.engines[engine].running.len());
+            let used = engines.sum::<usize>() + host.policy.queued();
+            *load = used as f64 / host.engines.len() as f64;
+        }
+    }
+
+    fn view(&self, world: &World, engine: usize) -> TargetView {
+        let target = &world.engines[engine];
+        let resident = target.held.iter().map(|held| Resident {
+            adapter: held.adapter,
+            users: held.users,
+            idle: held.users == 0 && held.ready.is_some(),
+            ready: held.ready.is_some(),
+        });
+        TargetView {
+            id: engine as u32,
+            domain: format!("domain{}", engine % self.domains),
+            kind: TargetKind::Engine { model: "m".into() },
+            slots: SLOTS,
+            batch: BATCH,
+            running: target.running.len() as u32,
+            foreign: 0,
+            open: target.is_up,
+            alone: false,
+            resident: resident.collect(),
+        }
+    }
+
+    fn sync(&mut self, world: &World, host: usize) {
+        for engine in std::mem::take(&mut self.hosts[host].dirty) {
+            let view = self.view(world, engine);
+            self.hosts[host].policy.set_target(world.now, view);
+        }
+    }
+
+    fn decide(&mut self, world: &mut World, host: usize) {
+        self.sync(world, host);
+        for decision in self.hosts[host].policy.decide(world.now) {
+            match decision {
+                Decision::Start { request, target } => {
+                    let request = self.hosts[host].requests.remove(&request).unwrap();
+                    world.start(request, target as usize);
+                    self.hosts[host].dirty.insert(target as usize);
+                }
+                Decision::Refuse { request, .. } => {
+                    let request = self.hosts[host].requests.remove(&request).unwrap();
+                    world.sums.expired += 1;
+                    let engines = self.hosts[host].engines.iter();
+                    let ready =
+                        engines.filter_map(|&e| world.engines[e].ready(request.adapter)).min();
+                    world.waited(&request, ready);
+                }
+            }
+        }
+        self.sync(world, host);
+    }
+
+    fn plan(&mut self, world: &mut World) {
+        for (id, host) in self.hosts.iter_mut().enumerate().filter(|(_, host)| host.is_up) {
+            self.planner.wants(world.now, id as u32, host.policy.wants(world.now));
+        }
+        for (id, slot) in self.planner.grant(world.now) {
+            let host = id as usize;
+            let order = self.hosts[host].policy.place(world.now, slot.adapter);
+            let Some(order) = order else {
+                let done = SlotDone { slot: slot.slot, used: false, ok: false };
+                self.planner.done(world.now, id, done);
+                continue;
+            };
+            world.load(order.target as usize, order.adapter, order.victim);
+            self.grants.insert((order.target as usize, order.adapter), (host, slot, order));
+            self.hosts[host].dirty.insert(order.target as usize);
+        }
+    }
+}
+
+impl Scheme for Owners {
+    fn arrive(&mut self, world: &mut World, request: Request) {
+        let host = self.choose(request.adapter);
+        let waiting = Waiting {
+            request: request.id,
+            pin: Pin::Adapter { id: request.adapter, name: format!("m@a{}@1", request.adapter) },
+            caller: format!("caller{}", request.caller),
+            urgency: request.urgency,
+            since: request.arrived,
+            deadline: request.deadline,
+            prefix: 0,
+            alone: false,
+        };
+        match self.hosts[host].policy.enqueue(world.now, waiting) {
+            Ok(()) => _ = self.hosts[host].requests.insert(request.id, request),
+            Err(_) => world.sums.refused += 1,
+        }
+    }
+
+    fn step(&mut self, world: &mut World) {
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].is_up {
+                self.decide(world, host);
+            }
+        }
+        if world.now.as_nanos() % WANTS_EVERY.as_nanos() == 0 {
+            self.plan(world);
+        }
+        if world.now.as_nanos() % self.refresh.as_nanos() == 0 {
+            self.refresh(world);
+        }
+    }
+
+    fn finished(&mut self, world: &World, engine: usize, took: Duration) {
+        let host = &mut self.hosts[self.owner[engine]];
+        host.policy.finished(world.now, engine as u32, took);
+        host.dirty.insert(engine);
+    }
+
+    fn loaded(&mut self, world: &mut World, engine: usize, adapter: u32, ok: bool) {
+        let Some((host, slot, order)) = self.grants.remove(&(engine, adapter)) else { return };
+        self.planner.done(world.now, host as u32, SlotDone { slot: slot.slot, used: true, ok });
+        self.hosts[host].policy.loaded(world.now, order, ok);
+        self.hosts[host].dirty.insert(engine);
+    }
+
+    fn lost(&mut self, world: &World, engine: usize) -> Vec<Request> {
+        let id = self.owner[engine];
+        let host = &mut self.hosts[id];
+        host.dirty.insert(engine);
+        host.is_up = host.engines.iter().any(|&engine| world.engines[engine].is_up);
+        if host.is_up {
+            return Vec::new();
+        }
+        self.planner.remove_host(id as u32);
+        let mut requests: Vec<Request> =
+            host.requests.drain().map(|(_, request)| request).collect();
+        requests.sort_by_key(|request| request.id);
+        requests
+    }
+
+    fn new_leader(&mut self, world: &World) {
+        self.planner = StorePlanner::new(world.now, self.settings, false);
+    }
+}
