Test the peer layer against strangers, damage and slow receivers

A dropped hub left its incoming connections open, a datagram sent right after the start was dropped, and a full queue was noticed only when the write in progress timed out: found by the new tests and mended.

Each mechanism was switched off in a scratch edit, then `cargo test -p peer` was run: datagram tag, replay window, address check (bad_datagrams_are_dropped_and_counted failed); frame tag, frame length, news of a loss (bad_frames_end_their_connection failed); proof of the handshake (strangers_are_not_greeted failed); queue limit (a_slow_peer_is_given_up_with_a_bounded_queue failed).

--- a/transport/peer/src/frame.rs
+++ b/transport/peer/src/frame.rs
@@ -8,13 +8,13 @@
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
 
 /// Length of a datagram's header and tag in bytes.
-pub(crate) const DATAGRAM_EXTRA: usize = DATAGRAM_HEAD + TAG_BYTES;
+pub const DATAGRAM_EXTRA: usize = DATAGRAM_HEAD + TAG_BYTES;
 
 /// Length of a frame's header and tag in bytes.
-pub(crate) const FRAME_EXTRA: usize = 4 + TAG_BYTES;
+pub const FRAME_EXTRA: usize = 4 + TAG_BYTES;
 
 /// Length of a greeting in bytes.
-pub(crate) const GREETING_BYTES: usize = GREETING_BODY + TAG_BYTES;
+pub const GREETING_BYTES: usize = GREETING_BODY + TAG_BYTES;
 
 const MAGIC: &[u8; 4] = b"PHP1";
 const DATAGRAM_HEAD: usize = 4 + 4 + 4 + 8 + 8;
@@ -30,16 +30,22 @@
 
 /// A message by UDP.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Datagram<'a> {
-    pub(crate) from: HostId,
-    pub(crate) to: HostId,
-    pub(crate) run: Incarnation,
-    pub(crate) seq: u64,
-    pub(crate) payload: &'a [u8],
+pub struct Datagram<'a> {
+    /// The sender.
+    pub from: HostId,
+    /// The receiver.
+    pub to: HostId,
+    /// The sender's run.
+    pub run: Incarnation,
+    /// Counts the datagrams of that run.
+    pub seq: u64,
+    /// The encoded message.
+    pub payload: &'a [u8],
 }
 
 impl<'a> Datagram<'a> {
-    pub(crate) fn encode(&self, key: &Key) -> Vec<u8> {
+    /// Encodes the datagram with its tag.
+    pub fn encode(&self, key: &Key) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(DATAGRAM_EXTRA + self.payload.len());
         bytes.extend_from_slice(MAGIC);
         bytes.extend_from_slice(&self.from.to_le_bytes());
@@ -53,7 +59,7 @@
     }
 
     /// Reads a datagram without checking its tag.
-    pub(crate) fn decode(bytes: &'a [u8]) -> Option<Datagram<'a>> {
+    pub fn decode(bytes: &'a [u8]) -> Option<Datagram<'a>> {
         if bytes.len() < DATAGRAM_EXTRA || &bytes[..4] != MAGIC {
             return None;
         }
@@ -67,7 +73,7 @@
     }
 
     /// Whether the tag of an encoded datagram is right.
-    pub(crate) fn verify(bytes: &[u8], key: &Key) -> bool {
+    pub fn verify(bytes: &[u8], key: &Key) -> bool {
         let (body, tag) = bytes.split_at(bytes.len() - TAG_BYTES);
         key.verify(&[b"datagram", body], tag)
     }
@@ -75,16 +81,20 @@
 
 /// What each side of a new connection says first.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Greeting {
-    pub(crate) from: HostId,
-    pub(crate) to: HostId,
-    pub(crate) run: Incarnation,
-    pub(crate) nonce: Nonce,
+pub struct Greeting {
+    /// The sender.
+    pub from: HostId,
+    /// The receiver.
+    pub to: HostId,
+    /// The sender's run.
+    pub run: Incarnation,
+    /// A random number.
+    pub nonce: Nonce,
 }
 
 impl Greeting {
     /// Encodes the greeting; `heard` is the nonce it answers, if any.
-    pub(crate) fn encode(&self, key: &Key, heard: &[u8]) -> [u8; GREETING_BYTES] {
+    pub fn encode(&self, key: &Key, heard: &[u8]) -> [u8; GREETING_BYTES] {
         let mut bytes = [0; GREETING_BYTES];
         bytes[..4].copy_from_slice(MAGIC);
         bytes[4..8].copy_from_slice(&self.from.to_le_bytes());
@@ -97,7 +107,7 @@
     }
 
     /// Reads a greeting without checking its tag.
-    pub(crate) fn decode(bytes: &[u8; GREETING_BYTES]) -> Option<Greeting> {
+    pub fn decode(bytes: &[u8; GREETING_BYTES]) -> Option<Greeting> {
         if &bytes[..4] != MAGIC {
             return None;
         }
@@ -112,7 +122,7 @@
     }
 
     /// Whether the tag of an encoded greeting is right.
-    pub(crate) fn verify(bytes: &[u8; GREETING_BYTES], key: &Key, heard: &[u8]) -> bool {
+    pub fn verify(bytes: &[u8; GREETING_BYTES], key: &Key, heard: &[u8]) -> bool {
         let (body, tag) = bytes.split_at(GREETING_BODY);
         key.verify(&[b"greeting", heard, body], tag)
     }
@@ -120,13 +130,14 @@
 
 /// The key of one connection and the count of its frames.
 #[derive(Debug)]
-pub(crate) struct Session {
+pub struct Session {
     key: Key,
     seq: u64,
 }
 
 impl Session {
-    pub(crate) fn new(key: &Key, client: &Greeting, server: &Greeting) -> Session {
+    /// Derives the session of two greetings.
+    pub fn new(key: &Key, client: &Greeting, server: &Greeting) -> Session {
         let key = key.derive(&[
             b"session",
             &client.nonce,
@@ -140,16 +151,17 @@
     }
 
     /// The client's proof that it takes part in this session.
-    pub(crate) fn proof(&self) -> Tag {
+    pub fn proof(&self) -> Tag {
         self.key.tag(&[b"proof"])
     }
 
-    pub(crate) fn verify_proof(&self, tag: &[u8]) -> bool {
+    /// Whether the client's proof is right.
+    pub fn verify_proof(&self, tag: &[u8]) -> bool {
         self.key.verify(&[b"proof"], tag)
     }
 
     /// Appends the next frame to a buffer.
-    pub(crate) fn encode(&mut self, payload: &[u8], out: &mut Vec<u8>) {
+    pub fn encode(&mut self, payload: &[u8], out: &mut Vec<u8>) {
         let len = (payload.len() as u32).to_le_bytes();
         let tag = self.key.tag(&[&self.seq.to_le_bytes(), &len, payload]);
         self.seq += 1;
@@ -159,7 +171,7 @@
     }
 
     /// Checks the next frame.
-    pub(crate) fn verify(&mut self, payload: &[u8], tag: &[u8]) -> bool {
+    pub fn verify(&mut self, payload: &[u8], tag: &[u8]) -> bool {
         let len = (payload.len() as u32).to_le_bytes();
         let good = self.key.verify(&[&self.seq.to_le_bytes(), &len, payload], tag);
         self.seq += 1;
@@ -169,7 +181,7 @@
 
 /// Recognises datagrams that came before.
 #[derive(Debug, Default)]
-pub(crate) struct Window {
+pub struct Window {
     run: Incarnation,
     top: u64,
     seen: u64,
@@ -179,14 +191,14 @@
     const BITS: u64 = u64::BITS as u64;
 
     /// Starts again for the run that a handshake proved.
-    pub(crate) fn restart(&mut self, run: Incarnation) {
+    pub fn restart(&mut self, run: Incarnation) {
         if self.run != run {
             *self = Window { run, top: 0, seen: 0 };
         }
     }
 
     /// Whether a datagram is new; it is not new the second time.
-    pub(crate) fn accept(&mut self, run: Incarnation, seq: u64) -> bool {
+    pub fn accept(&mut self, run: Incarnation, seq: u64) -> bool {
         if run < self.run {
             return false;
         }
--- a/transport/peer/src/hub.rs
+++ b/transport/peer/src/hub.rs
@@ -112,7 +112,7 @@
 /// Sends messages to the other hosts and receives theirs.
 pub struct Hub {
     shared: Arc<Shared>,
-    udp: Arc<UdpSocket>,
+    udp: std::net::UdpSocket,
     seq: AtomicU64,
     links: BTreeMap<HostId, Link>,
     tasks: Vec<JoinHandle<()>>,
@@ -127,7 +127,7 @@
         };
         let addr = SocketAddr::new(ip, config.port);
         let refused = |source| PeerError::Listen { addr, source };
-        let udp = Arc::new(UdpSocket::bind(addr).await.map_err(refused)?);
+        let (udp, receiver) = bind_udp(addr).map_err(refused)?;
         let tcp = TcpListener::bind(addr).await.map_err(refused)?;
         let others: Vec<HostId> =
             config.peers.keys().copied().filter(|&host| host != config.host).collect();
@@ -144,7 +144,7 @@
         }
         let tasks = vec![
             tokio::spawn(listen::accept(shared.clone(), tcp)),
-            tokio::spawn(receive(shared.clone(), udp.clone())),
+            tokio::spawn(receive(shared.clone(), receiver)),
         ];
         Ok(Hub { shared, udp, seq: AtomicU64::new(0), links, tasks })
     }
@@ -177,7 +177,7 @@
         let seq = self.seq.fetch_add(1, Relaxed) + 1;
         let datagram = Datagram { from: config.host, to, run: config.run, seq, payload };
         let bytes = datagram.encode(&self.shared.key);
-        match self.udp.try_send_to(&bytes, SocketAddr::new(ip, config.port)) {
+        match self.udp.send_to(&bytes, SocketAddr::new(ip, config.port)) {
             Ok(_) => self.shared.stats.sent(msg, bytes.len()),
             Err(_) => self.shared.stats.drop_frames(Dropped::Overflow, 1),
         }
@@ -220,7 +220,15 @@
     }
 }
 
-async fn receive(shared: Arc<Shared>, udp: Arc<UdpSocket>) {
+/// Opens the UDP socket: a side that never waits, to send, and one to receive.
+fn bind_udp(addr: SocketAddr) -> io::Result<(std::net::UdpSocket, UdpSocket)> {
+    let sender = std::net::UdpSocket::bind(addr)?;
+    sender.set_nonblocking(true)?;
+    let receiver = UdpSocket::from_std(sender.try_clone()?)?;
+    Ok((sender, receiver))
+}
+
+async fn receive(shared: Arc<Shared>, udp: UdpSocket) {
     let mut buf = [0; MAX_DATAGRAM_BYTES + 1];
     loop {
         // An error here tells of an earlier send, such as a closed port.
--- a/transport/peer/src/lib.rs
+++ b/transport/peer/src/lib.rs
@@ -7,15 +7,14 @@
 //! sides are told with [`Event::Lost`].
 
 pub mod auth;
-mod frame;
+pub mod frame;
 mod hub;
 mod link;
 mod listen;
 mod stats;
 
 pub use crate::{
-    frame::MAX_DATAGRAM_BYTES,
     hub::{Config, Event, Hub, Inbox, PeerError},
     link::QUEUE_BYTES,
-    stats::{Dropped, Stats},
+    stats::{Dropped, KindCount, Stats},
 };
--- a/transport/peer/src/link.rs
+++ b/transport/peer/src/link.rs
@@ -51,6 +51,7 @@
 struct Pipe {
     queue: Mutex<Queue>,
     wake: Notify,
+    full: Notify,
 }
 
 impl Pipe {
@@ -94,10 +95,9 @@
         let limit = if repeated { REPEATED_BYTES } else { QUEUE_BYTES };
         // One frame always fits, or the longest could never be sent.
         if queue.bytes + payload.len() > limit && !queue.frames.is_empty() {
-            queue.overflow |= !repeated;
             drop(queue);
             self.shared.stats.drop_frames(Dropped::Overflow, 1);
-            self.pipe.wake.notify_one();
+            self.overflow(msg);
             return;
         }
         queue.bytes += payload.len();
@@ -119,6 +119,7 @@
         }
         self.pipe.lock().overflow = true;
         self.pipe.wake.notify_one();
+        self.pipe.full.notify_one();
     }
 }
 
@@ -242,7 +243,16 @@
         if !fill(pipe, &mut session, &mut batch) {
             return Err(io::ErrorKind::OutOfMemory.into());
         }
-        timeout(WRITE_TIMEOUT, output.write_all(&batch)).await??;
+        tokio::select! {
+            written = timeout(WRITE_TIMEOUT, output.write_all(&batch)) => written??,
+            () = wait_for_overflow(pipe) => return Err(io::ErrorKind::OutOfMemory.into()),
+        }
+    }
+}
+
+async fn wait_for_overflow(pipe: &Pipe) {
+    while !pipe.lock().overflow {
+        pipe.full.notified().await;
     }
 }
 
--- a/transport/peer/src/listen.rs
+++ b/transport/peer/src/listen.rs
@@ -12,6 +12,7 @@
     io::{AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
     sync::{Notify, Semaphore},
+    task::JoinSet,
     time::timeout,
 };
 use wire::{HostId, MAX_FRAME_BYTES};
@@ -55,7 +56,10 @@
     }
     let places = Arc::new(Semaphore::new(HANDSHAKES * seats.len().max(1)));
     let seats = Arc::new(seats);
+    // Connections end with this task.
+    let mut connections = JoinSet::new();
     loop {
+        while connections.try_join_next().is_some() {}
         let Ok((stream, addr)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
@@ -70,7 +74,7 @@
         };
         let shared = shared.clone();
         let seats = seats.clone();
-        tokio::spawn(async move {
+        connections.spawn(async move {
             let greeted = timeout(HANDSHAKE_TIMEOUT, greet(&shared, stream)).await;
             drop(place);
             let Ok(Ok((peer, stream, session))) = greeted else { return };
--- /dev/null
+++ b/transport/peer/tests/hubs.rs
@@ -0,0 +1,278 @@
+//! Hosts talk to each other and to strangers.
+
+mod common;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{KEY, LIMIT, addr, config, connect, ip, next, numbered, start, until};
+use peer::{
+    Dropped, Event, QUEUE_BYTES,
+    auth::Key,
+    frame::{Datagram, GREETING_BYTES, Greeting},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream, UdpSocket},
+    time::timeout,
+};
+use wire::{LogBody, LogMsg, MAX_FRAME_BYTES, PeerMsg};
+
+fn log(body: LogBody) -> PeerMsg {
+    PeerMsg::Log(LogMsg { group: 1, voter: None, term: 1, body })
+}
+
+fn large(bytes: usize) -> PeerMsg {
+    PeerMsg::Answer(wire::Answer::Piece(wire::Piece {
+        request: 1,
+        offset: 0,
+        bytes: Bytes::from(vec![0; bytes]),
+        last: false,
+    }))
+}
+
+#[tokio::test]
+async fn messages_arrive_whole_and_in_order() {
+    let (one, _events) = start(config(1, 1)).await;
+    let (_two, mut events) = start(config(1, 2)).await;
+    for number in 0..200 {
+        one.send(2, &numbered(number));
+    }
+    one.send(2, &large(3_000_000));
+    for number in 0..200 {
+        let expected = Event::Message { from: 1, msg: numbered(number) };
+        assert_eq!(next(&mut events).await, expected);
+    }
+    assert_eq!(next(&mut events).await, Event::Message { from: 1, msg: large(3_000_000) });
+}
+
+#[tokio::test]
+async fn small_periodic_messages_go_by_udp_and_entries_by_tcp() {
+    let (one, _events) = start(config(2, 1)).await;
+    // Nobody accepts connections at host 2, so only datagrams arrive there.
+    let udp = UdpSocket::bind(addr(2, 2)).await.expect("the address is free");
+    one.send(2, &log(LogBody::Hello { last: 1 }));
+    let mut buf = [0; 2000];
+    let (len, from) =
+        timeout(LIMIT, udp.recv_from(&mut buf)).await.expect("it arrives").expect("it is read");
+    assert_eq!(from, addr(2, 1));
+    let datagram = Datagram::decode(&buf[..len]).expect("it is a datagram");
+    assert!(Datagram::verify(&buf[..len], &Key::new(KEY)));
+    assert_eq!((datagram.from, datagram.to, datagram.seq), (1, 2, 1));
+    one.send(
+        2,
+        &log(LogBody::Append {
+            round: 1,
+            prev: 0,
+            prev_term: 0,
+            entries: vec![wire::Entry { term: 1, index: 1, body: wire::EntryBody::Noop }],
+            commit: 0,
+        }),
+    );
+    until(|| one.stats().dropped(Dropped::Broken) == 1).await;
+}
+
+#[tokio::test]
+async fn a_restarted_host_is_reached_again() {
+    let (one, mut losses) = start(config(3, 1)).await;
+    let (two, mut events) = start(config(3, 2)).await;
+    one.send(2, &numbered(1));
+    assert_eq!(next(&mut events).await, Event::Message { from: 1, msg: numbered(1) });
+    drop(two);
+    drop(events);
+    assert_eq!(next(&mut losses).await, Event::Lost(2));
+    let mut again = config(3, 2);
+    again.run = 2;
+    let (_two, mut events) = start(again).await;
+    let resending = async {
+        loop {
+            one.send(2, &numbered(2));
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::select! {
+        () = resending => unreachable!(),
+        event = next(&mut events) => {
+            assert_eq!(event, Event::Message { from: 1, msg: numbered(2) });
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_unreachable_host_fails_requests_and_not_repeated_messages() {
+    let (one, mut events) = start(config(4, 1)).await;
+    one.send(3, &numbered(1));
+    until(|| one.stats().dropped(Dropped::Broken) == 1).await;
+    one.send(3, &PeerMsg::Cancel(1));
+    assert_eq!(next(&mut events).await, Event::Lost(3));
+    // The first message was lost in silence.
+    assert!(events.try_recv().is_err());
+}
+
+#[tokio::test]
+async fn bad_datagrams_are_dropped_and_counted() {
+    let (one, mut events) = start(config(5, 1)).await;
+    let udp = UdpSocket::bind(addr(5, 2)).await.expect("the address is free");
+    let stranger = UdpSocket::bind((ip(5, 9), 0)).await.expect("the address is free");
+    let key = Key::new(KEY);
+    let payload = wire::encode(&log(LogBody::Hello { last: 1 }));
+    let make = |from, to, run, seq| Datagram { from, to, run, seq, payload: &payload };
+    let good = make(2, 1, 5, 10).encode(&key);
+    let mut changed = make(2, 1, 5, 11).encode(&key);
+    changed[30] ^= 1;
+    let garbage = Datagram { payload: &[0xff; 40], ..make(2, 1, 5, 12) }.encode(&key);
+    let cases = [
+        ("good", &udp, good.clone()),
+        ("again", &udp, good.clone()),
+        ("earlier run", &udp, make(2, 1, 4, 99).encode(&key)),
+        ("other address", &stranger, good.clone()),
+        ("unknown host", &udp, make(9, 1, 5, 13).encode(&key)),
+        ("other host's number", &udp, make(3, 1, 5, 13).encode(&key)),
+        ("other receiver", &udp, make(2, 3, 5, 13).encode(&key)),
+        ("own number", &udp, make(1, 1, 5, 13).encode(&key)),
+        ("changed", &udp, changed),
+        ("other key", &udp, make(2, 1, 5, 13).encode(&Key::new(b"other"))),
+        ("empty", &udp, Vec::new()),
+        ("truncated", &udp, good[..20].to_vec()),
+        ("cut tag", &udp, good[..good.len() - 1].to_vec()),
+        ("too long", &udp, vec![0; 1300]),
+        ("no message", &udp, garbage),
+        ("good later run", &udp, make(2, 1, 6, 1).encode(&key)),
+    ];
+    let mut report = String::new();
+    for (name, socket, bytes) in cases {
+        let before = counts(&one);
+        socket.send_to(&bytes, addr(5, 1)).await.expect("it is sent");
+        let mut after = before;
+        until(|| {
+            after = counts(&one);
+            after != before
+        })
+        .await;
+        let verdict = verdict(&before, &after);
+        report.push_str(&format!("{name}: {verdict}\n"));
+    }
+    insta::assert_snapshot!(report);
+    let expected = Event::Message { from: 2, msg: log(LogBody::Hello { last: 1 }) };
+    assert_eq!(next(&mut events).await, expected);
+    assert_eq!(next(&mut events).await, expected);
+    assert!(events.try_recv().is_err());
+}
+
+type Counts = [u64; Dropped::ALL.len() + 1];
+
+fn counts(hub: &peer::Hub) -> Counts {
+    let mut counts = Counts::default();
+    for (slot, why) in counts.iter_mut().zip(Dropped::ALL) {
+        *slot = hub.stats().dropped(why);
+    }
+    counts[Dropped::ALL.len()] = hub.stats().all_received().iter().map(|row| row.frames).sum();
+    counts
+}
+
+fn verdict(before: &Counts, after: &Counts) -> &'static str {
+    for (i, why) in Dropped::ALL.iter().enumerate() {
+        if after[i] > before[i] {
+            return why.as_str();
+        }
+    }
+    "accepted"
+}
+
+#[tokio::test]
+async fn bad_frames_end_their_connection() {
+    let (one, mut events) = start(config(6, 1)).await;
+    let payload = wire::encode(&numbered(1));
+    let mut report = String::new();
+    for name in ["good", "changed", "skipped", "no message", "oversize", "truncated"] {
+        let before = counts(&one);
+        let (mut stream, mut session) = connect(6, 2, 1).await;
+        let mut bytes = Vec::new();
+        match name {
+            "changed" => {
+                session.encode(&payload, &mut bytes);
+                bytes[5] ^= 1;
+            }
+            "skipped" => {
+                session.encode(&payload, &mut Vec::new());
+                session.encode(&payload, &mut bytes);
+            }
+            "no message" => session.encode(&[0xff; 40], &mut bytes),
+            "oversize" => bytes = (MAX_FRAME_BYTES as u32 + 1).to_le_bytes().to_vec(),
+            "truncated" => {
+                session.encode(&payload, &mut bytes);
+                bytes.pop();
+            }
+            _ => session.encode(&payload, &mut bytes),
+        }
+        stream.write_all(&bytes).await.expect("the host reads");
+        stream.shutdown().await.expect("the connection is open");
+        while next(&mut events).await != Event::Lost(2) {}
+        report.push_str(&format!("{name}: {}\n", verdict(&before, &counts(&one))));
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[tokio::test]
+async fn strangers_are_not_greeted() {
+    let (one, mut events) = start(config(7, 1)).await;
+    let key = Key::new(KEY);
+    let nonce = [1; 16];
+    let hello = Greeting { from: 2, to: 1, run: 1, nonce };
+    let good = hello.encode(&key, &[]);
+    let cases = [
+        ("unknown host", 2, Greeting { from: 9, ..hello }.encode(&key, &[])),
+        ("other host's address", 3, good),
+        ("other receiver", 2, Greeting { to: 3, ..hello }.encode(&key, &[])),
+        ("other key", 2, hello.encode(&Key::new(b"other"), &[])),
+        ("no greeting", 2, [0; GREETING_BYTES]),
+        ("recorded greeting, no proof", 2, good),
+    ];
+    let mut report = String::new();
+    for (name, host, greeting) in cases {
+        let before = counts(&one);
+        let socket = tokio::net::TcpSocket::new_v4().expect("sockets are free");
+        socket.bind((ip(7, host), 0).into()).expect("ports are free");
+        let mut stream = socket.connect(addr(7, 1)).await.expect("the host listens");
+        stream.write_all(&greeting).await.expect("the host reads");
+        // A proof of another session.
+        let _ = stream.write_all(&[0; 16]).await;
+        let mut rest = Vec::new();
+        let reading = stream.read_to_end(&mut rest);
+        // The host closes the connection; a reset counts as well.
+        let _ = timeout(LIMIT, reading).await.expect("the host closes");
+        report.push_str(&format!("{name}: {}\n", verdict(&before, &counts(&one))));
+    }
+    insta::assert_snapshot!(report);
+    assert!(events.try_recv().is_err());
+}
+
+/// Accepts one connection as host `host`, and reads nothing after the greeting.
+async fn accept_and_stall(listener: TcpListener, host: u32) -> TcpStream {
+    let key = Key::new(KEY);
+    let (mut stream, _) = listener.accept().await.expect("a connection comes");
+    let mut bytes = [0; GREETING_BYTES];
+    stream.read_exact(&mut bytes).await.expect("a greeting comes");
+    let hello = Greeting::decode(&bytes).expect("it is a greeting");
+    let welcome = Greeting { from: host, to: hello.from, run: 1, nonce: [3; 16] };
+    stream.write_all(&welcome.encode(&key, &hello.nonce)).await.expect("it is read");
+    stream
+}
+
+#[tokio::test]
+async fn a_slow_peer_is_given_up_with_a_bounded_queue() {
+    let listener = TcpListener::bind(addr(8, 2)).await.expect("the address is free");
+    let (one, mut events) = start(config(8, 1)).await;
+    let stalled = tokio::spawn(accept_and_stall(listener, 2));
+    let piece = large(1024 * 1024);
+    one.send(2, &piece);
+    let stalled = timeout(LIMIT, stalled).await.expect("it connects").expect("it is greeted");
+    // More than the queue and the socket's buffers hold.
+    for _ in 0..8 * QUEUE_BYTES / (1024 * 1024) {
+        one.send(2, &piece);
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(next(&mut events).await, Event::Lost(2));
+    assert!(one.stats().dropped(Dropped::Overflow) > 0);
+    drop(stalled);
+}
