--- /dev/null
+++ b/transport/web/src/target.rs
@@ -0,0 +1,445 @@
+//! Calls and orders to targets.
+//!
+//! Every call opens a connection of its own and is sent once. So a failure to
+//! connect is the only one after which the call is known not to be sent.
+
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use api::{OrderBody, OrderReply, Refusal, STREAM_END, header};
+use bytes::Bytes;
+use http::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    header::{CONTENT_TYPE, HOST},
+};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    body::{Body as _, Incoming},
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use node::{Call, CallFailure, Input, Order, OrderResult};
+use tokio::{net::TcpSocket, task::AbortHandle, time::timeout};
+use wire::{Action, RequestId};
+
+use crate::{border::Inbox, credit::Credit};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The longest refusal or order reply, in bytes.
+const MAX_REPLY_BYTES: usize = 1024 * 1024;
+
+/// Cancelled calls that are remembered, in case the call itself comes after.
+const CANCELLED_CALLS: usize = 4096;
+
+const REFUSALS: [&str; 6] =
+    ["not_loaded", "old_fence", "other_incarnation", "full", "leaving", "load_failed"];
+
+/// Opens connections to targets.
+#[derive(Debug, Clone)]
+struct Connector {
+    ip: IpAddr,
+    start: Instant,
+}
+
+impl Connector {
+    /// Whether the host's clock has passed a lease's end.
+    fn is_past(&self, until: Duration) -> bool {
+        self.start.elapsed() >= until
+    }
+
+    /// Connects from the host's own address.
+    async fn open(&self, addr: &str) -> Option<SendRequest<Full<Bytes>>> {
+        timeout(CONNECT_TIMEOUT, self.connect(addr)).await.ok()?.ok()
+    }
+
+    async fn connect(&self, addr: &str) -> Result<SendRequest<Full<Bytes>>, io::Error> {
+        let to: SocketAddr = addr.parse().map_err(io::Error::other)?;
+        let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.bind(SocketAddr::new(self.ip, 0))?;
+        let stream = socket.connect(to).await?;
+        stream.set_nodelay(true)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
+        // Ends with the sender and the body of its answer.
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+}
+
+struct Running {
+    credit: Arc<Credit>,
+    abort: AbortHandle,
+}
+
+#[derive(Default)]
+struct Table {
+    running: HashMap<RequestId, Running>,
+    cancelled: HashSet<RequestId>,
+    order: VecDeque<RequestId>,
+}
+
+impl Table {
+    fn remember(&mut self, request: RequestId) {
+        if !self.cancelled.insert(request) {
+            return;
+        }
+        self.order.push_back(request);
+        if self.order.len() <= CANCELLED_CALLS {
+            return;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.cancelled.remove(&oldest);
+        }
+    }
+}
+
+/// The client towards targets.
+pub struct Targets {
+    connector: Connector,
+    inbox: Arc<dyn Inbox>,
+    table: Arc<Mutex<Table>>,
+}
+
+impl Targets {
+    /// Makes a client that calls from the host's address. The host's clock
+    /// counts from `start`.
+    pub fn new(ip: IpAddr, start: Instant, inbox: Arc<dyn Inbox>) -> Targets {
+        Targets { connector: Connector { ip, start }, inbox, table: Arc::default() }
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().expect("no holder panics")
+    }
+
+    /// Starts a call; its events go to the inbox.
+    pub fn call(&self, call: Call) {
+        let request = call.request;
+        let credit = Arc::new(Credit::new(call.credit));
+        let mut table = self.table();
+        if table.cancelled.contains(&request) {
+            return;
+        }
+        let task = tokio::spawn(carry(
+            self.connector.clone(),
+            self.inbox.clone(),
+            self.table.clone(),
+            call,
+            credit.clone(),
+        ));
+        table.running.insert(request, Running { credit, abort: task.abort_handle() });
+    }
+
+    /// Lets further bytes of an answer be read.
+    pub fn read(&self, request: RequestId, bytes: u32) {
+        if let Some(running) = self.table().running.get(&request) {
+            running.credit.add(bytes);
+        }
+    }
+
+    /// Stops a call and tells its target.
+    pub fn cancel(&self, request: RequestId, addr: &str) {
+        {
+            let mut table = self.table();
+            table.remember(request);
+            if let Some(running) = table.running.remove(&request) {
+                running.abort.abort();
+            }
+        }
+        let connector = self.connector.clone();
+        let addr = addr.to_owned();
+        tokio::spawn(async move {
+            // The target notices the closed connection if this fails.
+            let _ = timeout(CANCEL_TIMEOUT, send_cancel(&connector, &addr, request)).await;
+        });
+    }
+
+    /// Starts an order; its end goes to the inbox.
+    pub fn order(&self, order: Order) {
+        let connector = self.connector.clone();
+        let inbox = self.inbox.clone();
+        tokio::spawn(async move {
+            let number = order.order;
+            let asked = timeout(ORDER_TIMEOUT, send_order(&connector, order)).await;
+            let result = asked.unwrap_or(OrderResult::Unknown);
+            inbox.deliver(Input::OrderEnded { order: number, result }).await;
+        });
+    }
+
+    /// Returns how many calls are in progress.
+    pub fn running(&self) -> usize {
+        self.table().running.len()
+    }
+}
+
+async fn carry(
+    connector: Connector,
+    inbox: Arc<dyn Inbox>,
+    table: Arc<Mutex<Table>>,
+    call: Call,
+    credit: Arc<Credit>,
+) {
+    let request = call.request;
+    let ended = run(&connector, &*inbox, &call, &credit).await;
+    table.lock().expect("no holder panics").running.remove(&request);
+    if let Err(failure) = ended {
+        inbox.deliver(Input::CallFailed { request, failure }).await;
+    }
+}
+
+fn wrong(why: impl Into<String>) -> CallFailure {
+    CallFailure::Wrong(why.into())
+}
+
+fn call_request(call: &Call) -> Result<Request<Full<Bytes>>, http::Error> {
+    let builder = Request::builder()
+        .header(HOST, &call.addr)
+        .header(header::FENCE, call.fence)
+        .header(header::REQUEST, call.request)
+        .header(header::INCARNATION, call.incarnation)
+        .header(header::PRIORITY, u16::from(call.priority))
+        .header(header::RAN, &call.ran)
+        .header(CONTENT_TYPE, "application/json");
+    if let Some(offset) = call.resume {
+        let path = format!("/v1/requests/{}?offset={offset}", call.request);
+        return builder.method(Method::GET).uri(path).body(Full::default());
+    }
+    builder.method(Method::POST).uri(&call.path).body(Full::new(call.body.clone()))
+}
+
+async fn run(
+    connector: &Connector,
+    inbox: &dyn Inbox,
+    call: &Call,
+    credit: &Credit,
+) -> Result<(), CallFailure> {
+    // A request that can't be made is not sent.
+    let asking = call_request(call).map_err(|_| CallFailure::NotSent)?;
+    let mut sender = connector.open(&call.addr).await.ok_or(CallFailure::NotSent)?;
+    if connector.is_past(call.until) {
+        return Err(CallFailure::NotSent);
+    }
+    let response = sender.send_request(asking).await.map_err(|_| CallFailure::Lost)?;
+    let (parts, body) = response.into_parts();
+    if parts.status == StatusCode::CONFLICT {
+        return answer_conflict(inbox, call, &parts.headers, body, credit).await;
+    }
+    deliver_head(inbox, call, parts.status, &parts.headers).await?;
+    if body.size_hint().exact().is_none() && !is_chunked(&parts.headers) {
+        return Err(wrong("the answer does not tell its length"));
+    }
+    Reader::new(call).read(inbox, body, credit).await
+}
+
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let value = headers.get(http::header::TRANSFER_ENCODING);
+    value.and_then(|value| value.to_str().ok()).is_some_and(|text| text.contains("chunked"))
+}
+
+/// A refusal ends the call; any other answer with this status is passed on.
+async fn answer_conflict(
+    inbox: &dyn Inbox,
+    call: &Call,
+    headers: &HeaderMap,
+    body: Incoming,
+    credit: &Credit,
+) -> Result<(), CallFailure> {
+    let body = collect(body).await.ok_or(CallFailure::Lost)?;
+    if let Some(word) = refusal(&body) {
+        return Err(CallFailure::Refused(word));
+    }
+    deliver_head(inbox, call, StatusCode::CONFLICT, headers).await?;
+    let mut reader = Reader { stream: false, ..Reader::new(call) };
+    reader.pass(inbox, body, true, credit).await;
+    Ok(())
+}
+
+async fn collect(body: Incoming) -> Option<Bytes> {
+    Some(Limited::new(body, MAX_REPLY_BYTES).collect().await.ok()?.to_bytes())
+}
+
+fn refusal(body: &[u8]) -> Option<String> {
+    let refusal: Refusal = serde_json::from_slice(body).ok()?;
+    REFUSALS.contains(&refusal.refused.as_str()).then_some(refusal.refused)
+}
+
+async fn deliver_head(
+    inbox: &dyn Inbox,
+    call: &Call,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> Result<(), CallFailure> {
+    check_echo(headers, header::REQUEST, &call.request.to_string())?;
+    check_echo(headers, header::RAN, &call.ran)?;
+    check_echo(headers, header::INCARNATION, &call.incarnation.to_string())?;
+    let input = Input::CallHead {
+        request: call.request,
+        status: status.as_u16(),
+        ran: call.ran.clone(),
+        incarnation: call.incarnation,
+    };
+    inbox.deliver(input).await;
+    Ok(())
+}
+
+fn check_echo(headers: &HeaderMap, key: &str, expected: &str) -> Result<(), CallFailure> {
+    let Some(value) = headers.get(key) else {
+        return Err(wrong(format!("the answer has no {key}")));
+    };
+    if value.as_bytes() != expected.as_bytes() {
+        let found = String::from_utf8_lossy(value.as_bytes());
+        return Err(wrong(format!("{key} is {found}, expected {expected}")));
+    }
+    Ok(())
+}
+
+/// Passes the pieces of one answer on.
+struct Reader {
+    request: RequestId,
+    stream: bool,
+    offset: u64,
+    /// The last bytes of a stream, as many as its end has.
+    tail: Vec<u8>,
+    resumed: bool,
+}
+
+impl Reader {
+    fn new(call: &Call) -> Reader {
+        Reader {
+            request: call.request,
+            stream: call.stream,
+            offset: call.resume.unwrap_or(0),
+            tail: Vec::new(),
+            resumed: call.resume.is_some(),
+        }
+    }
+
+    async fn read(
+        mut self,
+        inbox: &dyn Inbox,
+        mut body: Incoming,
+        credit: &Credit,
+    ) -> Result<(), CallFailure> {
+        // The end of a stream is kept back until the connection confirms it.
+        let mut kept = Bytes::new();
+        loop {
+            credit.available().await;
+            let Some(frame) = body.frame().await else { break };
+            let Ok(bytes) = frame.map_err(|_| CallFailure::Lost)?.into_data() else { continue };
+            if !kept.is_empty() {
+                self.pass(inbox, std::mem::take(&mut kept), false, credit).await;
+            }
+            self.extend_tail(&bytes);
+            if body.is_end_stream() || (self.stream && self.has_end()) {
+                kept = bytes;
+                continue;
+            }
+            self.pass(inbox, bytes, false, credit).await;
+        }
+        if self.stream && !self.has_end() {
+            return Err(CallFailure::Lost);
+        }
+        self.pass(inbox, kept, true, credit).await;
+        Ok(())
+    }
+
+    fn extend_tail(&mut self, bytes: &[u8]) {
+        self.tail.extend_from_slice(&bytes[bytes.len().saturating_sub(STREAM_END.len())..]);
+        let surplus = self.tail.len().saturating_sub(STREAM_END.len());
+        self.tail.drain(..surplus);
+    }
+
+    fn has_end(&self) -> bool {
+        if self.resumed && !self.tail.is_empty() {
+            return STREAM_END.ends_with(&self.tail);
+        }
+        self.tail == STREAM_END
+    }
+
+    /// Passes bytes on as far as the credit goes, and waits for more.
+    async fn pass(&mut self, inbox: &dyn Inbox, mut bytes: Bytes, last: bool, credit: &Credit) {
+        loop {
+            let mut room = 0;
+            if !bytes.is_empty() {
+                room = credit.available().await.min(bytes.len());
+            }
+            let piece = bytes.split_to(room);
+            credit.spend(piece.len());
+            let offset = self.offset;
+            self.offset += piece.len() as u64;
+            let last = last && bytes.is_empty();
+            let request = self.request;
+            inbox.deliver(Input::CallPiece { request, offset, bytes: piece, last }).await;
+            if bytes.is_empty() {
+                return;
+            }
+        }
+    }
+}
+
+async fn send_order(connector: &Connector, order: Order) -> OrderResult {
+    let action = match order.action {
+        Action::Load => "load",
+        Action::Evict => "evict",
+    };
+    let body = OrderBody {
+        fence: order.fence,
+        incarnation: order.incarnation,
+        action: action.to_owned(),
+        adapter: order.adapter,
+    };
+    let json = serde_json::to_vec(&body).expect("an order is plain data");
+    let asking = Request::builder()
+        .method(Method::POST)
+        .uri("/v1/orders")
+        .header(HOST, &order.addr)
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(json)));
+    let Ok(asking) = asking else { return OrderResult::NotSent };
+    let Some(mut sender) = connector.open(&order.addr).await else { return OrderResult::NotSent };
+    if connector.is_past(order.until) {
+        return OrderResult::NotSent;
+    }
+    match sender.send_request(asking).await {
+        Ok(response) => read_reply(response).await,
+        Err(_) => OrderResult::Unknown,
+    }
+}
+
+async fn send_cancel(
+    connector: &Connector,
+    addr: &str,
+    request: RequestId,
+) -> Option<Response<Incoming>> {
+    let asking = Request::builder()
+        .method(Method::DELETE)
+        .uri(format!("/v1/requests/{request}"))
+        .header(HOST, addr)
+        .body(Full::default());
+    let mut sender = connector.open(addr).await?;
+    sender.send_request(asking.ok()?).await.ok()
+}
+
+async fn read_reply(response: Response<Incoming>) -> OrderResult {
+    let status = response.status();
+    let Some(body) = collect(response.into_body()).await else { return OrderResult::Unknown };
+    if status == StatusCode::CONFLICT
+        && let Some(word) = refusal(&body)
+    {
+        return OrderResult::Failed(word);
+    }
+    if status != StatusCode::OK {
+        return OrderResult::Unknown;
+    }
+    match serde_json::from_slice::<OrderReply>(&body) {
+        Ok(reply) => OrderResult::Done(reply.loaded),
+        Err(_) => OrderResult::Unknown,
+    }
+}
