Spread digests no faster than grants carry them; name leaving hosts at once

Cause: a grant carries 1 KB of digests, oldest change first. Hosts whose load changes with each renewal went to the back of the queue before they were reached, so a receiver heard the same few hosts for ever. Ruled out: a larger grant; it only moves the number of hosts where it happens. Change: a host's digest enters a new round only once grants could carry all digests (1.5 times), with its newest content. About to leave is told in the list of suspect hosts, which waits for no turn.

--- a/coordination/lease/src/grantor.rs
+++ b/coordination/lease/src/grantor.rs
@@ -7,12 +7,14 @@
 
 use wire::{Digest, DomainForce, DomainId, Grant, HostId, Incarnation, Index, Renew, Term};
 
-use crate::{Terms, first_round};
+use crate::{RENEWALS_PER_LEASE, Terms, first_round};
 
 /// The commit history is kept in steps of this part of the allowed lag.
 const STEPS_PER_LAG: u32 = 64;
 /// Bytes of digests that one grant carries at most, but for a first large one.
 const GRANT_DIGEST_BYTES: usize = 1024;
+/// Spare room for digests in grants, as a part of what they need.
+const SPARE_PARTS: u32 = 2;
 
 /// A host that holds a lease, as the leader knows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -44,8 +46,12 @@
     /// Whether the end of its lease was reported.
     reported: bool,
     digest: Option<Digest>,
-    /// The round of the digest's last change.
+    /// The round in which the digest was last spread.
     changed: u64,
+    /// When that was.
+    spread: Option<Duration>,
+    /// Whether the digest changed since.
+    dirty: bool,
     bytes: usize,
 }
 
@@ -59,9 +65,11 @@
     expected: BTreeSet<HostId>,
     commits: VecDeque<(Duration, Index)>,
     replaced: Vec<(HostId, Incarnation)>,
-    /// Hosts by the round of their digest's last change.
+    /// Hosts by the round in which their digest was last spread.
     rounds: BTreeMap<u64, HostId>,
     round: u64,
+    /// Bytes of all digests.
+    bytes: usize,
 }
 
 impl Grantor {
@@ -77,6 +85,7 @@
             replaced: Vec::new(),
             rounds: BTreeMap::new(),
             round: first_round(term),
+            bytes: 0,
         }
     }
 
@@ -129,7 +138,7 @@
         if self.hosts.get(&from).is_some_and(|known| known.is_past(&renew)) {
             return grant;
         }
-        self.note(from, renew);
+        self.note(now, from, renew);
         if let Some((_, commit)) = self.commits.back() {
             (grant.term, grant.applied) = self.extend(now, quorum_at, from, *commit);
         }
@@ -150,7 +159,7 @@
                 incarnation: known.incarnation,
                 domain: known.domain.clone(),
                 applied: known.applied,
-                leaving: known.digest.as_ref().is_some_and(|digest| digest.leaving),
+                leaving: known.leaving(),
             });
         }
         live
@@ -211,7 +220,7 @@
     }
 
     /// Takes what a renewal says of its host.
-    fn note(&mut self, from: HostId, renew: Renew) {
+    fn note(&mut self, now: Duration, from: HostId, renew: Renew) {
         if self.hosts.get(&from).is_some_and(|known| renew.incarnation > known.incarnation) {
             self.replaced.push((from, renew.incarnation));
             self.drop_digest(from);
@@ -224,6 +233,7 @@
         if let Some(digest) = renew.digest {
             self.set_digest(from, digest);
         }
+        self.spread(now, from);
     }
 
     /// Extends a host's lease unless it lags. Returns its length and the index
@@ -267,17 +277,42 @@
         if known.digest.as_ref() == Some(&digest) {
             return;
         }
+        self.bytes -= known.bytes;
         known.bytes = wire::encode(&digest).len();
+        self.bytes += known.bytes;
         known.digest = Some(digest);
+        known.dirty = true;
+    }
+
+    /// Puts a host's changed digest into a new round, not sooner than grants
+    /// can carry all digests: one that changes faster than it is carried would
+    /// push others back for ever.
+    fn spread(&mut self, now: Duration, host: HostId) {
+        let pace = self.pace();
+        let Some(known) = self.hosts.get_mut(&host) else { return };
+        if !known.dirty || known.spread.is_some_and(|last| now < last + pace) {
+            return;
+        }
+        known.dirty = false;
+        known.spread = Some(now);
         self.rounds.remove(&known.changed);
         self.round += 1;
         known.changed = self.round;
         self.rounds.insert(self.round, host);
     }
 
+    /// Returns how long grants take to carry all digests to one host; zero if
+    /// one grant can.
+    fn pace(&self) -> Duration {
+        let grants = (self.bytes / GRANT_DIGEST_BYTES) as u32;
+        let carried = self.terms.lease / RENEWALS_PER_LEASE * grants;
+        carried + carried / SPARE_PARTS
+    }
+
     fn drop_digest(&mut self, host: HostId) {
         if let Some(known) = self.hosts.get(&host) {
             self.rounds.remove(&known.changed);
+            self.bytes -= known.bytes;
         }
     }
 
@@ -304,10 +339,12 @@
         (self.round, digests)
     }
 
+    /// Returns hosts that should get no work. Hosts that are about to leave are
+    /// named here too: that must not wait for their digest's turn.
     fn suspect(&self, now: Duration) -> Vec<HostId> {
         let mut suspect = Vec::new();
         for (&host, known) in &self.hosts {
-            if known.until.is_some() && !known.live(now) {
+            if known.until.is_some() && (!known.live(now) || known.leaving()) {
                 suspect.push(host);
             }
         }
@@ -335,6 +372,8 @@
             reported: false,
             digest: None,
             changed: 0,
+            spread: None,
+            dirty: false,
             bytes: 0,
         }
     }
@@ -344,6 +383,10 @@
         (renew.incarnation, renew.sent) < (self.incarnation, self.sent)
     }
 
+    fn leaving(&self) -> bool {
+        self.digest.as_ref().is_some_and(|digest| digest.leaving)
+    }
+
     fn live(&self, now: Duration) -> bool {
         self.until.is_some_and(|until| now < until)
     }
--- a/coordination/lease/src/holder.rs
+++ b/coordination/lease/src/holder.rs
@@ -4,10 +4,8 @@
 
 use wire::{Digest, DomainId, Grant, Incarnation, Index, Renew, Term};
 
-use crate::{Terms, epoch};
+use crate::{RENEWALS_PER_LEASE, Terms, epoch};
 
-/// A lease is renewed this many times within its length.
-const RENEWALS_PER_LEASE: u32 = 4;
 /// Renewals within a lease's length while there is none, or no answer.
 const RETRIES_PER_LEASE: u32 = 8;
 
--- a/coordination/lease/src/lib.rs
+++ b/coordination/lease/src/lib.rs
@@ -28,6 +28,9 @@
     pub lag: Duration,
 }
 
+/// A lease is renewed this many times within its length.
+const RENEWALS_PER_LEASE: u32 = 4;
+
 /// Digest rounds count up within a leader's term, which is their upper part:
 /// rounds of a later leader are always higher.
 const ROUND_BITS: u32 = 32;
--- a/coordination/lease/tests/grantor.rs
+++ b/coordination/lease/tests/grantor.rs
@@ -226,3 +226,47 @@
     assert_eq!(seen.len(), 60);
     assert!(seen.iter().all(|(host, seen)| *seen == digest(20 + host, *host)));
 }
+
+#[test]
+fn digests_that_change_all_the_time_reach_every_host() {
+    const HOSTS: u32 = 80;
+    let mut grantor = grantor();
+    let mut rounds = vec![0; HOSTS as usize + 1];
+    // What the observed host last heard of each other host, and when.
+    let mut heard = std::collections::BTreeMap::new();
+    let mut longest = 0;
+    for second in 1..=400_u64 {
+        for host in 1..=HOSTS {
+            let now = second * 1000 + u64::from(host);
+            let digest = digest(20, second as u32);
+            let grant = tell(&mut grantor, now, host, rounds[host as usize], Some(digest));
+            rounds[host as usize] = grant.round;
+            if host != 40 {
+                continue;
+            }
+            for (other, digest) in grant.digests {
+                assert!(u64::from(digest.running) + 1 >= second);
+                heard.insert(other, second);
+            }
+            if second > 50 {
+                let oldest = heard.values().min().expect("heard of some");
+                longest = longest.max(second - oldest);
+            }
+        }
+    }
+    assert_eq!(heard.len(), HOSTS as usize - 1);
+    // Grants of 1 KB a second carry 80 digests of 46 bytes in under 4 s; a
+    // digest waits for its turn to be spread, and then to be carried.
+    assert!(longest <= 10, "{longest} s");
+}
+
+#[test]
+fn a_leaving_host_is_named_at_once() {
+    let mut grantor = grantor();
+    for host in 1..=60 {
+        tell(&mut grantor, u64::from(host), host, 0, Some(digest(60, 1)));
+    }
+    let leaving = Digest { leaving: true, ..digest(60, 1) };
+    tell(&mut grantor, 100, 60, 0, Some(leaving));
+    assert_eq!(tell(&mut grantor, 101, 1, 0, None).suspect, [60]);
+}
--- a/protocol/wire/src/message.rs
+++ b/protocol/wire/src/message.rs
@@ -181,7 +181,7 @@
     pub round: u64,
     /// Digests that changed since the round the host named.
     pub digests: Vec<(HostId, Digest)>,
-    /// Hosts without a lease.
+    /// Hosts without a lease, or about to leave.
     pub suspect: Vec<HostId>,
 }
 
