--- a/coordination/lease/src/balance.rs
+++ b/coordination/lease/src/balance.rs
@@ -1,6 +1,6 @@
 //! Which host should own which target.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use wire::{HostId, Incarnation, Move};
 
@@ -52,6 +52,10 @@
     live: BTreeMap<HostId, &'a LiveHost>,
     /// Requests capacity of the targets each usable host owns.
     loads: BTreeMap<HostId, i64>,
+    /// Usable hosts of each failure domain by their loads.
+    domains: BTreeMap<&'a str, BTreeSet<(i64, HostId)>>,
+    /// All usable hosts by their loads.
+    all: BTreeSet<(i64, HostId)>,
     /// Mean load; what owning a target of another failure domain costs.
     mean: i64,
 }
@@ -60,49 +64,60 @@
     fn new(registry: &Registry, live: &'a [LiveHost]) -> Plan<'a> {
         let live: BTreeMap<_, _> = live.iter().map(|host| (host.host, host)).collect();
         let usable = live.values().filter(|host| !host.leaving);
-        let mut loads: BTreeMap<_, i64> = usable.map(|host| (host.host, 0)).collect();
+        let loads = usable.map(|host| (host.host, 0)).collect();
+        let (domains, all) = Default::default();
+        let mut plan = Plan { live, loads, domains, all, mean: 0 };
         let mut total = 0;
         for target in registry.targets() {
             total += weight(target);
-            let Some((host, incarnation)) = target.owner else { continue };
-            if live.get(&host).is_none_or(|host| host.incarnation != incarnation) {
+            let Some((host, _)) = target.owner.filter(|owner| plan.is_live(*owner)) else {
                 continue;
-            }
-            if let Some(load) = loads.get_mut(&host) {
+            };
+            if let Some(load) = plan.loads.get_mut(&host) {
                 *load += weight(target);
             }
         }
-        let mean = total / (loads.len().max(1) as i64) + 1;
-        Plan { live, loads, mean }
+        plan.mean = total / (plan.loads.len().max(1) as i64) + 1;
+        for (&host, &load) in &plan.loads {
+            plan.all.insert((load, host));
+            plan.domains.entry(&plan.live[&host].domain).or_default().insert((load, host));
+        }
+        plan
+    }
+
+    fn is_live(&self, (host, incarnation): (HostId, Incarnation)) -> bool {
+        self.live.get(&host).is_some_and(|live| live.incarnation == incarnation)
     }
 
     /// Returns whether a target's owner is live and about to leave.
     fn is_leaving(&self, target: &Target) -> bool {
-        let Some((host, incarnation)) = target.owner else { return false };
-        let live = self.live.get(&host);
-        live.is_some_and(|live| live.incarnation == incarnation && live.leaving)
+        let Some(owner) = target.owner else { return false };
+        self.is_live(owner) && self.live[&owner.0].leaving
     }
 
     /// Returns whether a target can be given an owner now.
     fn is_free(&self, target: &Target) -> bool {
-        let Some((host, incarnation)) = target.owner.or(target.former) else { return true };
-        let Some(live) = self.live.get(&host) else { return true };
-        if live.incarnation != incarnation {
+        let Some(owner) = target.owner.or(target.former) else { return true };
+        if !self.is_live(owner) {
             return true;
         }
-        target.owner.is_none() && live.applied >= target.fence
+        target.owner.is_none() && self.live[&owner.0].applied >= target.fence
     }
 
     /// Gives a target to the cheapest host.
     fn place(&mut self, target: &Target) -> Option<(HostId, Incarnation)> {
-        let host = self.cheapest(target)?;
-        *self.loads.get_mut(&host)? += weight(target);
+        let (_, host) = self.cheapest(target)?;
+        self.add(host, weight(target));
         Some((host, self.live.get(&host)?.incarnation))
     }
 
-    fn cheapest(&self, target: &Target) -> Option<HostId> {
-        let cost = |(host, load): &(&HostId, &i64)| **load + self.cost(**host, target);
-        self.loads.iter().min_by_key(cost).map(|(host, _)| *host)
+    /// Returns the host where a target costs least, and its load with that of
+    /// owning a target of another failure domain.
+    fn cheapest(&self, target: &Target) -> Option<(i64, HostId)> {
+        let near = self.domains.get(target.info.domain.as_str()).and_then(BTreeSet::first);
+        let (load, host) = *self.all.first()?;
+        let any = (load + self.cost(host, target), host);
+        Some(near.map_or(any, |near| any.min(*near)))
     }
 
     /// What it costs that a host owns a target, in units of load.
@@ -111,6 +126,19 @@
         if same { 0 } else { self.mean }
     }
 
+    fn add(&mut self, host: HostId, weight: i64) {
+        let Some(load) = self.loads.get_mut(&host) else { return };
+        let old = (*load, host);
+        *load += weight;
+        let new = (*load, host);
+        self.all.remove(&old);
+        self.all.insert(new);
+        if let Some(hosts) = self.domains.get_mut(self.live[&host].domain.as_str()) {
+            hosts.remove(&old);
+            hosts.insert(new);
+        }
+    }
+
     /// Releases targets whose next owner would be much better.
     fn improve(&mut self, registry: &Registry, limit: usize, moves: &mut Vec<Move>) {
         let mut left = limit;
@@ -126,20 +154,16 @@
     }
 
     fn release(&mut self, target: &Target) -> bool {
-        let Some((owner, incarnation)) = target.owner else { return false };
-        if self.live.get(&owner).is_none_or(|host| host.incarnation != incarnation) {
-            return false;
-        }
-        let Some(load) = self.loads.get(&owner) else { return false };
-        let here = load + self.cost(owner, target);
-        let Some(other) = self.cheapest(target) else { return false };
-        let Some(load) = self.loads.get(&other) else { return false };
-        let there = load + weight(target) + self.cost(other, target);
-        if other == owner || here - there <= self.mean / HYSTERESIS_PARTS {
+        let Some(owner) = target.owner.filter(|owner| self.is_live(*owner)) else { return false };
+        let Some(load) = self.loads.get(&owner.0) else { return false };
+        let here = load + self.cost(owner.0, target);
+        let Some((cost, other)) = self.cheapest(target) else { return false };
+        let there = cost + weight(target);
+        if other == owner.0 || here - there <= self.mean / HYSTERESIS_PARTS {
             return false;
         }
-        *self.loads.entry(owner).or_default() -= weight(target);
-        *self.loads.entry(other).or_default() += weight(target);
+        self.add(owner.0, -weight(target));
+        self.add(other, weight(target));
         true
     }
 }
--- /dev/null
+++ b/coordination/route/benches/directory.rs
@@ -0,0 +1,90 @@
+//! Memory and processor time of the directory against hosts.
+//! `cargo bench -p route`
+
+use std::{
+    fs,
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use route::{Directory, OwnedTarget};
+use wire::{Digest, Grant, HostId, Pin, Residency, TargetKind};
+
+const ADAPTERS: u32 = 13_000;
+const ADAPTERS_PER_TARGET: u32 = 8;
+const TARGETS_PER_HOST: u32 = 14;
+const CALLS: u32 = 20_000;
+const PAGE_BYTES: usize = 4096;
+
+/// Bytes of resident memory of this process.
+fn resident() -> usize {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    text.split(' ').nth(1).and_then(|pages| pages.parse::<usize>().ok()).unwrap_or(0) * PAGE_BYTES
+}
+
+fn directory(hosts: u32) -> Directory {
+    let mut directory = Directory::default();
+    directory.set_hosts((0..hosts).map(|host| (host, format!("domain-{}", host % 18))).collect());
+    let targets = (0..hosts * TARGETS_PER_HOST).map(|id| OwnedTarget {
+        id,
+        owner: id % hosts,
+        domain: format!("domain-{}", id % hosts % 18),
+        kind: TargetKind::Engine { model: format!("model-{}", id % 3) },
+        requests: 64,
+    });
+    directory.set_targets(targets.collect());
+    let digests: Vec<(HostId, Digest)> = (0..hosts).map(|host| (host, digest(host))).collect();
+    let grant = Grant {
+        sent: Duration::ZERO,
+        incarnation: 1,
+        term: Duration::ZERO,
+        applied: 1,
+        round: 1,
+        digests,
+        suspect: Vec::new(),
+    };
+    directory.granted(Duration::ZERO, &grant);
+    directory
+}
+
+fn digest(host: HostId) -> Digest {
+    let count = TARGETS_PER_HOST * ADAPTERS_PER_TARGET;
+    let resident = (0..count)
+        .map(|n| Residency { adapter: (host * 7919 + n * 104_729) % (ADAPTERS / 4), targets: 1 });
+    let running = host * 31 % 800;
+    Digest { resident: resident.collect(), running, capacity: 896, queued: 0, leaving: false }
+}
+
+/// Microseconds of one call.
+fn cost(mut call: impl FnMut(u32)) -> f64 {
+    let start = Instant::now();
+    for n in 0..CALLS {
+        call(n);
+    }
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(CALLS)
+}
+
+fn main() {
+    println!("hosts  memory KB  choose warm us  choose cold us  entries us  digest us");
+    for hosts in [10, 100, 700] {
+        let copies = 2000 / hosts;
+        let before = resident();
+        let held: Vec<_> = (0..copies).map(|_| directory(hosts)).collect();
+        let memory = resident().saturating_sub(before) as f64 / f64::from(copies) / 1000.0;
+        let mut directory = directory(hosts);
+        let pin = |n: u32, cold: u32| {
+            let id = n * 7919 % (ADAPTERS / 4) + cold;
+            Pin::Adapter { id, name: format!("model-{}@adapter-{id}@1", n % 3) }
+        };
+        let at = |n: u32| Duration::from_micros(u64::from(n));
+        let warm = cost(|n| _ = black_box(directory.choose(at(n), &pin(n, 0), "domain-3", &[])));
+        let cold = cost(|n| {
+            black_box(directory.choose(at(n), &pin(n, ADAPTERS), "domain-3", &[]));
+        });
+        let entries = cost(|n| _ = black_box(directory.entries(at(n), Some(&pin(n, 0)))));
+        let news = cost(|n| directory.set_own(n % hosts, digest(n % hosts)));
+        println!("{hosts:5} {memory:10.0} {warm:15.2} {cold:15.2} {entries:11.2} {news:10.2}");
+        // Freed pages would be used again and hide the memory of the next row.
+        std::mem::forget(held);
+    }
+}
