--- a/coordination/node/tests/common/mod.rs
+++ b/coordination/node/tests/common/mod.rs
@@ -31,6 +31,8 @@
     /// The target goes on with a call.
     Serve(usize, RequestId),
     Ordered(usize, HostId, Incarnation, Order),
+    /// The target starts again.
+    Revive(usize),
 }
 
 /// What a caller was told.
@@ -72,6 +74,10 @@
     pub told: BTreeMap<(HostId, Tag), Told>,
     pub published: BTreeMap<Tag, Result<Published, Fault>>,
     pub changes: Vec<(HostId, Change)>,
+    /// Orders of these hosts arrive late by that much.
+    pub late_orders: BTreeMap<HostId, Duration>,
+    /// Targets start again this long after a crash.
+    pub revival: Option<Duration>,
     /// Every message and call, if recorded.
     pub trace: Option<Vec<String>>,
     next_tag: Tag,
@@ -107,6 +113,8 @@
             told: BTreeMap::new(),
             published: BTreeMap::new(),
             changes: Vec::new(),
+            late_orders: BTreeMap::new(),
+            revival: None,
             trace: None,
             next_tag: 1,
         };
@@ -341,6 +349,11 @@
                 self.at(REPORT_EVERY, Event::Report(place));
             }
             Event::Serve(place, request) => self.serve(place, request),
+            Event::Revive(place) => {
+                if !self.targets[place].up {
+                    self.targets[place].restart();
+                }
+            }
             Event::Ordered(place, id, run, order) => {
                 let number = order.order;
                 let result = self.targets[place].order(&order);
@@ -473,6 +486,11 @@
             self.note(line);
             self.at(LINK_DELAY, Event::Input(host, run, input));
         }
+        if !self.targets[place].up
+            && let Some(revival) = self.revival
+        {
+            self.at(revival, Event::Revive(place));
+        }
         if step.more {
             let pace = self.targets[place].pace;
             self.at(pace, Event::Serve(place, request));
@@ -486,7 +504,8 @@
             self.targets[place].name, order.order, order.action, order.adapter, order.fence
         );
         self.note(line);
-        let delay = self.targets[place].order_time(&order);
+        let late = self.late_orders.get(&id).copied().unwrap_or_default();
+        let delay = self.targets[place].order_time(&order) + late;
         self.at(delay, Event::Ordered(place, id, run, order));
     }
 
--- a/coordination/node/tests/common/target.rs
+++ b/coordination/node/tests/common/target.rs
@@ -152,6 +152,11 @@
         })
     }
 
+    /// How many requests run now.
+    pub fn running(&self) -> usize {
+        self.current.len()
+    }
+
     fn busy(&self) -> BTreeSet<String> {
         self.current.values().map(|&place| self.executions[place].ran.clone()).collect()
     }
@@ -253,7 +258,9 @@
         let pieces = self.pieces;
         let incarnation = self.incarnation;
         let execution = &mut self.executions[place];
-        let Some((host, run)) = execution.client else { return step };
+        let Some((host, run)) = execution.client else {
+            return self.run_on(request, place);
+        };
         if self.drop_answer.as_ref().is_some_and(|mark| text.contains(mark)) {
             execution.ended = true;
             let failure = CallFailure::Lost;
@@ -282,6 +289,18 @@
         step
     }
 
+    /// Goes on with an answer that nobody reads.
+    fn run_on(&mut self, request: RequestId, place: usize) -> Step {
+        let execution = &mut self.executions[place];
+        let size = execution.answer.len().div_ceil(self.pieces);
+        execution.sent = (execution.sent + size).min(execution.answer.len());
+        execution.ended = execution.sent == execution.answer.len();
+        if execution.ended {
+            self.current.remove(&request);
+        }
+        Step { inputs: Vec::new(), more: !self.executions[place].ended }
+    }
+
     fn lose_all(&mut self, step: &mut Step) {
         for (&request, &place) in &self.current {
             let Some((host, run)) = self.executions[place].client else { continue };
