--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -1,6 +1,6 @@
 //! `status`: the system as one host sees it.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use api::StatusBody;
 
@@ -35,42 +35,123 @@
     println!("host {} {lease}; leader {leader}, term {}", status.host, status.term);
     println!("applied {} of {} committed", status.applied, status.commit);
     println!(
-        "last minute: {:.1} s waited for adapters, batches {:.0} % full, {} requests queued",
+        "last minute: {:.1} s waited for adapters, batches {:.0} % full; {} requests queued",
         status.stall_seconds,
         status.batch_fullness * PERCENT,
         status.queued
     );
     for alarm in &status.alarms {
-        println!("ALARM {alarm}");
+        println!("ALARM: {alarm}");
     }
-    println!("\nHOST DOMAIN ROLE LIVE APPLIED");
+    table(&["DOMAIN", "LIVE", "APPLIED"], &domains(status));
+    table(&["HOST", "DOMAIN", "ROLE", "LIVE", "APPLIED"], &hosts(status));
+    table(
+        &["TARGET", "DOMAIN", "OWNER", "FENCE", "RUNNING", "STATE", "RESIDENT"],
+        &targets(status),
+    );
+    table(&["SERVICE", "VERSION", "INDEX", "DIGEST"], &services(status));
+    table(&["QUARANTINED", "STRIKES"], &quarantine(status));
+    if status.hosts.is_empty() && status.leader.is_some_and(|it| it != status.host) {
+        println!("\nhosts are listed by the leader, host {leader}");
+    }
+}
+
+/// Prints rows under a head, or nothing without a row.
+fn table(head: &[&str], rows: &[Vec<String>]) {
+    if rows.is_empty() {
+        return;
+    }
+    let mut widths: Vec<usize> = head.iter().map(|it| it.len()).collect();
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = cell.len().max(*width);
+        }
+    }
+    println!();
+    print_row(&widths, head.iter().copied());
+    for row in rows {
+        print_row(&widths, row.iter().map(String::as_str));
+    }
+}
+
+fn print_row<'a>(widths: &[usize], cells: impl Iterator<Item = &'a str>) {
+    let mut line = String::new();
+    for (width, cell) in widths.iter().zip(cells) {
+        line.push_str(&format!("{cell:width$}  "));
+    }
+    println!("{}", line.trim_end());
+}
+
+fn yes_no(value: bool) -> String {
+    if value { "yes" } else { "no" }.to_owned()
+}
+
+/// Live hosts of each failure domain and the lowest index they have applied.
+fn domains(status: &StatusBody) -> Vec<Vec<String>> {
+    let mut domains: BTreeMap<&str, (u32, u64)> = BTreeMap::new();
+    for host in &status.hosts {
+        let (live, applied) = domains.entry(&host.domain).or_insert((0, u64::MAX));
+        if host.live {
+            *live += 1;
+            *applied = host.applied.min(*applied);
+        }
+    }
+    let mut rows = Vec::new();
+    for (domain, (live, applied)) in domains {
+        let applied = if live == 0 { "-".to_owned() } else { applied.to_string() };
+        rows.push(vec![domain.to_owned(), live.to_string(), applied]);
+    }
+    rows
+}
+
+fn hosts(status: &StatusBody) -> Vec<Vec<String>> {
+    let mut rows = Vec::new();
     for host in &status.hosts {
-        let live = if host.live { "yes" } else { "no" };
-        println!("{} {} {} {live} {}", host.host, host.domain, host.role, host.applied);
+        rows.push(vec![
+            host.host.to_string(),
+            host.domain.clone(),
+            host.role.clone(),
+            yes_no(host.live),
+            host.applied.to_string(),
+        ]);
     }
-    println!("\nTARGET DOMAIN OWNER FENCE RUNNING STATE RESIDENT");
+    rows
+}
+
+fn targets(status: &StatusBody) -> Vec<Vec<String>> {
+    let mut rows = Vec::new();
     for target in &status.targets {
-        let owner = target.owner.map_or("none".to_owned(), |it| it.to_string());
         let state = if target.leaving { "leaving" } else { "serving" };
-        println!(
-            "{} {} {owner} {} {} {state} {}",
-            target.name,
-            target.domain,
-            target.fence,
-            target.running,
-            target.resident.join(",")
-        );
+        rows.push(vec![
+            target.name.clone(),
+            target.domain.clone(),
+            target.owner.map_or("none".to_owned(), |it| it.to_string()),
+            target.fence.to_string(),
+            target.running.to_string(),
+            state.to_owned(),
+            target.resident.join(","),
+        ]);
     }
-    println!("\nSERVICE VERSION INDEX DIGEST");
+    rows
+}
+
+fn services(status: &StatusBody) -> Vec<Vec<String>> {
+    let mut rows = Vec::new();
     for service in &status.services {
-        let service_name = &service.service;
-        println!("{service_name} {} {} {}", service.version, service.index, service.digest);
+        rows.push(vec![
+            service.service.clone(),
+            service.version.to_string(),
+            service.index.to_string(),
+            service.digest.clone(),
+        ]);
     }
-    if status.quarantine.is_empty() {
-        return;
-    }
-    println!("\nREQUEST STRIKES");
+    rows
+}
+
+fn quarantine(status: &StatusBody) -> Vec<Vec<String>> {
+    let mut rows = Vec::new();
     for request in &status.quarantine {
-        println!("{} {}", request.print, request.strikes);
+        rows.push(vec![request.print.clone(), request.strikes.to_string()]);
     }
+    rows
 }
--- a/state/history/src/history.rs
+++ b/state/history/src/history.rs
@@ -101,12 +101,17 @@
 
     /// Says what is in force in place of a refused file.
     fn refusal(&self, service: &str, file: &File, current: &ServiceInfo) -> String {
+        let name = &file.name;
+        let handed = file.declaration.version;
         let version = current.declaration.version;
         let digest = to_hex(&current.digest);
-        let mut text = format!(
-            "{}: version {} of {service} was handed in; version {version} with digest {digest} is in force",
-            file.name, file.declaration.version
-        );
+        let mut text = if handed == version {
+            format!("{name}: version {version} of {service} is in force with digest {digest}")
+        } else {
+            format!(
+                "{name}: version {handed} of {service} is below version {version}, in force with digest {digest}"
+            )
+        };
         if let Some(entry) = self.entry_at(current.index) {
             text.push_str(&format!(
                 ", published by {} from revision {} at index {}",
@@ -114,10 +119,7 @@
             ));
         }
         if let Some(entry) = self.earlier(service, file) {
-            text.push_str(&format!(
-                "; the file that was handed in was in force from index {} on",
-                entry.index
-            ));
+            text.push_str(&format!("; this file was in force from index {} on", entry.index));
         }
         text
     }
