--- /dev/null
+++ b/daemon/tests/start.rs
@@ -0,0 +1,40 @@
+//! What the daemon says when it can't start.
+
+use std::{fs, process::Command};
+
+const GOOD: &str = "[host]\nid = 1\nip = 127.52.0.1\ndomain = north\n\
+    data_dir = data\n\n\
+    [hosts]\n1 = 127.52.0.1 north\n\n[cluster]\nfounders = 1\n";
+
+#[test]
+fn a_failed_start_gives_one_line_and_exit_code_1() {
+    let dir = tempfile::tempdir().expect("a folder can be made");
+    let occupied = std::net::TcpListener::bind("127.52.0.1:8000").expect("the address is free");
+    let file = dir.path().join("file");
+    fs::write(&file, "").expect("the folder is usable");
+    let cases = [
+        ("missing settings", None),
+        ("unknown key", Some(GOOD.replace("domain =", "domian ="))),
+        ("missing key file", Some(GOOD.replace("domain", "key_file = none\ndomain"))),
+        ("file as data folder", Some(GOOD.replace("= data", "= file"))),
+        ("port in use", Some(GOOD.to_owned())),
+    ];
+    let mut report = String::new();
+    for (name, text) in cases {
+        let path = dir.path().join("host.ini");
+        let _ = fs::remove_file(&path);
+        if let Some(text) = text {
+            fs::write(&path, text).expect("the folder is usable");
+        }
+        let output = Command::new(env!("CARGO_BIN_EXE_poplarhollowd"))
+            .args(["--config", "host.ini"])
+            .current_dir(dir.path())
+            .output()
+            .expect("the program starts");
+        let lines = String::from_utf8_lossy(&output.stderr);
+        let code = output.status.code();
+        report.push_str(&format!("{name}: {code:?}\n{}\n", lines.trim_end()));
+    }
+    drop(occupied);
+    insta::assert_snapshot!(report);
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod announce;
 pub mod answer;
+pub mod client;
+pub mod cluster;
 pub mod counts;
 pub mod engine;
 pub mod fence;
--- a/transport/web/src/answer.rs
+++ b/transport/web/src/answer.rs
@@ -44,6 +44,7 @@
     let named =
         [(header::TARGET, Some(target)), (header::RAN, Some(ran)), (header::BETTER, better)];
     for (key, text) in named {
+        let text = text.filter(|text| !text.is_empty());
         let Some(Ok(value)) = text.map(HeaderValue::try_from) else { continue };
         headers.insert(key, value);
     }
