interface: a call that runs at most once needs the time of its key; leaving hosts are named apart

A host filled in its own time for a key without one. After the outcome was dropped, by age or by count, a resend would have looked like a new call and run again. It is refused with key_missing now; the command line always sent the time.

--- a/coordination/node/src/core.rs
+++ b/coordination/node/src/core.rs
@@ -84,7 +84,6 @@
             leading: status.leading,
             term: status.term,
             quorum_at: status.quorum_at,
-            wall: self.wall,
         }
     }
 
--- a/coordination/node/src/entry.rs
+++ b/coordination/node/src/entry.rs
@@ -146,6 +146,10 @@
         if !call.idempotent && caller.key.is_none() {
             return Err(ErrorKind::KeyMissing.into());
         }
+        // A time filled in here would make a resend of a dropped key look new.
+        if !call.idempotent && caller.made.is_none() {
+            return Err(Fault::new(ErrorKind::KeyMissing, "the time of the key is missing"));
+        }
         let print = fingerprint(&pin, &call.path, &caller.body);
         if ctx.view.strikes.count(&print) >= QUARANTINE_STRIKES {
             return Err(ErrorKind::Quarantined.into());
@@ -183,7 +187,7 @@
         }
         request.stage = Stage::Claiming;
         request.claim = claim;
-        let made = request.caller.made.unwrap_or(ctx.view.wall);
+        let made = request.caller.made.unwrap_or_default();
         fx.propose(Command::Claim(Claim {
             key: claim_key(request),
             print: request.print,
--- a/coordination/node/src/view.rs
+++ b/coordination/node/src/view.rs
@@ -20,8 +20,6 @@
     pub(crate) term: Term,
     /// On a leader: when a quorum was last known to follow it.
     pub(crate) quorum_at: Option<Duration>,
-    /// Wall-clock time at the last tick, in milliseconds since the epoch.
-    pub(crate) wall: u64,
 }
 
 /// What a table is given with each step.
--- a/coordination/route/src/directory.rs
+++ b/coordination/route/src/directory.rs
@@ -70,6 +70,8 @@
     own: Option<HostId>,
     /// Hosts without a lease, from the latest grant.
     expired: BTreeSet<HostId>,
+    /// Hosts about to leave, from the latest grant.
+    leaving: BTreeSet<HostId>,
     /// Hosts that did not answer, with the time until which they are left out.
     silent: BTreeMap<HostId, Duration>,
 }
@@ -98,6 +100,7 @@
     pub fn granted(&mut self, now: Duration, grant: &Grant) {
         self.silent.retain(|_, until| now < *until);
         self.expired = grant.suspect.iter().copied().collect();
+        self.leaving = grant.leaving.iter().copied().collect();
         for (host, digest) in &grant.digests {
             if self.own != Some(*host) {
                 self.set_digest(*host, digest.clone());
@@ -246,7 +249,8 @@
     }
 
     fn is_usable(&self, now: Duration, host: HostId) -> bool {
-        if self.expired.contains(&host) && self.own != Some(host) {
+        let shunned = self.expired.contains(&host) || self.leaving.contains(&host);
+        if shunned && self.own != Some(host) {
             return false;
         }
         if self.silent.get(&host).is_some_and(|until| now < *until) {
--- a/coordination/route/tests/directory.rs
+++ b/coordination/route/tests/directory.rs
@@ -38,6 +38,7 @@
         round: 1,
         digests,
         suspect,
+        leaving: Vec::new(),
     }
 }
 
@@ -135,7 +136,11 @@
 /// Ways for a host to be unusable.
 type Spoil = (&'static str, fn(&mut Directory, HostId));
 
-const SPOILS: [Spoil; 3] = [
+const SPOILS: [Spoil; 4] = [
+    ("about to leave", |directory, host| {
+        let grant = Grant { leaving: vec![host], ..grant(Vec::new(), Vec::new()) };
+        directory.granted(NOW, &grant);
+    }),
     ("leaving", |directory, host| {
         let leaving = Digest { leaving: true, ..digest(&[ADAPTER], 0, 0) };
         directory.granted(NOW, &grant(vec![(host, leaving)], Vec::new()));
@@ -172,7 +177,7 @@
 
 #[test]
 fn when_every_owner_is_unusable_nothing_is_chosen() {
-    for (name, spoil) in &SPOILS[..1] {
+    for (name, spoil) in &SPOILS[1..2] {
         let mut directory = directory();
         for host in 1..=6 {
             spoil(&mut directory, host);
--- a/protocol/wire/src/error.rs
+++ b/protocol/wire/src/error.rs
@@ -104,7 +104,7 @@
     /// No declaration in force names the service or its call.
     UnknownService: 404, "unknown_service", No, Never, "no declaration in force names this service or call";
     /// A non-idempotent call came without a key.
-    KeyMissing: 400, "key_missing", No, Never, "a non-idempotent call needs an Idempotency-Key header";
+    KeyMissing: 400, "key_missing", No, Never, "a non-idempotent call needs the headers Idempotency-Key and x-key-made-ms";
     /// The key was used with another body.
     KeyReused: 422, "key_reused", No, Never, "this idempotency key was used with another request";
     /// The first call with the key has not ended.
--- a/tests/tests/sessions.rs
+++ b/tests/tests/sessions.rs
@@ -1,6 +1,10 @@
 //! Sessions of real processes on loopback addresses.
 
-use std::{fmt::Write as _, path::Path};
+use std::{
+    fmt::Write as _,
+    path::Path,
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 use http::Method;
 use sessions::{
@@ -24,6 +28,12 @@
     (text, body.ends_with("data: [DONE]\n\n"))
 }
 
+/// The time that a caller gives its new key.
+fn now_ms() -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is set");
+    now.as_millis().to_string()
+}
+
 #[tokio::test]
 async fn a_request_is_answered_through_every_host() {
     let mut cluster = Cluster::start(bins(), 1, 4).await;
@@ -43,9 +53,11 @@
         assert_eq!(reply.status, 200, "{}", reply.body);
         assert_eq!(read_events(&reply.body), (text::answer(MODEL, &prompt, 50), true));
     }
+    let made = now_ms();
     let pay = async |host: u32, key: &str, body: &str| {
         let url = format!("http://{}/v1/services/fittings/pay", cluster.entry(host));
-        let headers = [("x-caller", "maison"), ("idempotency-key", key)];
+        let headers =
+            [("x-caller", "maison"), ("idempotency-key", key), ("x-key-made-ms", made.as_str())];
         cluster.client.post(&url, &headers, body.to_owned()).await
     };
     let first = pay(1, "k1", "100").await;
@@ -113,7 +125,9 @@
     cluster.service("s1", 1).await;
     let leader = cluster.until_live().await;
     let url = format!("http://{}/v1/services/fittings/pay", cluster.entry(4));
-    let headers = [("x-caller", "maison"), ("idempotency-key", "k1")];
+    let made = now_ms();
+    let headers =
+        [("x-caller", "maison"), ("idempotency-key", "k1"), ("x-key-made-ms", made.as_str())];
     let paid = cluster.client.post(&url, &headers, "5").await;
     assert_eq!(paid.status, 200, "{}", paid.body);
     let before = cluster.status(4).await.expect("the host answers").services;
