Send a hot adapter's requests to a second host when its holders are full

Cause: requests went to hosts that hold the adapter only, so that a hot adapter never got a copy beyond its home's targets: a third of maison's requests at skew 1.3 were refused or expired while other engines had room. Change: the rig's directory names the next host in the order of homes when all holders are at least 90 % full and that host is at most 75 % full. Its own demand then makes it ask for the load; no message changes.

--- a/coordination/place/benches/rig/owners.rs
+++ b/coordination/place/benches/rig/owners.rs
@@ -18,6 +18,10 @@
 };
 
 const LEADER_TERM: Duration = Duration::from_secs(5);
+/// Used share of a host's batches from which its hot adapters go to others.
+const FULL: f64 = 0.9;
+/// Used share of a host's batches up to which it takes them.
+const ROOMY: f64 = 0.75;
 const WANTS_EVERY: Duration = Duration::from_millis(50);
 
 struct Host {
@@ -76,15 +80,20 @@
         }
     }
 
-    /// Chooses the owner as the directory does.
+    /// Chooses the owner as the directory does: the least full host that holds
+    /// the adapter, or its home. When all that hold it are full, the first host
+    /// in the order of homes that has room.
     fn choose(&self, adapter: u32) -> usize {
         let resident = self.holders.get(&adapter).into_iter().flatten().copied();
         let resident = resident.filter(|&host| self.hosts[host].is_up);
-        if let Some(host) = resident.min_by(|&a, &b| self.loads[a].total_cmp(&self.loads[b])) {
+        let best = resident.min_by(|&a, &b| self.loads[a].total_cmp(&self.loads[b]));
+        if let Some(host) = best.filter(|&host| self.loads[host] < FULL) {
             return host;
         }
         let up = (0..self.hosts.len()).filter(|&host| self.hosts[host].is_up);
-        up.max_by_key(|&host| mix(u64::from(adapter), host as u64)).expect("a host is up")
+        let is_fit = |host: &usize| best.is_none() || self.loads[*host] < ROOMY;
+        let home = up.filter(is_fit).max_by_key(|&host| mix(u64::from(adapter), host as u64));
+        home.or(best).expect("a host is up")
     }
 
     fn refresh(&mut self, world: &World) {
@@ -99,8 +108,8 @@
         }
         for (host, load) in self.hosts.iter().zip(&mut self.loads) {
             let engines = host.engines.iter().map(|&engine| world.engines[engine].running.len());
-            let used = engines.sum::<usize>() + host.policy.queued();
-            *load = used as f64 / host.engines.len() as f64;
+            let used = engines.sum::<usize>() as f64 + 0.001 * host.policy.queued() as f64;
+            *load = used / host.engines.len() as f64 / f64::from(BATCH);
         }
     }
 
