interface: name leaving hosts apart from hosts without a lease

Cause: leaving hosts were named among the suspects, and an entry gives up what a suspect owner has: a shutdown cut streams (promises a_shutdown_cuts_no_stream and sessions a_graceful_shutdown_cuts_no_stream failed after the merge). Ruled out: the drain itself; both passed before leaving hosts were listed. Change: Grant.leaving. After: both pass.

--- a/coordination/lease/src/grantor.rs
+++ b/coordination/lease/src/grantor.rs
@@ -132,6 +132,7 @@
             round: self.round,
             digests: Vec::new(),
             suspect: Vec::new(),
+            leaving: Vec::new(),
         };
         // A renewal that later ones overtook could be shown a higher index than
         // they were, which the host would take for lost state.
@@ -144,6 +145,7 @@
         }
         (grant.round, grant.digests) = self.digests(from, named);
         grant.suspect = self.suspect(now);
+        grant.leaving = self.leaving(now);
         grant
     }
 
@@ -339,12 +341,18 @@
         (self.round, digests)
     }
 
-    /// Returns hosts that should get no work. Hosts that are about to leave are
-    /// named here too: that must not wait for their digest's turn.
+    /// Returns hosts that are about to leave. They are named with every grant:
+    /// that must not wait for their digest's turn.
+    fn leaving(&self, now: Duration) -> Vec<HostId> {
+        let leaving = self.hosts.iter().filter(|(_, known)| known.live(now) && known.leaving());
+        leaving.map(|(host, _)| *host).collect()
+    }
+
+    /// Returns hosts without a lease.
     fn suspect(&self, now: Duration) -> Vec<HostId> {
         let mut suspect = Vec::new();
         for (&host, known) in &self.hosts {
-            if known.until.is_some() && (!known.live(now) || known.leaving()) {
+            if known.until.is_some() && !known.live(now) {
                 suspect.push(host);
             }
         }
--- a/coordination/lease/tests/grantor.rs
+++ b/coordination/lease/tests/grantor.rs
@@ -268,5 +268,6 @@
     }
     let leaving = Digest { leaving: true, ..digest(60, 1) };
     tell(&mut grantor, 100, 60, 0, Some(leaving));
-    assert_eq!(tell(&mut grantor, 101, 1, 0, None).suspect, [60]);
+    let grant = tell(&mut grantor, 101, 1, 0, None);
+    assert_eq!((grant.leaving, grant.suspect), (vec![60], vec![]));
 }
--- a/coordination/lease/tests/holder.rs
+++ b/coordination/lease/tests/holder.rs
@@ -29,6 +29,7 @@
         round: ROUND,
         digests: Vec::new(),
         suspect: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/coordination/route/benches/directory.rs
+++ b/coordination/route/benches/directory.rs
@@ -42,6 +42,7 @@
         round: 1,
         digests,
         suspect: Vec::new(),
+        leaving: Vec::new(),
     };
     directory.granted(Duration::ZERO, &grant);
     directory
--- a/coordination/route/src/directory.rs
+++ b/coordination/route/src/directory.rs
@@ -68,8 +68,8 @@
     /// Hosts that hold an adapter, from the digests.
     holders: BTreeMap<AdapterId, BTreeSet<HostId>>,
     own: Option<HostId>,
-    /// Hosts without a lease, from the latest grant.
-    expired: BTreeSet<HostId>,
+    /// Hosts without a lease or about to leave, from the latest grant.
+    closed: BTreeSet<HostId>,
     /// Hosts that did not answer, with the time until which they are left out.
     silent: BTreeMap<HostId, Duration>,
 }
@@ -97,7 +97,7 @@
     /// Others, late or repeated ones, must be left out.
     pub fn granted(&mut self, now: Duration, grant: &Grant) {
         self.silent.retain(|_, until| now < *until);
-        self.expired = grant.suspect.iter().copied().collect();
+        self.closed = grant.suspect.iter().chain(&grant.leaving).copied().collect();
         for (host, digest) in &grant.digests {
             if self.own != Some(*host) {
                 self.set_digest(*host, digest.clone());
@@ -246,7 +246,7 @@
     }
 
     fn is_usable(&self, now: Duration, host: HostId) -> bool {
-        if self.expired.contains(&host) && self.own != Some(host) {
+        if self.closed.contains(&host) && self.own != Some(host) {
             return false;
         }
         if self.silent.get(&host).is_some_and(|until| now < *until) {
--- a/coordination/route/tests/directory.rs
+++ b/coordination/route/tests/directory.rs
@@ -38,6 +38,7 @@
         round: 1,
         digests,
         suspect,
+        leaving: Vec::new(),
     }
 }
 
--- a/protocol/wire/src/message.rs
+++ b/protocol/wire/src/message.rs
@@ -181,8 +181,10 @@
     pub round: u64,
     /// Digests that changed since the round the host named.
     pub digests: Vec<(HostId, Digest)>,
-    /// Hosts without a lease, or about to leave.
+    /// Hosts without a lease.
     pub suspect: Vec<HostId>,
+    /// Hosts that are about to leave: they get no new work.
+    pub leaving: Vec<HostId>,
 }
 
 /// An owner's need for a load.
