--- a/coordination/lease/src/grantor.rs
+++ b/coordination/lease/src/grantor.rs
@@ -341,13 +341,14 @@
         (self.round, digests)
     }
 
-    /// Returns live hosts that are about to leave. Their digests say so too, but
-    /// others must know before it is the digest's turn.
+    /// Returns hosts that are about to leave. They are named with every grant:
+    /// that must not wait for their digest's turn.
     fn leaving(&self, now: Duration) -> Vec<HostId> {
         let leaving = self.hosts.iter().filter(|(_, known)| known.live(now) && known.leaving());
         leaving.map(|(host, _)| *host).collect()
     }
 
+    /// Returns hosts without a lease.
     fn suspect(&self, now: Duration) -> Vec<HostId> {
         let mut suspect = Vec::new();
         for (&host, known) in &self.hosts {
--- a/protocol/wire/src/message.rs
+++ b/protocol/wire/src/message.rs
@@ -183,7 +183,7 @@
     pub digests: Vec<(HostId, Digest)>,
     /// Hosts without a lease.
     pub suspect: Vec<HostId>,
-    /// Hosts that are about to leave: they finish what they have.
+    /// Hosts that are about to leave: they get no new work.
     pub leaving: Vec<HostId>,
 }
 
