--- a/transport/web/src/target.rs
+++ b/transport/web/src/target.rs
@@ -235,7 +235,10 @@
     if body.size_hint().exact().is_none() && !is_chunked(&parts.headers) {
         return Err(wrong("the answer does not tell its length"));
     }
-    Reader::new(call).read(inbox, body, credit).await
+    let mut reader = Reader::new(call);
+    // An error answers a stream with a plain body.
+    reader.stream &= parts.status.is_success();
+    reader.read(inbox, body, credit).await
 }
 
 fn is_chunked(headers: &HeaderMap) -> bool {
--- /dev/null
+++ b/transport/web/tests/answers.rs
@@ -0,0 +1,289 @@
+//! What callers receive for each way an answer can go.
+
+use std::{
+    fmt::Write as _,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering::SeqCst},
+    },
+    time::Duration,
+};
+
+use api::{AuditPage, PublishBody, Receipt, ReportReply, StatusBody, WhereBody};
+use bytes::Bytes;
+use futures::future::{BoxFuture, ready};
+use node::Caller;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    time::timeout,
+};
+use web::{
+    Server,
+    border::{Answer, Entry, Operator, Progress, Step},
+};
+use wire::{ErrorKind, Fault, TargetReport};
+
+const LIMIT: Duration = Duration::from_secs(60);
+
+#[derive(Default)]
+struct Seen {
+    taken: AtomicUsize,
+    gone: AtomicUsize,
+}
+
+struct Counted(Arc<Seen>);
+
+impl Progress for Counted {
+    fn taken(&self, bytes: usize) {
+        self.0.taken.fetch_add(bytes, SeqCst);
+    }
+
+    fn gone(&self) {
+        self.0.gone.fetch_add(1, SeqCst);
+    }
+}
+
+/// Answers each request with prepared steps.
+struct Stub {
+    answers: Mutex<Vec<UnboundedReceiver<Step>>>,
+    seen: Arc<Seen>,
+}
+
+impl Entry for Stub {
+    fn ask(&self, _: Caller) -> BoxFuture<'_, Answer> {
+        let steps = self.answers.lock().expect("no holder panics").pop().expect("one is prepared");
+        Box::pin(ready(Answer { steps, progress: Box::new(Counted(self.seen.clone())) }))
+    }
+
+    fn report(&self, _: TargetReport) -> BoxFuture<'_, ReportReply> {
+        Box::pin(ready(ReportReply { report_to: None, fence: 0 }))
+    }
+
+    fn whereabouts(&self, _: Option<&str>) -> WhereBody {
+        WhereBody { entries: Vec::new(), lifetime: 1 }
+    }
+}
+
+impl Operator for Stub {
+    fn publish(&self, _: PublishBody) -> BoxFuture<'_, Result<Receipt, Fault>> {
+        Box::pin(ready(Err(Fault::new(ErrorKind::VersionTaken, "notes 3"))))
+    }
+
+    fn status(&self) -> StatusBody {
+        unreachable!("not asked")
+    }
+
+    fn audit(&self, from: u64, limit: usize) -> AuditPage {
+        AuditPage { entries: Vec::new(), last: from, head: limit.to_string() }
+    }
+
+    fn metrics(&self) -> String {
+        "up 1\n".to_owned()
+    }
+}
+
+struct Bench {
+    stub: Arc<Stub>,
+    _server: Server,
+    entry: SocketAddr,
+    operator: SocketAddr,
+}
+
+fn start(net: u8) -> Bench {
+    let addr = |port| SocketAddr::from(([127, 53, net, 1], port));
+    let stub = Arc::new(Stub { answers: Mutex::default(), seen: Arc::default() });
+    let (entry, operator) = (addr(8000), addr(9000));
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let server = Server::start((entry, stub.clone()), (operator, stub.clone()), &log);
+    Bench { stub, _server: server.expect("the addresses are free"), entry, operator }
+}
+
+impl Bench {
+    fn prepare(&self) -> UnboundedSender<Step> {
+        let (sender, receiver) = unbounded_channel();
+        self.stub.answers.lock().expect("no holder panics").push(receiver);
+        sender
+    }
+}
+
+async fn connect(addr: SocketAddr, request: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(addr).await.expect("the server listens");
+    stream.write_all(request.as_bytes()).await.expect("the server reads");
+    stream
+}
+
+fn post(path: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\
+        content-type: application/json\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Sends a raw request and returns the raw answer without what changes.
+async fn exchange(addr: SocketAddr, request: &str) -> String {
+    let mut stream = connect(addr, request).await;
+    let mut bytes = Vec::new();
+    // A broken connection leaves what came before.
+    let _ = timeout(LIMIT, stream.read_to_end(&mut bytes)).await.expect("the server answers");
+    let text = String::from_utf8_lossy(&bytes).replace('\r', "");
+    let mut kept = String::new();
+    for line in text.lines() {
+        if line.starts_with("date:") || line.contains("request-id") || line.contains("request_id") {
+            continue;
+        }
+        let _ = writeln!(kept, "{line}");
+    }
+    kept
+}
+
+const COMPLETION: &str = "{\"model\":\"m@a@v\",\"prompt\":\"p\"}";
+const STREAMED: &str = "{\"model\":\"m@a@v\",\"prompt\":\"p\",\"stream\":true}";
+
+fn head() -> Step {
+    let better = Some("127.0.0.9:8000".to_owned());
+    Step::Head { status: 200, target: "e1".to_owned(), ran: "m@a@v".to_owned(), better }
+}
+
+fn piece(text: &str, last: bool) -> Step {
+    Step::Piece { bytes: Bytes::copy_from_slice(text.as_bytes()), last }
+}
+
+fn failed() -> Step {
+    Step::Failed(Fault::new(ErrorKind::TargetLost, "e1"))
+}
+
+#[tokio::test]
+async fn answers_are_whole_or_end_in_a_typed_error() {
+    let bench = start(1);
+    let events = ["data: 1\n\n", "data: [DONE]\n\n"];
+    let cases = [
+        ("whole", COMPLETION, vec![head(), piece("{\"a\":", false), piece("1}", true)]),
+        ("empty last piece", COMPLETION, vec![head(), piece("{}", false), piece("", true)]),
+        ("failed before", COMPLETION, vec![failed()]),
+        ("failed after the head", COMPLETION, vec![head(), piece("{\"a\":", false), failed()]),
+        ("given up by the host", COMPLETION, vec![head(), piece("{", false)]),
+        ("stream", STREAMED, vec![head(), piece(events[0], false), piece(events[1], true)]),
+        ("stream failed before", STREAMED, vec![failed()]),
+        ("stream failed after", STREAMED, vec![head(), piece(events[0], false), failed()]),
+        ("stream given up", STREAMED, vec![head(), piece(events[0], false)]),
+    ];
+    let mut report = String::new();
+    for (name, body, steps) in cases {
+        let sender = bench.prepare();
+        for step in steps {
+            sender.send(step).expect("the answer is wanted");
+        }
+        drop(sender);
+        let reply = exchange(bench.entry, &post("/v1/completions", body)).await;
+        let _ = writeln!(report, "--- {name}\n{reply}");
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[tokio::test]
+async fn a_late_failure_of_a_long_answer_breaks_the_connection() {
+    let bench = start(2);
+    let sender = bench.prepare();
+    sender.send(head()).expect("the answer is wanted");
+    let long = "x".repeat(1024 * 1024);
+    sender.send(piece(&long, false)).expect("the answer is wanted");
+    sender.send(failed()).expect("the answer is wanted");
+    let reply = exchange(bench.entry, &post("/v1/completions", COMPLETION)).await;
+    assert!(reply.contains("transfer-encoding: chunked"));
+    // The last chunk, which would make the answer whole, is missing.
+    assert!(!reply.ends_with("\n0\n\n"));
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_is_noticed() {
+    let bench = start(3);
+    let cases = [("before the head", vec![]), ("in mid-stream", vec![head(), piece("x", false)])];
+    for (i, (name, steps)) in cases.into_iter().enumerate() {
+        let sender = bench.prepare();
+        let sent = steps.len();
+        for step in steps {
+            sender.send(step).expect("the answer is wanted");
+        }
+        let mut stream = connect(bench.entry, &post("/v1/completions", STREAMED)).await;
+        if sent > 0 {
+            let mut some = [0; 16];
+            stream.read_exact(&mut some).await.expect("the answer starts");
+        }
+        // The request has arrived once its answer was fetched.
+        until(|| bench.stub.answers.lock().expect("no holder panics").is_empty()).await;
+        drop(stream);
+        until(|| bench.stub.seen.gone.load(SeqCst) == i + 1).await;
+        assert!(sender.is_closed(), "{name}");
+    }
+}
+
+async fn until(mut condition: impl FnMut() -> bool) {
+    let waiting = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(LIMIT, waiting).await.expect("the condition comes true");
+}
+
+#[tokio::test]
+async fn a_slow_caller_takes_no_more_than_the_connection_holds() {
+    let bench = start(4);
+    let sender = bench.prepare();
+    sender.send(head()).expect("the answer is wanted");
+    const PIECES: usize = 400;
+    let block = "x".repeat(64 * 1024);
+    for _ in 0..PIECES {
+        sender.send(piece(&block, false)).expect("the answer is wanted");
+    }
+    let mut stream = connect(bench.entry, &post("/v1/completions", STREAMED)).await;
+    let mut some = [0; 16];
+    stream.read_exact(&mut some).await.expect("the answer starts");
+    // Reads nothing more; what is taken comes to rest below what was sent.
+    let seen = &bench.stub.seen.taken;
+    let mut before = usize::MAX;
+    while before != seen.load(SeqCst) {
+        before = seen.load(SeqCst);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    assert!(before < PIECES * block.len(), "{before} bytes were taken");
+}
+
+#[tokio::test]
+async fn requests_that_cannot_be_read_get_typed_errors() {
+    let bench = start(5);
+    let get = |path: &str| format!("GET {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+    let short = post("/v1/completions", COMPLETION).replace("p\"}", "p\"");
+    let odd = post("/v1/completions", COMPLETION).replace("host: h", "host: h\r\nx-caller: \u{e9}");
+    let cases = [
+        ("metrics", bench.operator, get("/metrics")),
+        ("audit", bench.operator, get("/v1/audit?from=3&limit=5000")),
+        ("bad query", bench.operator, get("/v1/audit?from=x")),
+        (
+            "refused publish",
+            bench.operator,
+            post("/v1/publish", "{\"files\":[],\"author\":\"a\",\"revision\":\"r\"}"),
+        ),
+        ("malformed publish", bench.operator, post("/v1/publish", "{\"files\":1}")),
+        ("unknown path", bench.entry, get("/v2")),
+        ("wrong method", bench.entry, get("/v1/completions")),
+        ("where", bench.entry, get("/v1/where")),
+        ("model of another type", bench.entry, post("/v1/completions", "{\"model\":1}")),
+        ("caller in UTF-8", bench.entry, odd),
+    ];
+    let mut report = String::new();
+    for (name, addr, request) in cases {
+        let reply = exchange(addr, &request).await;
+        let _ = writeln!(report, "--- {name}\n{reply}");
+    }
+    // A body shorter than announced never reaches the host.
+    let mut stream = connect(bench.entry, &short).await;
+    stream.shutdown().await.expect("the connection is open");
+    let mut bytes = Vec::new();
+    let _ = timeout(LIMIT, stream.read_to_end(&mut bytes)).await.expect("the server ends it");
+    insta::assert_snapshot!(report);
+}
