--- a/protocol/wire/src/message.rs
+++ b/protocol/wire/src/message.rs
@@ -183,6 +183,8 @@
     pub digests: Vec<(HostId, Digest)>,
     /// Hosts without a lease.
     pub suspect: Vec<HostId>,
+    /// Hosts that are about to leave: they get no new work.
+    pub leaving: Vec<HostId>,
 }
 
 /// An owner's need for a load.
