--- a/coordination/place/src/fleet.rs
+++ b/coordination/place/src/fleet.rs
@@ -72,35 +72,36 @@
 }
 
 impl Fleet {
-    /// Sets a target.
-    pub(crate) fn set(&mut self, view: TargetView) {
+    /// Sets a target. Returns the adapters it holds now or held before.
+    pub(crate) fn set(&mut self, view: TargetView) -> Vec<AdapterId> {
         let id = view.id;
         let old = self.targets.remove(&id);
         let (reserved, took) = old.as_ref().map_or((None, 0.0), |old| (old.reserved, old.took));
-        let target = Target { view, reserved, took };
+        let mut changed = Vec::new();
         for resident in old.iter().flat_map(|old| &old.view.resident) {
-            let is_kept = target.view.open && is_ready(&target, resident.adapter);
-            if !is_kept {
+            if !is_ready(&view, resident.adapter) {
                 self.unhold(resident.adapter, id);
+                changed.push(resident.adapter);
             }
         }
-        if target.view.open {
-            for resident in &target.view.resident {
-                if resident.ready {
-                    self.holders.entry(resident.adapter).or_default().insert(id);
-                }
+        for resident in &view.resident {
+            if view.open && resident.ready {
+                self.holders.entry(resident.adapter).or_default().insert(id);
+                changed.push(resident.adapter);
             }
         }
-        self.targets.insert(id, target);
+        self.targets.insert(id, Target { view, reserved, took });
+        changed
     }
 
-    /// Removes a target.
-    pub(crate) fn remove(&mut self, id: TargetId) -> Option<TargetView> {
-        let old = self.targets.remove(&id)?;
-        for resident in &old.view.resident {
-            self.unhold(resident.adapter, id);
+    /// Removes a target. Returns the adapters it held.
+    pub(crate) fn remove(&mut self, id: TargetId) -> Vec<AdapterId> {
+        let Some(old) = self.targets.remove(&id) else { return Vec::new() };
+        let held: Vec<AdapterId> = old.view.resident.iter().map(|held| held.adapter).collect();
+        for adapter in &held {
+            self.unhold(*adapter, id);
         }
-        Some(old.view)
+        held
     }
 
     /// Returns a target.
@@ -167,6 +168,7 @@
     }
 }
 
-fn is_ready(target: &Target, adapter: AdapterId) -> bool {
-    target.view.resident.iter().any(|resident| resident.adapter == adapter && resident.ready)
+fn is_ready(view: &TargetView, adapter: AdapterId) -> bool {
+    let mut resident = view.resident.iter();
+    view.open && resident.any(|resident| resident.adapter == adapter && resident.ready)
 }
--- a/coordination/place/src/lib.rs
+++ b/coordination/place/src/lib.rs
@@ -3,9 +3,14 @@
 
 mod demand;
 mod fleet;
+mod loads;
 mod owner;
+mod pace;
 mod planner;
 mod policy;
+mod score;
+mod starts;
+mod starved;
 
 pub use crate::{
     planner::{PlannerSettings, StorePlanner},
--- a/coordination/place/src/planner.rs
+++ b/coordination/place/src/planner.rs
@@ -7,9 +7,13 @@
 
 use wire::{AdapterId, HostId, SlotDone, SlotGrant, Term, Want};
 
+use crate::score::Score;
+
 /// The share of a slot's term that the owner is not told of: it counts from
 /// the receipt of the grant, the planner from the sending.
 const MARGIN_PARTS: u32 = 8;
+/// One grant in this many goes to the want with the longest waiting request.
+const FAIR_EVERY: u64 = 4;
 /// Bits of a slot's number that count within a leader's term.
 const TERM_SHIFT: u32 = 32;
 
@@ -36,22 +40,11 @@
     }
 }
 
-/// A want's place in the order of grants: the greatest goes first.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct Score(f64);
-
-impl Eq for Score {}
-
-impl PartialOrd for Score {
-    fn partial_cmp(&self, other: &Score) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Score {
-    fn cmp(&self, other: &Score) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0)
-    }
+/// A want's place in the two orders of grants.
+#[derive(Debug, Clone, Copy)]
+struct Listed {
+    score: Score,
+    since: Duration,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -69,8 +62,10 @@
     settings: PlannerSettings,
     starts: Duration,
     next: u64,
-    wants: BTreeMap<HostId, Vec<Want>>,
+    wants: BTreeMap<HostId, BTreeMap<AdapterId, Listed>>,
     order: BTreeSet<(Score, HostId, AdapterId)>,
+    ages: BTreeSet<(Duration, HostId, AdapterId)>,
+    granted: u64,
     slots: BTreeMap<u64, Slot>,
     recent: VecDeque<Duration>,
 }
@@ -85,6 +80,8 @@
             next: 1,
             wants: BTreeMap::new(),
             order: BTreeSet::new(),
+            ages: BTreeSet::new(),
+            granted: 0,
             slots: BTreeMap::new(),
             recent: VecDeque::new(),
         }
@@ -98,14 +95,19 @@
     }
 
     /// Replaces the wants of a host.
-    pub fn wants(&mut self, _now: Duration, host: HostId, wants: Vec<Want>) {
+    pub fn wants(&mut self, now: Duration, host: HostId, wants: Vec<Want>) {
         self.remove_host(host);
-        for want in &wants {
-            if want.score.is_finite() {
-                self.order.insert((Score(want.score), host, want.adapter));
+        let mut listed = BTreeMap::new();
+        for want in wants {
+            if want.score.is_nan() || listed.contains_key(&want.adapter) {
+                continue;
             }
+            let entry = Listed { score: Score(want.score), since: now.saturating_sub(want.age) };
+            self.order.insert((entry.score, host, want.adapter));
+            self.ages.insert((entry.since, host, want.adapter));
+            listed.insert(want.adapter, entry);
         }
-        self.wants.insert(host, wants);
+        self.wants.insert(host, listed);
     }
 
     /// Notes the end of a granted load. A slot that was not used gives its
@@ -127,8 +129,9 @@
     /// Forgets the wants of a host without a lease. Its slots stay taken until
     /// their term ends.
     pub fn remove_host(&mut self, host: HostId) {
-        for want in self.wants.remove(&host).unwrap_or_default() {
-            self.order.remove(&(Score(want.score), host, want.adapter));
+        for (adapter, listed) in self.wants.remove(&host).unwrap_or_default() {
+            self.order.remove(&(listed.score, host, adapter));
+            self.ages.remove(&(listed.since, host, adapter));
         }
     }
 
@@ -140,18 +143,31 @@
         }
         self.slots.retain(|_, slot| slot.until > now);
         while self.has_room(now) {
-            let Some((score, host, adapter)) = self.order.pop_last() else { break };
+            let Some((host, adapter)) = self.next_want() else { break };
             if self.is_granted(host, adapter) {
                 continue;
             }
-            if let Some(wants) = self.wants.get_mut(&host) {
-                wants.retain(|want| want.adapter != adapter || want.score != score.0);
-            }
+            self.granted += 1;
             grants.push((host, self.take(now, host, adapter)));
         }
         grants
     }
 
+    /// Takes out the want that goes next: in turn the one whose load saves most
+    /// or the one that is waited for longest.
+    fn next_want(&mut self) -> Option<(HostId, AdapterId)> {
+        let is_fair = self.granted % FAIR_EVERY == FAIR_EVERY - 1;
+        let (host, adapter) = if is_fair {
+            self.ages.first().map(|&(_, host, adapter)| (host, adapter))?
+        } else {
+            self.order.last().map(|&(_, host, adapter)| (host, adapter))?
+        };
+        let listed = self.wants.get_mut(&host)?.remove(&adapter)?;
+        self.order.remove(&(listed.score, host, adapter));
+        self.ages.remove(&(listed.since, host, adapter));
+        Some((host, adapter))
+    }
+
     fn has_room(&mut self, now: Duration) -> bool {
         if self.slots.len() >= self.settings.loads {
             return false;
--- /dev/null
+++ b/coordination/place/src/starts.rs
@@ -0,0 +1,99 @@
+//! Which waiting request starts where.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use admit::{Lane, Need};
+use wire::{RequestId, TargetId};
+
+use crate::{TargetView, fleet::Target, owner::Owner};
+
+impl Owner {
+    /// Calls `visit` with each target that could run a lane's requests.
+    pub(crate) fn each_holder(&self, need: Need, mut visit: impl FnMut(&Target)) {
+        match need {
+            Need::Adapter(adapter) => self.fleet.holders(adapter).for_each(visit),
+            Need::Service(_) => {
+                for id in self.services.get(&need).into_iter().flatten() {
+                    if let Some(target) = self.fleet.get(*id) {
+                        visit(target);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the target on which a lane's next request should start.
+    pub(crate) fn pick(&self, lane: Lane, request: RequestId) -> Option<TargetId> {
+        let mut best: Option<(f64, TargetId)> = None;
+        self.each_holder(lane.need, |target| {
+            let is_mine = target.reserved == Some(request);
+            let fits = if lane.alone {
+                target.is_empty() && (is_mine || target.reserved.is_none())
+            } else {
+                target.room() > 0
+            };
+            let fill = target.fill();
+            if fits && best.is_none_or(|(least, _)| fill < least) {
+                best = Some((fill, target.view.id));
+            }
+        });
+        best.map(|(_, id)| id)
+    }
+
+    /// Keeps a target free for a request that must run alone.
+    pub(crate) fn reserve(&mut self, lane: Lane, request: RequestId) {
+        let mut best: Option<(f64, TargetId)> = None;
+        let mut is_reserved = false;
+        self.each_holder(lane.need, |target| {
+            is_reserved |= target.reserved.is_some();
+            let fill = target.fill();
+            if target.view.open && best.is_none_or(|(least, _)| fill < least) {
+                best = Some((fill, target.view.id));
+            }
+        });
+        if is_reserved {
+            return;
+        }
+        if let Some(target) = best.and_then(|(_, id)| self.fleet.get_mut(id)) {
+            target.reserved = Some(request);
+        }
+    }
+
+    /// Frees the target that was kept for a request.
+    pub(crate) fn release(&mut self, lane: Lane, request: RequestId) {
+        if !lane.alone {
+            return;
+        }
+        let mut kept = None;
+        self.each_holder(lane.need, |target| {
+            if target.reserved == Some(request) {
+                kept = Some(target.view.id);
+            }
+        });
+        let Some(id) = kept else { return };
+        self.touched.insert(id);
+        if let Some(target) = self.fleet.get_mut(id) {
+            target.reserved = None;
+        }
+    }
+
+    /// Returns the lanes that may have something to start.
+    pub(crate) fn candidates(&mut self) -> BTreeSet<(Duration, Lane)> {
+        let mut lanes = std::mem::take(&mut self.fresh);
+        for id in std::mem::take(&mut self.touched) {
+            let Some(target) = self.fleet.get(id) else { continue };
+            let needs = target.view.resident.iter().map(|resident| Need::Adapter(resident.adapter));
+            for need in needs.chain(self.service_of(&target.view)) {
+                lanes.insert(Lane { need, alone: false });
+                lanes.insert(Lane { need, alone: true });
+            }
+        }
+        let due = |lane: Lane| self.queue.head(lane).map(|(due, _)| (due, lane));
+        lanes.into_iter().filter_map(due).collect()
+    }
+
+    pub(crate) fn service_of(&self, view: &TargetView) -> Option<Need> {
+        let ids = self.services.iter().find(|(_, ids)| ids.contains(&view.id));
+        ids.map(|(need, _)| *need)
+    }
+}
--- a/protocol/wire/src/message.rs
+++ b/protocol/wire/src/message.rs
@@ -194,6 +194,8 @@
     pub score: f64,
     /// Requests that wait for it.
     pub waiting: u32,
+    /// How long the first of them has waited.
+    pub age: Duration,
 }
 
 /// The right to start one load.
