Let the weight of stalls set how long a request may wait for its adapter

Change: where only stalls weigh, a request may wait a quarter of its window, where only batches weigh, all of it.

--- a/coordination/place/src/owner.rs
+++ b/coordination/place/src/owner.rs
@@ -20,6 +20,9 @@
 const ARRIVAL_WEIGHT: f64 = 0.1;
 /// One grant in this many goes to the adapter that is waited for longest.
 pub(crate) const FAIR_EVERY: u32 = 4;
+/// Share of its window that a request may wait for its adapter where only
+/// stalls weigh; where only batches weigh, it is the whole window.
+const STALL_PATIENCE: f64 = 0.25;
 /// Starved adapters that are counted at most to estimate a wait.
 const COUNTED: usize = 256;
 
@@ -167,8 +170,9 @@
     /// more stalls weigh, the sooner it is refused.
     fn patience(&self, now: Duration, waiting: &Waiting) -> f64 {
         let left = waiting.deadline.saturating_sub(now).as_secs_f64();
-        let weight = self.settings.stall + self.settings.batch;
-        left * (self.settings.batch / weight.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
+        let PolicySettings { stall, batch, .. } = self.settings;
+        let share = (STALL_PATIENCE * stall + batch) / (stall + batch).max(f64::MIN_POSITIVE);
+        left * share
     }
 
     /// Returns whether a request would wait in vain.
