Value residency over ten seconds or more, and trust few arrivals less

Cause: an adapter with one or two arrivals passed for as hot as a resident one, and residency counted for half a second only while the store was quiet.

--- a/coordination/place/src/demand.rs
+++ b/coordination/place/src/demand.rs
@@ -11,7 +11,7 @@
 const DEPTH: usize = 4;
 /// Time added for each arrival that an estimate lacks, so that a single one
 /// does not pass for a high rate.
-const PRIOR: Duration = Duration::from_secs(4);
+const PRIOR: Duration = Duration::from_secs(16);
 /// The shortest time that an estimate looks back over.
 const SHORTEST: Duration = Duration::from_millis(50);
 /// Age at which an estimate is forgotten.
--- a/coordination/place/src/loads.rs
+++ b/coordination/place/src/loads.rs
@@ -23,7 +23,7 @@
 /// Failed loads in a row after which those who wait are refused.
 const FAILURES: u32 = 6;
 /// Bounds of the time over which residency is valued, in seconds.
-const HORIZON_SECS: (f64, f64) = (0.5, 30.0);
+const HORIZON_SECS: (f64, f64) = (10.0, 30.0);
 
 /// The lanes of an adapter.
 pub(crate) fn lanes(adapter: AdapterId) -> [Lane; 2] {
