--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,14 @@
-//! To be written.
+//! Stand-ins for model engines and plain services, for sessions of whole processes.
+
+pub mod announce;
+pub mod answer;
+pub mod client;
+pub mod cluster;
+pub mod counts;
+pub mod engine;
+pub mod fence;
+pub mod options;
+pub mod process;
+pub mod server;
+pub mod service;
+pub mod text;
