--- a/protocol/wire/tests/bad_frames.rs
+++ b/protocol/wire/tests/bad_frames.rs
@@ -71,7 +71,7 @@
         log(LogBody::Found { group: 4, members: members() }),
         log(LogBody::Vote { last: 5, last_term: 2 }),
         PeerMsg::Report(Box::new(report())),
-        PeerMsg::Wants(vec![Want { adapter: 1, score: 0.5, waiting: 2 }; 3]),
+        PeerMsg::Wants(vec![Want { adapter: 1, score: 0.5, waiting: 2, age: Duration::ZERO }; 3]),
         PeerMsg::Slots(vec![SlotGrant { slot: 1, adapter: 2, term: Duration::from_secs(1) }]),
         PeerMsg::Forward(Box::new(forward())),
         PeerMsg::Answer(Answer::Piece(Piece {
