Route the bench's requests with the directory that hosts use

Cause: the bench had a model of the directory; the real one now sends a hot adapter's requests on when all its holders are full.

--- a/coordination/place/benches/rig/owners.rs
+++ b/coordination/place/benches/rig/owners.rs
@@ -10,18 +10,15 @@
     Decision, LoadOrder, PlannerSettings, Policy, PolicySettings, Resident, StorePlanner,
     TargetView, owner_policy,
 };
-use wire::{Pin, SlotDone, SlotGrant, TargetKind};
+use route::{Directory, OwnedTarget};
+use wire::{Digest, Grant, Pin, Residency, SlotDone, SlotGrant, TargetKind};
 
 use super::{
-    BATCH, Fault, SLOTS, Scenario, Scheme, mix,
+    BATCH, Fault, SLOTS, Scenario, Scheme,
     world::{IN_FLIGHT, Request, World},
 };
 
 const LEADER_TERM: Duration = Duration::from_secs(5);
-/// Used share of a host's batches from which its hot adapters go to others.
-const FULL: f64 = 0.9;
-/// Used share of a host's batches up to which it takes them.
-const ROOMY: f64 = 0.75;
 const WANTS_EVERY: Duration = Duration::from_millis(50);
 
 struct Host {
@@ -38,8 +35,7 @@
     planner: StorePlanner,
     settings: PlannerSettings,
     grants: BTreeMap<(usize, u32), (usize, SlotGrant, LoadOrder)>,
-    holders: HashMap<u32, Vec<usize>>,
-    loads: Vec<f64>,
+    directory: Directory,
     refresh: Duration,
     domains: usize,
 }
@@ -65,6 +61,17 @@
                 is_up: true,
             }
         });
+        let target = |engine: usize| OwnedTarget {
+            id: engine as u32,
+            owner: owner[engine] as u32,
+            domain: format!("domain{}", engine % site.domains),
+            kind: TargetKind::Engine { model: "m".into() },
+            requests: BATCH,
+        };
+        let mut directory = Directory::default();
+        directory.set_targets((0..site.engines).map(target).collect());
+        let domain = |host: usize| (host as u32, format!("domain{}", host % site.domains));
+        directory.set_hosts((0..count).map(domain).collect());
         let settings = PlannerSettings { rate: site.rate, loads: IN_FLIGHT, term: LEADER_TERM };
         let is_stale = scenario.fault == Fault::StaleReports;
         Owners {
@@ -73,44 +80,35 @@
             planner: StorePlanner::new(Duration::ZERO, settings, true),
             settings,
             grants: BTreeMap::new(),
-            holders: HashMap::new(),
-            loads: vec![0.0; count],
+            directory,
             refresh: Duration::from_millis(if is_stale { 10_000 } else { 500 }),
             domains: site.domains,
         }
     }
 
-    /// Chooses the owner as the directory does: the least full host that holds
-    /// the adapter, or its home. When all that hold it are full, the first host
-    /// in the order of homes that has room.
-    fn choose(&self, adapter: u32) -> usize {
-        let resident = self.holders.get(&adapter).into_iter().flatten().copied();
-        let resident = resident.filter(|&host| self.hosts[host].is_up);
-        let best = resident.min_by(|&a, &b| self.loads[a].total_cmp(&self.loads[b]));
-        if let Some(host) = best.filter(|&host| self.loads[host] < FULL) {
-            return host;
-        }
-        let up = (0..self.hosts.len()).filter(|&host| self.hosts[host].is_up);
-        let is_fit = |host: &usize| best.is_none() || self.loads[*host] < ROOMY;
-        let home = up.filter(is_fit).max_by_key(|&host| mix(u64::from(adapter), host as u64));
-        home.or(best).expect("a host is up")
-    }
-
+    /// Tells the directory what the hosts hold and how loaded they are.
     fn refresh(&mut self, world: &World) {
-        self.holders.clear();
-        for (engine, target) in world.engines.iter().enumerate() {
-            for held in target.held.iter().filter(|held| held.ready.is_some()) {
-                let hosts = self.holders.entry(held.adapter).or_default();
-                if !hosts.contains(&self.owner[engine]) {
-                    hosts.push(self.owner[engine]);
+        let mut grant = no_grant(world.now);
+        for (id, host) in self.hosts.iter().enumerate() {
+            if !host.is_up {
+                grant.suspect.push(id as u32);
+                continue;
+            }
+            let mut digest = Digest { queued: host.policy.queued() as u32, ..Digest::default() };
+            let mut resident = BTreeMap::new();
+            for target in host.engines.iter().map(|&engine| &world.engines[engine]) {
+                digest.running += target.running.len() as u32;
+                digest.capacity += BATCH;
+                for held in target.held.iter().filter(|held| held.ready.is_some()) {
+                    *resident.entry(held.adapter).or_default() += 1;
                 }
             }
+            let rows =
+                resident.into_iter().map(|(adapter, targets)| Residency { adapter, targets });
+            digest.resident = rows.collect();
+            grant.digests.push((id as u32, digest));
         }
-        for (host, load) in self.hosts.iter().zip(&mut self.loads) {
-            let engines = host.engines.iter().map(|&engine| world.engines[engine].running.len());
-            let used = engines.sum::<usize>() as f64 + 0.001 * host.policy.queued() as f64;
-            *load = used / host.engines.len() as f64 / f64::from(BATCH);
-        }
+        self.directory.granted(world.now, &grant);
     }
 
     fn view(&self, world: &World, engine: usize) -> TargetView {
@@ -185,10 +183,13 @@
 
 impl Scheme for Owners {
     fn arrive(&mut self, world: &mut World, request: Request) {
-        let host = self.choose(request.adapter);
+        let pin = Pin::Adapter { id: request.adapter, name: format!("m@a{}@1", request.adapter) };
+        let domain = format!("domain{}", request.id % self.domains as u64);
+        let choice = self.directory.choose(world.now, &pin, &domain, &[]).expect("a host is up");
+        let host = choice.host as usize;
         let waiting = Waiting {
             request: request.id,
-            pin: Pin::Adapter { id: request.adapter, name: format!("m@a{}@1", request.adapter) },
+            pin,
             caller: format!("caller{}", request.caller),
             urgency: request.urgency,
             since: request.arrived,
@@ -248,3 +249,16 @@
         self.planner = StorePlanner::new(world.now, self.settings, false);
     }
 }
+
+fn no_grant(now: Duration) -> Grant {
+    Grant {
+        sent: now,
+        incarnation: 0,
+        term: LEADER_TERM,
+        applied: 0,
+        round: 0,
+        digests: Vec::new(),
+        suspect: Vec::new(),
+        leaving: Vec::new(),
+    }
+}
--- a/transport/peer/tests/common/mod.rs
+++ b/transport/peer/tests/common/mod.rs
@@ -70,12 +70,7 @@
 
 /// A message that goes by TCP and is told apart by its number.
 pub fn numbered(number: u32) -> PeerMsg {
-    PeerMsg::Wants(vec![Want {
-        adapter: number,
-        score: 0.0,
-        waiting: 0,
-        age: Duration::ZERO,
-    }])
+    PeerMsg::Wants(vec![Want { adapter: number, score: 0.0, waiting: 0, age: Duration::ZERO }])
 }
 
 /// Connects by hand as `from` and greets host `to`.
