--- a/coordination/place/benches/rig/owners.rs
+++ b/coordination/place/benches/rig/owners.rs
@@ -14,7 +14,7 @@
 use wire::{Digest, Grant, Pin, Residency, SlotDone, SlotGrant, TargetKind};
 
 use super::{
-    BATCH, Fault, SLOTS, Scenario, Scheme,
+    BATCH, Fault, SLOTS, Scenario, Scheme, mix,
     world::{IN_FLIGHT, Request, World},
 };
 
@@ -38,6 +38,7 @@
     directory: Directory,
     refresh: Duration,
     domains: usize,
+    is_stale: bool,
 }
 
 impl Owners {
@@ -83,6 +84,7 @@
             directory,
             refresh: Duration::from_millis(if is_stale { 10_000 } else { 500 }),
             domains: site.domains,
+            is_stale,
         }
     }
 
@@ -126,13 +128,21 @@
             slots: SLOTS,
             batch: BATCH,
             running: target.running.len() as u32,
-            foreign: 0,
+            foreign: self.ghosts(world, engine),
             open: target.is_up,
             alone: false,
             resident: resident.collect(),
         }
     }
 
+    /// Returns requests that a stale report tells of though they have ended.
+    fn ghosts(&self, world: &World, engine: usize) -> u32 {
+        if !self.is_stale {
+            return 0;
+        }
+        (mix(engine as u64, world.now.as_secs() / 10) % 3) as u32
+    }
+
     fn sync(&mut self, world: &World, host: usize) {
         for engine in std::mem::take(&mut self.hosts[host].dirty) {
             let view = self.view(world, engine);
--- a/coordination/place/src/lib.rs
+++ b/coordination/place/src/lib.rs
@@ -8,6 +8,7 @@
 mod pace;
 mod planner;
 mod policy;
+mod prefix;
 mod score;
 mod starts;
 mod starved;
--- a/coordination/place/src/loads.rs
+++ b/coordination/place/src/loads.rs
@@ -22,6 +22,9 @@
 const BACKOFF_DOUBLINGS: u32 = 6;
 /// Failed loads in a row after which those who wait are refused.
 const FAILURES: u32 = 6;
+/// What a second copy in one failure domain costs, as a share of the adapter's
+/// expected requests.
+const SAME_DOMAIN: f64 = 0.25;
 /// Bounds of the time over which residency is valued, in seconds.
 const HORIZON_SECS: (f64, f64) = (10.0, 30.0);
 
@@ -97,6 +100,7 @@
     /// Returns the target for a load, with its victim and what that costs.
     pub(crate) fn room_for(&self, now: Duration, adapter: AdapterId) -> Option<(f64, LoadOrder)> {
         let model = self.models.get(&adapter)?;
+        let near = SAME_DOMAIN * self.expected(now, adapter);
         let mut best: Option<(f64, f64, LoadOrder)> = None;
         for target in self.fleet.iter() {
             let view = &target.view;
@@ -106,6 +110,8 @@
                 continue;
             }
             let Some((cost, victim)) = self.victim(now, target) else { continue };
+            let is_near = self.fleet.holders(adapter).any(|own| own.view.domain == view.domain);
+            let cost = cost + if is_near { near } else { 0.0 };
             let fill = target.fill();
             let is_better = best.is_none_or(|(least, filled, _)| (cost, fill) < (least, filled));
             if is_better {
--- a/coordination/place/src/owner.rs
+++ b/coordination/place/src/owner.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     Decision, LoadOrder, Policy, PolicySettings, TargetView, demand::Demand, fleet::Fleet,
-    loads::lanes, pace::Pace, starved::Starved,
+    loads::lanes, pace::Pace, prefix::Prefixes, starved::Starved,
 };
 
 /// Weight of the newest sample in the mean time until an adapter arrives.
@@ -42,6 +42,7 @@
     pub(crate) queue: Queue,
     pub(crate) fleet: Fleet,
     pub(crate) demand: Demand,
+    pub(crate) prefixes: Prefixes,
     /// Targets by the service they run.
     pub(crate) services: BTreeMap<Need, BTreeSet<TargetId>>,
     /// Base models of adapters.
@@ -80,6 +81,7 @@
             queue: Queue::new(settings.bounds),
             fleet: Fleet::default(),
             demand: Demand::default(),
+            prefixes: Prefixes::default(),
             services: BTreeMap::new(),
             models: HashMap::new(),
             names: BTreeSet::new(),
@@ -106,6 +108,15 @@
         Some(waiting)
     }
 
+    /// Takes a request out of the queue to start it.
+    fn begin(&mut self, now: Duration, lane: Lane, request: RequestId, target: TargetId) {
+        let Some(waiting) = self.take(now, request) else { return };
+        self.fleet.start(target, lane.alone);
+        if let Need::Adapter(adapter) = lane.need {
+            self.prefixes.used(adapter, waiting.prefix, target);
+        }
+    }
+
     /// Brings all up to date after a request left the queue.
     fn left(&mut self, now: Duration, lane: Lane, waiting: &Waiting) {
         self.release(lane, waiting.request);
@@ -282,8 +293,7 @@
                 }
                 continue;
             };
-            self.take(now, request);
-            self.fleet.start(target, lane.alone);
+            self.begin(now, lane, request, target);
             decisions.push(Decision::Start { request, target });
             if let Some((due, _)) = self.queue.head(lane) {
                 order.insert((due, lane));
--- a/coordination/place/src/starts.rs
+++ b/coordination/place/src/starts.rs
@@ -7,6 +7,10 @@
 
 use crate::{TargetView, fleet::Target, owner::Owner};
 
+/// How much fuller, as a share of its batch, the target that last used a
+/// request's prefix may be than another and still be taken.
+const PREFIX_FILL: f64 = 0.25;
+
 impl Owner {
     /// Calls `visit` with each target that could run a lane's requests.
     pub(crate) fn each_holder(&self, need: Need, mut visit: impl FnMut(&Target)) {
@@ -22,8 +26,11 @@
         }
     }
 
-    /// Returns the target on which a lane's next request should start.
+    /// Returns the target on which a lane's next request should start: the one
+    /// with the most room, or the one that last used its prefix if that is not
+    /// much fuller.
     pub(crate) fn pick(&self, lane: Lane, request: RequestId) -> Option<TargetId> {
+        let cached = self.cached(lane, request);
         let mut best: Option<(f64, TargetId)> = None;
         self.each_holder(lane.need, |target| {
             let is_mine = target.reserved == Some(request);
@@ -32,7 +39,8 @@
             } else {
                 target.room() > 0
             };
-            let fill = target.fill();
+            let is_cached = cached == Some(target.view.id);
+            let fill = target.fill() - if is_cached { PREFIX_FILL } else { 0.0 };
             if fits && best.is_none_or(|(least, _)| fill < least) {
                 best = Some((fill, target.view.id));
             }
@@ -40,6 +48,12 @@
         best.map(|(_, id)| id)
     }
 
+    fn cached(&self, lane: Lane, request: RequestId) -> Option<TargetId> {
+        let Need::Adapter(adapter) = lane.need else { return None };
+        let prefix = self.queue.get(request)?.prefix;
+        self.prefixes.last(adapter, prefix)
+    }
+
     /// Keeps a target free for a request that must run alone.
     pub(crate) fn reserve(&mut self, lane: Lane, request: RequestId) {
         let mut best: Option<(f64, TargetId)> = None;
