--- /dev/null
+++ b/coordination/admit/tests/queue.rs
@@ -0,0 +1,176 @@
+//! Order, fairness and bounds of the queue.
+
+use std::{fmt::Write as _, time::Duration};
+
+use admit::{Bounds, Lane, Queue, Waiting};
+use insta::assert_snapshot;
+use quickcheck::{Arbitrary, Gen};
+use wire::{ErrorKind, Pin, Urgency};
+
+const ROOMY: Bounds = Bounds { total: 1_000, caller: 1_000 };
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn waiting(request: u64, caller: &str, urgency: Urgency, since: u64, deadline: u64) -> Waiting {
+    Waiting {
+        request,
+        pin: Pin::Adapter { id: 1, name: "m@a@1".into() },
+        caller: caller.into(),
+        urgency,
+        since: secs(since),
+        deadline: secs(deadline),
+        prefix: 0,
+        alone: false,
+    }
+}
+
+fn drain(queue: &mut Queue) -> String {
+    let mut text = String::new();
+    let lane = queue.lane(&waiting(0, "", Urgency::Low, 0, 0).pin, false);
+    while let Some((due, request)) = queue.head(lane) {
+        let (_, waiting) = queue.remove(request).unwrap();
+        let Waiting { caller, urgency, deadline, .. } = waiting;
+        writeln!(text, "{request:>3} due {due:>6.1?} {caller} {urgency:?}, deadline {deadline:?}")
+            .unwrap();
+    }
+    text
+}
+
+#[test]
+fn urgent_and_pressing_requests_go_first() {
+    let mut queue = Queue::new(ROOMY);
+    let rows = [
+        (1, Urgency::Low, 0, 20),
+        (2, Urgency::Normal, 0, 20),
+        (3, Urgency::High, 0, 20),
+        (4, Urgency::Normal, 2, 8),
+        (5, Urgency::High, 4, 24),
+        (6, Urgency::Low, 4, 600),
+        (7, Urgency::Low, 5, 6),
+    ];
+    for (request, urgency, since, deadline) in rows {
+        let caller = format!("c{request}");
+        queue.push(secs(since), waiting(request, &caller, urgency, since, deadline)).unwrap();
+    }
+    assert_snapshot!(drain(&mut queue));
+}
+
+#[test]
+fn a_flood_of_one_caller_does_not_delay_another() {
+    let mut queue = Queue::new(ROOMY);
+    for request in 0..40 {
+        queue.push(secs(0), waiting(request, "flood", Urgency::Normal, 0, 10)).unwrap();
+    }
+    queue.push(secs(1), waiting(100, "other", Urgency::Normal, 1, 11)).unwrap();
+    let order = drain(&mut queue);
+    let place = order.lines().position(|line| line.contains("other")).unwrap();
+    assert_eq!(place, 12, "{order}");
+}
+
+#[test]
+fn bounds_and_deadlines_refuse() {
+    let mut queue = Queue::new(Bounds { total: 3, caller: 2 });
+    let mut push = |request, caller, deadline| {
+        queue.push(secs(5), waiting(request, caller, Urgency::Normal, 0, deadline))
+    };
+    assert_eq!(push(1, "a", 5), Err(ErrorKind::Expired));
+    assert_eq!(push(1, "a", 9), Ok(()));
+    assert_eq!(push(2, "a", 8), Ok(()));
+    assert_eq!(push(3, "a", 9), Err(ErrorKind::QueueFull));
+    assert_eq!(push(3, "b", 9), Ok(()));
+    assert_eq!(push(4, "c", 9), Err(ErrorKind::QueueFull));
+    assert!(queue.expire(secs(7)).is_none());
+    assert_eq!(queue.expire(secs(8)).unwrap().1.request, 2);
+    queue.push(secs(8), waiting(5, "a", Urgency::Normal, 8, 9)).unwrap();
+}
+
+/// A step of a random schedule.
+#[derive(Debug, Clone)]
+enum Step {
+    Push { caller: u8, urgency: u8, window: u8, adapter: bool, alone: bool },
+    Remove(u8),
+    Expire,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        match u8::arbitrary(g) % 8 {
+            0 => Step::Expire,
+            1 | 2 => Step::Remove(u8::arbitrary(g)),
+            _ => Step::Push {
+                caller: u8::arbitrary(g) % 5,
+                urgency: u8::arbitrary(g) % 3,
+                window: u8::arbitrary(g) % 30 + 1,
+                adapter: bool::arbitrary(g),
+                alone: bool::arbitrary(g),
+            },
+        }
+    }
+}
+
+#[test]
+fn lanes_agree_with_a_plain_list() {
+    for seed in 0..100 {
+        let steps = Vec::<Step>::arbitrary(&mut Gen::from_size_and_seed(200, seed));
+        let mut queue = Queue::new(Bounds { total: 50, caller: 20 });
+        let mut list: Vec<Waiting> = Vec::new();
+        for (at, step) in steps.into_iter().enumerate() {
+            let now = Duration::from_millis(300 * at as u64);
+            run(&mut queue, &mut list, now, at as u64, step);
+            check(&mut queue, &list);
+        }
+    }
+}
+
+fn run(queue: &mut Queue, list: &mut Vec<Waiting>, now: Duration, id: u64, step: Step) {
+    match step {
+        Step::Push { caller, urgency, window, adapter, alone } => {
+            let pin = match adapter {
+                true => Pin::Adapter { id: 1, name: "m@a@1".into() },
+                false => Pin::Service { service: "booking".into() },
+            };
+            let urgency = [Urgency::High, Urgency::Normal, Urgency::Low][usize::from(urgency)];
+            let deadline = now + secs(u64::from(window));
+            let caller = format!("c{caller}");
+            let mine = list.iter().filter(|other| other.caller == caller).count();
+            let waiting = waiting(id, &caller, urgency, 0, 0);
+            let waiting = Waiting { pin, since: now, deadline, alone, ..waiting };
+            let fits = list.len() < 50 && mine < 20;
+            assert_eq!(queue.push(now, waiting.clone()).is_ok(), fits);
+            if fits {
+                list.push(waiting);
+            }
+        }
+        Step::Remove(pick) => {
+            if list.is_empty() {
+                return;
+            }
+            let waiting = list.remove(usize::from(pick) % list.len());
+            assert_eq!(queue.remove(waiting.request).unwrap().1, waiting);
+            assert!(queue.remove(waiting.request).is_none());
+        }
+        Step::Expire => {
+            while let Some((_, waiting)) = queue.expire(now) {
+                assert!(waiting.deadline <= now);
+                list.retain(|other| other.request != waiting.request);
+            }
+            assert!(list.iter().all(|waiting| waiting.deadline > now));
+        }
+    }
+}
+
+fn check(queue: &mut Queue, list: &[Waiting]) {
+    assert_eq!(queue.len(), list.len());
+    let lanes: Vec<Lane> = queue.lanes().collect();
+    let depth: u32 = lanes.iter().map(|lane| queue.depth(*lane).total()).sum();
+    assert_eq!(depth as usize, list.len());
+    for lane in lanes {
+        let mut mine = list.to_vec();
+        mine.retain(|waiting| queue.lane(&waiting.pin, waiting.alone) == lane);
+        let oldest = mine.iter().map(|waiting| waiting.since).min();
+        assert_eq!(queue.oldest(lane), oldest);
+        assert_eq!(queue.requests(lane).next(), queue.head(lane).map(|(_, request)| request));
+    }
+}
