--- a/coordination/place/src/lib.rs
+++ b/coordination/place/src/lib.rs
@@ -3,9 +3,15 @@
 
 mod demand;
 mod fleet;
+mod loads;
 mod owner;
+mod pace;
 mod planner;
 mod policy;
+mod prefix;
+mod score;
+mod starts;
+mod starved;
 
 pub use crate::{
     planner::{PlannerSettings, StorePlanner},
