Put claims in doubt for as long as a lost run holds them

Cause: a claim that was committed after its host was counted lost stayed open until that host or the leader changed; resends were told key_busy. Ruled out: refusing claims of lost runs in the table; a host that lost its lease and got it back claims under the same run. Change: the leader compares open claims with the leases it knows, each 100 ms, in place of one entry per lost host and one per host at each change of leader.

Also: orders and calls carry the end of the lease that counts for what the host has applied, not the end of time whose demand it has not met.

--- a/coordination/node/src/member.rs
+++ b/coordination/node/src/member.rs
@@ -32,10 +32,8 @@
     balanced: Duration,
     /// Assignments under way, so that they are not proposed twice at once.
     proposed: Option<(Duration, Index)>,
-    /// Whether hosts that this leader never heard of were looked for.
-    swept: bool,
-    /// Lost runs whose claims have yet to be put in doubt.
-    lost: BTreeMap<HostId, Incarnation>,
+    /// Lost runs whose claims were proposed to be put in doubt, and when.
+    doubted: BTreeMap<(HostId, Incarnation), Duration>,
     /// Intents whose withdrawal was proposed.
     resolved: BTreeSet<Index>,
 }
@@ -65,10 +63,7 @@
 
     /// Returns when the lease ends, if it counts now.
     pub(crate) fn lease(&self, now: Duration, applied: Index) -> Option<Duration> {
-        if !self.holder.valid(now, applied) {
-            return None;
-        }
-        self.holder.until()
+        self.holder.valid_until(applied).filter(|until| now < *until)
     }
 
     /// Returns the hosts that hold leases, on the leader.
@@ -91,10 +86,20 @@
         for (host, grant) in lead.planner.grant(ctx.now) {
             fx.send(host, PeerMsg::Slots(vec![grant]));
         }
-        lead.sweep(ctx, &self.hosts);
         lead.assign(ctx, fx);
     }
 
+    /// On the leader: puts the claims of lost runs in doubt.
+    pub(crate) fn doubt(
+        &mut self,
+        ctx: &Ctx,
+        claimers: &[(HostId, Incarnation)],
+        fx: &mut Effects,
+    ) {
+        let Some(lead) = &mut self.lead else { return };
+        lead.doubt(ctx, claimers, fx);
+    }
+
     /// Starts or stops to lead.
     fn follow(&mut self, ctx: &Ctx) {
         let view = &ctx.view;
@@ -114,8 +119,7 @@
             planner: StorePlanner::new(ctx.now, self.planner, founding),
             balanced: Duration::ZERO,
             proposed: None,
-            swept: false,
-            lost: BTreeMap::new(),
+            doubted: BTreeMap::new(),
             resolved: BTreeSet::new(),
         });
     }
@@ -171,36 +175,31 @@
 }
 
 impl Lead {
-    /// Counts hosts as lost that hold no lease once all earlier leases ran out:
-    /// their claims must not stay open.
-    fn sweep(&mut self, ctx: &Ctx, hosts: &[HostId]) {
-        if self.swept || !self.grantor.settled(ctx.now) {
+    /// Puts claims in doubt whose claimers hold no lease. The open claims are
+    /// looked at again and again: one may be committed after its host was lost.
+    fn doubt(&mut self, ctx: &Ctx, claimers: &[(HostId, Incarnation)], fx: &mut Effects) {
+        if !self.grantor.settled(ctx.now) {
             return;
         }
-        self.swept = true;
-        let live = self.grantor.live(ctx.now);
-        for &host in hosts {
-            let run = live.iter().find(|it| it.host == host).map(|it| it.incarnation);
-            self.note_lost(host, run.unwrap_or(Incarnation::MAX));
+        self.doubted.retain(|_, at| ctx.now < *at + REPROPOSE_AFTER);
+        for &(host, run) in claimers {
+            if self.grantor.is_live(ctx.now, host, run) || self.doubted.contains_key(&(host, run)) {
+                continue;
+            }
+            self.doubted.insert((host, run), ctx.now);
+            fx.propose(Command::HostLost { host, before: run.saturating_add(1) });
         }
     }
 
-    fn note_lost(&mut self, host: HostId, before: Incarnation) {
-        let known = self.lost.entry(host).or_default();
-        *known = before.max(*known);
-    }
-
     /// Moves targets to live owners and withdraws what lost runs left behind.
     fn assign(&mut self, ctx: &Ctx, fx: &mut Effects) {
-        for (host, before) in self.grantor.lost(ctx.now) {
+        for (host, _) in self.grantor.lost(ctx.now) {
             self.planner.remove_host(host);
-            self.note_lost(host, before);
         }
         if ctx.now < self.balanced + BALANCE_EVERY {
             return;
         }
         self.balanced = ctx.now;
-        self.settle_lost(ctx, fx);
         if !self.grantor.settled(ctx.now) || self.is_waiting(ctx) {
             return;
         }
@@ -220,15 +219,6 @@
         ctx.view.applied <= applied && ctx.now < at + REPROPOSE_AFTER
     }
 
-    fn settle_lost(&mut self, ctx: &Ctx, fx: &mut Effects) {
-        if !self.grantor.settled(ctx.now) {
-            return;
-        }
-        for (host, before) in std::mem::take(&mut self.lost) {
-            fx.propose(Command::HostLost { host, before });
-        }
-    }
-
     /// Withdraws intents whose sender's process has been replaced by a later
     /// run: a dead process sends nothing.
     fn withdraw_intents(&mut self, live: &[LiveHost], view: &View, fx: &mut Effects) {
--- a/coordination/node/src/node.rs
+++ b/coordination/node/src/node.rs
@@ -367,6 +367,10 @@
         if ticks.is_multiple_of(SLOW_TICKS) {
             self.owner().tick_attempts(&ctx, fx);
             self.on_entry(|entry, dir| entry.tick(&ctx, dir, fx));
+            if ctx.view.leading {
+                let claimers = self.core().machine().claims.holders();
+                self.member().doubt(&ctx, &claimers, fx);
+            }
         }
         self.try_exit(now, fx);
     }
--- /dev/null
+++ b/coordination/node/tests/claims.rs
@@ -0,0 +1,45 @@
+//! Claims whose claimers are lost.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Cluster, booking, ready, target::Target};
+use node::{Input, Output};
+use wire::{Command, ErrorKind, HostId, PeerMsg};
+
+const LIMIT: Duration = Duration::from_secs(30);
+const SETTLE: Duration = Duration::from_secs(6);
+
+/// Lets a host take a call and returns its claim, which is not delivered.
+fn claim_of(cluster: &Cluster, host: HostId) -> PeerMsg {
+    let caller = Box::new(booking("k1", "deposit"));
+    let outputs = cluster.node(host).handle(cluster.now, Input::Request { tag: 999, caller });
+    let mut sent = outputs.into_iter().filter_map(|output| match output {
+        Output::Send { msg, .. } => Some(msg),
+        _ => None,
+    });
+    let claim = sent.find(|msg| match msg {
+        PeerMsg::Propose(proposal) => matches!(proposal.command, Command::Claim(_)),
+        _ => false,
+    });
+    claim.expect("the call is claimed")
+}
+
+#[test]
+fn a_claim_committed_after_its_host_was_lost_does_not_stay_open() {
+    let mut cluster = ready(4, 3);
+    cluster.add_target(Target::service("s1", 1));
+    cluster.run(SETTLE);
+    let late = claim_of(&cluster, 4);
+    cluster.kill(4);
+    cluster.run(Duration::from_secs(15));
+    let leader = cluster.leader().expect("there is a leader");
+    cluster.input(leader, Input::Peer { from: 4, msg: late });
+    cluster.run(Duration::from_secs(2));
+    let resend = cluster.request(1, booking("k1", "deposit"));
+    assert!(cluster.run_until(LIMIT, |it| it.told[&resend].ended()));
+    let kind = cluster.told[&resend].fault.as_ref().map(|fault| fault.kind);
+    assert_eq!(kind, Some(ErrorKind::InDoubt));
+    assert_eq!(cluster.targets[0].runs("deposit"), 0);
+}
