--- a/coordination/node/tests/common/mod.rs
+++ b/coordination/node/tests/common/mod.rs
@@ -74,6 +74,8 @@
     pub told: BTreeMap<(HostId, Tag), Told>,
     pub published: BTreeMap<Tag, Result<Published, Fault>>,
     pub changes: Vec<(HostId, Change)>,
+    /// Every message between hosts but for answers arrives twice.
+    pub doubled: bool,
     /// Orders of these hosts arrive late by that much.
     pub late_orders: BTreeMap<HostId, Duration>,
     /// Targets start again this long after a crash.
@@ -113,6 +115,7 @@
             told: BTreeMap::new(),
             published: BTreeMap::new(),
             changes: Vec::new(),
+            doubled: false,
             late_orders: BTreeMap::new(),
             revival: None,
             trace: None,
@@ -454,6 +457,10 @@
             self.note(format!("host {from} -> host {to}: {line}"));
         }
         let Some(run) = self.hosts.get(&to).map(|host| host.run) else { return };
+        if self.doubled && !matches!(msg, PeerMsg::Answer(_)) {
+            let again = Input::Peer { from, msg: msg.clone() };
+            self.at(LINK_DELAY * 3, Event::Input(to, run, again));
+        }
         self.at(LINK_DELAY, Event::Input(to, run, Input::Peer { from, msg }));
     }
 
--- a/coordination/node/tests/promises.rs
+++ b/coordination/node/tests/promises.rs
@@ -278,6 +278,10 @@
     assert!(published.domains.iter().all(|domain| domain.lagging == 0));
     assert!(cluster.now - began <= seconds(3 + 5));
     assert!(!cluster.node(6).status(cluster.now).lease);
+    let cut = cluster.request(6, completion("base@a@v1", "while cut off"));
+    cluster.run(Duration::from_millis(1));
+    let fault = cluster.told[&cut].fault.clone().expect("a host without a lease admits nothing");
+    assert_eq!(fault.kind, ErrorKind::NoLease);
     cluster.heal();
     cluster.run(seconds(5));
     let old = cluster.request(6, completion("base@a@v1", "old version"));
