Start no request twice when its message arrives twice or after its cancellation

Cause: an owner forgot a request when it ended or was refused. The same message arriving once more started it again: the fault matrix with messages doubled up to 300 ms apart showed a non-idempotent call run twice (Doubled at Arrived and at Sent). Ruled out: the claims table; there was one claim and one claimer.

--- a/coordination/node/src/lib.rs
+++ b/coordination/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod effect;
 mod entry;
 mod failure;
+mod heard;
 mod held;
 mod io;
 mod machine;
--- a/coordination/node/src/owner.rs
+++ b/coordination/node/src/owner.rs
@@ -17,6 +17,7 @@
 use crate::{
     Call, Change, Output,
     effect::Effects,
+    heard::Heard,
     held::{Held, Reported, is_owned},
     orders::Job,
     stats::Stats,
@@ -96,6 +97,7 @@
     pub(crate) sent_wants: Duration,
     pub(crate) stats: Stats,
     pub(crate) leaving: bool,
+    heard: Heard,
     registry: Arc<Registry>,
 }
 
@@ -113,6 +115,7 @@
             sent_wants: Duration::ZERO,
             stats: Stats::default(),
             leaving: false,
+            heard: Heard::default(),
             registry: Arc::default(),
         }
     }
@@ -194,10 +197,11 @@
         forward: Box<Forward>,
         fx: &mut Effects,
     ) {
-        if self.attempts.contains_key(&forward.request) {
+        let id = forward.request;
+        // Also one that was refused must not start when it arrives again.
+        if !self.heard.note(ctx.now, id) {
             return;
         }
-        let id = forward.request;
         if let Err(kind) = self.admit(ctx, &forward) {
             fx.send(entry, fail_msg(id, kind.into()));
             return;
@@ -453,6 +457,8 @@
 
     /// Gives up an attempt that its entry does not want any more.
     pub(crate) fn cancel(&mut self, ctx: &Ctx, id: RequestId, fx: &mut Effects) {
+        // The request may yet arrive.
+        self.heard.note(ctx.now, id);
         self.policy.cancel(id);
         let Some(attempt) = self.release(ctx, id) else { return };
         if let Stage::Running(running) = &attempt.stage {
--- a/coordination/node/tests/common/mod.rs
+++ b/coordination/node/tests/common/mod.rs
@@ -69,6 +69,10 @@
     pub targets: Vec<Target>,
     queue: BTreeMap<(Duration, u64), Event>,
     seq: u64,
+    /// Messages between hosts arrive up to so much late, and out of order.
+    pub jitter: Duration,
+    /// Messages between hosts arrive a second time, up to so much later.
+    pub echo: Duration,
     /// Pairs of hosts that do not hear each other.
     pub cut: BTreeSet<(HostId, HostId)>,
     pub told: BTreeMap<(HostId, Tag), Told>,
@@ -111,6 +115,8 @@
             targets: Vec::new(),
             queue: BTreeMap::new(),
             seq: 0,
+            jitter: Duration::ZERO,
+            echo: Duration::ZERO,
             cut: BTreeSet::new(),
             told: BTreeMap::new(),
             published: BTreeMap::new(),
@@ -461,7 +467,18 @@
             let again = Input::Peer { from, msg: msg.clone() };
             self.at(LINK_DELAY * 3, Event::Input(to, run, again));
         }
-        self.at(LINK_DELAY, Event::Input(to, run, Input::Peer { from, msg }));
+        if !self.echo.is_zero() {
+            let delay = LINK_DELAY + self.part(self.echo);
+            self.at(delay, Event::Input(to, run, Input::Peer { from, msg: msg.clone() }));
+        }
+        let delay = LINK_DELAY + self.part(self.jitter);
+        self.at(delay, Event::Input(to, run, Input::Peer { from, msg }));
+    }
+
+    /// Returns a part of a time, another one with each event.
+    fn part(&self, time: Duration) -> Duration {
+        let mixed = self.seq.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 54;
+        time * mixed as u32 / 1024
     }
 
     fn find(&self, addr: &str) -> Option<usize> {
--- a/coordination/node/tests/matrix.rs
+++ b/coordination/node/tests/matrix.rs
@@ -12,6 +12,7 @@
 const LIMIT: Duration = Duration::from_secs(40);
 const SETTLE: Duration = Duration::from_secs(6);
 const OUTAGE: Duration = Duration::from_secs(8);
+const JITTER: Duration = Duration::from_millis(300);
 const RESENDS: u32 = 6;
 const BODY: &str = "deposit 17";
 
@@ -48,9 +49,11 @@
     TargetLeaves,
     AnswerLost,
     AllRestart,
+    Late,
+    Doubled,
 }
 
-const FAULTS: [Fault; 17] = [
+const FAULTS: [Fault; 19] = [
     Fault::None,
     Fault::KillEntry,
     Fault::KillOwner,
@@ -68,6 +71,8 @@
     Fault::TargetLeaves,
     Fault::AnswerLost,
     Fault::AllRestart,
+    Fault::Late,
+    Fault::Doubled,
 ];
 
 /// One cell's hosts and targets.
@@ -151,6 +156,8 @@
                 target.drop_answer = Some(BODY.to_owned());
             }
         }
+        Fault::Late => cluster.jitter = JITTER,
+        Fault::Doubled => cluster.echo = JITTER,
         Fault::AllRestart => {
             for id in 1..=6 {
                 cluster.kill(id);
@@ -199,6 +206,8 @@
                 target.drop_answer = None;
             }
         }
+        Fault::Late => cluster.jitter = Duration::ZERO,
+        Fault::Doubled => cluster.echo = Duration::ZERO,
         _ => {}
     }
 }
