Test whole hosts under random faults, several at once

Kills, shutdowns, freezes, cuts, late and doubled messages, broken connections and crashes of targets, under requests and resends; then calm, after which every host must work and no key may be stuck. Verdicts come from what the targets ran and from what callers were told.

--- /dev/null
+++ b/coordination/node/tests/storm.rs
@@ -0,0 +1,242 @@
+//! Random faults, several at once, under requests and resends. The seeds are
+//! fixed; a failing one is named.
+
+mod common;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use common::{Cluster, booking, completion, ready, target::Target};
+use node::{Input, Tag};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use wire::{ErrorKind, HostId, Ran};
+
+const SEEDS: u64 = 24;
+const HOSTS: u32 = 6;
+const ROUNDS: u32 = 30;
+const BODIES: u64 = 10;
+const PIECES: usize = 12;
+const LIMIT: Duration = Duration::from_secs(60);
+const JITTER: Duration = Duration::from_millis(200);
+
+/// A try of a caller that has not ended.
+struct Try {
+    key: (HostId, Tag),
+    body: String,
+    /// Executions of its body when it was sent.
+    before: usize,
+    /// Whether another try of the same body was open at the same time.
+    alone: bool,
+}
+
+struct Storm {
+    rng: ChaCha8Rng,
+    cluster: Cluster,
+    open: Vec<Try>,
+    broken: Vec<String>,
+    counts: BTreeMap<String, u32>,
+}
+
+impl Storm {
+    fn new(seed: u64) -> Storm {
+        let mut cluster = ready(HOSTS, 3);
+        cluster.add_target(Target::engine("e1", 1, false));
+        cluster.add_target(Target::engine("e2", 2, true));
+        cluster.add_target(Target::service("s1", 3));
+        cluster.add_target(Target::service("s2", 4));
+        for target in &mut cluster.targets {
+            // Long answers on little room: each load must evict what is in use.
+            target.info.capacity.adapters = 1;
+            target.pieces = PIECES;
+            target.pace = Duration::from_millis(150);
+        }
+        cluster.run(Duration::from_secs(6));
+        Storm {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            cluster,
+            open: Vec::new(),
+            broken: Vec::new(),
+            counts: BTreeMap::new(),
+        }
+    }
+
+    fn below(&mut self, bound: u64) -> u64 {
+        self.rng.random_range(0..bound)
+    }
+
+    fn runs(&self, body: &str) -> usize {
+        self.cluster.targets.iter().map(|target| target.runs(body)).sum()
+    }
+
+    fn round(&mut self) {
+        for _ in 0..self.below(2) {
+            self.fault();
+        }
+        for _ in 0..self.below(4) {
+            self.ask();
+        }
+        let pause = Duration::from_millis(self.below(1500));
+        self.cluster.run(pause);
+        self.judge();
+    }
+
+    fn fault(&mut self) {
+        let host = 1 + self.below(u64::from(HOSTS)) as HostId;
+        let place = self.below(self.cluster.targets.len() as u64) as usize;
+        let kind = self.below(14);
+        let cluster = &mut self.cluster;
+        match kind {
+            0 if cluster.is_running(host) => cluster.kill(host),
+            1 if cluster.is_running(host) => cluster.input(host, Input::Shutdown),
+            2 | 3 => self.revive(),
+            4 => cluster.freeze(host),
+            5 | 6 => cluster.thaw(host),
+            7 => cluster.isolate(host),
+            8 | 9 => cluster.heal(),
+            10 => {
+                cluster.break_target(place);
+                cluster.targets[place].crash();
+                cluster.targets[place].restart();
+            }
+            11 => cluster.break_target(place),
+            12 => cluster.jitter = if cluster.jitter.is_zero() { JITTER } else { Duration::ZERO },
+            13 => cluster.echo = if cluster.echo.is_zero() { JITTER } else { Duration::ZERO },
+            _ => (),
+        }
+    }
+
+    /// Starts the hosts again that ended.
+    fn revive(&mut self) {
+        for host in 1..=HOSTS {
+            if !self.cluster.is_running(host) || self.cluster.exited(host).is_some() {
+                self.cluster.restart(host);
+            }
+        }
+    }
+
+    fn ask(&mut self) {
+        let host = 1 + self.below(u64::from(HOSTS)) as HostId;
+        if !self.cluster.is_running(host) {
+            return;
+        }
+        let n = self.below(BODIES);
+        let (body, caller) = if self.below(2) == 0 {
+            let body = format!("deposit {n}");
+            (body.clone(), booking(&format!("key {n}"), &body))
+        } else {
+            let body = format!("note {n}");
+            (
+                body.clone(),
+                completion(["base@a@v1", "base@b@v1", "base@c@v1"][n as usize % 3], &body),
+            )
+        };
+        let alone = self.open.iter().all(|open| open.body != body);
+        for open in self.open.iter_mut().filter(|open| open.body == body) {
+            open.alone = false;
+        }
+        let before = self.runs(&body);
+        let key = self.cluster.request(host, caller);
+        self.open.push(Try { key, body, before, alone });
+    }
+
+    /// Compares what callers were told with what was run.
+    fn judge(&mut self) {
+        let ended = |it: &Try, cluster: &Cluster| cluster.told[&it.key].ended();
+        let (done, open): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.open).into_iter().partition(|it| ended(it, &self.cluster));
+        self.open = open;
+        for it in done {
+            self.judge_one(&it);
+        }
+        for n in 0..BODIES {
+            let body = format!("deposit {n}");
+            if self.runs(&body) > 1 {
+                self.broken.push(format!("{body} was run twice"));
+            }
+        }
+        if self.cluster.targets.iter().any(|target| target.violations > 0) {
+            self.broken.push("an adapter in use was evicted".to_owned());
+        }
+    }
+
+    fn judge_one(&mut self, it: &Try) {
+        let told = self.cluster.told[&it.key].clone();
+        let word = match &told.fault {
+            None => "answered",
+            Some(fault) => fault.kind.row().code,
+        };
+        *self.counts.entry(word.to_owned()).or_default() += 1;
+        if told.whole {
+            let expected: String = (0..PIECES).map(|n| format!("[{} {n}]", told.ran)).collect();
+            if told.body != expected.as_bytes() || told.fault.is_some() {
+                self.broken.push(format!("{}: a wrong answer", it.body));
+            }
+            return;
+        }
+        let Some(fault) = told.fault else { return };
+        // Other tries of the same body, and dead ones, may have run it.
+        let runs = self.runs(&it.body);
+        if fault.kind.row().ran == Ran::No && it.alone && runs > it.before {
+            self.broken.push(format!("{}: told {word}, but run", it.body));
+        }
+    }
+
+    /// Ends all faults; what is left of the system must work.
+    fn calm(&mut self) {
+        self.cluster.heal();
+        self.cluster.jitter = Duration::ZERO;
+        self.cluster.echo = Duration::ZERO;
+        for host in 1..=HOSTS {
+            self.cluster.thaw(host);
+        }
+        self.revive();
+        // Hosts that were frozen may only now hear that they should end.
+        self.cluster.run(Duration::from_secs(30));
+        self.revive();
+        self.cluster.run(Duration::from_secs(15));
+        self.judge();
+        for host in 1..=HOSTS {
+            for caller in [completion("base@b@v1", "after"), booking(&format!("last {host}"), "x")]
+            {
+                let key = self.cluster.request(host, caller);
+                let ended = self.cluster.run_until(LIMIT, |it| it.told[&key].ended());
+                if !ended || !self.cluster.told[&key].whole {
+                    let fault = self.cluster.told[&key].fault.clone();
+                    self.broken.push(format!("host {host} does not work afterwards: {fault:?}"));
+                }
+            }
+        }
+        for n in 0..BODIES {
+            let key =
+                self.cluster.request(1, booking(&format!("key {n}"), &format!("deposit {n}")));
+            self.cluster.run_until(LIMIT, |it| it.told[&key].ended());
+            let kind = self.cluster.told[&key].fault.as_ref().map(|fault| fault.kind);
+            if !matches!(kind, None | Some(ErrorKind::InDoubt)) {
+                self.broken.push(format!("key {n} is stuck: {kind:?}"));
+            }
+        }
+        self.judge();
+    }
+}
+
+#[test]
+fn every_promise_holds_under_random_faults() {
+    let mut broken = Vec::new();
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for seed in 0..SEEDS {
+        let mut storm = Storm::new(seed);
+        for _ in 0..ROUNDS {
+            storm.round();
+        }
+        storm.calm();
+        for text in storm.broken {
+            broken.push(format!("seed {seed}: {text}"));
+        }
+        for (word, count) in storm.counts {
+            *counts.entry(word).or_default() += count;
+        }
+    }
+    println!("{counts:?}");
+    broken.dedup();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
