Split the entry by what it does; never withdraw a claim that is in use

The entry took that for a claim whose caller had left and committed that it was not run, so a resend could have run a second time. Change: only claims of requests that ended before the grant are withdrawn; claims are found by number, not by a search. cargo test -p node: all passed, a_doubled_claim_lets_nothing_run_twice among them.

--- a/coordination/node/src/entry.rs
+++ b/coordination/node/src/entry.rs
@@ -1,95 +1,49 @@
 //! Requests of callers at their entry host.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
 use admit::Budget;
 use claims::ClaimReply;
-use decl::Call;
 use route::Directory;
 use wire::{
-    Answer, Claim, ClaimKey, Command, Credit, ErrorKind, Fail, Fault, Fingerprint, Forward, Head,
-    HostId, Incarnation, Outcome, PeerMsg, Piece, Pin, Ran, RequestId, Settle, request_id,
+    Claim, Command, Credit, ErrorKind, Fault, HostId, Incarnation, Outcome, PeerMsg, RequestId,
+    Settle, request_id,
 };
 
 use crate::{
     Caller, Output, Tag,
     effect::Effects,
     pin::{fingerprint, pin_request},
+    request::{CREDIT_STEP_BYTES, Request, Stage, claim_key, forward, not_run, ran_name},
     view::Ctx,
 };
 
-/// Bytes of an answer under way between owner and caller.
-const WINDOW_BYTES: u32 = 256 * 1024;
-/// Bytes the caller takes before the owner is told.
-const CREDIT_STEP_BYTES: u32 = WINDOW_BYTES / 4;
 /// How long a request waits for an owner to appear.
-const ROUTE_WAIT: Duration = Duration::from_secs(8);
+pub(crate) const ROUTE_WAIT: Duration = Duration::from_secs(8);
 /// How long the owner may answer after the deadline before it is given up.
 const DEADLINE_GRACE: Duration = Duration::from_millis(500);
 /// How long an answer that has started may stand still.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
-/// Attempts for one request at most.
-const MAX_ATTEMPTS: u32 = 6;
 /// Strikes at which a request is not run any more.
-const QUARANTINE_STRIKES: u32 = claims::QUARANTINE_STRIKES;
-
-/// Where a request stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    /// Its claim is being committed.
-    Claiming,
-    /// It looks for an owner.
-    Routing,
-    /// An owner has it.
-    Sent { request: RequestId, owner: HostId },
-    /// Its outcome is being committed.
-    Settling,
-}
-
-/// A request of a caller.
-#[derive(Debug)]
-struct Request {
-    caller: Box<Caller>,
-    call: Call,
-    pin: Pin,
-    print: Fingerprint,
-    stage: Stage,
-    deadline: Duration,
-    route_until: Duration,
-    /// The last time its answer moved.
-    moved: Duration,
-    tried: Vec<HostId>,
-    attempts: u32,
-    /// The first fault after which it may have run.
-    doubt: Option<Fault>,
-    /// The attempt that holds the claim.
-    claim: RequestId,
-    /// Whether the answer's start went to the caller.
-    started: bool,
-    head: Option<Head>,
-    received: u64,
-    owed: u32,
-    /// The answer of a claimed call, kept until it is whole.
-    answer: Vec<u8>,
-    /// What to tell the caller once the outcome is committed.
-    verdict: Option<Fault>,
-    /// Whether the caller is still there.
-    present: bool,
-}
+pub(crate) const QUARANTINE_STRIKES: u32 = claims::QUARANTINE_STRIKES;
 
 /// The table of callers' requests.
 #[derive(Debug)]
 pub(crate) struct Entry {
-    host: HostId,
+    pub(crate) host: HostId,
     run: Incarnation,
-    domain: String,
+    pub(crate) domain: String,
     next: u64,
-    budget: Budget,
-    requests: BTreeMap<Tag, Request>,
-    attempts: HashMap<RequestId, Tag>,
+    pub(crate) budget: Budget,
+    pub(crate) requests: BTreeMap<Tag, Request>,
+    pub(crate) attempts: HashMap<RequestId, Tag>,
+    /// Requests by the attempt that holds their claim.
+    claims: HashMap<RequestId, Tag>,
+    /// Claims of requests that ended before the claim was granted.
+    abandoned: BTreeSet<RequestId>,
     leaving: bool,
 }
 
@@ -103,6 +57,8 @@
             budget: Budget::new(retry_percent),
             requests: BTreeMap::new(),
             attempts: HashMap::new(),
+            claims: HashMap::new(),
+            abandoned: BTreeSet::new(),
             leaving: false,
         }
     }
@@ -183,6 +139,7 @@
         }
         request.stage = Stage::Claiming;
         request.claim = claim;
+        self.claims.insert(claim, tag);
         let made = request.caller.made.unwrap_or(ctx.view.wall);
         fx.propose(Command::Claim(Claim {
             key: claim_key(request),
@@ -201,7 +158,7 @@
     }
 
     /// Sends a request to an owner, or leaves it until one appears.
-    fn route(&mut self, ctx: &Ctx, dir: &Directory, tag: Tag, fx: &mut Effects) {
+    pub(crate) fn route(&mut self, ctx: &Ctx, dir: &Directory, tag: Tag, fx: &mut Effects) {
         let id = self.next_id();
         let Some(request) = self.requests.get_mut(&tag) else { return };
         request.stage = Stage::Routing;
@@ -234,50 +191,42 @@
         reply: &ClaimReply,
         fx: &mut Effects,
     ) {
-        let Some(tag) = self.find_claim(claim.request) else {
-            if *reply == ClaimReply::Granted {
-                fx.propose(not_run(claim.key.clone(), claim.request, ErrorKind::Cancelled));
-            }
-            return;
-        };
+        let granted = *reply == ClaimReply::Granted;
+        if self.abandoned.remove(&claim.request) && granted {
+            fx.propose(not_run(claim.key.clone(), claim.request, ErrorKind::Cancelled));
+        }
+        // A claim may be granted again while its request is under way.
+        let Some(tag) = self.find_claim(claim.request, Stage::Claiming) else { return };
         match reply {
             ClaimReply::Granted => self.route(ctx, dir, tag, fx),
             ClaimReply::Done { status, body } => {
-                let Some(request) = self.requests.remove(&tag) else { return };
+                let Some(request) = self.remove(tag) else { return };
                 let ran = ran_name(&request.pin).to_owned();
                 fx.out(Output::Head { tag, status: *status, target: String::new(), ran });
                 fx.out(Output::Piece { tag, bytes: body.clone(), last: true });
             }
             ClaimReply::Refused(kind) => {
-                self.requests.remove(&tag);
+                self.remove(tag);
                 fx.out(Output::Failed { tag, fault: (*kind).into() });
             }
         }
     }
 
-    fn find_claim(&self, claim: RequestId) -> Option<Tag> {
-        self.requests
-            .iter()
-            .find(|(_, request)| request.claim == claim && request.stage == Stage::Claiming)
-            .map(|(tag, _)| *tag)
+    fn find_claim(&self, claim: RequestId, stage: Stage) -> Option<Tag> {
+        let tag = self.claims.get(&claim)?;
+        let request = self.requests.get(tag)?;
+        (request.stage == stage).then_some(*tag)
     }
 
     /// Takes the commit of an outcome: now the caller may know it.
     pub(crate) fn settled(&mut self, settle: &Settle, fx: &mut Effects) {
-        let found = self
-            .requests
-            .iter()
-            .find(|(_, request)| {
-                request.claim == settle.request && request.stage == Stage::Settling
-            })
-            .map(|(tag, _)| *tag);
-        let Some(tag) = found else { return };
+        let Some(tag) = self.find_claim(settle.request, Stage::Settling) else { return };
         self.tell(tag, fx);
     }
 
     /// Tells the caller the verdict of a claimed call and forgets it.
     fn tell(&mut self, tag: Tag, fx: &mut Effects) {
-        let Some(request) = self.requests.remove(&tag) else { return };
+        let Some(request) = self.remove(tag) else { return };
         if let Some(fault) = request.verdict {
             fx.out(Output::Failed { tag, fault });
             return;
@@ -287,85 +236,14 @@
         fx.out(Output::Piece { tag, bytes: request.answer.into(), last: true });
     }
 
-    /// Takes a step of an answer from an owner.
-    pub(crate) fn answer(
+    /// Commits how a claimed call ended; the caller is told afterwards.
+    pub(crate) fn settle(
         &mut self,
-        ctx: &Ctx,
-        dir: &Directory,
-        from: HostId,
-        answer: Answer,
+        tag: Tag,
+        outcome: Outcome,
+        verdict: Option<Fault>,
         fx: &mut Effects,
     ) {
-        let id = match &answer {
-            Answer::Head(head) => head.request,
-            Answer::Piece(piece) => piece.request,
-            Answer::Fail(fail) => fail.request,
-        };
-        let Some(&tag) = self.attempts.get(&id) else { return };
-        let Some(request) = self.requests.get_mut(&tag) else { return };
-        if request.stage != (Stage::Sent { request: id, owner: from }) {
-            return;
-        }
-        request.moved = ctx.now;
-        match answer {
-            Answer::Head(head) => self.head(tag, head, fx),
-            Answer::Piece(piece) => self.piece(ctx, dir, tag, piece, fx),
-            Answer::Fail(Fail { fault, .. }) => self.failed(ctx, dir, tag, fault, fx),
-        }
-    }
-
-    fn head(&mut self, tag: Tag, head: Head, fx: &mut Effects) {
-        let Some(request) = self.requests.get_mut(&tag) else { return };
-        if request.head.is_some() {
-            return;
-        }
-        if request.call.idempotent {
-            request.started = true;
-            fx.out(Output::Head {
-                tag,
-                status: head.status,
-                target: head.target.clone(),
-                ran: head.ran.clone(),
-            });
-        }
-        request.head = Some(head);
-    }
-
-    fn piece(&mut self, ctx: &Ctx, dir: &Directory, tag: Tag, piece: Piece, fx: &mut Effects) {
-        let Some(request) = self.requests.get_mut(&tag) else { return };
-        if piece.offset != request.received || request.head.is_none() {
-            let detail = format!("piece at {}, expected {}", piece.offset, request.received);
-            self.failed(ctx, dir, tag, Fault::new(ErrorKind::WrongAnswer, detail), fx);
-            return;
-        }
-        request.received += piece.bytes.len() as u64;
-        if request.call.idempotent {
-            fx.out(Output::Piece { tag, bytes: piece.bytes, last: piece.last });
-            if piece.last {
-                self.forget(tag);
-            }
-            return;
-        }
-        request.answer.extend_from_slice(&piece.bytes);
-        if request.answer.len() > api::MAX_BODY_BYTES {
-            let fault = Fault::new(ErrorKind::WrongAnswer, "answer exceeds the limit");
-            self.failed(ctx, dir, tag, fault, fx);
-            return;
-        }
-        fx.send(
-            stage_owner(request).unwrap_or(self.host),
-            PeerMsg::Credit(Credit { request: piece.request, bytes: piece.bytes.len() as u32 }),
-        );
-        if !piece.last {
-            return;
-        }
-        let status = request.head.as_ref().map_or(200, |head| head.status);
-        let body = request.answer.clone().into();
-        self.settle(tag, Outcome::Done { status, body }, None, fx);
-    }
-
-    /// Commits how a claimed call ended; the caller is told afterwards.
-    fn settle(&mut self, tag: Tag, outcome: Outcome, verdict: Option<Fault>, fx: &mut Effects) {
         let Some(request) = self.requests.get_mut(&tag) else { return };
         if let Stage::Sent { request: id, .. } = request.stage {
             self.attempts.remove(&id);
@@ -376,108 +254,20 @@
         fx.propose(Command::Settle(settle));
     }
 
-    /// Takes the end of an attempt without a whole answer.
-    fn failed(&mut self, ctx: &Ctx, dir: &Directory, tag: Tag, fault: Fault, fx: &mut Effects) {
-        let Some(request) = self.requests.get_mut(&tag) else { return };
-        if let Stage::Sent { request: id, owner } = request.stage {
+    /// Forgets a request and what leads to it.
+    pub(crate) fn remove(&mut self, tag: Tag) -> Option<Request> {
+        let request = self.requests.remove(&tag)?;
+        if let Stage::Sent { request: id, .. } = request.stage {
             self.attempts.remove(&id);
-            request.tried.push(owner);
-            if fault.kind.row().ran != Ran::No {
-                fx.send(owner, PeerMsg::Cancel(id));
-            }
-        }
-        if fault.kind.row().ran != Ran::No && request.doubt.is_none() {
-            request.doubt = Some(fault.clone());
-        }
-        if self.may_wait(ctx, tag, &fault) {
-            self.wait(ctx, dir, tag, fx);
-            return;
-        }
-        if self.may_retry(ctx, tag, &fault) {
-            self.restart(ctx, dir, tag, fx);
-            return;
-        }
-        self.finish(tag, fault, fx);
-    }
-
-    /// Returns whether a request may look for another owner: this one has no
-    /// target for it, and it ran nowhere.
-    fn may_wait(&self, ctx: &Ctx, tag: Tag, fault: &Fault) -> bool {
-        let Some(request) = self.requests.get(&tag) else { return false };
-        let displaced =
-            matches!(fault.kind, ErrorKind::NoLease | ErrorKind::NoTarget | ErrorKind::Leaving);
-        displaced && !request.started && request.present && ctx.now < request.route_until
-    }
-
-    /// Asks an owner that was not asked yet, or waits for the next tick.
-    fn wait(&mut self, ctx: &Ctx, dir: &Directory, tag: Tag, fx: &mut Effects) {
-        let Some(request) = self.requests.get_mut(&tag) else { return };
-        request.stage = Stage::Routing;
-        if dir.choose(ctx.now, &request.pin, &self.domain, &request.tried).is_some() {
-            self.route(ctx, dir, tag, fx);
-        }
-    }
-
-    fn may_retry(&mut self, ctx: &Ctx, tag: Tag, fault: &Fault) -> bool {
-        let Some(request) = self.requests.get(&tag) else { return false };
-        if request.started || !request.present || request.attempts >= MAX_ATTEMPTS {
-            return false;
-        }
-        if ctx.now >= request.deadline || !is_passing(fault.kind) {
-            return false;
-        }
-        if ctx.view.strikes.count(&request.print) >= QUARANTINE_STRIKES {
-            return false;
-        }
-        if !request.call.idempotent && request.doubt.is_some() {
-            return false;
-        }
-        self.budget.retry()
-    }
-
-    fn restart(&mut self, ctx: &Ctx, dir: &Directory, tag: Tag, fx: &mut Effects) {
-        let Some(request) = self.requests.get_mut(&tag) else { return };
-        request.head = None;
-        request.received = 0;
-        request.answer.clear();
-        request.route_until = (ctx.now + ROUTE_WAIT).min(request.deadline);
-        self.route(ctx, dir, tag, fx);
-    }
-
-    /// Ends a request with an error. What it says of running covers all attempts.
-    fn finish(&mut self, tag: Tag, fault: Fault, fx: &mut Effects) {
-        let Some(request) = self.requests.get_mut(&tag) else { return };
-        let fault = match &request.doubt {
-            Some(doubt) if fault.kind.row().ran == Ran::No => doubt.clone(),
-            _ => fault,
-        };
-        if request.call.idempotent {
-            self.forget(tag);
-            fx.out(Output::Failed { tag, fault });
-            return;
-        }
-        if request.stage == Stage::Claiming {
-            // The claim may be granted later; `claimed` then withdraws it.
-            self.requests.remove(&tag);
-            fx.out(Output::Failed { tag, fault });
-            return;
         }
-        let outcome = match request.doubt {
-            None => Outcome::NotRun(fault.kind),
-            Some(_) => Outcome::InDoubt,
-        };
-        let verdict = match outcome {
-            Outcome::InDoubt => Fault::new(ErrorKind::InDoubt, fault.to_string()),
-            _ => fault,
-        };
-        self.settle(tag, outcome, Some(verdict), fx);
+        self.claims.remove(&request.claim);
+        Some(request)
     }
 
-    fn forget(&mut self, tag: Tag) {
-        let Some(request) = self.requests.remove(&tag) else { return };
-        if let Stage::Sent { request: id, .. } = request.stage {
-            self.attempts.remove(&id);
-        }
+    /// Ends a request whose claim is not granted yet.
+    pub(crate) fn abandon(&mut self, tag: Tag) {
+        let Some(request) = self.remove(tag) else { return };
+        self.abandoned.insert(request.claim);
     }
 
     /// Takes note that the caller's connection took bytes of its answer.
@@ -504,26 +294,7 @@
         if let Stage::Sent { request: id, owner } = request.stage {
             fx.send(owner, PeerMsg::Cancel(id));
         }
-        self.forget(tag);
-    }
-
-    /// Takes note that a host is lost: what it had will not be answered.
-    pub(crate) fn owner_lost(
-        &mut self,
-        ctx: &Ctx,
-        dir: &Directory,
-        host: HostId,
-        fx: &mut Effects,
-    ) {
-        let tags: Vec<Tag> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| stage_owner(request) == Some(host))
-            .map(|(tag, _)| *tag)
-            .collect();
-        for tag in tags {
-            self.failed(ctx, dir, tag, ErrorKind::OwnerLost.into(), fx);
-        }
+        self.remove(tag);
     }
 
     /// Moves requests whose time has come.
@@ -562,58 +333,3 @@
         }
     }
 }
-
-/// Returns whether another attempt may end differently.
-fn is_passing(kind: ErrorKind) -> bool {
-    matches!(
-        kind,
-        ErrorKind::QueueFull
-            | ErrorKind::LoadFailed
-            | ErrorKind::Refused
-            | ErrorKind::TargetLost
-            | ErrorKind::OwnerLost
-            | ErrorKind::WrongAnswer
-    )
-}
-
-fn stage_owner(request: &Request) -> Option<HostId> {
-    match request.stage {
-        Stage::Sent { owner, .. } => Some(owner),
-        _ => None,
-    }
-}
-
-fn claim_key(request: &Request) -> ClaimKey {
-    ClaimKey {
-        caller: request.caller.caller.clone(),
-        key: request.caller.key.clone().unwrap_or_default(),
-    }
-}
-
-fn not_run(key: ClaimKey, request: RequestId, kind: ErrorKind) -> Command {
-    Command::Settle(Settle { key, request, outcome: Outcome::NotRun(kind) })
-}
-
-fn ran_name(pin: &Pin) -> &str {
-    match pin {
-        Pin::Adapter { name, .. } => name,
-        Pin::Service { service } => service,
-    }
-}
-
-fn forward(ctx: &Ctx, request: &Request, id: RequestId, run: Incarnation) -> Forward {
-    Forward {
-        request: id,
-        incarnation: run,
-        pin: request.pin.clone(),
-        caller: request.caller.caller.clone(),
-        print: request.print,
-        urgency: request.call.urgency,
-        left: request.deadline.saturating_sub(ctx.now),
-        idempotent: request.call.idempotent,
-        stream: request.caller.stream,
-        path: request.call.path.clone(),
-        body: request.caller.body.clone(),
-        credit: WINDOW_BYTES,
-    }
-}
--- a/coordination/node/src/lib.rs
+++ b/coordination/node/src/lib.rs
@@ -2,6 +2,7 @@
 //! outputs come out. The daemon is a loop around [`Node`]; tests hold several
 //! in one process.
 
+mod answer;
 mod core;
 mod desk;
 mod digest;
@@ -16,6 +17,7 @@
 mod orders;
 mod owner;
 mod pin;
+mod request;
 mod stats;
 mod status;
 mod view;
--- a/coordination/node/tests/exclusion.rs
+++ b/coordination/node/tests/exclusion.rs
@@ -94,3 +94,17 @@
         assert!(!status.lease || status.quarantine.len() == 1, "host {host}");
     }
 }
+
+#[test]
+fn a_doubled_claim_lets_nothing_run_twice() {
+    let mut cluster = ready(6, 3);
+    cluster.add_target(Target::service("s1", 1));
+    cluster.run(SETTLE);
+    cluster.doubled = true;
+    for host in [6, 5, 4] {
+        let key = cluster.request(host, common::booking("k", "deposit"));
+        assert!(cluster.run_until(LIMIT, |it| it.told[&key].ended()));
+        assert!(cluster.told[&key].whole, "{:?}", cluster.told[&key].fault);
+    }
+    assert_eq!(cluster.targets[0].runs("deposit"), 1);
+}
