Drive operators' sessions with real hosts: races, killed leader, killed hosts, no quorum

Three operators race to five versions: one is accepted each time, and every host exports the same trail. A publish whose leader is killed ends with one receipt, also at every other host. Twenty-one changes outlive kill -9 of all hosts. Without a quorum the command ends with 3, and the same command later gets the receipt of a change that was accepted once.

--- /dev/null
+++ b/tests/tests/operators.rs
@@ -0,0 +1,220 @@
+//! Sessions of operators with real hosts: races, lost answers, lost hosts.
+
+use std::{fs, path::Path, process::Output};
+
+use api::{AuditPage, Receipt};
+use sessions::cluster::Cluster;
+use tempfile::TempDir;
+use tokio::process::{Child, Command};
+use wire::HostId;
+
+const HOSTS: [HostId; 4] = [1, 2, 3, 4];
+
+fn bins() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_fake-engine")).parent().expect("the program has a folder")
+}
+
+/// A folder of an operator.
+struct Desk(TempDir);
+
+/// How a command ended.
+#[derive(Debug)]
+struct Run {
+    code: Option<i32>,
+    out: String,
+    err: String,
+}
+
+impl From<Output> for Run {
+    fn from(output: Output) -> Run {
+        Run {
+            code: output.status.code(),
+            out: String::from_utf8_lossy(&output.stdout).into_owned(),
+            err: String::from_utf8_lossy(&output.stderr).into_owned(),
+        }
+    }
+}
+
+impl Run {
+    fn receipt(&self) -> Receipt {
+        assert_eq!(self.code, Some(0), "{self:?}");
+        serde_json::from_str(&self.out).expect("a receipt is JSON")
+    }
+}
+
+impl Desk {
+    fn new() -> Desk {
+        Desk(tempfile::tempdir().expect("a folder can be made"))
+    }
+
+    /// Writes the declaration of a service that tells its author apart.
+    fn declare(&self, author: &str, version: u64) -> String {
+        let text = format!(
+            "[service]\nname = plans\nversion = {version}\nkind = model\nmodel = stylist-8b\n\
+             [adapters]\n{author} = v{version}\n\
+             [call plan]\npath = /v1/completions\nidempotent = yes\n"
+        );
+        let path = self.0.path().join(format!("{author}-{version}.ini"));
+        fs::write(&path, text).expect("the folder is usable");
+        path.display().to_string()
+    }
+
+    fn path(&self, name: &str) -> String {
+        self.0.path().join(name).display().to_string()
+    }
+
+    fn spawn(&self, args: &[&str]) -> Child {
+        Command::new(bins().join("poplarhollow"))
+            .args(args)
+            .stdout(std::process::Stdio::piped())
+            .stderr(std::process::Stdio::piped())
+            .spawn()
+            .expect("the workspace is built")
+    }
+
+    async fn run(&self, args: &[&str]) -> Run {
+        finish(self.spawn(args)).await
+    }
+
+    fn publish(&self, file: &str, author: &str, hosts: &str, wait: &str) -> Child {
+        let args = ["publish", file, "--revision", "r1", "--author", author, "--json"];
+        self.spawn(&[&args[..], &["--host", hosts, "--wait", wait]].concat())
+    }
+
+    /// Exports the trail of a host, which verifies it, and returns it.
+    async fn export(&self, host: &str, head: &str) -> AuditPage {
+        let path = self.path("audit.json");
+        let run = self.run(&["audit", "export", &path, "--host", host]).await;
+        assert_eq!(run.code, Some(0), "{run:?}");
+        let run = self.run(&["audit", "verify", &path, "--head", head]).await;
+        assert_eq!(run.code, Some(0), "{run:?}");
+        let text = fs::read(&path).expect("the file was written");
+        serde_json::from_slice(&text).expect("an exported trail is JSON")
+    }
+}
+
+async fn finish(child: Child) -> Run {
+    child.wait_with_output().await.expect("the process was started here").into()
+}
+
+/// The operator addresses of hosts, with commas between.
+fn operators(cluster: &Cluster, hosts: &[HostId]) -> String {
+    let addrs = hosts.iter().map(|it| cluster.entry(*it).replace(":8000", ":9000"));
+    addrs.collect::<Vec<_>>().join(",")
+}
+
+#[tokio::test]
+async fn of_racing_publishes_one_is_accepted_and_all_hosts_agree() {
+    let cluster = Cluster::start(bins(), 31, 4).await;
+    let desk = Desk::new();
+    let mut head = String::new();
+    for version in 1..6 {
+        let mut started = Vec::new();
+        for (author, host) in [("ada", 1), ("bob", 2), ("cy", 4)] {
+            let file = desk.declare(author, version);
+            started.push(desk.publish(&file, author, &operators(&cluster, &[host]), "20"));
+        }
+        let mut accepted = Vec::new();
+        for child in started {
+            let run = finish(child).await;
+            if run.code == Some(0) {
+                accepted.push(run.receipt());
+                continue;
+            }
+            assert_eq!(run.code, Some(1), "{run:?}");
+            assert!(run.err.contains("is in force with digest"), "{run:?}");
+        }
+        assert_eq!(accepted.len(), 1, "version {version}");
+        assert!(accepted[0].everywhere);
+        head = accepted[0].head.clone();
+    }
+    let first = desk.export(&operators(&cluster, &[1]), &head).await;
+    assert_eq!(first.entries.len(), 6);
+    for host in HOSTS {
+        assert_eq!(desk.export(&operators(&cluster, &[host]), &head).await, first, "host {host}");
+    }
+}
+
+#[tokio::test]
+async fn a_publish_gets_its_receipt_although_the_leader_is_killed() {
+    let mut cluster = Cluster::start(bins(), 32, 4).await;
+    let desk = Desk::new();
+    let mut receipts = Vec::new();
+    for version in 1..4 {
+        let leader = cluster.until_live().await;
+        let file = desk.declare("ada", version);
+        // The leader is asked first, and dies at about the moment of the commit.
+        let mut order = vec![leader];
+        order.extend(HOSTS.into_iter().filter(|it| *it != leader));
+        let child = desk.publish(&file, "ada", &operators(&cluster, &order), "60");
+        cluster.kill(leader);
+        let receipt = finish(child).await.receipt();
+        assert!(receipt.everywhere);
+        for host in HOSTS.into_iter().filter(|it| *it != leader) {
+            let child = desk.publish(&file, "ada", &operators(&cluster, &[host]), "20");
+            let again = finish(child).await.receipt();
+            let key = |it: &Receipt| (it.index, it.sequence, it.head.clone());
+            assert_eq!(key(&again), key(&receipt), "host {host}");
+        }
+        receipts.push(receipt);
+        cluster.start_host(leader, &[]);
+    }
+    cluster.until_live().await;
+    for host in HOSTS {
+        let head = &receipts[2].head;
+        let page = desk.export(&operators(&cluster, &[host]), head).await;
+        for receipt in &receipts {
+            let entry = &page.entries[receipt.sequence as usize - 1];
+            assert_eq!(entry.hash, receipt.head);
+        }
+    }
+}
+
+#[tokio::test]
+async fn nothing_accepted_reverts_when_every_host_is_killed() {
+    let mut cluster = Cluster::start(bins(), 33, 4).await;
+    let desk = Desk::new();
+    let all = operators(&cluster, &HOSTS);
+    for version in 1..21 {
+        let file = desk.declare("ada", version);
+        finish(desk.publish(&file, "ada", &all, "0")).await.receipt();
+    }
+    let file = desk.declare("ada", 21);
+    let receipt = finish(desk.publish(&file, "ada", &all, "20")).await.receipt();
+    let before = desk.export(&operators(&cluster, &[1]), &receipt.head).await;
+    for host in HOSTS {
+        cluster.kill(host);
+    }
+    for host in HOSTS {
+        cluster.start_host(host, &[]);
+    }
+    cluster.until_live().await;
+    for host in HOSTS {
+        let page = desk.export(&operators(&cluster, &[host]), &receipt.head).await;
+        assert_eq!(page, before, "host {host}");
+    }
+    let again = finish(desk.publish(&file, "ada", &all, "20")).await.receipt();
+    assert_eq!((again.index, again.head), (receipt.index, receipt.head));
+}
+
+#[tokio::test]
+async fn without_a_quorum_the_outcome_is_unknown_until_it_is_asked_again() {
+    let cluster = Cluster::start(bins(), 34, 4).await;
+    let desk = Desk::new();
+    for host in [2, 3] {
+        cluster.signal(host, "STOP");
+    }
+    let file = desk.declare("ada", 1);
+    let run = finish(desk.publish(&file, "ada", &operators(&cluster, &[1]), "0")).await;
+    for host in [2, 3] {
+        cluster.signal(host, "CONT");
+    }
+    assert_eq!(run.code, Some(3), "{run:?}");
+    assert!(run.err.contains("run the command again"), "{run:?}");
+    let all = operators(&cluster, &HOSTS);
+    let receipt = finish(desk.publish(&file, "ada", &all, "60")).await.receipt();
+    assert!(receipt.everywhere);
+    cluster.until_live().await;
+    let page = desk.export(&operators(&cluster, &[1]), &receipt.head).await;
+    assert_eq!(page.entries.len(), 2, "accepted once");
+}
