--- a/state/history/tests/publish.rs
+++ b/state/history/tests/publish.rs
@@ -78,6 +78,8 @@
         first.clone(),
         publish("cy", vec![model("plans", 1, "a = v2\nc = v1")]),
         publish("cy", vec![system(1, "1, 5, 8")]),
+        publish("bob", vec![plain("book", 1)]),
+        mixed.clone(),
         publish("cy", vec![plain("twice", 1), plain("twice", 2)]),
         bad,
         publish("cy", Vec::new()),
