--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -181,7 +181,10 @@
         let response = match timeout(self.timeout, self.hyper.request(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(err)) if err.is_connect() => {
-                return Err(Failure::NotSent(format!("could not connect to {addr}")));
+                return Err(Failure::NotSent(format!(
+                    "could not connect to {addr}{}",
+                    causes(&err)
+                )));
             }
             Ok(Err(err)) => return Err(lost(addr, &err)),
             Err(_) => return Err(Failure::Lost(format!("no answer came from {addr} in time"))),
@@ -226,13 +229,18 @@
 
 /// Says that a connection was lost, with the chain of causes.
 pub(crate) fn lost(addr: SocketAddr, err: &dyn std::error::Error) -> Failure {
-    let mut message = format!("the connection to {addr} was lost: {err}");
+    Failure::Lost(format!("the connection to {addr} was lost: {err}{}", causes(err)))
+}
+
+/// Writes the chain of an error's causes.
+fn causes(err: &dyn std::error::Error) -> String {
+    let mut text = String::new();
     let mut cause = err.source();
     while let Some(err) = cause {
-        message.push_str(&format!(": {err}"));
+        text.push_str(&format!(": {err}"));
         cause = err.source();
     }
-    Failure::Lost(message)
+    text
 }
 
 /// Runs a command's exchanges.
--- a/cli/src/cmd.rs
+++ b/cli/src/cmd.rs
@@ -67,7 +67,7 @@
     pub(crate) json: bool,
 }
 
-/// Shows hosts, targets, services and alarms as one host sees them.
+/// Shows hosts, targets, services and alarms as the asked hosts see them.
 #[derive(Debug, FromArgs, ArgsInfo)]
 #[argh(subcommand, name = "status")]
 pub(crate) struct Status {
--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -1,4 +1,4 @@
-//! `status`: the system as one host sees it.
+//! `status`: the system as the asked hosts see it.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -16,33 +16,70 @@
 impl Status {
     pub(crate) fn run(self) -> Result<(), Error> {
         let addrs = Addresses::or_env(self.host, HOSTS)?;
-        let client = Client::new(EXCHANGE_TIMEOUT);
-        let status = block_on(async { client.get::<StatusBody>(&addrs, "/v1/status").await });
-        let status = status.map_err(|err| err.context("could not read the status"))?;
+        let answers = block_on(async { ask(&addrs).await });
+        let answers = answers.map_err(|err| err.context("could not read the status"))?;
+        let whole = merge(&answers);
         if self.json {
-            let text = serde_json::to_string_pretty(&status);
+            let text = serde_json::to_string_pretty(&whole);
             println!("{}", text.map_err(|err| Error::failed(err.to_string()))?);
             return Ok(());
         }
-        print(&status);
+        print(&whole, &answers);
         Ok(())
     }
 }
 
-fn print(status: &StatusBody) {
+/// Asks all hosts. Those that don't answer are named on stderr.
+async fn ask(addrs: &Addresses) -> Result<Vec<StatusBody>, Error> {
+    let client = Client::new(EXCHANGE_TIMEOUT);
+    let mut answers = Vec::new();
+    let mut failures = Vec::new();
+    for addr in &addrs.0 {
+        match client.get(&Addresses(vec![*addr]), "/v1/status").await {
+            Ok(status) => answers.push(status),
+            Err(err) => failures.push(err),
+        }
+    }
+    if answers.is_empty() {
+        let last = failures.pop();
+        return Err(last.unwrap_or_else(|| Error::usage("no address of a host")));
+    }
+    for failure in failures {
+        eprintln!("could not ask a host: {failure}");
+    }
+    Ok(answers)
+}
+
+/// Takes each fact from the host that knows it: hosts from the leader, a
+/// target's load from its owner, alarms from every host.
+fn merge(answers: &[StatusBody]) -> StatusBody {
+    let leader = answers.iter().filter(|it| it.leader == Some(it.host));
+    let base = leader.max_by_key(|it| it.term).unwrap_or(&answers[0]);
+    let mut whole = base.clone();
+    for row in &mut whole.targets {
+        let owner = answers.iter().find(|it| Some(it.host) == row.owner);
+        let known = owner.and_then(|it| it.targets.iter().find(|it| it.name == row.name));
+        if let Some(known) = known.filter(|it| it.fence == row.fence) {
+            *row = known.clone();
+        }
+    }
+    whole.alarms.clear();
+    for answer in answers {
+        whole.alarms.extend(answer.alarms.iter().map(|it| format!("host {}: {it}", answer.host)));
+    }
+    whole
+}
+
+fn print(status: &StatusBody, answers: &[StatusBody]) {
     let leader = status.leader.map_or("none".to_owned(), |it| it.to_string());
-    let lease = if status.lease { "has a lease" } else { "has no lease" };
-    println!("host {} {lease}; leader {leader}, term {}", status.host, status.term);
-    println!("applied {} of {} committed", status.applied, status.commit);
-    println!(
-        "last minute: {:.1} s waited for adapters, batches {:.0} % full; {} requests queued",
-        status.stall_seconds,
-        status.batch_fullness * PERCENT,
-        status.queued
-    );
+    println!("leader {leader}, term {}", status.term);
     for alarm in &status.alarms {
         println!("ALARM: {alarm}");
     }
+    table(
+        &["ASKED", "LEASE", "APPLIED", "COMMITTED", "QUEUED", "STALL S", "BATCH %"],
+        &asked(answers),
+    );
     table(&["DOMAIN", "LIVE", "APPLIED"], &domains(status));
     table(&["HOST", "DOMAIN", "ROLE", "LIVE", "APPLIED"], &hosts(status));
     table(
@@ -52,7 +89,7 @@
     table(&["SERVICE", "VERSION", "INDEX", "DIGEST"], &services(status));
     table(&["QUARANTINED", "STRIKES"], &quarantine(status));
     if status.hosts.is_empty() && status.leader.is_some_and(|it| it != status.host) {
-        println!("\nhosts are listed by the leader, host {leader}");
+        println!("\nhosts are listed by the leader, host {leader}, which was not asked");
     }
 }
 
@@ -86,6 +123,23 @@
     if value { "yes" } else { "no" }.to_owned()
 }
 
+/// The hosts that answered, with their last minute.
+fn asked(answers: &[StatusBody]) -> Vec<Vec<String>> {
+    let mut rows = Vec::new();
+    for answer in answers {
+        rows.push(vec![
+            format!("host {}", answer.host),
+            yes_no(answer.lease),
+            answer.applied.to_string(),
+            answer.commit.to_string(),
+            answer.queued.to_string(),
+            format!("{:.1}", answer.stall_seconds),
+            format!("{:.0}", answer.batch_fullness * PERCENT),
+        ]);
+    }
+    rows
+}
+
 /// Live hosts of each failure domain and the lowest index they have applied.
 fn domains(status: &StatusBody) -> Vec<Vec<String>> {
     let mut domains: BTreeMap<&str, (u32, u64)> = BTreeMap::new();
--- a/cli/tests/hosts.rs
+++ b/cli/tests/hosts.rs
@@ -209,7 +209,16 @@
         "services":[{"service":"book","version":3,"digest":"cd","index":7}],
         "queued":4,"stall_seconds":1.25,"batch_fullness":0.5,
         "quarantine":[{"print":"ff","strikes":2}]}"#;
-    let cases = [("answered", vec![vec![answer(status)]])];
+    let owner = status
+        .replace("\"host\":2,", "\"host\":1,")
+        .replace("\"running\":2", "\"running\":7")
+        .replace("[\"m@a@v1\"]", "[\"m@a@v1\",\"m@b@v1\"]");
+    let follower = status.replace("[\"m@a@v1\"]", "[]").replace("trail went back", "disk is full");
+    let cases = [
+        ("leader and owner", vec![vec![answer(&follower)], vec![answer(&owner)]]),
+        ("owner not asked", vec![vec![answer(&follower)], vec![]]),
+        ("nobody listens", vec![vec![], vec![]]),
+    ];
     insta::assert_snapshot!("status", session("--host", &cases, &["status"]));
 }
 
