--- a/coordination/place/tests/owner.rs
+++ b/coordination/place/tests/owner.rs
@@ -1,53 +1,14 @@
 //! The owner's decisions.
 
-use std::{fmt::Write as _, time::Duration};
+mod common;
 
-use admit::{Bounds, Waiting};
-use insta::assert_snapshot;
-use place::{Decision, PolicySettings, Resident, TargetView, owner_policy};
-use wire::{Pin, TargetKind, Urgency};
-
-fn settings() -> PolicySettings {
-    PolicySettings {
-        bounds: Bounds { total: 100, caller: 50 },
-        stall: 1.0,
-        batch: 0.5,
-        load: Duration::from_millis(250),
-        seed: 1,
-    }
-}
-
-fn engine(id: u32, batch: u32, resident: Vec<Resident>) -> TargetView {
-    TargetView {
-        id,
-        domain: "north".into(),
-        kind: TargetKind::Engine { model: "m".into() },
-        slots: 2,
-        batch,
-        running: 0,
-        foreign: 0,
-        open: true,
-        alone: false,
-        resident,
-    }
-}
+use std::fmt::Write as _;
 
-fn idle(adapter: u32) -> Resident {
-    Resident { adapter, users: 0, idle: true, ready: true }
-}
-
-fn request(request: u64, adapter: u32) -> Waiting {
-    Waiting {
-        request,
-        pin: Pin::Adapter { id: adapter, name: format!("m@a{adapter}@1") },
-        caller: format!("c{request}"),
-        urgency: Urgency::Normal,
-        since: Duration::ZERO,
-        deadline: Duration::from_secs(10),
-        prefix: 0,
-        alone: false,
-    }
-}
+use admit::Waiting;
+use common::{engine, idle, request, secs, settings};
+use insta::assert_snapshot;
+use place::{Decision, TargetView, owner_policy};
+use wire::{Pin, TargetKind};
 
 fn shown(decisions: &[Decision]) -> String {
     let mut text = String::new();
@@ -61,14 +22,11 @@
     text
 }
 
-fn secs(secs: f64) -> Duration {
-    Duration::from_secs_f64(secs)
-}
-
 #[test]
 fn one_load_serves_all_who_wait() {
     let mut policy = owner_policy(settings());
     policy.set_target(secs(0.0), engine(1, 3, vec![idle(7), idle(8)]));
+    policy.set_target(secs(0.0), engine(2, 3, vec![idle(5), idle(6)]));
     for id in 0..4 {
         policy.enqueue(secs(0.0), request(id, 9)).unwrap();
     }
