--- a/coordination/place/src/loads.rs
+++ b/coordination/place/src/loads.rs
@@ -4,7 +4,7 @@
 
 use admit::{Depth, Lane, Need};
 use rand::Rng;
-use wire::{AdapterId, ErrorKind, RequestId, TargetKind, Want};
+use wire::{AdapterId, ErrorKind, RequestId, TargetId, TargetKind, Want};
 
 use crate::{
     Decision, LoadOrder,
@@ -28,6 +28,13 @@
 /// Bounds of the time over which residency is valued, in seconds.
 const HORIZON_SECS: (f64, f64) = (10.0, 30.0);
 
+/// What making room on a target costs.
+struct Offer {
+    target: TargetId,
+    cost: f64,
+    victim: Option<AdapterId>,
+}
+
 /// The lanes of an adapter.
 pub(crate) fn lanes(adapter: AdapterId) -> [Lane; 2] {
     [false, true].map(|alone| Lane { need: Need::Adapter(adapter), alone })
@@ -97,25 +104,44 @@
         self.starved.set(adapter, self.gain(now, adapter), since);
     }
 
+    /// Returns what making room costs on each target that takes loads.
+    fn offers(&self, now: Duration) -> Vec<Offer> {
+        let mut offers = Vec::new();
+        for target in self.fleet.iter() {
+            if !target.view.open || !matches!(target.view.kind, TargetKind::Engine { .. }) {
+                continue;
+            }
+            if let Some((cost, victim)) = self.victim(now, target) {
+                offers.push(Offer { target: target.view.id, cost, victim });
+            }
+        }
+        offers
+    }
+
     /// Returns the target for a load, with its victim and what that costs.
-    pub(crate) fn room_for(&self, now: Duration, adapter: AdapterId) -> Option<(f64, LoadOrder)> {
+    fn room_for(
+        &self,
+        now: Duration,
+        adapter: AdapterId,
+        offers: &[Offer],
+    ) -> Option<(f64, LoadOrder)> {
         let model = self.models.get(&adapter)?;
         let near = SAME_DOMAIN * self.expected(now, adapter);
         let mut best: Option<(f64, f64, LoadOrder)> = None;
-        for target in self.fleet.iter() {
+        for offer in offers {
+            let Some(target) = self.fleet.get(offer.target) else { continue };
             let view = &target.view;
-            let is_engine =
+            let is_served =
                 matches!(&view.kind, TargetKind::Engine { model: own } if **own == **model);
-            if !is_engine || !view.open || target.holds(adapter) {
+            if !is_served || target.holds(adapter) {
                 continue;
             }
-            let Some((cost, victim)) = self.victim(now, target) else { continue };
             let is_near = self.fleet.holders(adapter).any(|own| own.view.domain == view.domain);
-            let cost = cost + if is_near { near } else { 0.0 };
+            let cost = offer.cost + if is_near { near } else { 0.0 };
             let fill = target.fill();
-            let is_better = best.is_none_or(|(least, filled, _)| (cost, fill) < (least, filled));
-            if is_better {
-                best = Some((cost, fill, LoadOrder { target: view.id, adapter, victim }));
+            if best.is_none_or(|(least, filled, _)| (cost, fill) < (least, filled)) {
+                let order = LoadOrder { target: view.id, adapter, victim: offer.victim };
+                best = Some((cost, fill, order));
             }
         }
         best.map(|(cost, _, order)| (cost, order))
@@ -148,7 +174,12 @@
     }
 
     /// Returns the load of an adapter with its target, if it is of use.
-    pub(crate) fn want(&self, now: Duration, adapter: AdapterId) -> Option<(Want, LoadOrder)> {
+    fn want(
+        &self,
+        now: Duration,
+        adapter: AdapterId,
+        offers: &[Offer],
+    ) -> Option<(Want, LoadOrder)> {
         let since = self.oldest(adapter)?;
         if !self.is_loadable(now, adapter) {
             return None;
@@ -157,7 +188,7 @@
         if is_held && self.fleet.holders(adapter).any(|target| target.room() > 0) {
             return None;
         }
-        let (cost, order) = self.room_for(now, adapter)?;
+        let (cost, order) = self.room_for(now, adapter, offers)?;
         let score = self.gain(now, adapter) - cost;
         if is_held && score <= 0.0 {
             return None;
@@ -166,17 +197,27 @@
         Some((Want { adapter, score, waiting, age: now.saturating_sub(since) }, order))
     }
 
+    /// Returns the order for a granted load, if it is still of use.
+    pub(crate) fn order(&self, now: Duration, adapter: AdapterId) -> Option<LoadOrder> {
+        let (_, order) = self.want(now, adapter, &self.offers(now))?;
+        Some(order)
+    }
+
     /// Returns the loads worth a slot, best first; the last of them may be the
     /// one that is waited for longest.
     pub(crate) fn best_wants(&self, now: Duration) -> Vec<Want> {
+        if self.starved.is_empty() && self.crowded.is_empty() {
+            return Vec::new();
+        }
+        let offers = self.offers(now);
         let mut wants: Vec<Want> = Vec::new();
-        let best = self.starved.best().filter_map(|adapter| self.want(now, adapter));
+        let best = self.starved.best().filter_map(|adapter| self.want(now, adapter, &offers));
         wants.extend(best.take(WANTS).map(|(want, _)| want));
-        let crowded = self.crowded.iter().filter_map(|adapter| self.want(now, *adapter));
+        let crowded = self.crowded.iter().filter_map(|adapter| self.want(now, *adapter, &offers));
         wants.extend(crowded.map(|(want, _)| want));
         wants.sort_by(|a, b| b.score.total_cmp(&a.score));
         wants.truncate(WANTS);
-        let oldest = self.starved.oldest().find_map(|adapter| self.want(now, adapter));
+        let oldest = self.starved.oldest().find_map(|adapter| self.want(now, adapter, &offers));
         if let Some((oldest, _)) = oldest
             && wants.iter().all(|want| want.adapter != oldest.adapter)
         {
--- a/coordination/place/src/owner.rs
+++ b/coordination/place/src/owner.rs
@@ -310,7 +310,7 @@
     }
 
     fn place(&mut self, now: Duration, adapter: AdapterId) -> Option<LoadOrder> {
-        let (_, order) = self.want(now, adapter)?;
+        let order = self.order(now, adapter)?;
         self.pace.granted(now);
         self.fleet.order(order.target, adapter, order.victim);
         *self.loading.entry(adapter).or_default() += 1;
--- a/coordination/place/src/starved.rs
+++ b/coordination/place/src/starved.rs
@@ -53,6 +53,11 @@
         self.ages.range(..(since, AdapterId::MIN)).take(limit).count()
     }
 
+    /// Returns whether no adapter is starved.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
     /// Returns the first starved adapter from a number on.
     pub(crate) fn next(&self, from: AdapterId) -> Option<AdapterId> {
         self.keys.range(from..).next().map(|(&adapter, _)| adapter)
