--- /dev/null
+++ b/tests/benches/path/delay.rs
@@ -0,0 +1,58 @@
+//! The delay that the path adds to a call.
+
+use std::{
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use sessions::{client::Client, cluster::Cluster};
+
+const WARM_UP: usize = 200;
+const CALLS: usize = 2000;
+
+/// Compares calls through the owner's own entry, and through another host, with
+/// direct calls of the target. The ways take turns.
+pub async fn measure(bins: &Path) {
+    let mut cluster = Cluster::start(bins, 20, 4).await;
+    cluster.service("s1", 0, &["--work-ms", "0"]).await;
+    let owner = cluster.until_owned("s1").await;
+    let other = (1..=4).find(|&host| host != owner).expect("there are several hosts");
+    let call = |host| format!("http://{}/v1/services/fittings/status", cluster.entry(host));
+    let urls = [format!("http://{}/status", cluster.target("s1")), call(owner), call(other)];
+    let client = Client::new(4);
+    let mut times: [Vec<Duration>; 3] = Default::default();
+    for i in 0..WARM_UP + CALLS {
+        for (url, times) in urls.iter().zip(&mut times) {
+            let start = Instant::now();
+            let reply = client.post(url, &[("x-request", "1")], "{}").await;
+            assert_eq!(reply.status, 200, "{url}: {}", reply.body);
+            if i >= WARM_UP {
+                times.push(start.elapsed());
+            }
+        }
+    }
+    println!("delay of {CALLS} calls of a plain service, one at a time (ms)");
+    println!(
+        "{:28} {:>8} {:>8} {:>14} {:>12}",
+        "way", "median", "99th", "added median", "added 99th"
+    );
+    let mut direct = (0.0, 0.0);
+    for (name, mut times) in
+        ["direct", "through the owner", "through another host"].into_iter().zip(times)
+    {
+        times.sort();
+        let (median, high) = (share(&times, 0.5), share(&times, 0.99));
+        if name == "direct" {
+            direct = (median, high);
+        }
+        let added = (median - direct.0, high - direct.1);
+        println!("{name:28} {median:8.3} {high:8.3} {:14.3} {:12.3}", added.0, added.1);
+    }
+    println!();
+}
+
+/// Returns the given quantile in milliseconds.
+fn share(sorted: &[Duration], quantile: f64) -> f64 {
+    let at = ((sorted.len() as f64 * quantile) as usize).min(sorted.len() - 1);
+    sorted[at].as_secs_f64() * 1000.0
+}
--- /dev/null
+++ b/tests/benches/path/memory.rs
@@ -0,0 +1,82 @@
+//! Memory of requests that run and of requests that wait.
+
+use std::path::Path;
+
+use http::Method;
+use sessions::cluster::{Cluster, MODEL, completion};
+
+use crate::process::resident;
+
+const RUNNING: usize = 1000;
+const WAITING: usize = 400;
+
+/// Holds requests open at an owner and compares its memory.
+pub async fn measure(bins: &Path) {
+    println!("memory of a host by requests");
+    println!(
+        "{:10} {:>8} {:>12} {:>12} {:>14}",
+        "state", "requests", "before MiB", "after MiB", "KiB/request"
+    );
+    let slow = ["--token-ms", "500"];
+    let mut cluster = Cluster::start(bins, 24, 3).await;
+    let many = ["--requests", "2000"];
+    cluster.engine("e1", 0, &[slow, many].concat()).await;
+    hold(&cluster, "running", RUNNING, 0).await;
+    drop(cluster);
+    let mut cluster = Cluster::start(bins, 25, 3).await;
+    cluster.engine("e1", 0, &[slow, ["--requests", "1"]].concat()).await;
+    hold(&cluster, "waiting", WAITING, 1).await;
+    println!();
+}
+
+/// Opens streams; `first` of them run before the others are counted.
+async fn hold(cluster: &Cluster, state: &str, count: usize, first: usize) {
+    let owner = cluster.until_owned("e1").await;
+    cluster.until_complete(owner, "warm").await;
+    let url = format!("http://{}/v1/completions", cluster.entry(owner));
+    let mut open = Vec::new();
+    for i in 0..first {
+        open.push(start(cluster, &url, i));
+    }
+    settle().await;
+    let before = resident(cluster.pid(owner));
+    for i in first..first + count {
+        open.push(start(cluster, &url, i));
+    }
+    settle().await;
+    let after = resident(cluster.pid(owner));
+    let status = cluster.status(owner).await.expect("the host answers");
+    let seen = if state == "running" {
+        status.targets.iter().map(|row| row.running).sum()
+    } else {
+        status.queued
+    };
+    let mib = |bytes: u64| bytes as f64 / 1024.0 / 1024.0;
+    println!(
+        "{state:10} {seen:8} {:12.1} {:12.1} {:14.1}",
+        mib(before),
+        mib(after),
+        (after.saturating_sub(before)) as f64 / 1024.0 / f64::from(seen.max(1)),
+    );
+    for request in open {
+        request.abort();
+    }
+}
+
+fn start(cluster: &Cluster, url: &str, number: usize) -> tokio::task::JoinHandle<()> {
+    let client = cluster.client.clone();
+    let url = url.to_owned();
+    tokio::spawn(async move {
+        let caller = format!("caller-{number}");
+        let body = completion(MODEL, &format!("prompt {number}"), 200, true);
+        let headers = [("x-caller", caller.as_str())];
+        let Some((streamed, _)) = client.start(Method::POST, &url, &headers, body).await else {
+            return;
+        };
+        streamed.rest().await;
+    })
+}
+
+async fn settle() {
+    tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+}
--- /dev/null
+++ b/tests/benches/path/process.rs
@@ -0,0 +1,23 @@
+//! What the operating system says of a process.
+
+use std::{fs, time::Duration};
+
+const PAGE_BYTES: u64 = 4096;
+const TICKS_PER_SECOND: u64 = 100;
+
+/// Returns the resident memory of a process in bytes.
+pub fn resident(pid: u32) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{pid}/statm")).expect("the process runs");
+    let pages: u64 = text.split(' ').nth(1).and_then(|it| it.parse().ok()).expect("it is a number");
+    pages * PAGE_BYTES
+}
+
+/// Returns the processor time a process has used.
+pub fn cpu(pid: u32) -> Duration {
+    let text = fs::read_to_string(format!("/proc/{pid}/stat")).expect("the process runs");
+    // The name, which may hold blanks, ends with the last bracket.
+    let (_, fields) = text.rsplit_once(") ").expect("the name is in brackets");
+    let ticks: u64 =
+        fields.split(' ').skip(11).take(2).map(|it| it.parse::<u64>().unwrap_or(0)).sum();
+    Duration::from_millis(ticks * 1000 / TICKS_PER_SECOND)
+}
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -86,9 +86,14 @@
     /// Starts all hosts, publishes the session's declarations and waits until
     /// all hosts hold a lease.
     pub async fn start(bins: &Path, net: u8, count: HostId) -> Cluster {
+        Cluster::start_with(bins, net, count, &[]).await
+    }
+
+    /// Does the same with options for the hosts' programs.
+    pub async fn start_with(bins: &Path, net: u8, count: HostId, options: &[&str]) -> Cluster {
         let mut cluster = Cluster::new(bins, net, count);
         for host in 1..=count {
-            cluster.start_host(host, &[]);
+            cluster.start_host(host, options);
         }
         cluster.until_live().await;
         let files = [("notes.ini", NOTES), ("fittings.ini", FITTINGS), ("system.ini", SYSTEM)];
@@ -164,8 +169,10 @@
     }
 
     /// Starts a service and waits until it is owned.
-    pub async fn service(&mut self, name: &str, number: u8) {
-        self.start_target("fake-service", name, number, &["--service", "fittings"]);
+    pub async fn service(&mut self, name: &str, number: u8, options: &[&str]) {
+        let mut args = vec!["--service", "fittings"];
+        args.extend_from_slice(options);
+        self.start_target("fake-service", name, number, &args);
         self.until_owned(name).await;
     }
 
--- a/tests/tests/sessions.rs
+++ b/tests/tests/sessions.rs
@@ -29,7 +29,7 @@
     let mut cluster = Cluster::start(bins(), 1, 4).await;
     cluster.engine("e1", 0, &[]).await;
     cluster.engine("e2", 1, &["--fenced", "no"]).await;
-    cluster.service("s1", 2).await;
+    cluster.service("s1", 2, &[]).await;
     for host in 1..=4 {
         let prompt = format!("prompt {host}");
         let reply = cluster.complete(host, MODEL, &prompt).await;
@@ -110,7 +110,7 @@
 async fn the_leader_is_killed_and_nothing_accepted_is_lost() {
     let mut cluster = Cluster::start(bins(), 3, 4).await;
     cluster.engine("e1", 0, &[]).await;
-    cluster.service("s1", 1).await;
+    cluster.service("s1", 1, &[]).await;
     let leader = cluster.until_live().await;
     let url = format!("http://{}/v1/services/fittings/pay", cluster.entry(4));
     let headers = [("x-caller", "maison"), ("idempotency-key", "k1")];
