interface: calls say whether they are idempotent; such calls share connections to targets

A profile of the daemon showed 65 % in the kernel's search for a free port: each call bound its socket to the host's address, which chooses a port that no other connection uses, past tens of thousands of closed ones. Ruled out: the host's tables, which did not show in the profile. Any other call has a connection of its own, since only a failed connect tells that it was not sent.

--- a/coordination/node/src/io.rs
+++ b/coordination/node/src/io.rs
@@ -185,6 +185,9 @@
     pub priority: u8,
     /// Whether the answer is streamed.
     pub stream: bool,
+    /// Whether the call may run more than once. Any other call gets a connection
+    /// of its own, so that a connection found broken tells that it was not sent.
+    pub idempotent: bool,
     /// Resumes the request's answer from this offset in place of starting it.
     pub resume: Option<u64>,
     /// The body.
--- a/coordination/node/src/owner.rs
+++ b/coordination/node/src/owner.rs
@@ -521,6 +521,7 @@
         until,
         priority: priority(forward.urgency),
         stream: forward.stream,
+        idempotent: forward.idempotent,
         resume,
         body: forward.body.clone(),
         credit: attempt.credit,
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -149,7 +149,7 @@
     let start_state = Start { incarnation, disk: recovered, wall: incarnation };
     let (node, outputs) = Node::new(start.elapsed(), settings.clone(), start_state);
     let host = Arc::new(Host {
-        targets: Targets::new(settings.ip, start, inbox),
+        targets: Targets::new(start, inbox),
         settings,
         start,
         node,
--- a/transport/web/src/lib.rs
+++ b/transport/web/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 pub mod border;
+mod connect;
 mod credit;
 mod entry;
 mod error;
--- a/transport/web/src/target.rs
+++ b/transport/web/src/target.rs
@@ -1,12 +1,10 @@
 //! Calls and orders to targets.
 //!
-//! Every call opens a connection of its own and is sent once. So a failure to
-//! connect is the only one after which the call is known not to be sent.
+//! A call is sent once. Only a failure to open its connection tells that it was
+//! not sent; so a call that must not run twice gets a new connection.
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
-    io,
-    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
@@ -18,18 +16,13 @@
     header::{CONTENT_TYPE, HOST},
 };
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{
-    body::{Body as _, Incoming},
-    client::conn::http1::{self, SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use hyper::body::{Body as _, Incoming};
 use node::{Call, CallFailure, Input, Order, OrderResult};
-use tokio::{net::TcpSocket, task::AbortHandle, time::timeout};
+use tokio::{task::AbortHandle, time::timeout};
 use wire::{Action, RequestId};
 
-use crate::{border::Inbox, credit::Credit};
+use crate::{border::Inbox, connect::Connector, credit::Credit};
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -42,38 +35,6 @@
 const REFUSALS: [&str; 6] =
     ["not_loaded", "old_fence", "other_incarnation", "full", "leaving", "load_failed"];
 
-/// Opens connections to targets.
-#[derive(Debug, Clone)]
-struct Connector {
-    ip: IpAddr,
-    start: Instant,
-}
-
-impl Connector {
-    /// Whether the host's clock has passed a lease's end.
-    fn is_past(&self, until: Duration) -> bool {
-        self.start.elapsed() >= until
-    }
-
-    /// Connects from the host's own address.
-    async fn open(&self, addr: &str) -> Option<SendRequest<Full<Bytes>>> {
-        timeout(CONNECT_TIMEOUT, self.connect(addr)).await.ok()?.ok()
-    }
-
-    async fn connect(&self, addr: &str) -> Result<SendRequest<Full<Bytes>>, io::Error> {
-        let to: SocketAddr = addr.parse().map_err(io::Error::other)?;
-        let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        socket.bind(SocketAddr::new(self.ip, 0))?;
-        let stream = socket.connect(to).await?;
-        stream.set_nodelay(true)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(io::Error::other)?;
-        // Ends with the sender and the body of its answer.
-        tokio::spawn(connection);
-        Ok(sender)
-    }
-}
-
 struct Running {
     credit: Arc<Credit>,
     abort: AbortHandle,
@@ -109,10 +70,9 @@
 }
 
 impl Targets {
-    /// Makes a client that calls from the host's address. The host's clock
-    /// counts from `start`.
-    pub fn new(ip: IpAddr, start: Instant, inbox: Arc<dyn Inbox>) -> Targets {
-        Targets { connector: Connector { ip, start }, inbox, table: Arc::default() }
+    /// Makes a client. The host's clock counts from `start`.
+    pub fn new(start: Instant, inbox: Arc<dyn Inbox>) -> Targets {
+        Targets { connector: Connector::new(start), inbox, table: Arc::default() }
     }
 
     fn table(&self) -> MutexGuard<'_, Table> {
@@ -222,7 +182,11 @@
 ) -> Result<(), CallFailure> {
     // A request that can't be made is not sent.
     let asking = call_request(call).map_err(|_| CallFailure::NotSent)?;
-    let mut sender = connector.open(&call.addr).await.ok_or(CallFailure::NotSent)?;
+    let reused = if call.idempotent { connector.reuse(&call.addr) } else { None };
+    let mut sender = match reused {
+        Some(sender) => sender,
+        None => connector.open(&call.addr).await.ok_or(CallFailure::NotSent)?,
+    };
     if connector.is_past(call.until) {
         return Err(CallFailure::NotSent);
     }
@@ -238,7 +202,9 @@
     let mut reader = Reader::new(call);
     // An error answers a stream with a plain body.
     reader.stream &= parts.status.is_success();
-    reader.read(inbox, body, credit).await
+    reader.read(inbox, body, credit).await?;
+    connector.keep(&call.addr, sender);
+    Ok(())
 }
 
 fn is_chunked(headers: &HeaderMap) -> bool {
--- a/transport/web/tests/targets.rs
+++ b/transport/web/tests/targets.rs
@@ -34,7 +34,7 @@
 fn start() -> (Targets, UnboundedReceiver<Input>) {
     let (sender, receiver) = unbounded_channel();
     let inbox = Arc::new(Events(sender));
-    (Targets::new([127, 54, 0, 1].into(), Instant::now(), inbox), receiver)
+    (Targets::new(Instant::now(), inbox), receiver)
 }
 
 async fn listen(number: u8) -> (TcpListener, String) {
@@ -55,6 +55,7 @@
         until: LIMIT,
         priority: 1,
         stream,
+        idempotent: false,
         resume: None,
         body: Bytes::from_static(b"{}"),
         credit: 1000,
@@ -292,3 +293,35 @@
     }
     insta::assert_snapshot!(report);
 }
+
+#[tokio::test]
+async fn only_calls_that_may_run_twice_share_a_connection() {
+    let (targets, mut events) = start();
+    let (listener, addr) = listen(7).await;
+    let reply = response(200, ECHO, "{}");
+    let shared = Call { idempotent: true, ..call(&addr, false) };
+    targets.call(shared.clone());
+    let (mut first, _) = listener.accept().await.expect("a connection comes");
+    read_request(&mut first).await;
+    first.write_all(reply.as_bytes()).await.expect("the client reads");
+    describe_all(&mut events).await;
+    // The connection is ready again once the client has come to rest.
+    while targets.running() > 0 {
+        tokio::task::yield_now().await;
+    }
+    for _ in 0..100 {
+        tokio::task::yield_now().await;
+    }
+    targets.call(shared.clone());
+    read_request(&mut first).await;
+    // The target closes it without an answer: the call is lost, not sent again.
+    drop(first);
+    assert_eq!(describe(&next(&mut events).await), "Lost");
+    targets.call(shared);
+    answer(&listener, &reply).await;
+    describe_all(&mut events).await;
+    targets.call(call(&addr, false));
+    // Arrives on a connection of its own.
+    answer(&listener, &reply).await;
+    describe_all(&mut events).await;
+}
