--- a/coordination/node/src/digest.rs
+++ b/coordination/node/src/digest.rs
@@ -4,11 +4,7 @@
 
 use wire::{AdapterId, Digest, ErrorKind, RequestId, Residency};
 
-use crate::{
-    effect::Effects,
-    owner::{Owner, Stage},
-    view::Ctx,
-};
+use crate::{attempt::Stage, effect::Effects, owner::Owner, view::Ctx};
 
 impl Owner {
     /// Returns what the other hosts should know of this one.
@@ -52,6 +48,7 @@
         self.pump(ctx, fx);
         self.send_wants(ctx, fx);
         self.tick_orders(ctx, fx);
+        self.forget_silent(ctx, fx);
         self.sample(ctx);
     }
 
--- a/coordination/node/src/failure.rs
+++ b/coordination/node/src/failure.rs
@@ -9,8 +9,9 @@
 
 use crate::{
     CallFailure, Change, Output,
+    attempt::{Stage, call},
     effect::Effects,
-    owner::{Owner, Stage, call},
+    owner::Owner,
     view::Ctx,
 };
 
--- a/coordination/node/src/held.rs
+++ b/coordination/node/src/held.rs
@@ -83,10 +83,12 @@
     pub(crate) unreachable: bool,
     /// Whether it was open when that was last looked at.
     was_open: bool,
+    /// When this host came to own it, or last proposed to forget it.
+    since: Duration,
 }
 
 impl Held {
-    pub(crate) fn new(target: &Target) -> Held {
+    pub(crate) fn new(now: Duration, target: &Target) -> Held {
         Held {
             id: target.id,
             info: target.info.clone(),
@@ -105,6 +107,7 @@
             foreign: 0,
             unreachable: false,
             was_open: false,
+            since: now,
         }
     }
 
@@ -209,6 +212,17 @@
         self.heard.is_some_and(|at| now < at + SILENCE) && !self.leaving
     }
 
+    /// Returns whether nothing was heard of the target for so long; once per
+    /// that time.
+    pub(crate) fn is_silent(&mut self, now: Duration, limit: Duration) -> bool {
+        let last = self.heard.unwrap_or_default().max(self.since);
+        if now < last + limit {
+            return false;
+        }
+        self.since = now;
+        true
+    }
+
     /// Returns whether the target opened or closed since the last look.
     pub(crate) fn note_open(&mut self, now: Duration, lease: bool) -> bool {
         let open = lease && self.is_open(now);
--- a/coordination/node/src/io.rs
+++ b/coordination/node/src/io.rs
@@ -155,8 +155,6 @@
         tag: Tag,
         /// The files.
         publish: Publish,
-        /// Wall-clock time in milliseconds since the epoch.
-        at: u64,
     },
     /// The host should finish what it has and end.
     Shutdown,
--- a/coordination/node/src/lib.rs
+++ b/coordination/node/src/lib.rs
@@ -3,6 +3,7 @@
 //! in one process.
 
 mod answer;
+mod attempt;
 mod core;
 mod desk;
 mod digest;
@@ -16,6 +17,7 @@
 mod node;
 mod orders;
 mod owner;
+mod ownership;
 mod pin;
 mod request;
 mod stats;
--- a/coordination/node/src/node.rs
+++ b/coordination/node/src/node.rs
@@ -242,7 +242,7 @@
                 let ctx = self.ctx(now);
                 self.owner().order_ended(&ctx, order, &result, fx);
             }
-            Input::Publish { tag, publish, at: _ } => {
+            Input::Publish { tag, publish } => {
                 let ctx = self.ctx(now);
                 lock(&self.desk).publish(&ctx, tag, publish, fx);
             }
--- a/coordination/node/src/owner.rs
+++ b/coordination/node/src/owner.rs
@@ -10,15 +10,17 @@
 use lease::Registry;
 use place::{Decision, Policy};
 use wire::{
-    AdapterId, Answer, Command, Credit, ErrorKind, Fail, Fault, Forward, Head, HostId, Incarnation,
-    Index, PeerMsg, Piece, Pin, RequestId, TargetId, TargetReport, Urgency,
+    AdapterId, Answer, Command, Credit, ErrorKind, Fault, Forward, Head, HostId, Incarnation,
+    PeerMsg, Piece, Pin, RequestId, TargetId,
 };
 
 use crate::{
-    Call, Change, Output,
+    Output,
+    attempt::{Attempt, Running, Stage, call, fail_msg},
     effect::Effects,
-    held::{Held, Reported, is_owned},
+    held::Held,
     orders::Job,
+    pin::prefix,
     stats::Stats,
     view::Ctx,
 };
@@ -26,63 +28,6 @@
 /// How often a request may go back into the queue after a target refused it.
 const MAX_REQUEUES: u32 = 4;
 
-/// Where an attempt stands.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Stage {
-    /// It waits for a target.
-    Queued,
-    /// A target runs it.
-    Running(Running),
-    /// Its target crashed; the strike is being committed.
-    Striking,
-    /// The strike must be in force at every host before the entry may retry.
-    Struck { index: Index, since: Duration, asked: Duration },
-}
-
-/// The call of a running attempt.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Running {
-    pub(crate) target: TargetId,
-    pub(crate) name: String,
-    pub(crate) addr: String,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) since: Duration,
-    pub(crate) resumes: u32,
-    /// When to ask the target for the rest of a broken answer.
-    pub(crate) resume: Option<Duration>,
-}
-
-/// A request attempt.
-#[derive(Debug)]
-pub(crate) struct Attempt {
-    pub(crate) forward: Box<Forward>,
-    pub(crate) entry: HostId,
-    pub(crate) since: Duration,
-    pub(crate) deadline: Duration,
-    pub(crate) stage: Stage,
-    pub(crate) requeues: u32,
-    pub(crate) head: bool,
-    pub(crate) offset: u64,
-    /// Bytes the entry still takes.
-    pub(crate) credit: u32,
-}
-
-impl Attempt {
-    pub(crate) fn adapter(&self) -> Option<AdapterId> {
-        match &self.forward.pin {
-            Pin::Adapter { id, .. } => Some(*id),
-            Pin::Service { .. } => None,
-        }
-    }
-
-    fn ran(&self) -> &str {
-        match &self.forward.pin {
-            Pin::Adapter { name, .. } => name,
-            Pin::Service { service } => service,
-        }
-    }
-}
-
 /// The table of owned targets and their requests.
 pub(crate) struct Owner {
     pub(crate) host: HostId,
@@ -96,7 +41,7 @@
     pub(crate) sent_wants: Duration,
     pub(crate) stats: Stats,
     pub(crate) leaving: bool,
-    registry: Arc<Registry>,
+    pub(crate) registry: Arc<Registry>,
 }
 
 impl Owner {
@@ -117,49 +62,6 @@
         }
     }
 
-    /// Follows the registry: takes over new targets and gives up lost ones.
-    pub(crate) fn sync(&mut self, ctx: &Ctx, fx: &mut Effects) {
-        if Arc::ptr_eq(&self.registry, &ctx.view.registry) {
-            return;
-        }
-        self.registry = Arc::clone(&ctx.view.registry);
-        let registry = Arc::clone(&self.registry);
-        self.give_up(ctx, &registry, fx);
-        for target in registry.targets() {
-            if !is_owned(target, self.host, self.run) {
-                continue;
-            }
-            self.dirty.insert(target.id);
-            if let Some(held) = self.targets.get_mut(&target.id) {
-                held.update(target);
-                continue;
-            }
-            let name = target.info.name.clone();
-            fx.out(Output::Changed(Change::Owns { target: name, fence: target.fence }));
-            self.targets.insert(target.id, Held::new(target));
-        }
-        self.refuse_unserved(ctx, fx);
-    }
-
-    fn give_up(&mut self, ctx: &Ctx, registry: &Registry, fx: &mut Effects) {
-        let mut lost = Vec::new();
-        for (&id, held) in &self.targets {
-            let kept = registry.get(id).is_some_and(|target| {
-                is_owned(target, self.host, self.run) && target.fence == held.fence
-            });
-            if !kept {
-                lost.push(id);
-            }
-        }
-        for id in lost {
-            let Some(held) = self.targets.remove(&id) else { continue };
-            self.dirty.remove(&id);
-            self.policy.remove_target(id);
-            self.drop_jobs(ctx, id, fx);
-            fx.out(Output::Changed(Change::Disowns { target: held.info.name }));
-        }
-    }
-
     /// Refuses queued requests that no owned target can serve for now; another
     /// owner may.
     pub(crate) fn refuse_unserved(&mut self, ctx: &Ctx, fx: &mut Effects) {
@@ -261,7 +163,7 @@
             urgency: forward.urgency,
             since,
             deadline: ctx.now + forward.left,
-            prefix: 0,
+            prefix: prefix(forward),
             alone: ctx.view.strikes.count(&forward.print) > 0,
         }
     }
@@ -473,69 +375,13 @@
             .collect();
         ids.sort_unstable();
         for id in ids {
-            self.cancel(ctx, id, fx);
-        }
-    }
-
-    /// Takes a report of an owned target.
-    pub(crate) fn report(&mut self, ctx: &Ctx, report: &TargetReport, fx: &mut Effects) {
-        let Some(target) = ctx.view.registry.named(&report.info.name) else { return };
-        let Some(held) = self.targets.get_mut(&target.id) else { return };
-        let id = target.id;
-        let reported = held.report(ctx.now, &ctx.view.config, report);
-        if reported == Reported::Old {
-            return;
-        }
-        self.dirty.insert(id);
-        if reported == Reported::Restarted {
-            let name = report.info.name.clone();
-            fx.out(Output::Changed(Change::Restarted { target: name }));
-            self.crashed(ctx, id, report.incarnation, fx);
-            self.drop_jobs(ctx, id, fx);
-        }
-        if target.intents.iter().any(|open| open.intent.incarnation < report.incarnation) {
-            fx.propose(Command::Restarted { target: id, incarnation: report.incarnation });
+            let queued = self.attempts.get(&id).is_some_and(|it| it.stage == Stage::Queued);
+            if queued {
+                self.policy.cancel(id);
+                self.fail(id, ErrorKind::NoTarget.into(), fx);
+                continue;
+            }
+            self.stop(ctx, id, ErrorKind::OwnerLost.into(), fx);
         }
-        self.pump(ctx, fx);
-    }
-}
-
-/// Composes the call of an attempt, or the call that asks for the rest of its
-/// answer.
-pub(crate) fn call(
-    attempt: &Attempt,
-    running: &Running,
-    fence: wire::Fence,
-    until: Duration,
-    resume: Option<u64>,
-) -> Call {
-    let forward = &attempt.forward;
-    Call {
-        request: forward.request,
-        target: running.name.clone(),
-        addr: running.addr.clone(),
-        path: forward.path.clone(),
-        ran: attempt.ran().to_owned(),
-        incarnation: running.incarnation,
-        fence,
-        until,
-        priority: priority(forward.urgency),
-        stream: forward.stream,
-        idempotent: forward.idempotent,
-        resume,
-        body: forward.body.clone(),
-        credit: attempt.credit,
     }
 }
-
-fn priority(urgency: Urgency) -> u8 {
-    match urgency {
-        Urgency::High => 0,
-        Urgency::Normal => 1,
-        Urgency::Low => 2,
-    }
-}
-
-pub(crate) fn fail_msg(request: RequestId, fault: Fault) -> PeerMsg {
-    PeerMsg::Answer(Answer::Fail(Fail { request, fault }))
-}
--- a/coordination/node/src/pin.rs
+++ b/coordination/node/src/pin.rs
@@ -3,10 +3,14 @@
 use decl::Call;
 use history::Config;
 use sha2::{Digest, Sha256};
-use wire::{ErrorKind, Fault, Fingerprint, Pin};
+use wire::{ErrorKind, Fault, Fingerprint, Forward, Pin};
 
 use crate::Caller;
 
+const PROMPT_KEY: &[u8] = b"\"prompt\"";
+/// Bytes of a prompt that count as its prefix.
+const PREFIX_BYTES: usize = 256;
+
 /// Returns what a request is bound to and the declared call it belongs to.
 pub(crate) fn pin_request(config: &Config, caller: &Caller) -> Result<(Pin, Call), Fault> {
     let service = caller.service.as_deref();
@@ -25,6 +29,17 @@
     Ok((Pin::Service { service: service.to_owned() }, call.clone()))
 }
 
+/// Digests the start of a prompt, for which an engine may have cached its work;
+/// zero for a request without a prompt.
+pub(crate) fn prefix(forward: &Forward) -> u64 {
+    let body = &forward.body;
+    let found = body.windows(PROMPT_KEY.len()).position(|part| part == PROMPT_KEY);
+    let Some(start) = found else { return 0 };
+    let end = body.len().min(start + PREFIX_BYTES);
+    let hash = Sha256::digest(&body[start..end]);
+    u64::from_be_bytes(std::array::from_fn(|place| hash[place]))
+}
+
 /// Digests what a target would see of a request.
 pub(crate) fn fingerprint(pin: &Pin, path: &str, body: &[u8]) -> Fingerprint {
     let name = match pin {
--- a/coordination/node/tests/common/mod.rs
+++ b/coordination/node/tests/common/mod.rs
@@ -83,6 +83,16 @@
     /// Every message and call, if recorded.
     pub trace: Option<Vec<String>>,
     next_tag: Tag,
+    founders: u32,
+}
+
+fn empty_disk(host: HostId, number: u64) -> replog::Recovered {
+    replog::Recovered {
+        voter: (u64::from(host) << 48) | number,
+        hard: replog::HardState::default(),
+        snapshot: None,
+        entries: Vec::new(),
+    }
 }
 
 pub fn settings(host: HostId, hosts: u32, voters: u32) -> Settings {
@@ -120,14 +130,11 @@
             revival: None,
             trace: None,
             next_tag: 1,
+            founders: 0,
         };
+        cluster.founders = voters;
         for host in 1..=hosts {
-            let disk = (host <= voters).then(|| replog::Recovered {
-                voter: (u64::from(host) << 48) | 1,
-                hard: replog::HardState::default(),
-                snapshot: None,
-                entries: Vec::new(),
-            });
+            let disk = (host <= voters).then(|| empty_disk(host, 1));
             cluster.hosts.insert(
                 host,
                 Host {
@@ -146,14 +153,15 @@
         cluster
     }
 
-    fn count(&self) -> (u32, u32) {
-        let voters = self.hosts.values().filter(|host| host.disk.is_some()).count();
-        (self.hosts.len() as u32, voters as u32)
+    /// Gives a host that does not run an empty disk with a new identity.
+    pub fn replace_disk(&mut self, id: HostId) {
+        let Some(host) = self.hosts.get_mut(&id) else { return };
+        host.disk = Some(empty_disk(id, host.run + 1));
     }
 
     /// Starts a host, or starts it again after [`Cluster::kill`].
     pub fn start(&mut self, id: HostId) {
-        let (hosts, voters) = self.count();
+        let (hosts, voters) = (self.hosts.len() as u32, self.founders);
         let now = self.now;
         let wall = self.wall();
         let Some(host) = self.hosts.get_mut(&id) else { return };
@@ -295,8 +303,7 @@
             .collect();
         let publish =
             Publish { files, author: "operator".to_owned(), revision: "abc123".to_owned() };
-        let at = self.wall();
-        self.input(id, Input::Publish { tag, publish, at });
+        self.input(id, Input::Publish { tag, publish });
         tag
     }
 
--- /dev/null
+++ b/coordination/node/tests/state.rs
@@ -0,0 +1,174 @@
+//! The configuration through lost disks, restarts and changes of voters.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Cluster, NOTES, completion, ready, target::Target};
+use wire::{ErrorKind, HostId};
+
+const LIMIT: Duration = Duration::from_secs(60);
+
+fn notes(version: u64) -> String {
+    NOTES.replace("version = 1", &format!("version = {version}"))
+}
+
+/// Publishes and returns how it ended.
+fn publish(cluster: &mut Cluster, host: HostId, name: &str, text: &str) -> Result<(), ErrorKind> {
+    let tag = cluster.publish(host, &[(name, text)]);
+    assert!(cluster.run_until(LIMIT, |it| it.published.contains_key(&tag)));
+    match &cluster.published[&tag] {
+        Ok(_) => Ok(()),
+        Err(fault) => Err(fault.kind),
+    }
+}
+
+fn version(cluster: &Cluster, host: HostId) -> u64 {
+    let services = cluster.node(host).status(cluster.now).services;
+    services.iter().find(|row| row.service == "notes").map_or(0, |row| row.version)
+}
+
+fn voters(cluster: &Cluster) -> Vec<HostId> {
+    let leader = cluster.leader().expect("there is a leader");
+    let rows = cluster.node(leader).status(cluster.now).hosts;
+    rows.iter().filter(|row| row.role == "voter").map(|row| row.host).collect()
+}
+
+fn lose_disk(cluster: &mut Cluster, host: HostId) {
+    cluster.kill(host);
+    cluster.replace_disk(host);
+    cluster.start(host);
+}
+
+#[test]
+fn a_second_disk_is_lost_right_after_the_first_was_replaced() {
+    let mut cluster = ready(5, 3);
+    lose_disk(&mut cluster, 2);
+    assert!(cluster.run_until(LIMIT, |it| version(it, 2) == 1 && voters(it) == [1, 2, 3]));
+    publish(&mut cluster, 4, "notes.ini", &notes(2)).expect("a quorum is left");
+    lose_disk(&mut cluster, 1);
+    publish(&mut cluster, 5, "notes.ini", &notes(3)).expect("a quorum is left");
+    assert!(cluster.run_until(LIMIT, |it| voters(it) == [1, 2, 3]));
+    cluster.run(Duration::from_secs(5));
+    for host in 1..=5 {
+        assert_eq!(version(&cluster, host), 3, "host {host}");
+    }
+}
+
+#[test]
+fn two_disks_lost_at_once_stop_writes_and_leave_what_is_readable() {
+    let mut cluster = ready(5, 3);
+    publish(&mut cluster, 4, "notes.ini", &notes(2)).expect("all voters run");
+    cluster.kill(1);
+    cluster.kill(2);
+    for host in [1, 2] {
+        cluster.replace_disk(host);
+        cluster.start(host);
+    }
+    cluster.run(Duration::from_secs(20));
+    assert_eq!(publish(&mut cluster, 3, "notes.ini", &notes(3)), Err(ErrorKind::NoQuorum));
+    for host in [3, 4, 5] {
+        assert_eq!(version(&cluster, host), 2, "host {host}");
+        assert!(!cluster.node(host).status(cluster.now).lease, "host {host}");
+    }
+    for host in [1, 2] {
+        assert!(!cluster.node(host).status(cluster.now).lease, "host {host}");
+    }
+}
+
+#[test]
+fn all_hosts_restart_after_hundreds_of_changes() {
+    let mut cluster = ready(5, 3);
+    for number in 2..=300 {
+        publish(&mut cluster, 1 + number as HostId % 5, "notes.ini", &notes(number))
+            .expect("all hosts run");
+    }
+    let trail = cluster.node(4).audit(1, 1000);
+    assert_eq!(trail.entries.len(), 300);
+    for host in 1..=5 {
+        cluster.kill(host);
+    }
+    for host in 1..=5 {
+        cluster.start(host);
+    }
+    let live = |it: &Cluster| (1..=5).all(|host| it.node(host).status(it.now).lease);
+    assert!(cluster.run_until(LIMIT, live));
+    for host in 1..=5 {
+        assert_eq!(version(&cluster, host), 300, "host {host}");
+        assert_eq!(cluster.node(host).audit(1, 1000), trail, "host {host}");
+    }
+}
+
+#[test]
+fn voters_follow_the_published_file() {
+    let mut cluster = ready(5, 3);
+    cluster.kill(4);
+    cluster.replace_disk(4);
+    cluster.start(4);
+    let text =
+        "[service]\nname = system\nversion = 1\nkind = system\n[cluster]\nvoters = 2, 3, 4\n";
+    publish(&mut cluster, 5, "system.ini", text).expect("a quorum is left");
+    assert!(cluster.run_until(LIMIT, |it| voters(it) == [2, 3, 4]));
+    cluster.kill(1);
+    cluster.kill(2);
+    publish(&mut cluster, 5, "notes.ini", &notes(2)).expect("two of the new voters are left");
+}
+
+#[test]
+fn a_host_cut_off_for_ten_minutes_comes_back_without_harm() {
+    let mut cluster = ready(5, 3);
+    cluster.add_target(Target::engine("e1", 1, true));
+    cluster.run(Duration::from_secs(6));
+    let leader = cluster.leader().expect("there is a leader");
+    let term = cluster.node(4).status(cluster.now).term;
+    let cut = (1..=3).find(|&host| host != leader).expect("three voters");
+    cluster.isolate(cut);
+    cluster.run(Duration::from_secs(600));
+    publish(&mut cluster, 4, "notes.ini", &notes(2)).expect("a quorum is left");
+    assert!(!cluster.node(cut).status(cluster.now).lease);
+    cluster.heal();
+    assert!(cluster.run_until(LIMIT, |it| it.node(cut).status(it.now).lease));
+    assert_eq!(version(&cluster, cut), 2);
+    assert_eq!(cluster.node(4).status(cluster.now).term, term);
+}
+
+#[test]
+fn racing_operators_are_told_what_is_in_force() {
+    let mut cluster = ready(5, 3);
+    let one = notes(2);
+    let other = one.replace("a = v1", "a = v9");
+    let first = cluster.publish(1, &[("notes.ini", &one)]);
+    let second = cluster.publish(5, &[("notes.ini", &other)]);
+    let both =
+        |it: &Cluster| it.published.contains_key(&first) && it.published.contains_key(&second);
+    assert!(cluster.run_until(LIMIT, both));
+    let won: Vec<bool> = [first, second].iter().map(|tag| cluster.published[tag].is_ok()).collect();
+    assert_eq!(won.iter().filter(|won| **won).count(), 1);
+    let (winner, text) = if won[0] { (first, &one) } else { (second, &other) };
+    let loser = if won[0] { second } else { first };
+    let fault = cluster.published[&loser].clone().expect_err("only one wins");
+    assert_eq!(fault.kind, ErrorKind::VersionTaken);
+    let again = cluster.publish(3, &[("notes.ini", text)]);
+    assert!(cluster.run_until(LIMIT, |it| it.published.contains_key(&again)));
+    let receipt = |tag| cluster.published[&tag].clone().expect("accepted").receipt;
+    assert_eq!(receipt(again), receipt(winner));
+}
+
+#[test]
+fn a_target_that_is_gone_for_good_is_forgotten() {
+    let mut cluster = ready(5, 3);
+    cluster.add_target(Target::engine("e1", 1, true));
+    cluster.run(Duration::from_secs(6));
+    let key = cluster.request(5, completion("base@a@v1", "hello"));
+    assert!(cluster.run_until(LIMIT, |it| it.told[&key].ended()));
+    cluster.targets[0].crash();
+    let known = |it: &Cluster| !it.node(5).status(it.now).targets.is_empty();
+    cluster.run(Duration::from_secs(500));
+    assert!(known(&cluster));
+    assert!(cluster.run_until(Duration::from_secs(200), |it| !known(it)));
+    cluster.targets[0].restart();
+    cluster.run(Duration::from_secs(10));
+    let key = cluster.request(5, completion("base@a@v1", "again"));
+    assert!(cluster.run_until(LIMIT, |it| it.told[&key].ended()));
+    assert!(cluster.told[&key].whole, "{:?}", cluster.told[&key].fault);
+}
--- a/daemon/src/border.rs
+++ b/daemon/src/border.rs
@@ -12,7 +12,7 @@
 use web::border::{Answer, Entry, Operator};
 use wire::{DeclFile, ErrorKind, Fault, Publish, TargetReport};
 
-use crate::host::{Host, wall};
+use crate::host::Host;
 
 /// How long a caller may use the addresses it was given, in seconds.
 const WHERE_LIFETIME: u64 = 10;
@@ -88,7 +88,7 @@
     let tag = host.callers.tag();
     let (sender, receiver) = oneshot::channel();
     host.publishes.lock().expect("no holder panics").insert(tag, sender);
-    host.shards.send(Input::Publish { tag, publish, at: wall() }).await;
+    host.shards.send(Input::Publish { tag, publish }).await;
     let answer = timeout(PUBLISH_TIMEOUT, receiver).await;
     host.publishes.lock().expect("no holder panics").remove(&tag);
     match answer {
