Load where batches have room

Cause: an adapter was loaded on the target with the cheapest victim, also when its batch was full, so that those who waited went on waiting for room and the slot of the store was spent early. Change: a load costs more the fuller the target's batch is, in proportion to what waits for it.

--- a/coordination/place/src/loads.rs
+++ b/coordination/place/src/loads.rs
@@ -25,6 +25,8 @@
 /// What a second copy in one failure domain costs, as a share of the adapter's
 /// expected requests.
 const SAME_DOMAIN: f64 = 0.25;
+/// What a full batch costs a load, as a share of what waits for it.
+const FULL_COST: f64 = 2.0;
 /// Bounds of the time over which residency is valued, in seconds.
 const HORIZON_SECS: (f64, f64) = (10.0, 30.0);
 
@@ -126,6 +128,7 @@
         offers: &[Offer],
     ) -> Option<(f64, LoadOrder)> {
         let model = self.models.get(&adapter)?;
+        let worth = self.worth(self.depth(adapter));
         let near = SAME_DOMAIN * self.expected(now, adapter);
         let mut best: Option<(f64, f64, LoadOrder)> = None;
         for offer in offers {
@@ -137,8 +140,8 @@
                 continue;
             }
             let is_near = self.fleet.holders(adapter).any(|own| own.view.domain == view.domain);
-            let cost = offer.cost + if is_near { near } else { 0.0 };
             let fill = target.fill();
+            let cost = offer.cost + if is_near { near } else { 0.0 } + FULL_COST * fill * worth;
             if best.is_none_or(|(least, filled, _)| (cost, fill) < (least, filled)) {
                 let order = LoadOrder { target: view.id, adapter, victim: offer.victim };
                 best = Some((cost, fill, order));
