--- a/coordination/place/src/loads.rs
+++ b/coordination/place/src/loads.rs
@@ -110,7 +110,8 @@
     fn offers(&self, now: Duration) -> Vec<Offer> {
         let mut offers = Vec::new();
         for target in self.fleet.iter() {
-            if !target.view.open || !matches!(target.view.kind, TargetKind::Engine { .. }) {
+            let is_engine = matches!(target.view.kind, TargetKind::Engine { .. });
+            if !target.view.open || !is_engine || target.reserved.is_some() {
                 continue;
             }
             if let Some((cost, victim)) = self.victim(now, target) {
--- a/coordination/place/src/owner.rs
+++ b/coordination/place/src/owner.rs
@@ -62,6 +62,8 @@
     pub(crate) touched: BTreeSet<TargetId>,
     /// The adapter at which overtaken requests are looked for next.
     pub(crate) shed_at: AdapterId,
+    /// Targets that are kept free, by the request they are kept for.
+    pub(crate) reserved: BTreeMap<RequestId, TargetId>,
     /// Refusals to be told with the next decisions.
     pub(crate) refused: Vec<Decision>,
     /// Mean seconds until an adapter arrives.
@@ -91,6 +93,7 @@
             crowded: BTreeSet::new(),
             fresh: BTreeSet::new(),
             touched: BTreeSet::new(),
+            reserved: BTreeMap::new(),
             refused: Vec::new(),
             shed_at: AdapterId::MIN,
             arrival: settings.load.as_secs_f64(),
@@ -119,7 +122,7 @@
 
     /// Brings all up to date after a request left the queue.
     fn left(&mut self, now: Duration, lane: Lane, waiting: &Waiting) {
-        self.release(lane, waiting.request);
+        self.release(waiting.request);
         let Need::Adapter(adapter) = lane.need else { return };
         if self.fleet.copies(adapter) == 0 {
             self.stalled += now.saturating_sub(waiting.since).as_secs_f64();
@@ -238,10 +241,12 @@
             }
             self.reindex(now, adapter);
         }
+        self.release_lost(id);
     }
 
     fn remove_target(&mut self, id: TargetId) {
         let now = self.seen;
+        self.reserved.retain(|_, kept| *kept != id);
         for ids in self.services.values_mut() {
             ids.remove(&id);
         }
--- a/coordination/place/src/starts.rs
+++ b/coordination/place/src/starts.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use admit::{Lane, Need};
-use wire::{RequestId, TargetId};
+use wire::{Pin, RequestId, TargetId};
 
 use crate::{TargetView, fleet::Target, owner::Owner};
 
@@ -54,7 +54,8 @@
         self.prefixes.last(adapter, prefix)
     }
 
-    /// Keeps a target free for a request that must run alone.
+    /// Keeps a target free for a request that must run alone. One target is kept
+    /// for each lane at a time.
     pub(crate) fn reserve(&mut self, lane: Lane, request: RequestId) {
         let mut best: Option<(f64, TargetId)> = None;
         let mut is_reserved = false;
@@ -68,23 +69,30 @@
         if is_reserved {
             return;
         }
-        if let Some(target) = best.and_then(|(_, id)| self.fleet.get_mut(id)) {
-            target.reserved = Some(request);
+        let Some((_, id)) = best else { return };
+        let Some(target) = self.fleet.get_mut(id) else { return };
+        target.reserved = Some(request);
+        self.reserved.insert(request, id);
+    }
+
+    /// Frees a target that is kept for a request it can't run any more.
+    pub(crate) fn release_lost(&mut self, id: TargetId) {
+        let Some(request) = self.fleet.get(id).and_then(|target| target.reserved) else { return };
+        let is_held = match self.queue.get(request).map(|waiting| &waiting.pin) {
+            Some(Pin::Adapter { id: adapter, .. }) => {
+                self.fleet.holders(*adapter).any(|target| target.view.id == id)
+            }
+            Some(Pin::Service { .. }) => self.fleet.get(id).is_some_and(|kept| kept.view.open),
+            None => false,
+        };
+        if !is_held {
+            self.release(request);
         }
     }
 
     /// Frees the target that was kept for a request.
-    pub(crate) fn release(&mut self, lane: Lane, request: RequestId) {
-        if !lane.alone {
-            return;
-        }
-        let mut kept = None;
-        self.each_holder(lane.need, |target| {
-            if target.reserved == Some(request) {
-                kept = Some(target.view.id);
-            }
-        });
-        let Some(id) = kept else { return };
+    pub(crate) fn release(&mut self, request: RequestId) {
+        let Some(id) = self.reserved.remove(&request) else { return };
         self.touched.insert(id);
         if let Some(target) = self.fleet.get_mut(id) {
             target.reserved = None;
--- a/coordination/place/tests/owner.rs
+++ b/coordination/place/tests/owner.rs
@@ -76,3 +76,17 @@
     assert_snapshot!(shown(&policy.decide(secs(0.0))), @"start 0 on 5");
     assert!(policy.wants(secs(0.0)).is_empty());
 }
+
+#[test]
+fn a_target_kept_for_a_request_is_freed_when_its_adapter_goes() {
+    let mut policy = owner_policy(settings());
+    let busy = |running, resident| TargetView { running, ..engine(1, 3, resident) };
+    policy.set_target(secs(0.0), busy(1, vec![idle(7), idle(8)]));
+    policy.enqueue(secs(0.0), Waiting { alone: true, ..request(1, 7) }).unwrap();
+    policy.enqueue(secs(0.0), request(2, 8)).unwrap();
+    assert!(policy.decide(secs(0.0)).is_empty(), "it is kept free");
+    assert!(policy.wants(secs(0.0)).is_empty());
+    policy.set_target(secs(0.1), busy(1, vec![idle(8)]));
+    assert_snapshot!(shown(&policy.decide(secs(0.1))), @"start 2 on 1");
+    assert!(policy.cancel(1));
+}
