--- a/daemon/tests/start.rs
+++ b/daemon/tests/start.rs
@@ -2,14 +2,17 @@
 
 use std::{fs, process::Command};
 
-const GOOD: &str = "[host]\nid = 1\nip = 127.52.0.1\ndomain = north\n\
+use sessions::checkout::octet;
+
+const GOOD: &str = "[host]\nid = 1\nip = ADDR\ndomain = north\n\
     data_dir = data\n\n\
-    [hosts]\n1 = 127.52.0.1 north\n\n[cluster]\nfounders = 1\n";
+    [hosts]\n1 = ADDR north\n\n[cluster]\nfounders = 1\n";
 
 #[test]
 fn a_failed_start_gives_one_line_and_exit_code_1() {
     let dir = tempfile::tempdir().expect("a folder can be made");
-    let occupied = std::net::TcpListener::bind("127.52.0.1:8000").expect("the address is free");
+    let ip = format!("127.{}.130.1", octet());
+    let occupied = std::net::TcpListener::bind((ip.as_str(), 8000)).expect("the address is free");
     let file = dir.path().join("file");
     fs::write(&file, "").expect("the folder is usable");
     let cases = [
@@ -24,7 +27,7 @@
         let path = dir.path().join("host.ini");
         let _ = fs::remove_file(&path);
         if let Some(text) = text {
-            fs::write(&path, text).expect("the folder is usable");
+            fs::write(&path, text.replace("ADDR", &ip)).expect("the folder is usable");
         }
         let output = Command::new(env!("CARGO_BIN_EXE_poplarhollowd"))
             .args(["--config", "host.ini"])
@@ -36,5 +39,5 @@
         report.push_str(&format!("{name}: {code:?}\n{}\n", lines.trim_end()));
     }
     drop(occupied);
-    insta::assert_snapshot!(report);
+    insta::assert_snapshot!(report.replace(&ip, "ADDR"));
 }
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -15,6 +15,7 @@
 use wire::HostId;
 
 use crate::{
+    checkout::octet,
     client::{Client, LIMIT, Reply},
     counts::Counts,
 };
@@ -53,14 +54,6 @@
     targets: BTreeMap<String, (Child, String)>,
 }
 
-/// Returns a number from 60 to 219 that differs between most checkouts of one
-/// machine, so that their tests do not meet on the same addresses.
-fn checkout() -> u8 {
-    let path = env!("CARGO_MANIFEST_DIR");
-    let sum = path.bytes().fold(0u32, |sum, byte| sum.wrapping_mul(31) + u32::from(byte));
-    60 + (sum % 160) as u8
-}
-
 impl Drop for Cluster {
     fn drop(&mut self) {
         let targets = self.targets.values_mut().map(|(child, _)| child);
@@ -110,7 +103,7 @@
     }
 
     fn ip(&self, host: HostId) -> String {
-        format!("127.{}.{}.{host}", checkout(), self.net)
+        format!("127.{}.{}.{host}", octet(), self.net)
     }
 
     fn settings(&self, host: HostId) -> String {
@@ -154,7 +147,7 @@
     /// the cluster's net, 100 plus `number`.
     pub fn start_target(&mut self, program: &str, name: &str, number: u8, options: &[&str]) {
         let addr =
-            format!("127.{}.{}.{}:{TARGET_PORT}", checkout(), self.net, 100 + u16::from(number));
+            format!("127.{}.{}.{}:{TARGET_PORT}", octet(), self.net, 100 + u16::from(number));
         let hosts: Vec<String> = (1..=self.count).map(|host| self.entry(host)).collect();
         let domain = DOMAINS[usize::from(number) % DOMAINS.len()];
         let args = [
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod announce;
 pub mod answer;
+pub mod checkout;
 pub mod client;
 pub mod cluster;
 pub mod counts;
--- a/transport/peer/tests/common/mod.rs
+++ b/transport/peer/tests/common/mod.rs
@@ -12,6 +12,7 @@
     auth::Key,
     frame::{GREETING_BYTES, Greeting, Session},
 };
+use sessions::checkout::octet;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
@@ -26,7 +27,7 @@
 pub const LIMIT: Duration = Duration::from_secs(60);
 
 pub fn ip(net: u8, host: HostId) -> IpAddr {
-    Ipv4Addr::new(127, 31, net, host as u8).into()
+    Ipv4Addr::new(127, octet(), 100 + net, host as u8).into()
 }
 
 pub fn addr(net: u8, host: HostId) -> SocketAddr {
--- a/transport/web/tests/answers.rs
+++ b/transport/web/tests/answers.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use futures::future::{BoxFuture, ready};
 use node::Caller;
+use sessions::checkout::octet;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -93,7 +94,7 @@
 }
 
 fn start(net: u8) -> Bench {
-    let addr = |port| SocketAddr::from(([127, 53, net, 1], port));
+    let addr = |port| SocketAddr::from(([127, octet(), 110 + net, 1], port));
     let stub = Arc::new(Stub { answers: Mutex::default(), seen: Arc::default() });
     let (entry, operator) = (addr(8000), addr(9000));
     let log = slog::Logger::root(slog::Discard, slog::o!());
--- a/transport/web/tests/targets.rs
+++ b/transport/web/tests/targets.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures::future::{BoxFuture, ready};
 use node::{Call, Input, Order};
+use sessions::checkout::octet;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -38,7 +39,7 @@
 }
 
 async fn listen(number: u8) -> (TcpListener, String) {
-    let addr = SocketAddr::from(([127, 54, 1, number], 9100));
+    let addr = SocketAddr::from(([127, octet(), 120, number], 9100));
     let listener = TcpListener::bind(addr).await.expect("the address is free");
     (listener, addr.to_string())
 }
@@ -201,7 +202,7 @@
     report.push_str(&describe_all(&mut events).await);
     targets.cancel(REQUEST, &addr);
     let _ = writeln!(report, "\n{}", answer(&listener, &response(204, "", "")).await);
-    insta::assert_snapshot!(report.replace('\r', ""));
+    insta::assert_snapshot!(report.replace('\r', "").replace(&addr, "ADDR"));
     // A call that comes after its cancellation is not sent.
     targets.call(call(&addr, false));
     assert_eq!(targets.running(), 0);
@@ -250,7 +251,7 @@
     let (targets, mut events) = start();
     let (listener, addr) = listen(5).await;
     let mut report = String::new();
-    let closed = "127.54.1.99:9100";
+    let closed = &format!("127.{}.120.99:9100", octet());
     let past = Duration::ZERO;
     targets.call(call(closed, false));
     report.push_str(&describe_all(&mut events).await);
