Count strikes for calls that crash plain services

Cause: a lost answer of a plain service ended the attempt at once, before the target's restart was seen, so nobody was struck and the entry tried the next target. Ruled out: the strike table and its spread; the same request against engines crashed two. Change: any lost answer is asked for again; a refused connection is a crash, any other reply waits for the target's next report, which tells a later run from a lost answer. After: 2 crashes, also when the process is back within 20 ms.

A strike waits for hosts that are cut off: the test fails when it does not.

--- a/coordination/node/src/attempt.rs
+++ b/coordination/node/src/attempt.rs
@@ -33,6 +33,9 @@
     pub(crate) resumes: u32,
     /// When to ask the target for the rest of a broken answer.
     pub(crate) resume: Option<Duration>,
+    /// Until when the target's next report is awaited: it tells a lost answer
+    /// from a crash.
+    pub(crate) awaits: Option<Duration>,
 }
 
 /// A request attempt.
--- a/coordination/node/src/failure.rs
+++ b/coordination/node/src/failure.rs
@@ -4,7 +4,7 @@
 
 use wire::{
     Ask, Command, DomainForce, ErrorKind, Fault, Fingerprint, Incarnation, Index, PeerMsg,
-    RequestId, TargetId, TargetKind,
+    RequestId, TargetId,
 };
 
 use crate::{
@@ -17,6 +17,8 @@
 
 const RESUME_AFTER: Duration = Duration::from_millis(100);
 const MAX_RESUMES: u32 = 8;
+/// How long a target's report is awaited after its answer was lost.
+const REPORT_LIMIT: Duration = Duration::from_secs(4);
 const ASK_EVERY: Duration = Duration::from_millis(200);
 /// How long a strike may take to be in force at every host. Hosts that lag
 /// longer have no lease by then.
@@ -44,12 +46,12 @@
                 let fault = Fault::new(ErrorKind::Refused, "could not connect to the target");
                 self.requeue(ctx, id, fault, fx);
             }
-            CallFailure::Refused(word) if resumed => {
-                let detail = format!("could not resume the answer: {word}");
-                self.stop(ctx, id, Fault::new(ErrorKind::TargetLost, detail), fx);
+            CallFailure::Refused(_) | CallFailure::Wrong(_) if resumed => {
+                // The target kept no answer, or a later run of it replied.
+                running.awaits = Some(ctx.now + REPORT_LIMIT);
             }
             CallFailure::Refused(word) => self.refused(ctx, id, target, &word, fx),
-            CallFailure::Lost => self.lost(ctx, id, target, fx),
+            CallFailure::Lost => self.lost(ctx, id, fx),
             CallFailure::Wrong(detail) => {
                 self.stop(ctx, id, Fault::new(ErrorKind::WrongAnswer, detail), fx);
             }
@@ -81,23 +83,35 @@
         self.requeue(ctx, id, fault, fx);
     }
 
-    /// Asks an engine for the rest of a broken answer. A plain service keeps none.
-    fn lost(&mut self, ctx: &Ctx, id: RequestId, target: TargetId, fx: &mut Effects) {
-        let is_engine = self
-            .targets
-            .get(&target)
-            .is_none_or(|held| matches!(held.info.kind, TargetKind::Engine { .. }));
+    /// Asks the target for the rest of a broken answer. An engine keeps it; from
+    /// any target, the reply tells whether its process still runs.
+    fn lost(&mut self, ctx: &Ctx, id: RequestId, fx: &mut Effects) {
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
-        let is_adapter = attempt.adapter().is_some();
         let Stage::Running(running) = &mut attempt.stage else { return };
         running.resumes += 1;
-        if !is_engine || !is_adapter || running.resumes > MAX_RESUMES {
+        if running.resumes > MAX_RESUMES {
             self.stop(ctx, id, ErrorKind::TargetLost.into(), fx);
             return;
         }
         running.resume = Some(ctx.now + RESUME_AFTER);
     }
 
+    /// Ends the attempts whose answer is lost although their target's process
+    /// still runs, as its report shows.
+    pub(crate) fn answers_lost(&mut self, ctx: &Ctx, target: TargetId, fx: &mut Effects) {
+        let mut ids: Vec<RequestId> = Vec::new();
+        for (&id, attempt) in &self.attempts {
+            let Stage::Running(running) = &attempt.stage else { continue };
+            if running.target == target && running.awaits.is_some() {
+                ids.push(id);
+            }
+        }
+        ids.sort_unstable();
+        for id in ids {
+            self.stop(ctx, id, ErrorKind::TargetLost.into(), fx);
+        }
+    }
+
     /// A target that refuses connections while it runs requests has crashed.
     fn resume_refused(&mut self, ctx: &Ctx, id: RequestId, fx: &mut Effects) {
         let Some(attempt) = self.attempts.get(&id) else { return };
@@ -198,6 +212,10 @@
                     self.resume(id, fx);
                     return;
                 }
+                if running.awaits.is_some_and(|until| ctx.now >= until) {
+                    self.stop(ctx, id, ErrorKind::TargetLost.into(), fx);
+                    return;
+                }
                 if !attempt.head && attempt.forward.idempotent && ctx.now >= attempt.deadline {
                     self.stop(ctx, id, ErrorKind::TimedOut.into(), fx);
                 }
--- a/coordination/node/src/owner.rs
+++ b/coordination/node/src/owner.rs
@@ -223,6 +223,7 @@
             since: ctx.now,
             resumes: 0,
             resume: None,
+            awaits: None,
         };
         fx.out(Output::Call(call(attempt, &running, held.fence, until, None)));
         attempt.stage = Stage::Running(running);
--- a/coordination/node/src/ownership.rs
+++ b/coordination/node/src/ownership.rs
@@ -76,6 +76,7 @@
             self.crashed(ctx, id, report.incarnation, fx);
             self.drop_jobs(ctx, id, fx);
         }
+        self.answers_lost(ctx, id, fx);
         if target.intents.iter().any(|open| open.intent.incarnation < report.incarnation) {
             fx.propose(Command::Restarted { target: id, incarnation: report.incarnation });
         }
--- a/coordination/node/tests/common/target.rs
+++ b/coordination/node/tests/common/target.rs
@@ -215,6 +215,7 @@
         offset: usize,
     ) -> Result<(), CallFailure> {
         let found = self.executions.iter().rposition(|it| it.request == request);
+        let found = found.filter(|_| self.is_engine());
         let Some(place) = found else {
             return Err(CallFailure::Refused("unknown_request".to_owned()));
         };
--- a/coordination/node/tests/exclusion.rs
+++ b/coordination/node/tests/exclusion.rs
@@ -95,6 +95,45 @@
     }
 }
 
+/// Sends a crashing request to one host after the other, without a pause.
+fn crashes(cluster: &mut Cluster, caller: &node::Caller) -> u32 {
+    for resend in 0..12 {
+        let key = cluster.request(1 + resend % 6, caller.clone());
+        assert!(cluster.run_until(LIMIT, |it| it.told[&key].ended()));
+    }
+    cluster.targets.iter().map(|target| target.crashes).sum()
+}
+
+#[test]
+fn a_crashing_request_that_is_resent_at_once_is_stopped_after_two_crashes() {
+    let mut cluster = ready(6, 3);
+    for last in 1..=6 {
+        cluster.add_target(Target::engine(&format!("e{last}"), last, true));
+    }
+    cluster.revival = Some(Duration::from_secs(1));
+    cluster.run(SETTLE);
+    let mut caller = completion("base@a@v1", "CRASH");
+    caller.deadline = Some(Duration::from_secs(1));
+    assert_eq!(crashes(&mut cluster, &caller), 2);
+}
+
+#[test]
+fn a_call_that_crashes_services_is_stopped_after_two_crashes() {
+    for revival in [Duration::from_millis(20), Duration::from_secs(1)] {
+        let mut cluster = ready(6, 3);
+        for last in 1..=6 {
+            cluster.add_target(Target::service(&format!("s{last}"), last));
+        }
+        cluster.revival = Some(revival);
+        cluster.run(SETTLE);
+        let mut caller = common::booking("unused", "CRASH");
+        caller.call = Some("read".to_owned());
+        caller.key = None;
+        caller.made = None;
+        assert_eq!(crashes(&mut cluster, &caller), 2);
+    }
+}
+
 #[test]
 fn a_doubled_claim_lets_nothing_run_twice() {
     let mut cluster = ready(6, 3);
@@ -108,3 +147,21 @@
     }
     assert_eq!(cluster.targets[0].runs("deposit"), 1);
 }
+
+#[test]
+fn a_strike_waits_for_hosts_that_are_cut_off() {
+    let mut cluster = ready(6, 3);
+    cluster.add_target(Target::engine("e1", 1, true));
+    cluster.run(SETTLE);
+    let busy = [cluster.owner("e1"), cluster.leader(), Some(6)];
+    let cut = (1..=5).rev().find(|&id| !busy.contains(&Some(id))).expect("six hosts are enough");
+    cluster.trace = Some(Vec::new());
+    cluster.request(6, completion("base@a@v1", "CRASH"));
+    assert!(cluster.run_until(LIMIT, |it| it.targets[0].crashes == 1));
+    cluster.isolate(cut);
+    // Only this message lets the entry try again or tell its caller.
+    let ended = |it: &Cluster| it.trace.iter().flatten().any(|line| line.contains("target_lost"));
+    assert!(cluster.run_until(LIMIT, ended));
+    let status = cluster.node(cut).status(cluster.now);
+    assert!(!status.lease && status.quarantine.is_empty());
+}
