--- a/coordination/place/benches/policy.rs
+++ b/coordination/place/benches/policy.rs
@@ -43,7 +43,7 @@
 fn show(scenario: &Scenario) {
     println!("\n{}", scenario.name());
     println!(
-        "  scheme       waited   p50 s   p95 s   p99 s  wait s  full %  share %  loads  evict  fail  refuse  expire"
+        "  scheme       waited   p50 s   p95 s   p99 s  wait s  full %  share %  loads  evict  fail  refuse    drop"
     );
     let mut base: Vec<Sums> = Vec::new();
     let mut own = None;
@@ -72,12 +72,12 @@
         sums.percentile(95),
         sums.percentile(99),
         sums.waited(),
-        100.0 * sums.fullness(),
+        100.0 * sums.used as f64 / sums.offered.max(1) as f64,
         100.0 * sums.share(),
         sums.loads,
         sums.evictions,
         sums.failed,
         sums.refused,
-        sums.expired,
+        sums.dropped,
     );
 }
--- a/coordination/place/benches/rig/mod.rs
+++ b/coordination/place/benches/rig/mod.rs
@@ -1,48 +1,44 @@
 //! Drives the policy and its baselines in virtual time, with small fakes of
 //! engines and of a weight store.
 
-pub mod baseline;
-pub mod owners;
+mod baseline;
+mod owners;
 pub mod world;
 
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use wire::Urgency;
+use wire::{AdapterId, Urgency};
 
 use self::{
-    baseline::{Baseline, Spread},
+    baseline::Baseline,
     owners::Owners,
     world::{Request, Sums, World},
 };
 
 /// Virtual time between two steps.
-pub const STEP: Duration = Duration::from_millis(10);
+const STEP: Duration = Duration::from_millis(10);
+/// How long a new leader waits.
+const LEADER_TERM: Duration = Duration::from_secs(5);
 
 /// The size of a user's deployment.
 #[derive(Debug, Clone, Copy)]
 pub struct Site {
     pub name: &'static str,
-    pub engines: usize,
-    pub domains: usize,
-    pub hosts: usize,
-    pub rate: f64,
-    pub stall: f64,
-    pub batch: f64,
+    engines: usize,
+    domains: usize,
+    hosts: usize,
+    rate: f64,
+    stall: f64,
+    batch: f64,
 }
 
 pub const MAISON: Site =
     Site { name: "maison", engines: 12, domains: 3, hosts: 10, rate: 3.0, stall: 1.0, batch: 0.3 };
-pub const AUTHORITY: Site = Site {
-    name: "authority",
-    engines: 18,
-    domains: 4,
-    hosts: 11,
-    rate: 4.0,
-    stall: 0.3,
-    batch: 1.0,
-};
+#[rustfmt::skip]
+pub const AUTHORITY: Site =
+    Site { name: "authority", engines: 18, domains: 4, hosts: 11, rate: 4.0, stall: 0.3, batch: 1.0 };
 
 /// What happens half-way through a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,10 +69,10 @@
 }
 
 /// Adapters, requests of a batch, adapters an engine holds, mean running time.
-pub const ADAPTERS: usize = 3_000;
-pub const BATCH: u32 = 8;
-pub const SLOTS: u32 = 8;
-pub const TOOK: Duration = Duration::from_secs(4);
+const ADAPTERS: usize = 3_000;
+const BATCH: u32 = 8;
+const SLOTS: u32 = 8;
+const TOOK: Duration = Duration::from_secs(4);
 const CALLERS: u32 = 40;
 
 /// Something that serves the requests of a world.
@@ -86,9 +82,9 @@
     /// Does what can be done now.
     fn step(&mut self, world: &mut World);
     /// Notes that a request ended on an engine.
-    fn finished(&mut self, world: &World, engine: usize, took: Duration);
+    fn finished(&mut self, _world: &World, _engine: usize, _took: Duration) {}
     /// Notes the end of a load.
-    fn loaded(&mut self, world: &mut World, engine: usize, adapter: u32, ok: bool);
+    fn loaded(&mut self, _world: &World, _engine: usize, _adapter: AdapterId, _ok: bool) {}
     /// Notes that an engine lost what it held; returns requests bound to it if
     /// it is gone.
     fn lost(&mut self, world: &World, engine: usize) -> Vec<Request>;
@@ -115,8 +111,8 @@
     let mut scheme: Box<dyn Scheme> = match kind {
         Kind::Policy => Box::new(Owners::new(scenario, scenario.site.hosts)),
         Kind::Pooled => Box::new(Owners::new(scenario, 1)),
-        Kind::LeastLoaded | Kind::NoStore => Box::new(Baseline::new(scenario, Spread::LeastLoaded)),
-        Kind::Rendezvous => Box::new(Baseline::new(scenario, Spread::Rendezvous)),
+        Kind::LeastLoaded | Kind::NoStore => Box::new(Baseline::new(scenario, false)),
+        Kind::Rendezvous => Box::new(Baseline::new(scenario, true)),
     };
     let mut arrivals = Arrivals::new(scenario, seed);
     let half = Duration::from_secs(scenario.secs / 2);
@@ -140,7 +136,7 @@
             scheme.finished(&world, engine, took);
         }
         for (engine, adapter, ok) in world.arrived_loads() {
-            scheme.loaded(&mut world, engine, adapter, ok);
+            scheme.loaded(&world, engine, adapter, ok);
         }
         scheme.step(&mut world);
         world.sample();
@@ -150,26 +146,18 @@
 
 /// Brings the scenario's fault about; returns requests that must be sent again.
 fn strike(scenario: &Scenario, world: &mut World, scheme: &mut dyn Scheme) -> Vec<Request> {
-    let mut again = Vec::new();
-    let count = world.engines.len();
-    match scenario.fault {
-        Fault::ColdThird => {
-            for engine in (0..count).step_by(3) {
-                again.extend(world.lose(engine, true));
-                again.extend(scheme.lost(world, engine));
-            }
-        }
-        Fault::DomainGone => {
-            for engine in (0..count).filter(|engine| engine % scenario.site.domains == 0) {
-                again.extend(world.lose(engine, false));
-            }
-            for engine in (0..count).filter(|engine| engine % scenario.site.domains == 0) {
-                again.extend(scheme.lost(world, engine));
-            }
-        }
-        Fault::LeaderChange => scheme.new_leader(world),
-        _ => {}
+    let engines = 0..world.engines.len();
+    let (struck, is_up): (Vec<usize>, bool) = match scenario.fault {
+        Fault::ColdThird => (engines.step_by(3).collect(), true),
+        Fault::DomainGone => (engines.step_by(scenario.site.domains).collect(), false),
+        _ => (Vec::new(), true),
+    };
+    if scenario.fault == Fault::LeaderChange {
+        scheme.new_leader(world);
     }
+    let mut again = Vec::new();
+    struck.iter().for_each(|&engine| again.extend(world.lose(engine, is_up)));
+    struck.iter().for_each(|&engine| again.extend(scheme.lost(world, engine)));
     again
 }
 
@@ -200,15 +188,8 @@
             }
         }
         let capacity = scenario.site.engines as f64 * f64::from(BATCH) / TOOK.as_secs_f64();
-        Arrivals {
-            rng,
-            sums,
-            names,
-            is_shifted: false,
-            per_sec: capacity * scenario.load,
-            next: 0.0,
-            id: 0,
-        }
+        let per_sec = capacity * scenario.load;
+        Arrivals { rng, sums, names, is_shifted: false, per_sec, next: 0.0, id: 0 }
     }
 
     fn next(&mut self, now: Duration) -> Option<Request> {
@@ -238,7 +219,7 @@
 }
 
 /// A fixed hash for rendezvous hashing.
-pub fn mix(a: u64, b: u64) -> u64 {
+fn mix(a: u64, b: u64) -> u64 {
     let mut x = a.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ b.wrapping_mul(0xC2B2_AE3D_27D4_EB4F);
     x ^= x >> 31;
     x = x.wrapping_mul(0xD6E8_FEB8_6659_FD93);
--- a/coordination/place/benches/rig/world.rs
+++ b/coordination/place/benches/rig/world.rs
@@ -1,13 +1,14 @@
 //! Fakes of engines and of the weight store.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     time::Duration,
 };
 
+use place::{Resident, TargetView};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use wire::Urgency;
+use wire::{AdapterId, TargetKind, Urgency};
 
 use super::{BATCH, Fault, SLOTS, Scenario, TOOK};
 
@@ -17,50 +18,20 @@
 #[derive(Debug, Clone)]
 pub struct Request {
     pub id: u64,
-    pub adapter: u32,
+    pub adapter: AdapterId,
     pub caller: u32,
     pub urgency: Urgency,
     pub arrived: Duration,
     pub deadline: Duration,
 }
 
-/// An adapter on an engine.
-#[derive(Debug, Clone)]
-pub struct Held {
-    pub adapter: u32,
-    pub ready: Option<Duration>,
-    pub users: u32,
-    pub used: Duration,
-}
-
-#[derive(Debug, Clone, Default)]
-pub struct Engine {
-    pub held: Vec<Held>,
-    pub running: BTreeMap<u64, (Request, Duration)>,
-    pub is_up: bool,
-}
-
-impl Engine {
-    pub fn held(&self, adapter: u32) -> Option<&Held> {
-        self.held.iter().find(|held| held.adapter == adapter)
-    }
-
-    pub fn ready(&self, adapter: u32) -> Option<Duration> {
-        self.held(adapter).and_then(|held| held.ready)
-    }
-
-    pub fn has_room(&self) -> bool {
-        self.is_up && self.running.len() < BATCH as usize
-    }
-}
-
-/// What a run adds up.
+/// What a run adds up; waits are in seconds.
 #[derive(Debug, Clone, Default)]
 pub struct Sums {
     pub arrived: u64,
     pub started: u64,
     pub refused: u64,
-    pub expired: u64,
+    pub dropped: u64,
     pub loads: u64,
     pub failed: u64,
     pub evictions: u64,
@@ -78,11 +49,7 @@
         self.started as f64 / self.arrived.max(1) as f64
     }
 
-    pub fn fullness(&self) -> f64 {
-        self.used as f64 / self.offered.max(1) as f64
-    }
-
-    /// Returns a percentile of the waits of those who waited, in seconds.
+    /// Returns a percentile of the waits of those who waited.
     pub fn percentile(&self, percent: usize) -> f64 {
         let mut waits = self.waits.clone();
         waits.sort_by(f64::total_cmp);
@@ -90,32 +57,46 @@
     }
 }
 
+/// Engines as their owners see them, and what happens to them.
 pub struct World {
     pub now: Duration,
-    pub engines: Vec<Engine>,
+    pub engines: Vec<TargetView>,
     pub sums: Sums,
     pub is_free: bool,
+    /// When each held adapter became ready, and when it was last used.
+    pub times: BTreeMap<(usize, AdapterId), (Duration, Duration)>,
     fails: f64,
-    loading: BTreeMap<(usize, u32), Duration>,
-    ends: BTreeSet<(Duration, usize, u64)>,
+    loading: BTreeMap<(usize, AdapterId), Duration>,
+    running: BTreeMap<(Duration, usize, u64), (Request, Duration)>,
     starts: VecDeque<Duration>,
     rate: f64,
     rng: ChaCha8Rng,
 }
 
 impl World {
-    /// A world with empty engines. A free store makes each adapter ready
-    /// everywhere.
+    /// A world with empty engines. A free store makes each adapter ready everywhere.
     pub fn new(scenario: &Scenario, seed: u64, is_free: bool) -> World {
-        let engine = Engine { is_up: true, ..Engine::default() };
+        let engine = |id: usize| TargetView {
+            id: id as u32,
+            domain: format!("domain{}", id % scenario.site.domains),
+            kind: TargetKind::Engine { model: "m".into() },
+            slots: SLOTS,
+            batch: BATCH,
+            running: 0,
+            foreign: 0,
+            open: true,
+            alone: false,
+            resident: Vec::new(),
+        };
         World {
             now: Duration::ZERO,
-            engines: vec![engine; scenario.site.engines],
+            engines: (0..scenario.site.engines).map(engine).collect(),
             sums: Sums::default(),
             is_free,
+            times: BTreeMap::new(),
             fails: if scenario.fault == Fault::StoreFails { 0.2 } else { 0.0 },
             loading: BTreeMap::new(),
-            ends: BTreeSet::new(),
+            running: BTreeMap::new(),
             starts: VecDeque::new(),
             rate: scenario.site.rate,
             rng: ChaCha8Rng::seed_from_u64(seed ^ 0xF00D),
@@ -126,6 +107,18 @@
         self.now.as_nanos().is_multiple_of(period.as_nanos())
     }
 
+    pub fn has_room(&self, engine: usize) -> bool {
+        self.engines[engine].open && self.engines[engine].running < BATCH
+    }
+
+    pub fn holds(&self, engine: usize, adapter: AdapterId) -> bool {
+        self.engines[engine].resident.iter().any(|held| held.adapter == adapter)
+    }
+
+    pub fn ready(&self, engine: usize, adapter: AdapterId) -> Option<Duration> {
+        self.times.get(&(engine, adapter)).map(|&(ready, _)| ready)
+    }
+
     /// Returns whether the store takes one more load.
     pub fn store_has_room(&mut self) -> bool {
         while self.starts.front().is_some_and(|&at| at + Duration::from_secs(1) <= self.now) {
@@ -134,48 +127,47 @@
         self.loading.len() < IN_FLIGHT && (self.starts.len() as f64) < self.rate
     }
 
-    /// Starts a request.
     pub fn start(&mut self, request: Request, engine: usize) {
-        let ready = if self.is_free {
-            request.arrived
-        } else {
-            self.engines[engine].ready(request.adapter).expect("starts on a ready adapter")
-        };
-        assert!(self.engines[engine].has_room(), "starts where there is room");
-        self.waited(&request, Some(ready));
+        assert!(self.has_room(engine), "starts where there is room");
+        let ready = self.ready(engine, request.adapter);
+        assert!(ready.is_some() || self.is_free, "starts on a ready adapter");
+        self.waited(&request, ready.or(Some(request.arrived)));
+        self.times.entry((engine, request.adapter)).and_modify(|(_, used)| *used = self.now);
+        self.engines[engine].running += 1;
+        self.count_users(engine, request.adapter, 1);
         let took = TOOK.mul_f64(self.rng.random_range(0.5..1.5));
-        self.ends.insert((self.now + took, engine, request.id));
-        let target = &mut self.engines[engine];
-        if let Some(held) = target.held.iter_mut().find(|held| held.adapter == request.adapter) {
-            held.users += 1;
-            held.used = self.now;
-        }
-        target.running.insert(request.id, (request, self.now));
+        self.running.insert((self.now + took, engine, request.id), (request, self.now));
         self.sums.started += 1;
     }
 
+    fn count_users(&mut self, engine: usize, adapter: AdapterId, change: i32) {
+        let resident = &mut self.engines[engine].resident;
+        if let Some(held) = resident.iter_mut().find(|held| held.adapter == adapter) {
+            held.users = held.users.strict_add_signed(change);
+            held.idle = held.users == 0;
+        }
+    }
+
     /// Notes the end of a wait; `ready` is when the adapter was there.
     pub fn waited(&mut self, request: &Request, ready: Option<Duration>) {
         let until = ready.unwrap_or(self.now).min(self.now);
         let wait = until.saturating_sub(request.arrived);
-        if wait > Duration::ZERO {
-            self.sums.waits.push(wait.as_secs_f64());
-        }
+        self.sums.waits.extend((wait > Duration::ZERO).then_some(wait.as_secs_f64()));
     }
 
     /// Starts a load; evicts the victim first.
-    pub fn load(&mut self, engine: usize, adapter: u32, victim: Option<u32>) {
+    pub fn load(&mut self, engine: usize, adapter: AdapterId, victim: Option<AdapterId>) {
         assert!(self.store_has_room(), "the store's limits hold");
         self.starts.push_back(self.now);
-        let target = &mut self.engines[engine];
+        let resident = &mut self.engines[engine].resident;
         if let Some(victim) = victim {
-            let at = target.held.iter().position(|held| held.adapter == victim).unwrap();
-            let held = target.held.remove(at);
-            assert!(held.users == 0 && held.ready.is_some(), "the victim is idle");
+            let at = resident.iter().position(|held| held.adapter == victim).unwrap();
+            assert!(resident.remove(at).idle, "the victim is idle");
+            self.times.remove(&(engine, victim));
             self.sums.evictions += 1;
         }
-        target.held.push(Held { adapter, ready: None, users: 0, used: self.now });
-        assert!(target.held.len() <= SLOTS as usize, "the engine has space");
+        resident.push(Resident { adapter, users: 0, idle: false, ready: false });
+        assert!(resident.len() <= SLOTS as usize, "the engine has space");
         let slow = ((self.loading.len() + 1) as f64 / IN_FLIGHT as f64).max(1.0);
         self.loading.insert((engine, adapter), self.now + LOAD.mul_f64(slow));
         self.sums.loads += 1;
@@ -184,36 +176,30 @@
     /// Takes out the requests that ended by now.
     pub fn ended(&mut self) -> Vec<(usize, Duration)> {
         let mut ended = Vec::new();
-        while let Some(&(at, engine, id)) = self.ends.first() {
-            if at > self.now {
-                break;
-            }
-            self.ends.pop_first();
-            let target = &mut self.engines[engine];
-            let Some((request, since)) = target.running.remove(&id) else { continue };
-            if let Some(held) = target.held.iter_mut().find(|held| held.adapter == request.adapter)
-            {
-                held.users -= 1;
-            }
+        while self.running.first_key_value().is_some_and(|(&(at, ..), _)| at <= self.now) {
+            let Some(((at, engine, _), (request, since))) = self.running.pop_first() else { break };
+            self.engines[engine].running -= 1;
+            self.count_users(engine, request.adapter, -1);
             ended.push((engine, at - since));
         }
         ended
     }
 
     /// Takes out the loads that ended by now.
-    pub fn arrived_loads(&mut self) -> Vec<(usize, u32, bool)> {
-        let done: Vec<(usize, u32)> =
-            self.loading.iter().filter(|(_, at)| **at <= self.now).map(|(key, _)| *key).collect();
+    pub fn arrived_loads(&mut self) -> Vec<(usize, AdapterId, bool)> {
+        let mut done = self.loading.clone();
+        done.retain(|_, at| *at <= self.now);
         let mut loads = Vec::new();
-        for (engine, adapter) in done {
+        for (engine, adapter) in done.into_keys() {
             self.loading.remove(&(engine, adapter));
-            let target = &mut self.engines[engine];
-            let held = target.held.iter_mut().find(|held| held.adapter == adapter);
-            let ok = held.is_some() && !self.rng.random_bool(self.fails);
-            match held {
-                Some(held) if ok => (held.ready, held.used) = (Some(self.now), self.now),
-                _ => target.held.retain(|held| held.adapter != adapter),
+            let resident = &mut self.engines[engine].resident;
+            let at = resident.iter().position(|held| held.adapter == adapter);
+            let ok = at.is_some() && !self.rng.random_bool(self.fails);
+            if let Some(at) = at.filter(|_| ok) {
+                (resident[at].ready, resident[at].idle) = (true, true);
+                self.times.insert((engine, adapter), (self.now, self.now));
             }
+            resident.retain(|held| held.adapter != adapter || ok);
             self.sums.failed += u64::from(!ok);
             loads.push((engine, adapter, ok));
         }
@@ -222,16 +208,22 @@
 
     /// Empties an engine; returns the requests that ran there.
     pub fn lose(&mut self, engine: usize, is_up: bool) -> Vec<Request> {
-        let lost = std::mem::take(&mut self.engines[engine]);
-        self.engines[engine].is_up = is_up;
-        self.sums.started -= lost.running.len() as u64;
-        lost.running.into_values().map(|(request, _)| request).collect()
+        let view = &mut self.engines[engine];
+        (view.open, view.running, view.resident) = (is_up, 0, Vec::new());
+        self.times.retain(|(held, _), _| *held != engine);
+        let (lost, kept) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|((_, at, _), _)| *at == engine);
+        self.running = kept;
+        let lost: BTreeMap<(Duration, usize, u64), (Request, Duration)> = lost;
+        self.sums.started -= lost.len() as u64;
+        lost.into_values().map(|(request, _)| request).collect()
     }
 
     /// Adds up how full the batches of engines with work are.
     pub fn sample(&mut self) {
-        for engine in self.engines.iter().filter(|engine| !engine.running.is_empty()) {
-            self.sums.used += engine.running.len() as u64;
+        for engine in self.engines.iter().filter(|engine| engine.running > 0) {
+            self.sums.used += u64::from(engine.running);
             self.sums.offered += u64::from(BATCH);
         }
     }
