--- a/coordination/place/tests/owner.rs
+++ b/coordination/place/tests/owner.rs
@@ -90,3 +90,93 @@
     assert_snapshot!(shown(&policy.decide(secs(0.1))), @"start 2 on 1");
     assert!(policy.cancel(1));
 }
+
+/// Returns the victim of a load for a cold adapter `silent` seconds after the
+/// hotter of two adapters fell silent.
+fn victim_after(silent: f64) -> Option<u32> {
+    let mut policy = owner_policy(settings());
+    policy.set_target(secs(0.0), engine(1, 3, vec![idle(7), idle(8)]));
+    let mut id = 0;
+    let mut ask = |policy: &mut dyn place::Policy, now: f64, adapter| {
+        id += 1;
+        let waiting =
+            Waiting { since: secs(now), deadline: secs(now + 9.0), ..request(id, adapter) };
+        policy.enqueue(secs(now), waiting).unwrap();
+        policy.decide(secs(now));
+        policy.set_target(secs(now), engine(1, 3, vec![idle(7), idle(8)]));
+    };
+    for step in 0..300 {
+        let now = 0.2 * f64::from(step);
+        if now < 40.0 {
+            ask(&mut *policy, now, 7);
+        }
+        if step % 5 == 0 {
+            ask(&mut *policy, now, 8);
+        }
+        if now >= 40.0 + silent {
+            ask(&mut *policy, now, 9);
+            return policy.place(secs(now), 9).unwrap().victim;
+        }
+    }
+    None
+}
+
+#[test]
+fn old_heat_is_forgotten_within_seconds() {
+    let victims = [0.0, 2.0, 6.0, 10.0].map(|silent| (silent, victim_after(silent)));
+    assert_snapshot!(format!("{victims:?}"));
+}
+
+#[test]
+fn useless_waits_are_refused_early() {
+    let mut policy = owner_policy(settings());
+    policy.set_target(secs(0.0), engine(1, 3, vec![idle(7), idle(8)]));
+    let mut text = String::new();
+    for id in 0..8u64 {
+        let now = secs(0.5 * id as f64);
+        let waiting =
+            Waiting { since: now, deadline: now + secs(4.0), ..request(id, 10 + id as u32) };
+        let answer = policy.enqueue(now, waiting);
+        writeln!(text, "{now:?} enqueue {id}: {answer:?}").unwrap();
+        let wants: Vec<u32> = policy.wants(now).iter().map(|want| want.adapter).collect();
+        writeln!(text, "{now:?} wants {wants:?}").unwrap();
+        text += &shown(&policy.decide(now));
+    }
+    assert_snapshot!(text);
+}
+
+#[test]
+fn a_prefix_goes_where_it_was_cached_unless_that_is_much_fuller() {
+    let mut policy = owner_policy(settings());
+    let busy = |id, running| TargetView { running, ..engine(id, 8, vec![idle(7)]) };
+    let mut text = String::new();
+    for (id, running) in [(1, [1, 0]), (2, [0, 1]), (3, [0, 2]), (4, [6, 0])] {
+        policy.set_target(secs(0.0), busy(1, running[0]));
+        policy.set_target(secs(0.0), busy(2, running[1]));
+        policy.enqueue(secs(0.0), Waiting { prefix: 5, ..request(id, 7) }).unwrap();
+        text += &shown(&policy.decide(secs(0.0)));
+    }
+    assert_snapshot!(text, @r"
+    start 1 on 2
+    start 2 on 2
+    start 3 on 1
+    start 4 on 2
+    ");
+}
+
+#[test]
+fn a_copy_goes_to_another_failure_domain() {
+    let mut policy = owner_policy(settings());
+    let full = TargetView { running: 3, ..engine(1, 3, vec![idle(7), idle(8)]) };
+    policy.set_target(secs(0.0), full);
+    let resident = vec![idle(1), idle(2)];
+    policy.set_target(secs(0.0), engine(2, 3, resident.clone()));
+    let south = TargetView { domain: "south".into(), ..engine(3, 3, resident) };
+    policy.set_target(secs(0.0), south);
+    for id in 0..6 {
+        policy.enqueue(secs(0.0), request(id, 7)).unwrap();
+    }
+    assert!(policy.decide(secs(0.0)).is_empty());
+    assert_eq!(policy.wants(secs(0.5))[0].adapter, 7);
+    assert_eq!(policy.place(secs(0.5), 7).unwrap().target, 3);
+}
