--- a/coordination/place/src/owner.rs
+++ b/coordination/place/src/owner.rs
@@ -171,7 +171,7 @@
         }
         let score = self.worth(depth) + self.expected(now, adapter);
         let since = self.starved.since(adapter).unwrap_or(waiting.since);
-        let ahead = self.starved.ahead(score, COUNTED);
+        let ahead = self.starved.ahead(score, since, COUNTED);
         let older = self.starved.older(since, COUNTED) * FAIR_EVERY as usize;
         let before = ahead.min(older);
         if before == 0 {
--- a/coordination/place/src/starved.rs
+++ b/coordination/place/src/starved.rs
@@ -1,6 +1,7 @@
 //! Adapters that requests wait for and no target holds, in the order of loads.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
@@ -13,7 +14,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Starved {
     keys: BTreeMap<AdapterId, (Score, Duration)>,
-    scores: BTreeSet<(Score, AdapterId)>,
+    scores: BTreeSet<(Score, Reverse<Duration>, AdapterId)>,
     ages: BTreeSet<(Duration, AdapterId)>,
 }
 
@@ -22,20 +23,20 @@
     pub(crate) fn set(&mut self, adapter: AdapterId, score: f64, since: Duration) {
         self.remove(adapter);
         self.keys.insert(adapter, (Score(score), since));
-        self.scores.insert((Score(score), adapter));
+        self.scores.insert((Score(score), Reverse(since), adapter));
         self.ages.insert((since, adapter));
     }
 
     /// Removes an adapter that is not starved any more.
     pub(crate) fn remove(&mut self, adapter: AdapterId) {
         let Some((score, since)) = self.keys.remove(&adapter) else { return };
-        self.scores.remove(&(score, adapter));
+        self.scores.remove(&(score, Reverse(since), adapter));
         self.ages.remove(&(since, adapter));
     }
 
     /// Returns the adapters whose load saves most, best first.
     pub(crate) fn best(&self) -> impl Iterator<Item = AdapterId> + '_ {
-        self.scores.iter().rev().map(|&(_, adapter)| adapter)
+        self.scores.iter().rev().map(|&(_, _, adapter)| adapter)
     }
 
     /// Returns the adapters that are waited for longest, oldest first.
@@ -44,8 +45,8 @@
     }
 
     /// Returns how many adapters go before a score, up to a limit.
-    pub(crate) fn ahead(&self, score: f64, limit: usize) -> usize {
-        self.scores.range((Score(score), AdapterId::MAX)..).take(limit).count()
+    pub(crate) fn ahead(&self, score: f64, since: Duration, limit: usize) -> usize {
+        self.scores.range((Score(score), Reverse(since), AdapterId::MAX)..).take(limit).count()
     }
 
     /// Returns how many adapters are older than a time, up to a limit.
