--- a/coordination/node/src/lib.rs
+++ b/coordination/node/src/lib.rs
@@ -3,12 +3,14 @@
 //! in one process.
 
 mod answer;
+mod attempt;
 mod core;
 mod desk;
 mod digest;
 mod effect;
 mod entry;
 mod failure;
+mod heard;
 mod held;
 mod io;
 mod machine;
@@ -16,6 +18,7 @@
 mod node;
 mod orders;
 mod owner;
+mod ownership;
 mod pin;
 mod request;
 mod stats;
