--- a/coordination/node/src/lib.rs
+++ b/coordination/node/src/lib.rs
@@ -2,6 +2,8 @@
 //! outputs come out. The daemon is a loop around [`Node`]; tests hold several
 //! in one process.
 
+mod answer;
+mod attempt;
 mod core;
 mod desk;
 mod digest;
@@ -16,7 +18,9 @@
 mod node;
 mod orders;
 mod owner;
+mod ownership;
 mod pin;
+mod request;
 mod stats;
 mod status;
 mod view;
--- a/coordination/place/src/owner.rs
+++ b/coordination/place/src/owner.rs
@@ -62,6 +62,8 @@
     pub(crate) touched: BTreeSet<TargetId>,
     /// The adapter at which overtaken requests are looked for next.
     pub(crate) shed_at: AdapterId,
+    /// Targets that are kept free, by the request they are kept for.
+    pub(crate) reserved: BTreeMap<RequestId, TargetId>,
     /// Refusals to be told with the next decisions.
     pub(crate) refused: Vec<Decision>,
     /// Mean seconds until an adapter arrives.
@@ -91,6 +93,7 @@
             crowded: BTreeSet::new(),
             fresh: BTreeSet::new(),
             touched: BTreeSet::new(),
+            reserved: BTreeMap::new(),
             refused: Vec::new(),
             shed_at: AdapterId::MIN,
             arrival: settings.load.as_secs_f64(),
@@ -119,7 +122,7 @@
 
     /// Brings all up to date after a request left the queue.
     fn left(&mut self, now: Duration, lane: Lane, waiting: &Waiting) {
-        self.release(lane, waiting.request);
+        self.release(waiting.request);
         let Need::Adapter(adapter) = lane.need else { return };
         if self.fleet.copies(adapter) == 0 {
             self.stalled += now.saturating_sub(waiting.since).as_secs_f64();
@@ -168,7 +171,7 @@
         }
         let score = self.worth(depth) + self.expected(now, adapter);
         let since = self.starved.since(adapter).unwrap_or(waiting.since);
-        let ahead = self.starved.ahead(score, COUNTED);
+        let ahead = self.starved.ahead(score, since, COUNTED);
         let older = self.starved.older(since, COUNTED) * FAIR_EVERY as usize;
         let before = ahead.min(older);
         if before == 0 {
@@ -238,10 +241,12 @@
             }
             self.reindex(now, adapter);
         }
+        self.release_lost(id);
     }
 
     fn remove_target(&mut self, id: TargetId) {
         let now = self.seen;
+        self.reserved.retain(|_, kept| *kept != id);
         for ids in self.services.values_mut() {
             ids.remove(&id);
         }
@@ -310,7 +315,7 @@
     }
 
     fn place(&mut self, now: Duration, adapter: AdapterId) -> Option<LoadOrder> {
-        let (_, order) = self.want(now, adapter)?;
+        let order = self.order(now, adapter)?;
         self.pace.granted(now);
         self.fleet.order(order.target, adapter, order.victim);
         *self.loading.entry(adapter).or_default() += 1;
--- a/transport/web/tests/targets.rs
+++ b/transport/web/tests/targets.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures::future::{BoxFuture, ready};
 use node::{Call, Input, Order};
+use sessions::checkout::octet;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -34,11 +35,11 @@
 fn start() -> (Targets, UnboundedReceiver<Input>) {
     let (sender, receiver) = unbounded_channel();
     let inbox = Arc::new(Events(sender));
-    (Targets::new([127, 54, 0, 1].into(), Instant::now(), inbox), receiver)
+    (Targets::new(Instant::now(), inbox), receiver)
 }
 
 async fn listen(number: u8) -> (TcpListener, String) {
-    let addr = SocketAddr::from(([127, 54, 1, number], 9100));
+    let addr = SocketAddr::from(([127, octet(), 120, number], 9100));
     let listener = TcpListener::bind(addr).await.expect("the address is free");
     (listener, addr.to_string())
 }
@@ -55,6 +56,7 @@
         until: LIMIT,
         priority: 1,
         stream,
+        idempotent: false,
         resume: None,
         body: Bytes::from_static(b"{}"),
         credit: 1000,
@@ -200,7 +202,7 @@
     report.push_str(&describe_all(&mut events).await);
     targets.cancel(REQUEST, &addr);
     let _ = writeln!(report, "\n{}", answer(&listener, &response(204, "", "")).await);
-    insta::assert_snapshot!(report.replace('\r', ""));
+    insta::assert_snapshot!(report.replace('\r', "").replace(&addr, "ADDR"));
     // A call that comes after its cancellation is not sent.
     targets.call(call(&addr, false));
     assert_eq!(targets.running(), 0);
@@ -249,7 +251,7 @@
     let (targets, mut events) = start();
     let (listener, addr) = listen(5).await;
     let mut report = String::new();
-    let closed = "127.54.1.99:9100";
+    let closed = &format!("127.{}.120.99:9100", octet());
     let past = Duration::ZERO;
     targets.call(call(closed, false));
     report.push_str(&describe_all(&mut events).await);
@@ -292,3 +294,35 @@
     }
     insta::assert_snapshot!(report);
 }
+
+#[tokio::test]
+async fn only_calls_that_may_run_twice_share_a_connection() {
+    let (targets, mut events) = start();
+    let (listener, addr) = listen(7).await;
+    let reply = response(200, ECHO, "{}");
+    let shared = Call { idempotent: true, ..call(&addr, false) };
+    targets.call(shared.clone());
+    let (mut first, _) = listener.accept().await.expect("a connection comes");
+    read_request(&mut first).await;
+    first.write_all(reply.as_bytes()).await.expect("the client reads");
+    describe_all(&mut events).await;
+    // The connection is ready again once the client has come to rest.
+    while targets.running() > 0 {
+        tokio::task::yield_now().await;
+    }
+    for _ in 0..100 {
+        tokio::task::yield_now().await;
+    }
+    targets.call(shared.clone());
+    read_request(&mut first).await;
+    // The target closes it without an answer: the call is lost, not sent again.
+    drop(first);
+    assert_eq!(describe(&next(&mut events).await), "Lost");
+    targets.call(shared);
+    answer(&listener, &reply).await;
+    describe_all(&mut events).await;
+    targets.call(call(&addr, false));
+    // Arrives on a connection of its own.
+    answer(&listener, &reply).await;
+    describe_all(&mut events).await;
+}
