Stamp log entries with the leader's time

Cause: the claims table takes its clock from the entries, and each entry carried its proposer's time. One entry host with a clock a year ahead moved the table's clock for all: every key was refused with key_expired from then on. Ruled out: bounding steps of the clock in the table; after a long outage the step is real. Change: the leader that appends an entry stamps it.

--- a/coordination/node/src/core.rs
+++ b/coordination/node/src/core.rs
@@ -139,12 +139,14 @@
         self.hand_over(now, proposal, fx);
     }
 
-    /// Appends a proposal of any host if this one leads.
+    /// Appends a proposal of any host if this one leads, with this host's time:
+    /// the clock of one entry must not decide which keys have expired.
     pub(crate) fn offered(&mut self, now: Duration, proposal: &Proposal, fx: &mut Effects) {
         if !self.replica.status().leading {
             return;
         }
-        self.log(now, LogInput::Propose(encode(proposal).into()), fx);
+        let stamped = Proposal { at: self.wall, ..proposal.clone() };
+        self.log(now, LogInput::Propose(encode(&stamped).into()), fx);
     }
 
     fn hand_over(&mut self, now: Duration, proposal: Proposal, fx: &mut Effects) {
--- a/coordination/node/tests/claims.rs
+++ b/coordination/node/tests/claims.rs
@@ -43,3 +43,20 @@
     assert_eq!(kind, Some(ErrorKind::InDoubt));
     assert_eq!(cluster.targets[0].runs("deposit"), 0);
 }
+
+#[test]
+fn a_clock_that_runs_ahead_expires_no_keys() {
+    const YEAR_MS: u64 = 365 * 24 * 60 * 60 * 1000;
+    let mut cluster = ready(4, 3);
+    cluster.add_target(Target::service("s1", 1));
+    cluster.run(SETTLE);
+    let leader = cluster.leader().expect("there is a leader");
+    let host = if leader == 4 { 3 } else { 4 };
+    let wall = cluster.wall() + YEAR_MS;
+    cluster.input(host, Input::Tick { wall });
+    for (entry, name) in [(host, "k1"), (leader, "k2"), (host, "k3")] {
+        let key = cluster.request(entry, booking(name, "deposit"));
+        assert!(cluster.run_until(LIMIT, |it| it.told[&key].ended()));
+        assert_eq!(cluster.told[&key].fault, None, "{name}");
+    }
+}
--- a/protocol/wire/src/command.rs
+++ b/protocol/wire/src/command.rs
@@ -168,7 +168,8 @@
     pub seq: u64,
     /// All proposals of that run below this number have ended.
     pub floor: u64,
-    /// Wall-clock time at the proposer, in milliseconds since the epoch.
+    /// Wall-clock time at the leader that appends it, in milliseconds since the
+    /// epoch.
     pub at: u64,
     /// The command.
     pub command: Command,
