--- a/coordination/node/src/answer.rs
+++ b/coordination/node/src/answer.rs
@@ -61,7 +61,11 @@
 
     fn piece(&mut self, ctx: &Ctx, dir: &Directory, tag: Tag, piece: Piece, fx: &mut Effects) {
         let Some(request) = self.requests.get_mut(&tag) else { return };
-        if piece.offset != request.received || request.head.is_none() {
+        if piece.offset < request.received {
+            // It arrived before.
+            return;
+        }
+        if piece.offset > request.received || request.head.is_none() {
             let detail = format!("piece at {}, expected {}", piece.offset, request.received);
             self.failed(ctx, dir, tag, Fault::new(ErrorKind::WrongAnswer, detail), fx);
             return;
--- a/coordination/node/tests/common/mod.rs
+++ b/coordination/node/tests/common/mod.rs
@@ -1,7 +1,10 @@
 //! Several hosts and stand-in targets in one process and virtual time.
 
-#![allow(dead_code)]
+// Each test file uses its own part of this module.
+#![allow(dead_code, unused_imports)]
 
+mod link;
+mod requests;
 pub mod target;
 
 use std::{
@@ -9,12 +12,16 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use decl::Settings;
 use node::{Call, Caller, Change, Input, Node, Order, Output, Published, Start, Tag};
-use wire::{DeclFile, Fault, HostId, Incarnation, PeerMsg, Publish, RequestId};
+use wire::{DeclFile, Fault, HostId, Incarnation, Publish, RequestId};
 
-use self::target::Target;
+use self::{link::brief, target::Target};
+
+pub use self::{
+    link::Links,
+    requests::{BOOKING, NOTES, booking, completion, ready},
+};
 
 const LINK_DELAY: Duration = Duration::from_millis(2);
 const DISK_DELAY: Duration = Duration::from_millis(1);
@@ -56,7 +63,7 @@
     node: Option<Node>,
     run: Incarnation,
     disk: Option<replog::Recovered>,
-    /// When it was started, in virtual time.
+    /// What arrived while it was frozen.
     frozen: Vec<(Duration, Event)>,
     is_frozen: bool,
     exited: Option<u32>,
@@ -69,17 +76,17 @@
     pub targets: Vec<Target>,
     queue: BTreeMap<(Duration, u64), Event>,
     seq: u64,
-    /// Messages between hosts arrive up to so much late, and out of order.
-    pub jitter: Duration,
-    /// Messages between hosts arrive a second time, up to so much later.
-    pub echo: Duration,
+    /// Real time, to measure what hosts spend.
+    pub clock: Option<fn() -> Duration>,
+    /// Real time spent by each host.
+    pub spent: BTreeMap<HostId, Duration>,
+    /// How links behave.
+    pub links: Links,
     /// Pairs of hosts that do not hear each other.
     pub cut: BTreeSet<(HostId, HostId)>,
     pub told: BTreeMap<(HostId, Tag), Told>,
     pub published: BTreeMap<Tag, Result<Published, Fault>>,
     pub changes: Vec<(HostId, Change)>,
-    /// Every message between hosts but for answers arrives twice.
-    pub doubled: bool,
     /// Orders of these hosts arrive late by that much.
     pub late_orders: BTreeMap<HostId, Duration>,
     /// Targets start again this long after a crash.
@@ -125,13 +132,13 @@
             targets: Vec::new(),
             queue: BTreeMap::new(),
             seq: 0,
-            jitter: Duration::ZERO,
-            echo: Duration::ZERO,
+            clock: None,
+            spent: BTreeMap::new(),
+            links: Links::default(),
             cut: BTreeSet::new(),
             told: BTreeMap::new(),
             published: BTreeMap::new(),
             changes: Vec::new(),
-            doubled: false,
             late_orders: BTreeMap::new(),
             revival: None,
             trace: None,
@@ -395,7 +402,11 @@
             return;
         }
         let Some(node) = &host.node else { return };
+        let began = self.clock.map(|clock| clock());
         let outputs = node.handle(now, input);
+        if let (Some(clock), Some(began)) = (self.clock, began) {
+            *self.spent.entry(id).or_default() += clock() - began;
+        }
         self.carry_out(id, outputs);
     }
 
@@ -462,30 +473,8 @@
         }
     }
 
-    fn send(&mut self, from: HostId, to: HostId, msg: PeerMsg) {
-        if self.cut.contains(&(from, to)) {
-            return;
-        }
-        if let Some(line) = describe(&msg) {
-            self.note(format!("host {from} -> host {to}: {line}"));
-        }
-        let Some(run) = self.hosts.get(&to).map(|host| host.run) else { return };
-        if self.doubled && !matches!(msg, PeerMsg::Answer(_)) {
-            let again = Input::Peer { from, msg: msg.clone() };
-            self.at(LINK_DELAY * 3, Event::Input(to, run, again));
-        }
-        if !self.echo.is_zero() {
-            let delay = LINK_DELAY + self.part(self.echo);
-            self.at(delay, Event::Input(to, run, Input::Peer { from, msg: msg.clone() }));
-        }
-        let delay = LINK_DELAY + self.part(self.jitter);
-        self.at(delay, Event::Input(to, run, Input::Peer { from, msg }));
-    }
-
-    /// Returns a part of a time, another one with each event.
-    fn part(&self, time: Duration) -> Duration {
-        let mixed = self.seq.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 54;
-        time * mixed as u32 / 1024
+    fn run_of(&self, id: HostId) -> Option<Incarnation> {
+        self.hosts.get(&id).map(|host| host.run)
     }
 
     fn find(&self, addr: &str) -> Option<usize> {
@@ -551,86 +540,3 @@
         self.input(to, Input::Report(report));
     }
 }
-
-/// Names the messages that belong to a request's way.
-fn describe(msg: &PeerMsg) -> Option<String> {
-    match msg {
-        PeerMsg::Forward(forward) => Some(format!("forward {:x}", forward.request)),
-        PeerMsg::Answer(wire::Answer::Head(head)) => Some(format!("head {:x}", head.request)),
-        PeerMsg::Answer(wire::Answer::Piece(piece)) => {
-            Some(format!("piece {:x} at {} last {}", piece.request, piece.offset, piece.last))
-        }
-        PeerMsg::Answer(wire::Answer::Fail(fail)) => {
-            Some(format!("fail {:x} {}", fail.request, fail.fault.kind.row().code))
-        }
-        PeerMsg::Cancel(request) => Some(format!("cancel {request:x}")),
-        PeerMsg::Slots(grants) => Some(format!("slots {}", grants.len())),
-        PeerMsg::SlotDone(done) => Some(format!("slot done, ok {}", done.ok)),
-        PeerMsg::Propose(proposal) => {
-            let text = format!("{:?}", proposal.command);
-            let name = text.split(['(', ' ', '{']).next().unwrap_or_default().to_owned();
-            Some(format!("propose {name}"))
-        }
-        _ => None,
-    }
-}
-
-fn brief(input: &Input) -> String {
-    match input {
-        Input::CallHead { request, status, ran, .. } => format!("head {request:x} {status} {ran}"),
-        Input::CallPiece { request, offset, bytes, last } => format!(
-            "piece {request:x} at {offset} {:?} last {last}",
-            String::from_utf8_lossy(bytes)
-        ),
-        Input::CallFailed { request, failure } => format!("{request:x} {failure:?}"),
-        other => format!("{other:?}"),
-    }
-}
-
-/// A model request of a caller.
-pub fn completion(model: &str, prompt: &str) -> Caller {
-    Caller {
-        caller: "stylist".to_owned(),
-        service: None,
-        call: None,
-        model: Some(model.to_owned()),
-        deadline: None,
-        key: None,
-        made: None,
-        stream: false,
-        body: Bytes::from(prompt.to_owned()),
-    }
-}
-
-/// A booking call of a caller.
-pub fn booking(key: &str, body: &str) -> Caller {
-    Caller {
-        caller: "manager".to_owned(),
-        service: Some("booking".to_owned()),
-        call: Some("pay".to_owned()),
-        model: None,
-        deadline: None,
-        key: Some(key.to_owned()),
-        made: Some(WALL_START_MS),
-        stream: false,
-        body: Bytes::from(body.to_owned()),
-    }
-}
-
-pub const NOTES: &str = "[service]\nname = notes\nversion = 1\nkind = model\nmodel = base\n\
-[adapters]\na = v1\nb = v1\nc = v1\n\
-[call note]\npath = /v1/completions\nurgency = high\nidempotent = yes\ndeadline = 20s\n";
-
-pub const BOOKING: &str = "[service]\nname = booking\nversion = 1\nkind = plain\n\
-[call pay]\npath = /pay\nurgency = high\nidempotent = no\ndeadline = 10s\n\
-[call read]\npath = /read\nurgency = normal\nidempotent = yes\ndeadline = 10s\n";
-
-/// Starts hosts, publishes the test declarations, waits until they are in force.
-pub fn ready(hosts: u32, voters: u32) -> Cluster {
-    let mut cluster = Cluster::new(hosts, voters);
-    let tag = cluster.publish(1, &[("notes.ini", NOTES), ("booking.ini", BOOKING)]);
-    let done = cluster.run_until(Duration::from_secs(20), |it| it.published.contains_key(&tag));
-    assert!(done, "the publish ended: {:?}", cluster.node(1).status(cluster.now));
-    assert!(cluster.published[&tag].is_ok(), "{:?}", cluster.published[&tag]);
-    cluster
-}
--- /dev/null
+++ b/coordination/node/tests/common/requests.rs
@@ -0,0 +1,56 @@
+//! Declarations of the tests, and requests that fit them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use node::Caller;
+
+use super::{Cluster, WALL_START_MS};
+
+/// A model request of a caller.
+pub fn completion(model: &str, prompt: &str) -> Caller {
+    Caller {
+        caller: "stylist".to_owned(),
+        service: None,
+        call: None,
+        model: Some(model.to_owned()),
+        deadline: None,
+        key: None,
+        made: None,
+        stream: false,
+        body: Bytes::from(prompt.to_owned()),
+    }
+}
+
+/// A booking call of a caller.
+pub fn booking(key: &str, body: &str) -> Caller {
+    Caller {
+        caller: "manager".to_owned(),
+        service: Some("booking".to_owned()),
+        call: Some("pay".to_owned()),
+        model: None,
+        deadline: None,
+        key: Some(key.to_owned()),
+        made: Some(WALL_START_MS),
+        stream: false,
+        body: Bytes::from(body.to_owned()),
+    }
+}
+
+pub const NOTES: &str = "[service]\nname = notes\nversion = 1\nkind = model\nmodel = base\n\
+[adapters]\na = v1\nb = v1\nc = v1\n\
+[call note]\npath = /v1/completions\nurgency = high\nidempotent = yes\ndeadline = 20s\n";
+
+pub const BOOKING: &str = "[service]\nname = booking\nversion = 1\nkind = plain\n\
+[call pay]\npath = /pay\nurgency = high\nidempotent = no\ndeadline = 10s\n\
+[call read]\npath = /read\nurgency = normal\nidempotent = yes\ndeadline = 10s\n";
+
+/// Starts hosts, publishes the test declarations, waits until they are in force.
+pub fn ready(hosts: u32, voters: u32) -> Cluster {
+    let mut cluster = Cluster::new(hosts, voters);
+    let tag = cluster.publish(1, &[("notes.ini", NOTES), ("booking.ini", BOOKING)]);
+    let done = cluster.run_until(Duration::from_secs(20), |it| it.published.contains_key(&tag));
+    assert!(done, "the publish ended: {:?}", cluster.node(1).status(cluster.now));
+    assert!(cluster.published[&tag].is_ok(), "{:?}", cluster.published[&tag]);
+    cluster
+}
--- a/coordination/node/tests/exclusion.rs
+++ b/coordination/node/tests/exclusion.rs
@@ -69,7 +69,7 @@
     let mut cluster = ready(6, 3);
     cluster.add_target(Target::engine("e1", 1, true));
     cluster.run(SETTLE);
-    cluster.doubled = true;
+    cluster.links.echo = Duration::from_millis(8);
     cluster.request(6, completion("base@a@v1", "CRASH"));
     assert!(cluster.run_until(LIMIT, |it| it.targets[0].crashes == 1));
     cluster.run(Duration::from_secs(5));
@@ -139,7 +139,7 @@
     let mut cluster = ready(6, 3);
     cluster.add_target(Target::service("s1", 1));
     cluster.run(SETTLE);
-    cluster.doubled = true;
+    cluster.links.echo = Duration::from_millis(8);
     for host in [6, 5, 4] {
         let key = cluster.request(host, common::booking("k", "deposit"));
         assert!(cluster.run_until(LIMIT, |it| it.told[&key].ended()));
--- a/coordination/node/tests/matrix.rs
+++ b/coordination/node/tests/matrix.rs
@@ -156,8 +156,11 @@
                 target.drop_answer = Some(BODY.to_owned());
             }
         }
-        Fault::Late => cluster.jitter = JITTER,
-        Fault::Doubled => cluster.echo = JITTER,
+        Fault::Late => {
+            cluster.links.jitter = JITTER;
+            cluster.links.reorder = true;
+        }
+        Fault::Doubled => cluster.links.echo = JITTER,
         Fault::AllRestart => {
             for id in 1..=6 {
                 cluster.kill(id);
@@ -206,8 +209,11 @@
                 target.drop_answer = None;
             }
         }
-        Fault::Late => cluster.jitter = Duration::ZERO,
-        Fault::Doubled => cluster.echo = Duration::ZERO,
+        Fault::Late => {
+            cluster.links.jitter = Duration::ZERO;
+            cluster.links.reorder = false;
+        }
+        Fault::Doubled => cluster.links.echo = Duration::ZERO,
         _ => {}
     }
 }
