--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -73,6 +73,9 @@
 fn print(status: &StatusBody, answers: &[StatusBody]) {
     let leader = status.leader.map_or("none".to_owned(), |it| it.to_string());
     println!("leader {leader}, term {}", status.term);
+    if status.leader.is_none() {
+        println!("nothing can be changed without a leader; see that most voters run");
+    }
     for alarm in &status.alarms {
         println!("ALARM: {alarm}");
     }
--- a/cli/tests/hosts.rs
+++ b/cli/tests/hosts.rs
@@ -216,6 +216,7 @@
     let follower = status.replace("[\"m@a@v1\"]", "[]").replace("trail went back", "disk is full");
     let cases = [
         ("leader and owner", vec![vec![answer(&follower)], vec![answer(&owner)]]),
+        ("no leader", vec![vec![answer(&follower.replace("\"leader\":1", "\"leader\":null"))]]),
         ("owner not asked", vec![vec![answer(&follower)], vec![]]),
         ("nobody listens", vec![vec![], vec![]]),
     ];
