--- a/tests/benches/path/memory.rs
+++ b/tests/benches/path/memory.rs
@@ -10,6 +10,9 @@
 const RUNNING: usize = 1000;
 const WAITING: usize = 400;
 
+/// Long enough for all that wait.
+const DEADLINE_MS: &str = "86400000";
+
 /// Holds requests open at an owner and compares its memory.
 pub async fn measure(bins: &Path) {
     println!("memory of a host by requests");
@@ -69,7 +72,7 @@
     tokio::spawn(async move {
         let caller = format!("caller-{number}");
         let body = completion(MODEL, &format!("prompt {number}"), 200, true);
-        let headers = [("x-caller", caller.as_str())];
+        let headers = [("x-caller", caller.as_str()), ("x-deadline-ms", DEADLINE_MS)];
         let Some((streamed, _)) = client.start(Method::POST, &url, &headers, body).await else {
             return;
         };
--- a/tests/benches/path/outage.rs
+++ b/tests/benches/path/outage.rs
@@ -25,7 +25,7 @@
 pub async fn measure(bins: &Path) {
     println!("a host is killed; a request starts every 20 ms, at the next address if one is dead");
     println!(
-        "{:8} {:>6} {:>9} {:>9} {:>7} {:>20} {:>18} {:>16}",
+        "{:10} {:>6} {:>9} {:>9} {:>7} {:>20} {:>18} {:>16}",
         "victim",
         "round",
         "killed",
@@ -44,12 +44,20 @@
             one_round(&mut cluster, victim, round).await;
         }
     }
+    drop(cluster);
+    let mut cluster = Cluster::start(bins, 29, 5).await;
+    cluster.engine("e1", 0, &["--token-ms", "1"]).await;
+    for round in 1..=ROUNDS {
+        one_round(&mut cluster, "sole owner", round).await;
+    }
     println!();
 }
 
 async fn one_round(cluster: &mut Cluster, victim: &str, round: usize) {
     let leader = cluster.until_live().await;
-    let owners = [cluster.until_owned("e1").await, cluster.until_owned("e2").await];
+    let first = cluster.until_owned("e1").await;
+    let second = if victim == "sole owner" { first } else { cluster.until_owned("e2").await };
+    let owners = [first, second];
     let special = [owners[0], owners[1], leader];
     let free = (1..=5).find(|host| !special.contains(host)).expect("there are more hosts");
     let spare = (1..=5).find(|host| !special.contains(host) && *host != free).unwrap_or(leader);
@@ -57,6 +65,7 @@
     // The owner of the engine that holds the adapter, unless that is the leader.
     let owner = owners.into_iter().find(|&host| host != leader).unwrap_or(leader);
     let (killed, entries) = match victim {
+        "sole owner" => (first, [free, spare]),
         "owner" => (owner, [free, spare]),
         "leader" => (leader, [free, spare]),
         _ => (free, [free, spare]),
@@ -99,7 +108,7 @@
     let answered = || probes.iter().filter(|probe| probe.ok);
     let failed = || probes.iter().filter(|probe| !probe.ok);
     println!(
-        "{victim:8} {round:6} {killed:>9} {:9} {:7} {:20.0} {:18.0} {:16.0}",
+        "{victim:10} {round:6} {killed:>9} {:9} {:7} {:20.0} {:18.0} {:16.0}",
         probes.len(),
         failed().count(),
         ms(answered().map(|probe| probe.end).min()),
--- a/transport/web/tests/targets.rs
+++ b/transport/web/tests/targets.rs
@@ -295,6 +295,25 @@
     insta::assert_snapshot!(report);
 }
 
+/// Accepts a connection, answers one request and leaves the connection open.
+async fn answer_open(listener: &TcpListener, bytes: &str) -> TcpStream {
+    let accepting = timeout(LIMIT, listener.accept());
+    let (mut stream, _) = accepting.await.expect("it is new").expect("a connection comes");
+    read_request(&mut stream).await;
+    stream.write_all(bytes.as_bytes()).await.expect("the client reads");
+    stream
+}
+
+/// Waits until the connections of ended calls are ready again.
+async fn come_to_rest(targets: &Targets) {
+    while targets.running() > 0 {
+        tokio::task::yield_now().await;
+    }
+    for _ in 0..100 {
+        tokio::task::yield_now().await;
+    }
+}
+
 #[tokio::test]
 async fn only_calls_that_may_run_twice_share_a_connection() {
     let (targets, mut events) = start();
@@ -302,27 +321,19 @@
     let reply = response(200, ECHO, "{}");
     let shared = Call { idempotent: true, ..call(&addr, false) };
     targets.call(shared.clone());
-    let (mut first, _) = listener.accept().await.expect("a connection comes");
-    read_request(&mut first).await;
-    first.write_all(reply.as_bytes()).await.expect("the client reads");
+    let mut first = answer_open(&listener, &reply).await;
     describe_all(&mut events).await;
-    // The connection is ready again once the client has come to rest.
-    while targets.running() > 0 {
-        tokio::task::yield_now().await;
-    }
-    for _ in 0..100 {
-        tokio::task::yield_now().await;
-    }
+    come_to_rest(&targets).await;
     targets.call(shared.clone());
     read_request(&mut first).await;
     // The target closes it without an answer: the call is lost, not sent again.
     drop(first);
     assert_eq!(describe(&next(&mut events).await), "Lost");
     targets.call(shared);
-    answer(&listener, &reply).await;
+    let _idle = answer_open(&listener, &reply).await;
     describe_all(&mut events).await;
+    come_to_rest(&targets).await;
     targets.call(call(&addr, false));
-    // Arrives on a connection of its own.
-    answer(&listener, &reply).await;
+    let _own = answer_open(&listener, &reply).await;
     describe_all(&mut events).await;
 }
