--- a/coordination/node/src/lib.rs
+++ b/coordination/node/src/lib.rs
@@ -2,12 +2,15 @@
 //! outputs come out. The daemon is a loop around [`Node`]; tests hold several
 //! in one process.
 
+mod answer;
+mod attempt;
 mod core;
 mod desk;
 mod digest;
 mod effect;
 mod entry;
 mod failure;
+mod heard;
 mod held;
 mod io;
 mod machine;
@@ -15,7 +18,9 @@
 mod node;
 mod orders;
 mod owner;
+mod ownership;
 mod pin;
+mod request;
 mod stats;
 mod status;
 mod view;
--- a/coordination/node/src/node.rs
+++ b/coordination/node/src/node.rs
@@ -242,7 +242,7 @@
                 let ctx = self.ctx(now);
                 self.owner().order_ended(&ctx, order, &result, fx);
             }
-            Input::Publish { tag, publish, at: _ } => {
+            Input::Publish { tag, publish } => {
                 let ctx = self.ctx(now);
                 lock(&self.desk).publish(&ctx, tag, publish, fx);
             }
@@ -367,6 +367,10 @@
         if ticks.is_multiple_of(SLOW_TICKS) {
             self.owner().tick_attempts(&ctx, fx);
             self.on_entry(|entry, dir| entry.tick(&ctx, dir, fx));
+            if ctx.view.leading {
+                let claimers = self.core().machine().claims.holders();
+                self.member().doubt(&ctx, &claimers, fx);
+            }
         }
         self.try_exit(now, fx);
     }
--- a/coordination/node/tests/common/mod.rs
+++ b/coordination/node/tests/common/mod.rs
@@ -69,6 +69,10 @@
     pub targets: Vec<Target>,
     queue: BTreeMap<(Duration, u64), Event>,
     seq: u64,
+    /// Messages between hosts arrive up to so much late, and out of order.
+    pub jitter: Duration,
+    /// Messages between hosts arrive a second time, up to so much later.
+    pub echo: Duration,
     /// Pairs of hosts that do not hear each other.
     pub cut: BTreeSet<(HostId, HostId)>,
     pub told: BTreeMap<(HostId, Tag), Told>,
@@ -83,6 +87,16 @@
     /// Every message and call, if recorded.
     pub trace: Option<Vec<String>>,
     next_tag: Tag,
+    founders: u32,
+}
+
+fn empty_disk(host: HostId, number: u64) -> replog::Recovered {
+    replog::Recovered {
+        voter: (u64::from(host) << 48) | number,
+        hard: replog::HardState::default(),
+        snapshot: None,
+        entries: Vec::new(),
+    }
 }
 
 pub fn settings(host: HostId, hosts: u32, voters: u32) -> Settings {
@@ -111,6 +125,8 @@
             targets: Vec::new(),
             queue: BTreeMap::new(),
             seq: 0,
+            jitter: Duration::ZERO,
+            echo: Duration::ZERO,
             cut: BTreeSet::new(),
             told: BTreeMap::new(),
             published: BTreeMap::new(),
@@ -120,14 +136,11 @@
             revival: None,
             trace: None,
             next_tag: 1,
+            founders: 0,
         };
+        cluster.founders = voters;
         for host in 1..=hosts {
-            let disk = (host <= voters).then(|| replog::Recovered {
-                voter: (u64::from(host) << 48) | 1,
-                hard: replog::HardState::default(),
-                snapshot: None,
-                entries: Vec::new(),
-            });
+            let disk = (host <= voters).then(|| empty_disk(host, 1));
             cluster.hosts.insert(
                 host,
                 Host {
@@ -146,14 +159,15 @@
         cluster
     }
 
-    fn count(&self) -> (u32, u32) {
-        let voters = self.hosts.values().filter(|host| host.disk.is_some()).count();
-        (self.hosts.len() as u32, voters as u32)
+    /// Gives a host that does not run an empty disk with a new identity.
+    pub fn replace_disk(&mut self, id: HostId) {
+        let Some(host) = self.hosts.get_mut(&id) else { return };
+        host.disk = Some(empty_disk(id, host.run + 1));
     }
 
     /// Starts a host, or starts it again after [`Cluster::kill`].
     pub fn start(&mut self, id: HostId) {
-        let (hosts, voters) = self.count();
+        let (hosts, voters) = (self.hosts.len() as u32, self.founders);
         let now = self.now;
         let wall = self.wall();
         let Some(host) = self.hosts.get_mut(&id) else { return };
@@ -295,8 +309,7 @@
             .collect();
         let publish =
             Publish { files, author: "operator".to_owned(), revision: "abc123".to_owned() };
-        let at = self.wall();
-        self.input(id, Input::Publish { tag, publish, at });
+        self.input(id, Input::Publish { tag, publish });
         tag
     }
 
@@ -461,7 +474,18 @@
             let again = Input::Peer { from, msg: msg.clone() };
             self.at(LINK_DELAY * 3, Event::Input(to, run, again));
         }
-        self.at(LINK_DELAY, Event::Input(to, run, Input::Peer { from, msg }));
+        if !self.echo.is_zero() {
+            let delay = LINK_DELAY + self.part(self.echo);
+            self.at(delay, Event::Input(to, run, Input::Peer { from, msg: msg.clone() }));
+        }
+        let delay = LINK_DELAY + self.part(self.jitter);
+        self.at(delay, Event::Input(to, run, Input::Peer { from, msg }));
+    }
+
+    /// Returns a part of a time, another one with each event.
+    fn part(&self, time: Duration) -> Duration {
+        let mixed = self.seq.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 54;
+        time * mixed as u32 / 1024
     }
 
     fn find(&self, addr: &str) -> Option<usize> {
