--- a/coordination/place/src/owner.rs
+++ b/coordination/place/src/owner.rs
@@ -76,8 +76,11 @@
 }
 
 impl Owner {
-    /// An owner without targets.
-    pub(crate) fn new(settings: PolicySettings) -> Owner {
+    /// An owner without targets. Weights that are both zero count as equal.
+    pub(crate) fn new(mut settings: PolicySettings) -> Owner {
+        if settings.stall + settings.batch <= 0.0 {
+            (settings.stall, settings.batch) = (1.0, 1.0);
+        }
         Owner {
             settings,
             queue: Queue::new(settings.bounds),
@@ -185,7 +188,7 @@
     fn patience(&self, now: Duration, waiting: &Waiting) -> f64 {
         let left = waiting.deadline.saturating_sub(now).as_secs_f64();
         let PolicySettings { stall, batch, .. } = self.settings;
-        let share = (STALL_PATIENCE * stall + batch) / (stall + batch).max(f64::MIN_POSITIVE);
+        let share = (STALL_PATIENCE * stall + batch) / (stall + batch);
         left * share
     }
 
--- a/coordination/place/src/policy.rs
+++ b/coordination/place/src/policy.rs
@@ -84,7 +84,8 @@
     pub bounds: Bounds,
     /// Weight of load stalls.
     pub stall: f64,
-    /// Weight of batch fullness.
+    /// Weight of batch fullness. Only the ratio of the weights counts; both zero
+    /// stand for equal weights.
     pub batch: f64,
     /// Expected time of a load.
     pub load: Duration,
