Send observers one heartbeat a second in place of ten

Ruled out: leases (1.33 renewals a second) and digests, which are sent only when they change. Change: an observer gets one round in ten, staggered, and a new leader's first two; entries still go to it at once. It and its leader wait three such rounds for each other. Asking for the leader goes to the members and to one other host in turn, no longer to all.

--- a/coordination/node/tests/storm.rs
+++ b/coordination/node/tests/storm.rs
@@ -99,8 +99,15 @@
                 cluster.targets[place].restart();
             }
             11 => cluster.break_target(place),
-            12 => cluster.jitter = if cluster.jitter.is_zero() { JITTER } else { Duration::ZERO },
-            13 => cluster.echo = if cluster.echo.is_zero() { JITTER } else { Duration::ZERO },
+            12 => {
+                let links = &mut cluster.links;
+                links.reorder = !links.reorder;
+                links.jitter = if links.reorder { JITTER } else { Duration::ZERO };
+            }
+            13 => {
+                let links = &mut cluster.links;
+                links.echo = if links.echo.is_zero() { JITTER } else { Duration::ZERO };
+            }
             _ => (),
         }
     }
@@ -184,8 +191,9 @@
     /// Ends all faults; what is left of the system must work.
     fn calm(&mut self) {
         self.cluster.heal();
-        self.cluster.jitter = Duration::ZERO;
-        self.cluster.echo = Duration::ZERO;
+        self.cluster.links.jitter = Duration::ZERO;
+        self.cluster.links.reorder = false;
+        self.cluster.links.echo = Duration::ZERO;
         for host in 1..=HOSTS {
             self.cluster.thaw(host);
         }
--- a/state/replog/src/found.rs
+++ b/state/replog/src/found.rs
@@ -27,16 +27,31 @@
         if self.hard.group == 0 {
             self.found();
         }
-        let served = within(self.now, self.heard, self.settings.election);
+        let served = within(self.now, self.heard, self.patience());
         if self.may_vote() || (self.leader.is_some() && served) {
             return;
         }
         let last = self.commit.max(self.applied);
-        for host in self.all_hosts() {
+        for host in self.hello_hosts() {
             self.send(host, LogBody::Hello { last });
         }
     }
 
+    /// Returns the hosts to ask for the leader: those likely to know it, and one
+    /// of the others, another one each time.
+    fn hello_hosts(&mut self) -> BTreeSet<HostId> {
+        let mut hosts = BTreeSet::new();
+        hosts.extend(self.settings.founders.iter().copied());
+        hosts.extend(self.log.members().members.iter().map(|m| m.host));
+        let others = &self.settings.hosts;
+        if !others.is_empty() {
+            hosts.insert(others[self.hellos % others.len()]);
+            self.hellos += 1;
+        }
+        hosts.remove(&self.settings.host);
+        hosts
+    }
+
     /// Returns every other host that may know of the group.
     pub(crate) fn all_hosts(&self) -> BTreeSet<HostId> {
         let mut hosts = BTreeSet::new();
--- a/state/replog/src/lead.rs
+++ b/state/replog/src/lead.rs
@@ -21,6 +21,10 @@
 const CHUNK_BYTES: u64 = 256 * 1024;
 /// Heartbeat rounds whose send times are remembered.
 const MAX_ROUNDS: usize = 256;
+/// Rounds after which an observer without entries to receive gets one.
+pub(crate) const OBSERVER_ROUNDS: u32 = 10;
+/// Rounds of a new leader that all hosts get.
+const FIRST_ROUNDS: u64 = 2;
 /// Election times after which a silent observer is no longer served.
 const OBSERVER_ELECTIONS: u32 = 10;
 
@@ -181,12 +185,24 @@
         lead.peers.retain(|_, p| p.role.is_some() || within(now, p.heard, silent));
         for host in self.peer_hosts() {
             self.resend_chunk(host);
-            if !self.send_entries(host) {
+            if !self.send_entries(host) && self.is_noticed(host) {
                 self.send_notice(host);
             }
         }
     }
 
+    /// Returns whether a host gets this round without entries. Observers get
+    /// few: they neither vote nor confirm anything, and entries reach them at
+    /// once.
+    fn is_noticed(&self, host: HostId) -> bool {
+        let Role::Leader(lead) = &self.role else {
+            return false;
+        };
+        let is_member = lead.peers.get(&host).is_some_and(|peer| peer.role.is_some());
+        let turn = (lead.round + u64::from(host)) % u64::from(OBSERVER_ROUNDS);
+        is_member || lead.round <= FIRST_ROUNDS || turn == 0
+    }
+
     /// Sends as many entries as the host may have unanswered.
     fn replicate(&mut self, host: HostId) {
         while self.send_entries(host) {}
@@ -296,14 +312,16 @@
         let Some(snapshot) = self.log.snapshot().cloned() else {
             return;
         };
-        let (now, election) = (self.now, self.settings.election);
+        let now = self.now;
+        let (member, observer) = (self.settings.election, self.observer_patience());
         let Role::Leader(lead) = &mut self.role else {
             return;
         };
         let Some(peer) = lead.peers.get_mut(&host) else {
             return;
         };
-        if !within(now, peer.heard, election) {
+        let patience = if peer.role.is_some() { member } else { observer };
+        if !within(now, peer.heard, patience) {
             return;
         }
         peer.install = Some(Transfer { snapshot, offset: 0, sent: now });
--- a/state/replog/src/replica.rs
+++ b/state/replog/src/replica.rs
@@ -14,13 +14,15 @@
     Alarm, HardState, Input, Op, Output, Recovered, Settings, Status,
     found::Fresh,
     group::{is_voter, within},
-    lead::Lead,
+    lead::{Lead, OBSERVER_ROUNDS},
     log::Log,
     queue::Queue,
 };
 
 /// Share of the entries kept in memory after a snapshot for hosts that lag.
 const KEEP_SHARE: u64 = 4;
+/// Messages to an observer that may be lost before its leader counts as silent.
+const MISSED_ROUNDS: u32 = 3;
 
 /// A voter's, learner's or observer's part of the group.
 #[derive(Debug)]
@@ -40,6 +42,8 @@
     pub(crate) deadline: Duration,
     /// When to ask to be served next.
     pub(crate) hello_at: Duration,
+    /// Counts the times it asked to be served.
+    pub(crate) hellos: usize,
     pub(crate) queue: Queue,
     /// The snapshot that is arriving.
     pub(crate) incoming: Option<Incoming>,
@@ -102,6 +106,7 @@
             heard: now,
             deadline: now,
             hello_at: now,
+            hellos: 0,
             incoming: None,
             answered: (0, 0),
             fresh: BTreeMap::new(),
@@ -167,7 +172,7 @@
             self.tick_leader();
             return;
         }
-        if self.leader.is_some() && !within(self.now, self.heard, self.settings.election) {
+        if self.leader.is_some() && !within(self.now, self.heard, self.patience()) {
             self.leader = None;
         }
         if self.now >= self.hello_at {
@@ -282,6 +287,19 @@
         }
     }
 
+    /// How long this replica takes a silent leader for alive.
+    pub(crate) fn patience(&self) -> Duration {
+        match self.voter {
+            Some(_) => self.settings.election,
+            None => self.observer_patience(),
+        }
+    }
+
+    /// How long an observer and its leader may not hear of each other.
+    pub(crate) fn observer_patience(&self) -> Duration {
+        self.settings.heartbeat * OBSERVER_ROUNDS * MISSED_ROUNDS
+    }
+
     /// Tells whether this replica is a voter that may stand for election.
     pub(crate) fn may_vote(&self) -> bool {
         let Some(voter) = self.voter else {
