--- a/coordination/place/benches/cost.rs
+++ b/coordination/place/benches/cost.rs
@@ -6,10 +6,13 @@
 };
 
 use admit::{Bounds, Waiting};
-use place::{Decision, Policy, PolicySettings, Resident, TargetView, owner_policy};
+use place::{
+    Decision, PlannerSettings, Policy, PolicySettings, Resident, StorePlanner, TargetView,
+    owner_policy,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use wire::{Pin, TargetKind, Urgency};
+use wire::{Pin, TargetKind, Urgency, Want};
 
 const SLOTS: u32 = 8;
 const BATCH: u32 = 64;
@@ -36,6 +39,8 @@
     // All are kept until the end, so that none uses memory that another freed.
     let owners: Vec<Box<dyn Policy>> = sizes.into_iter().map(measure).collect();
     drop(owners);
+    println!("planner: hosts | replaced wants us p50 p99 | grants us p50 p99");
+    [11, 46, 710].into_iter().for_each(measure_planner);
 }
 
 /// Times of one step, in nanoseconds.
@@ -99,6 +104,32 @@
     policy
 }
 
+/// Measures a planner whose hosts each replace nine wants in turn.
+fn measure_planner(hosts: u32) {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let settings = PlannerSettings { rate: 50.0, loads: 100, term: Duration::from_secs(2) };
+    let mut planner = StorePlanner::new(Duration::ZERO, settings, true);
+    let [mut wants, mut grants] = [(); 2].map(|()| Times::default());
+    for round in 0..ROUNDS * 5 {
+        let now = Duration::from_millis(round);
+        let age = Duration::from_millis(rng.random_range(0..10_000));
+        let mut want =
+            || Want { adapter: rng.random_range(0..13_000), score: rng.random(), waiting: 1, age };
+        let listed = (0..9).map(|_| want()).collect();
+        let since = Instant::now();
+        planner.wants(now, round as u32 % hosts, listed);
+        wants.add(since);
+        let since = Instant::now();
+        planner.grant(now);
+        grants.add(since);
+    }
+    print!("planner: {hosts:>5}");
+    for times in [&mut wants, &mut grants] {
+        print!(" | {:>10.2} {:>6.2}", times.percentile(50), times.percentile(99));
+    }
+    println!();
+}
+
 /// An owner with idle targets that hold adapters, that has seen all adapters,
 /// and where requests wait for adapters that no target holds.
 fn fill(size: Size, rng: &mut ChaCha8Rng) -> Box<dyn Policy> {
