Count waits for adapters as they pass

Cause: the seconds that requests waited for adapters were added up from a request's arrival whenever its adapter came or it left, so that a wait was counted twice when the adapter went away in between. Change: the number of requests that wait for starved adapters is added up over time.

--- a/coordination/place/src/loads.rs
+++ b/coordination/place/src/loads.rs
@@ -93,17 +93,18 @@
     /// Brings the order of loads up to date after a change to an adapter.
     pub(crate) fn reindex(&mut self, now: Duration, adapter: AdapterId) {
         let Some(since) = self.oldest(adapter) else {
-            self.starved.remove(adapter);
+            self.starved.remove(now, adapter);
             self.crowded.remove(&adapter);
             return;
         };
         if self.fleet.copies(adapter) > 0 {
-            self.starved.remove(adapter);
+            self.starved.remove(now, adapter);
             self.crowded.insert(adapter);
             return;
         }
         self.crowded.remove(&adapter);
-        self.starved.set(adapter, self.gain(now, adapter), since);
+        let waiting = self.depth(adapter).total();
+        self.starved.set(now, adapter, self.gain(now, adapter), since, waiting);
     }
 
     /// Returns what making room costs on each target that takes loads.
--- a/coordination/place/src/owner.rs
+++ b/coordination/place/src/owner.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     Decision, LoadOrder, Policy, PolicySettings, TargetView, demand::Demand, fleet::Fleet,
-    loads::lanes, pace::Pace, prefix::Prefixes, starved::Starved,
+    pace::Pace, prefix::Prefixes, starved::Starved,
 };
 
 /// Weight of the newest sample in the mean time until an adapter arrives.
@@ -70,7 +70,6 @@
     pub(crate) arrival: f64,
     pub(crate) rng: ChaCha8Rng,
     pace: Pace,
-    stalled: f64,
     /// The latest time at which a decision was asked for.
     seen: Duration,
 }
@@ -102,7 +101,6 @@
             arrival: settings.load.as_secs_f64(),
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             pace: Pace::new(settings.load),
-            stalled: 0.0,
             seen: Duration::ZERO,
         }
     }
@@ -110,7 +108,7 @@
     /// Takes a request out of the queue.
     pub(crate) fn take(&mut self, now: Duration, request: RequestId) -> Option<Waiting> {
         let (lane, waiting) = self.queue.remove(request)?;
-        self.left(now, lane, &waiting);
+        self.left(now, lane, waiting.request);
         Some(waiting)
     }
 
@@ -124,12 +122,9 @@
     }
 
     /// Brings all up to date after a request left the queue.
-    fn left(&mut self, now: Duration, lane: Lane, waiting: &Waiting) {
-        self.release(waiting.request);
+    fn left(&mut self, now: Duration, lane: Lane, request: RequestId) {
+        self.release(request);
         let Need::Adapter(adapter) = lane.need else { return };
-        if self.fleet.copies(adapter) == 0 {
-            self.stalled += now.saturating_sub(waiting.since).as_secs_f64();
-        }
         self.reindex(now, adapter);
     }
 
@@ -209,16 +204,6 @@
         let waiting = self.queue.get(request);
         waiting.is_some_and(|waiting| self.is_late(now, lane, waiting))
     }
-
-    /// Counts the waits that end with the arrival of an adapter.
-    fn arrived(&mut self, now: Duration, adapter: AdapterId) {
-        for lane in lanes(adapter) {
-            for request in self.queue.requests(lane) {
-                let since = self.queue.get(request).map_or(now, |waiting| waiting.since);
-                self.stalled += now.saturating_sub(since).as_secs_f64();
-            }
-        }
-    }
 }
 
 fn add(depth: &mut Depth, urgency: Urgency) {
@@ -231,6 +216,7 @@
 
 impl Policy for Owner {
     fn set_target(&mut self, now: Duration, view: TargetView) {
+        self.seen = now;
         let id = view.id;
         if let TargetKind::Service { service } = &view.kind {
             let need = self.queue.service(service);
@@ -238,10 +224,6 @@
         }
         self.touched.insert(id);
         for adapter in self.fleet.set(view) {
-            let is_starved = self.starved.since(adapter).is_some();
-            if is_starved && self.fleet.copies(adapter) > 0 {
-                self.arrived(now, adapter);
-            }
             self.reindex(now, adapter);
         }
         self.release_lost(id);
@@ -286,9 +268,10 @@
 
     fn decide(&mut self, now: Duration) -> Vec<Decision> {
         self.seen = now;
+        self.starved.advance(now);
         let mut decisions = std::mem::take(&mut self.refused);
         while let Some((lane, waiting)) = self.queue.expire(now) {
-            self.left(now, lane, &waiting);
+            self.left(now, lane, waiting.request);
             let kind = ErrorKind::Expired;
             decisions.push(Decision::Refuse { request: waiting.request, kind });
         }
@@ -352,6 +335,6 @@
     }
 
     fn stalled(&self) -> f64 {
-        self.stalled
+        self.starved.seconds()
     }
 }
