--- a/coordination/node/tests/storm.rs
+++ b/coordination/node/tests/storm.rs
@@ -29,10 +29,22 @@
     alone: bool,
 }
 
+/// Publishes of one service by operators who race each other.
+#[derive(Default)]
+struct Operators {
+    /// Publishes that have not ended.
+    open: Vec<Tag>,
+    /// The digest each version was accepted with.
+    accepted: BTreeMap<u64, [u8; 32]>,
+    /// The highest version that was ever said to be in force everywhere.
+    forced: u64,
+}
+
 struct Storm {
     rng: ChaCha8Rng,
     cluster: Cluster,
     open: Vec<Try>,
+    operators: Operators,
     broken: Vec<String>,
     counts: BTreeMap<String, u32>,
 }
@@ -55,6 +67,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             cluster,
             open: Vec::new(),
+            operators: Operators::default(),
             broken: Vec::new(),
             counts: BTreeMap::new(),
         }
@@ -75,6 +88,9 @@
         for _ in 0..self.below(4) {
             self.ask();
         }
+        if self.below(3) == 0 {
+            self.publish();
+        }
         let pause = Duration::from_millis(self.below(1500));
         self.cluster.run(pause);
         self.judge();
@@ -146,8 +162,62 @@
         self.open.push(Try { key, body, before, alone });
     }
 
+    /// Publishes the next version, or races for the last one with other content.
+    fn publish(&mut self) {
+        let host = 1 + self.below(u64::from(HOSTS)) as HostId;
+        if !self.cluster.is_running(host) {
+            return;
+        }
+        let last = self.operators.accepted.keys().next_back().copied().unwrap_or(0);
+        let version = (last + self.below(2)).max(1);
+        let text = format!(
+            "[service]\nname = extra\nversion = {version}\nkind = model\nmodel = base\n\
+             [adapters]\nx = v{version}-{}\n[call plan]\npath = /v1/completions\n\
+             urgency = normal\nidempotent = yes\ndeadline = 10s\n",
+            self.below(3)
+        );
+        let tag = self.cluster.publish(host, &[("extra.ini", &text)]);
+        self.operators.open.push(tag);
+    }
+
+    /// Checks that what was accepted stays, and is in force where it was said.
+    fn judge_operators(&mut self) {
+        for tag in std::mem::take(&mut self.operators.open) {
+            let Some(result) = self.cluster.published.get(&tag) else {
+                self.operators.open.push(tag);
+                continue;
+            };
+            let Ok(published) = result else { continue };
+            let (_, version, digest) = &published.receipt.services[0];
+            let first = *self.operators.accepted.entry(*version).or_insert(*digest);
+            if first != *digest {
+                self.broken.push(format!("version {version} was accepted twice"));
+            }
+            let mut domains = published.domains.iter();
+            if !published.domains.is_empty() && domains.all(|domain| domain.lagging == 0) {
+                self.operators.forced = self.operators.forced.max(*version);
+            }
+        }
+        for host in (1..=HOSTS).filter(|&host| self.cluster.is_running(host)) {
+            let version = self.version(host);
+            let forced = self.operators.forced;
+            let lease = self.cluster.node(host).status(self.cluster.now).lease;
+            if lease && version < forced {
+                self.broken.push(format!("host {host} serves version {version} after {forced}"));
+            }
+        }
+    }
+
+    /// The version of the published service that a host has applied.
+    fn version(&self, host: HostId) -> u64 {
+        let status = self.cluster.node(host).status(self.cluster.now);
+        let row = status.services.iter().find(|row| row.service == "extra");
+        row.map_or(0, |row| row.version)
+    }
+
     /// Compares what callers were told with what was run.
     fn judge(&mut self) {
+        self.judge_operators();
         let ended = |it: &Try, cluster: &Cluster| cluster.told[&it.key].ended();
         let (done, open): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.open).into_iter().partition(|it| ended(it, &self.cluster));
@@ -231,6 +301,7 @@
 fn every_promise_holds_under_random_faults() {
     let mut broken = Vec::new();
     let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    let (mut accepted, mut forced) = (0, 0);
     for seed in 0..SEEDS {
         let mut storm = Storm::new(seed);
         for _ in 0..ROUNDS {
@@ -240,11 +311,15 @@
         for text in storm.broken {
             broken.push(format!("seed {seed}: {text}"));
         }
+        accepted += storm.operators.accepted.len() as u64;
+        forced += storm.operators.forced;
         for (word, count) in storm.counts {
             *counts.entry(word).or_default() += count;
         }
     }
     println!("{counts:?}");
+    println!("{accepted} versions accepted, {forced} said to be in force");
+    assert!(accepted > SEEDS && forced > SEEDS);
     broken.dedup();
     assert!(broken.is_empty(), "{broken:#?}");
 }
