Change only the adapters of a replaced declaration when a publish is applied

Conclusion: what still grows with all adapters is the copy of the configuration that is made because readers hold the former one. The test now compares the services of every adapter with the declarations in force, and fails with the withdrawal of former adapters switched off.

--- a/state/history/src/config.rs
+++ b/state/history/src/config.rs
@@ -119,33 +119,42 @@
         declaration.calls.get(name).ok_or(ErrorKind::UnknownService)
     }
 
-    /// Puts a service into force. [`Config::settle`] must follow.
+    /// Puts a service into force in place of its former declaration. Costs as
+    /// much as the two have adapters, however many others there are.
     pub(crate) fn put(&mut self, info: ServiceInfo) {
-        self.services.insert(info.declaration.service.clone(), info);
-    }
-
-    /// Recomputes what follows from the services: adapters and voters.
-    pub(crate) fn settle(&mut self, revision: Revision) {
-        self.revision = revision;
-        self.voters.clear();
-        for adapter in self.adapters.values_mut() {
-            adapter.services.clear();
-        }
-        for (service, info) in &self.services {
-            if let ServiceKind::System { voters } = &info.declaration.kind {
-                self.voters = voters.clone();
-            }
-            for name in info.declaration.adapter_names() {
-                let adapter = self.adapters.entry(name.clone()).or_insert_with(|| {
-                    let id = self.names.len() as AdapterId;
-                    self.names.push(name.clone());
-                    AdapterInfo { id, name, declared: true, services: Vec::new() }
-                });
-                adapter.services.push(service.clone());
+        let service = info.declaration.service.clone();
+        if let Some(former) = self.services.get(&service) {
+            for name in former.declaration.adapter_names() {
+                self.withdraw(&service, &name);
             }
         }
-        for adapter in self.adapters.values_mut() {
-            adapter.declared = !adapter.services.is_empty();
+        for name in info.declaration.adapter_names() {
+            self.declare(&service, name);
+        }
+        if let ServiceKind::System { voters } = &info.declaration.kind {
+            self.voters = voters.clone();
         }
+        self.revision = info.index;
+        self.services.insert(service, info);
+    }
+
+    fn declare(&mut self, service: &str, name: String) {
+        let adapter = self.adapters.entry(name).or_insert_with_key(|name| {
+            let id = self.names.len() as AdapterId;
+            self.names.push(name.clone());
+            AdapterInfo { id, name: name.clone(), declared: false, services: Vec::new() }
+        });
+        adapter.declared = true;
+        if let Err(place) = adapter.services.binary_search_by(|it| it.as_str().cmp(service)) {
+            adapter.services.insert(place, service.to_owned());
+        }
+    }
+
+    fn withdraw(&mut self, service: &str, name: &str) {
+        let Some(adapter) = self.adapters.get_mut(name) else {
+            return;
+        };
+        adapter.services.retain(|it| it != service);
+        adapter.declared = !adapter.services.is_empty();
     }
 }
--- a/state/history/src/history.rs
+++ b/state/history/src/history.rs
@@ -183,7 +183,6 @@
                 index,
             });
         }
-        config.settle(index);
     }
 
     /// Confirms files that are in force, with the newest change among them.
--- a/state/history/tests/publish.rs
+++ b/state/history/tests/publish.rs
@@ -1,7 +1,7 @@
 //! Publishes are applied as a whole, compared with what is in force, and
 //! confirmed with the same receipt when they are handed in again.
 
-use std::fmt::Write;
+use std::{collections::BTreeMap, fmt::Write};
 
 use history::{Config, History, to_hex};
 use quickcheck::{Arbitrary, Gen};
@@ -189,7 +189,22 @@
             assert_eq!(now, info);
         }
     }
+    let declared = declared(after);
     for (name, info) in &after.adapters {
         assert_eq!(after.names[info.id as usize], *name);
+        let services = declared.get(name).cloned().unwrap_or_default();
+        assert_eq!((info.declared, &info.services), (!services.is_empty(), &services));
     }
+    assert!(declared.keys().all(|it| after.adapters.contains_key(it)));
+}
+
+/// The services that declare each adapter, read from the declarations in force.
+fn declared(config: &Config) -> BTreeMap<String, Vec<String>> {
+    let mut declared: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for (service, info) in &config.services {
+        for name in info.declaration.adapter_names() {
+            declared.entry(name).or_default().push(service.clone());
+        }
+    }
+    declared
 }
