--- a/cli/src/audit.rs
+++ b/cli/src/audit.rs
@@ -10,6 +10,7 @@
     cmd::{Audit, AuditCmd, AuditExport, AuditShow, AuditVerify},
     date::utc,
     error::Error,
+    output::{print_json, to_json},
 };
 
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -29,8 +30,7 @@
         let addrs = Addresses::or_env(self.host, HOSTS)?;
         let page = fetch(&addrs, self.from.max(1))?;
         if self.json {
-            println!("{}", to_json(&page)?);
-            return Ok(());
+            return print_json(&page);
         }
         for entry in &page.entries {
             print(entry);
@@ -113,10 +113,6 @@
     Ok(entries)
 }
 
-fn to_json(page: &AuditPage) -> Result<String, Error> {
-    serde_json::to_string_pretty(page).map_err(|err| Error::failed(err.to_string()))
-}
-
 fn print(entry: &AuditEntry) {
     println!(
         "{} {} by {} from revision {} at index {}",
--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -5,7 +5,7 @@
 use decl::{Declaration, FileError, FileKind, ServiceKind, Settings};
 use serde::Serialize;
 
-use crate::{cmd::Check, error::Error};
+use crate::{cmd::Check, error::Error, output::print_json};
 
 /// The result for scripts.
 #[derive(Debug, Default, Serialize)]
@@ -33,12 +33,6 @@
     }
 }
 
-fn print_json(report: &Report) -> Result<(), Error> {
-    let text = serde_json::to_string_pretty(report);
-    println!("{}", text.map_err(|err| Error::failed(err.to_string()))?);
-    Ok(())
-}
-
 fn print_lines(report: &Report) {
     for line in &report.accepted {
         println!("{line}");
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -1,6 +1,8 @@
 //! Errors of the command line and their exit codes.
 
-use std::{fmt, process::ExitCode};
+use std::process::ExitCode;
+
+use thiserror::Error as ThisError;
 
 /// Exit code of a command that failed.
 const FAILURE_EXIT: u8 = 1;
@@ -21,7 +23,8 @@
 }
 
 /// A command's error, shown on one line.
-#[derive(Debug)]
+#[derive(Debug, ThisError)]
+#[error("{}", .message.replace('\n', "; "))]
 pub(crate) struct Error {
     pub(crate) kind: Kind,
     message: String,
@@ -58,9 +61,3 @@
         })
     }
 }
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.message.replace('\n', "; "))
-    }
-}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod completions;
 mod date;
 mod error;
+mod output;
 mod publish;
 mod request;
 mod status;
--- a/cli/src/publish.rs
+++ b/cli/src/publish.rs
@@ -16,6 +16,7 @@
     client::{Addresses, Client, Failure, HOSTS, block_on, parse},
     cmd::Publish,
     error::Error,
+    output::print_json,
 };
 
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -52,9 +53,7 @@
             Ok(publisher.wait_in_force(accepted).await)
         })?;
         if self.json {
-            let text = serde_json::to_string_pretty(&receipt);
-            println!("{}", text.map_err(|err| Error::failed(err.to_string()))?);
-            return Ok(());
+            return print_json(&receipt);
         }
         print(&receipt);
         Ok(())
--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -8,6 +8,7 @@
     client::{Addresses, Client, HOSTS, block_on},
     cmd::Status,
     error::Error,
+    output::print_json,
 };
 
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -20,9 +21,7 @@
         let answers = answers.map_err(|err| err.context("could not read the status"))?;
         let whole = merge(&answers);
         if self.json {
-            let text = serde_json::to_string_pretty(&whole);
-            println!("{}", text.map_err(|err| Error::failed(err.to_string()))?);
-            return Ok(());
+            return print_json(&whole);
         }
         print(&whole, &answers);
         Ok(())
--- a/cli/src/whereabouts.rs
+++ b/cli/src/whereabouts.rs
@@ -8,6 +8,7 @@
     client::{Addresses, Client, ENTRIES, block_on, url_part},
     cmd::Where,
     error::Error,
+    output::print_json,
 };
 
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -23,9 +24,7 @@
         let answer = block_on(async { client.get::<WhereBody>(&addrs, &path).await });
         let answer = answer.map_err(|err| err.context("could not ask for entry addresses"))?;
         if self.json {
-            let text = serde_json::to_string_pretty(&answer);
-            println!("{}", text.map_err(|err| Error::failed(err.to_string()))?);
-            return Ok(());
+            return print_json(&answer);
         }
         for entry in &answer.entries {
             println!("{} {}", entry.addr, entry.domain);
