--- a/state/replog/src/change.rs
+++ b/state/replog/src/change.rs
@@ -12,6 +12,10 @@
     replica::Role,
 };
 
+/// Heartbeats within which the voters that stay must have answered before
+/// another is removed.
+const REMOVAL_HEARTBEATS: u32 = 3;
+
 impl Replica {
     pub(crate) fn set_voters(&mut self, hosts: Vec<HostId>) {
         let Role::Leader(lead) = &mut self.role else {
@@ -78,8 +82,9 @@
         self.removal(lead).map(|host| without(members, host))
     }
 
-    /// Finds a learner that has caught up.
+    /// Finds a learner that has caught up, with its own membership on its disk.
     fn promotion(&self, lead: &Lead) -> Option<Member> {
+        let goal = lead.goal.max(self.log.members_index());
         for &member in &self.log.members().members {
             if member.role == Part::Voter || !lead.wants(member.host) {
                 continue;
@@ -87,7 +92,7 @@
             let Some(peer) = lead.peers.get(&member.host) else {
                 continue;
             };
-            if peer.matched >= lead.goal && self.is_live(lead, member.host) {
+            if peer.matched >= goal && self.is_live(lead, member.host) {
                 return Some(Member { role: Part::Voter, ..member });
             }
         }
@@ -146,16 +151,21 @@
     /// Tells whether the voters left without a host have a live quorum.
     fn can_do_without(&self, lead: &Lead, host: HostId) -> bool {
         let left = without(self.log.members(), host);
-        let live = voters(&left).filter(|m| self.is_live(lead, m.host)).count();
+        let span = self.settings.heartbeat * REMOVAL_HEARTBEATS;
+        let live = voters(&left).filter(|m| self.answers(lead, m.host, span)).count();
         live > 0 && is_quorum(&left, live)
     }
 
     fn is_live(&self, lead: &Lead, host: HostId) -> bool {
-        if host == self.settings.host {
-            return true;
-        }
+        let peer = lead.peers.get(&host);
         let election = self.settings.election;
-        lead.peers.get(&host).is_some_and(|p| within(self.now, p.heard, election))
+        host == self.settings.host || peer.is_some_and(|p| within(self.now, p.heard, election))
+    }
+
+    /// Tells whether a host answered a round that was sent within `span`.
+    fn answers(&self, lead: &Lead, host: HostId, span: Duration) -> bool {
+        let acked = lead.peers.get(&host).and_then(|p| p.acked);
+        host == self.settings.host || acked.is_some_and(|at| within(self.now, at, span))
     }
 
     fn recent_arrival(&self, lead: &Lead, host: HostId) -> Option<Arrival> {
--- a/state/replog/src/found.rs
+++ b/state/replog/src/found.rs
@@ -10,6 +10,9 @@
     replica::Role,
 };
 
+/// Election times without a leader after which a voter asks to be served.
+const VOTER_ELECTIONS: u32 = 3;
+
 /// A founder with an empty disk.
 #[derive(Debug)]
 pub(crate) struct Fresh {
@@ -27,8 +30,10 @@
         if self.hard.group == 0 {
             self.found();
         }
-        let served = within(self.now, self.heard, self.settings.election);
-        if self.may_vote() || (self.leader.is_some() && served) {
+        // A voter is served unasked, unless it was removed while it was away.
+        let patience = if self.may_vote() { VOTER_ELECTIONS } else { 1 };
+        let started = self.leader.is_none() && !self.may_vote();
+        if !started && within(self.now, self.heard, self.settings.election * patience) {
             return;
         }
         let last = self.commit.max(self.applied);
--- a/state/replog/tests/faults.rs
+++ b/state/replog/tests/faults.rs
@@ -323,3 +323,69 @@
     assert_eq!(world.data().len(), 2);
     world.check_converged();
 }
+
+#[test]
+fn a_voter_removed_while_cut_off_asks_to_be_served() {
+    let mut world = World::new(14, 3, 0);
+    let leader = world.elect();
+    let away = others(&world, leader)[0];
+    world.cut.insert(away);
+    let want: Vec<HostId> = (1..=3).filter(|&h| h != away).collect();
+    for _ in 0..20 {
+        world.input(leader, Input::SetVoters(want.clone()));
+        propose(&mut world, 5);
+        world.run(SECOND);
+    }
+    assert_eq!(voters(&world), want);
+    world.cut.clear();
+    world.run(10 * SECOND);
+    world.check_converged();
+}
+
+#[test]
+fn no_voter_is_removed_when_the_others_are_no_live_quorum() {
+    let mut world = World::new(15, 5, 0);
+    let leader = world.elect();
+    let dead = others(&world, leader);
+    world.crash(dead[0]);
+    world.crash(dead[1]);
+    world.run(2 * SECOND);
+    world.input(leader, Input::SetVoters(vec![leader, dead[0], dead[1]]));
+    world.run(20 * SECOND);
+    assert_eq!(world.leader(), Some(leader));
+    assert_eq!(world.status(leader).members.members.len(), 5);
+}
+
+#[test]
+fn a_stray_hello_replaces_no_live_member() {
+    let mut world = World::new(16, 3, 0);
+    let leader = world.elect();
+    let from = others(&world, leader)[0];
+    let body = LogBody::Hello { last: 0 };
+    let msg = LogMsg { group: 0, voter: Some(999), term: 0, body };
+    world.input(leader, Input::Msg { from, msg });
+    world.run(5 * SECOND);
+    assert_eq!(voters(&world), [1, 2, 3]);
+}
+
+#[test]
+fn a_founder_that_missed_the_founding_can_lead() {
+    let mut world = World::new(17, 3, 0);
+    while world.status(1).group == 0 {
+        world.run(Duration::from_millis(1));
+    }
+    world.cut.insert(3);
+    world.elect();
+    world.cut.clear();
+    // The leader's heartbeat arrives before the founder asks again.
+    while world.status(3).group == 0 {
+        world.run(Duration::from_millis(1));
+    }
+    let leader = world.elect();
+    let other = 3 - leader;
+    world.cut.insert(other);
+    propose(&mut world, 5);
+    world.crash(leader);
+    world.cut.clear();
+    assert_eq!(world.elect(), 3);
+}
