--- a/state/replog/tests/harness/check.rs
+++ b/state/replog/tests/harness/check.rs
@@ -12,7 +12,7 @@
         if !matches!(msg.body, LogBody::Hello { .. }) {
             *self.sent_by.entry(from).or_default() += 1;
         }
-        self.bytes += wire::encode(&msg).len() as u64;
+        *self.bytes_by.entry(from).or_default() += wire::encode(&msg).len() as u64;
         if self.cut.contains(&from) || self.cut.contains(&to) || !self.hosts.contains_key(&to) {
             return;
         }
@@ -139,6 +139,7 @@
         h.digest = digest(h.digest, &entry);
         let after = h.digest;
         self.committed_at.entry(entry.index).or_insert(now);
+        self.applied_at.entry((host, entry.index)).or_insert(now);
         let known = self.committed.entry(entry.index).or_insert((entry.clone(), after));
         assert_eq!(known.0, entry, "host {host} applies another entry");
         assert_eq!(known.1, after, "host {host} came to another result");
--- a/state/replog/tests/harness/mod.rs
+++ b/state/replog/tests/harness/mod.rs
@@ -73,11 +73,13 @@
     /// Votes, acknowledgements and leaders' messages, by sender.
     pub sent_by: BTreeMap<HostId, u64>,
     pub writes: u64,
-    pub bytes: u64,
+    /// Encoded bytes, by sender.
+    pub bytes_by: BTreeMap<HostId, u64>,
     pub snapshots: u64,
     /// Entries known to be committed, with the digest after each.
     pub committed: BTreeMap<Index, (Entry, u64)>,
     pub committed_at: BTreeMap<Index, Duration>,
+    pub applied_at: BTreeMap<(HostId, Index), Duration>,
     /// Identities of disks that were lost.
     lost: BTreeSet<VoterId>,
     leaders: BTreeMap<(GroupId, Term), HostId>,
@@ -102,10 +104,11 @@
             sent: 0,
             sent_by: BTreeMap::new(),
             writes: 0,
-            bytes: 0,
+            bytes_by: BTreeMap::new(),
             snapshots: 0,
             committed: BTreeMap::new(),
             committed_at: BTreeMap::new(),
+            applied_at: BTreeMap::new(),
             lost: BTreeSet::new(),
             leaders: BTreeMap::new(),
             events: BTreeMap::new(),
