--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -5,7 +5,12 @@
 use decl::{Declaration, FileError, FileKind, ServiceKind, Settings};
 use serde::Serialize;
 
-use crate::{cmd::Check, error::Error, output::print_json};
+use crate::{
+    cmd::Check,
+    deployment::{Read, check_voters, compare_settings},
+    error::Error,
+    output::print_json,
+};
 
 /// The result for scripts.
 #[derive(Debug, Default, Serialize)]
@@ -44,28 +49,47 @@
 
 fn check(files: &[impl AsRef<Path>]) -> Report {
     let mut report = Report::default();
-    let mut services = BTreeMap::new();
+    let mut declarations = Vec::new();
+    let mut settings = Vec::new();
     for path in files {
         let file = path.as_ref().display().to_string();
-        match check_file(path.as_ref(), &file) {
-            Ok((line, service)) => {
-                report.accepted.push(format!("{file}: {line}"));
-                let Some(service) = service else {
-                    continue;
-                };
-                if let Some(other) = services.insert(service.clone(), file.clone()) {
-                    let message = format!("{file}: declares {service}, as {other} does");
-                    report.mistakes.push(message);
-                }
+        match read(path.as_ref(), &file) {
+            Ok(File::Declaration(content)) => {
+                report.accepted.push(format!("{file}: {}", about_service(&content)));
+                declarations.push(Read { file, content });
+            }
+            Ok(File::Settings(content)) => {
+                report.accepted.push(format!("{file}: {}", about_host(&content)));
+                settings.push(Read { file, content: *content });
             }
             Err(mistakes) => report.mistakes.extend(mistakes),
         }
     }
+    report.mistakes.extend(compare_services(&declarations));
+    report.mistakes.extend(compare_settings(&settings));
+    report.mistakes.extend(check_voters(&declarations, &settings));
     report
 }
 
-/// Checks one file. Returns a line about it and the service it declares.
-fn check_file(path: &Path, file: &str) -> Result<(String, Option<String>), Vec<String>> {
+/// Finds services that two files declare.
+fn compare_services(declarations: &[Read<Declaration>]) -> Vec<String> {
+    let mut files = BTreeMap::new();
+    let mut mistakes = Vec::new();
+    for Read { file, content } in declarations {
+        if let Some(other) = files.insert(&content.service, file) {
+            mistakes.push(format!("{file}: declares {}, as {other} does", content.service));
+        }
+    }
+    mistakes
+}
+
+enum File {
+    Declaration(Declaration),
+    Settings(Box<Settings>),
+}
+
+/// Reads one file, whose kind is told by its content.
+fn read(path: &Path, file: &str) -> Result<File, Vec<String>> {
     let text = fs::read_to_string(path)
         .map_err(|err| vec![format!("{file}: could not read file: {err}")])?;
     let strings = |errors: Vec<FileError>| -> Vec<String> {
@@ -73,12 +97,11 @@
     };
     match FileKind::of(&text) {
         Some(FileKind::Declaration) => {
-            let declaration = Declaration::parse(file, &text).map_err(strings)?;
-            Ok((about_service(&declaration), Some(declaration.service)))
+            Declaration::parse(file, &text).map(File::Declaration).map_err(strings)
         }
         Some(FileKind::Settings) => {
             let settings = Settings::parse(file, &text).map_err(strings)?;
-            Ok((about_host(&settings), None))
+            Ok(File::Settings(Box::new(settings)))
         }
         None => Err(vec![format!(
             "{file}: neither a declaration with [service] nor settings with [host]"
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod cmd;
 mod completions;
 mod date;
+mod deployment;
 mod error;
 mod output;
 mod publish;
--- a/cli/tests/hosts.rs
+++ b/cli/tests/hosts.rs
@@ -238,3 +238,37 @@
     shown.push_str(&run(&args));
     insta::assert_snapshot!(shown.replace(&root, "."));
 }
+
+#[test]
+fn check_compares_the_files_of_a_deployment() {
+    let host = |id: u32, shared: &str| {
+        let disk = if id == 1 { "data_dir = d\n" } else { "" };
+        format!("[host]\nid = {id}\nip = 127.0.0.{id}\ndomain = n\n{disk}[hosts]\n{shared}")
+    };
+    let shared = "1 = 127.0.0.1 n\n2 = 127.0.0.2 n\n[cluster]\nfounders = 1\n";
+    let system = |voters: &str| {
+        format!(
+            "[service]\nname = system\nversion = 1\nkind = system\n[cluster]\nvoters = {voters}\n"
+        )
+    };
+    let cases = [
+        ("good", host(2, shared), system("1")),
+        ("timing", host(2, &format!("{shared}[timing]\nlease = 4s\n")), system("1")),
+        ("hosts", host(2, &format!("3 = 127.0.0.3 n\n{shared}")), system("1")),
+        ("twin", host(1, shared), system("1")),
+        ("voters", host(2, shared), system("1, 2, 3")),
+    ];
+    let root = Path::new(env!("CARGO_TARGET_TMPDIR")).display().to_string();
+    let mut out = String::new();
+    for (name, second, system) in cases {
+        let files = [
+            file("first.ini", &host(1, shared)),
+            file("second.ini", &second),
+            file("system.ini", &system),
+        ];
+        let files: Vec<_> = files.iter().map(|it| it.display().to_string()).collect();
+        let shown = run(&["check", &files[0], &files[1], &files[2]]).replace(&root, ".");
+        writeln!(out, "== {name}\n{shown}").unwrap();
+    }
+    insta::assert_snapshot!(out);
+}
