--- a/tests/benches/path/outage.rs
+++ b/tests/benches/path/outage.rs
@@ -1,6 +1,7 @@
 //! What callers see when a host is killed.
 
 use std::{
+    collections::BTreeMap,
     path::Path,
     time::{Duration, Instant},
 };
@@ -18,6 +19,7 @@
     start: Duration,
     end: Duration,
     ok: bool,
+    code: String,
 }
 
 /// Kills the owner of a target, the leader and the entry, several times each,
@@ -94,21 +96,27 @@
         for url in &urls {
             let reply = client.post_json(url, completion(MODEL, "probe", 1, false)).await;
             if reply.status != 0 {
-                return reply.status == 200;
+                let code = reply.json().map(|body: api::ErrorBody| body.error.code);
+                return (reply.status == 200, code.unwrap_or_default());
             }
         }
-        false
+        (false, "not reached".to_owned())
     };
-    let ok = timeout(PROBE_TIMEOUT, asking).await.unwrap_or(false);
-    Probe { start, end: since.elapsed(), ok }
+    let answer = timeout(PROBE_TIMEOUT, asking).await;
+    let (ok, code) = answer.unwrap_or((false, "no answer".to_owned()));
+    Probe { start, end: since.elapsed(), ok, code }
 }
 
 fn print(victim: &str, round: usize, killed: u32, probes: &[Probe]) {
     let ms = |time: Option<Duration>| time.map_or(-1.0, |time| time.as_secs_f64() * 1000.0);
     let answered = || probes.iter().filter(|probe| probe.ok);
     let failed = || probes.iter().filter(|probe| !probe.ok);
+    let mut codes: BTreeMap<&str, u32> = BTreeMap::new();
+    for probe in failed() {
+        *codes.entry(&probe.code).or_default() += 1;
+    }
     println!(
-        "{victim:10} {round:6} {killed:>9} {:9} {:7} {:20.0} {:18.0} {:16.0}",
+        "{victim:10} {round:6} {killed:>9} {:9} {:7} {:20.0} {:18.0} {:16.0}  {codes:?}",
         probes.len(),
         failed().count(),
         ms(answered().map(|probe| probe.end).min()),
