--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use web::border::{Answer, Progress, Step};
 
-use crate::shards::Shards;
+use crate::{metrics::Metrics, shards::Shards};
 
 const PARTS: usize = 16;
 
@@ -27,17 +27,21 @@
     pub(crate) since: Instant,
 }
 
+/// The code under which requests of callers that left are counted.
+const LEFT: &str = "cancelled";
+
 /// The callers that wait, by tag. Each lock is held for one access.
 #[derive(Debug)]
 pub(crate) struct Callers {
     parts: [Mutex<HashMap<Tag, Waiting>>; PARTS],
     next: AtomicU64,
+    metrics: Arc<Metrics>,
 }
 
 impl Callers {
     /// Makes an empty table.
-    pub(crate) fn new() -> Arc<Callers> {
-        Arc::new(Callers { parts: Default::default(), next: AtomicU64::new(1) })
+    pub(crate) fn new(metrics: Arc<Metrics>) -> Arc<Callers> {
+        Arc::new(Callers { parts: Default::default(), next: AtomicU64::new(1), metrics })
     }
 
     /// Returns a tag that was not used before.
@@ -108,7 +112,10 @@
     }
 
     fn gone(&self) {
-        self.callers.part(self.tag).remove(&self.tag);
+        let waiting = self.callers.part(self.tag).remove(&self.tag);
+        if let Some(waiting) = waiting {
+            self.callers.metrics.ended(Some(LEFT), waiting.since.elapsed());
+        }
         self.shards.post(Input::Gone(self.tag));
     }
 }
--- a/daemon/src/host.rs
+++ b/daemon/src/host.rs
@@ -30,7 +30,7 @@
     pub(crate) callers: Arc<Callers>,
     pub(crate) publishes: Mutex<HashMap<Tag, oneshot::Sender<PublishResult>>>,
     pub(crate) disk: Option<DiskQueue>,
-    pub(crate) metrics: Metrics,
+    pub(crate) metrics: Arc<Metrics>,
     pub(crate) log: Logger,
     pub(crate) exit: UnboundedSender<u32>,
 }
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -148,6 +148,7 @@
     };
     let start_state = Start { incarnation, disk: recovered, wall: incarnation };
     let (node, outputs) = Node::new(start.elapsed(), settings.clone(), start_state);
+    let metrics = Arc::new(Metrics::new());
     let host = Arc::new(Host {
         targets: Targets::new(start, inbox),
         settings,
@@ -155,10 +156,10 @@
         node,
         hub,
         shards,
-        callers: Callers::new(),
+        callers: Callers::new(metrics.clone()),
         publishes: Mutex::new(HashMap::new()),
         disk,
-        metrics: Metrics::new(),
+        metrics,
         log,
         exit,
     });
--- a/tests/tests/sessions.rs
+++ b/tests/tests/sessions.rs
@@ -208,3 +208,23 @@
     let counts = cluster.counts("e1").await;
     assert_eq!(counts.violations, Vec::<String>::new());
 }
+
+#[tokio::test]
+async fn a_caller_that_leaves_frees_the_target() {
+    let mut cluster = Cluster::start(bins(), 6, 3).await;
+    cluster.engine("e1", 0, &["--requests", "1", "--token-ms", "100"]).await;
+    let owner = cluster.until_owned("e1").await;
+    let entry = (1..=3).find(|&host| host != owner).expect("there are several hosts");
+    cluster.until_complete(entry, "warm").await;
+    let url = format!("http://{}/v1/completions", cluster.entry(entry));
+    // It would run for far longer than the session waits.
+    let body = completion(MODEL, "long", 100_000, true);
+    let started = cluster.client.start(Method::POST, &url, &[], body).await;
+    let (mut stream, _) = started.expect("the host answers");
+    stream.next().await.expect("it goes on").expect("it is not broken");
+    drop(stream);
+    cluster.until_complete(entry, "next").await;
+    assert_eq!(cluster.counts("e1").await.cancelled, 1);
+    let metrics = cluster.metrics(entry).await;
+    assert!(metrics.contains("poplarhollow_requests_total{code=\"cancelled\"} 1"), "{metrics}");
+}
