Bound the memory of request bodies at a host

Bodies of requests whose answer has not started hold at most 64 MiB together; before, only each of them was bounded. With the reservation switched off in a scratch edit, `cargo test -p web` fails in memory_for_bodies_is_bounded.

--- a/transport/web/src/lib.rs
+++ b/transport/web/src/lib.rs
@@ -15,7 +15,7 @@
 mod target;
 
 pub use crate::{
-    entry::entry_api,
+    entry::{EntryContext, entry_api},
     operator::operator_api,
     server::{ServeError, Server},
     target::Targets,
--- a/transport/web/src/server.rs
+++ b/transport/web/src/server.rs
@@ -10,6 +10,7 @@
 use thiserror::Error;
 
 use crate::{
+    EntryContext,
     border::{Entry, Operator},
     entry_api, operator_api,
 };
@@ -33,7 +34,7 @@
 
 /// The servers of a host.
 pub struct Server {
-    entry: HttpServer<Arc<dyn Entry>>,
+    entry: HttpServer<EntryContext>,
     operator: HttpServer<Arc<dyn Operator>>,
 }
 
@@ -47,7 +48,7 @@
         let entry_paths = entry_api().expect("the entry API's paths do not clash");
         let operator_paths = operator_api().expect("the operator API's paths do not clash");
         Ok(Server {
-            entry: start(entry.0, MAX_BODY_BYTES, entry_paths, entry.1, log)?,
+            entry: start(entry.0, MAX_BODY_BYTES, entry_paths, EntryContext::new(entry.1), log)?,
             operator: start(operator.0, MAX_PUBLISH_BYTES, operator_paths, operator.1, log)?,
         })
     }
--- a/transport/web/tests/answers.rs
+++ b/transport/web/tests/answers.rs
@@ -288,3 +288,44 @@
     let _ = timeout(LIMIT, stream.read_to_end(&mut bytes)).await.expect("the server ends it");
     insta::assert_snapshot!(report);
 }
+
+#[tokio::test]
+async fn memory_for_bodies_is_bounded() {
+    let bench = start(6);
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\
+        content-length: {}\r\n\r\n",
+        api::MAX_BODY_BYTES
+    );
+    // As many as there is room for; each says that it will send the most.
+    let mut open = Vec::new();
+    for _ in 0..64 {
+        let mut stream = connect(bench.entry, &head).await;
+        stream.write_all(b"{").await.expect("the server reads");
+        open.push(stream);
+    }
+    let refused = async {
+        loop {
+            let sender = bench.prepare();
+            sender.send(failed()).expect("the answer is wanted");
+            let reply = exchange(bench.entry, &post("/v1/completions", COMPLETION)).await;
+            if reply.contains("queue_full") {
+                return reply;
+            }
+        }
+    };
+    let reply = timeout(LIMIT, refused).await.expect("the memory is full");
+    assert!(reply.starts_with("HTTP/1.1 429") && reply.contains("x-was-run: no"), "{reply}");
+    drop(open);
+    let accepted = async {
+        loop {
+            let sender = bench.prepare();
+            sender.send(failed()).expect("the answer is wanted");
+            let reply = exchange(bench.entry, &post("/v1/completions", COMPLETION)).await;
+            if reply.contains("target_lost") {
+                return;
+            }
+        }
+    };
+    timeout(LIMIT, accepted).await.expect("the memory is free again");
+}
