--- a/coordination/node/src/member.rs
+++ b/coordination/node/src/member.rs
@@ -116,7 +116,7 @@
         self.lead = Some(Lead {
             term: view.term,
             grantor,
-            planner: StorePlanner::new(ctx.now, self.planner, founding),
+            planner: StorePlanner::new(ctx.now, self.planner, founding).numbered(view.term),
             balanced: Duration::ZERO,
             proposed: None,
             doubted: BTreeMap::new(),
