--- a/coordination/place/benches/policy.rs
+++ b/coordination/place/benches/policy.rs
@@ -37,7 +37,7 @@
 fn show(scenario: &Scenario, seed: u64) {
     println!("\n{}", scenario.name());
     println!(
-        "  scheme       waited   p50 s   p95 s   p99 s  wait s  answered's s  full %  share %  loads  evict  fail  refuse    drop"
+        "  scheme       waited   p50 s   p95 s   p99 s  wait s  answered's s  full %  share %  loads  evict  fail  refuse    drop  dropped's s"
     );
     let runs = std::thread::scope(|scope| {
         let runs = KINDS.map(|kind| scope.spawn(move || run(kind, scenario, seed)));
@@ -60,9 +60,9 @@
 fn line(kind: Kind, sums: &Sums) {
     let [p50, p95, p99] = [50, 95, 99].map(|percent| sums.percentile(percent));
     let (full, share) = (100.0 * sums.used as f64 / sums.offered.max(1) as f64, 100.0 * sums.share());
-    let Sums { served, loads, evictions, failed, refused, dropped, .. } = sums;
+    let Sums { served, loads, evictions, failed, refused, dropped, wasted, .. } = sums;
     println!(
-        "  {:<12} {:>6} {p50:>7.2} {p95:>7.2} {p99:>7.2} {:>7.0} {served:>13.0} {full:>7.1} {share:>8.1} {loads:>6} {evictions:>6} {failed:>5} {refused:>7} {dropped:>7}",
+        "  {:<12} {:>6} {p50:>7.2} {p95:>7.2} {p99:>7.2} {:>7.0} {served:>13.0} {full:>7.1} {share:>8.1} {loads:>6} {evictions:>6} {failed:>5} {refused:>7} {dropped:>7} {wasted:>12.0}",
         format!("{kind:?}"), sums.waits.len(), sums.waited(),
     );
 }
--- a/coordination/place/benches/rig/cluster.rs
+++ b/coordination/place/benches/rig/cluster.rs
@@ -231,6 +231,7 @@
             let waiting = self.hosts[at].requests.remove(&request).unwrap();
             let Decision::Start { target, .. } = decision else {
                 self.sums.dropped += 1;
+                self.sums.wasted += self.now.saturating_sub(waiting.since).as_secs_f64();
                 self.waited(&waiting, (at..self.engines.len()).step_by(self.hosts.len()));
                 continue;
             };
--- a/coordination/place/benches/rig/mod.rs
+++ b/coordination/place/benches/rig/mod.rs
@@ -98,6 +98,8 @@
     pub waits: Vec<f64>,
     /// Seconds waited by those that were answered.
     pub served: f64,
+    /// Seconds waited by those that were refused in the end, for whatever reason.
+    pub wasted: f64,
     pub used: u64,
     pub offered: u64,
 }
