Refuse early what would wait in vain for room in a full batch

Cause: a request at full targets was refused early only when the requests of its own lane took too long. Change: each target keeps the mean time from when requests were due to their start; a request is refused when it would be due that much after its deadline, at arrival and while it waits.

--- a/coordination/admit/src/queue.rs
+++ b/coordination/admit/src/queue.rs
@@ -148,7 +148,7 @@
             return Err(ErrorKind::Internal);
         }
         let lane = self.lane(&waiting.pin, waiting.alone);
-        let due = due(&waiting, ahead);
+        let due = self.due(&waiting);
         let state = self.lanes.entry(lane).or_default();
         state.order.insert((due, waiting.request));
         state.since.insert((waiting.since, waiting.request));
@@ -213,6 +213,25 @@
         Need::Service(id)
     }
 
+    /// Returns when a request is due, whether it waits already or would be added.
+    pub fn due(&self, waiting: &Waiting) -> Duration {
+        if let Some(entry) = self.entries.get(&waiting.request) {
+            return entry.due;
+        }
+        due(waiting, self.callers.get(&waiting.caller).copied().unwrap_or(0))
+    }
+
+    /// Returns how many requests of a lane are due before a time, up to a limit.
+    pub fn before(&self, lane: Lane, due: Duration, limit: usize) -> usize {
+        let Some(state) = self.lanes.get(&lane) else { return 0 };
+        state.order.range(..(due, RequestId::MIN)).take(limit).count()
+    }
+
+    /// Returns the request of a lane that is due last.
+    pub fn last(&self, lane: Lane) -> Option<RequestId> {
+        self.lanes.get(&lane)?.order.last().map(|&(_, request)| request)
+    }
+
     /// Returns the request of a lane that is due first, and when.
     pub fn head(&self, lane: Lane) -> Option<(Duration, RequestId)> {
         self.lanes.get(&lane)?.order.first().copied()
--- a/coordination/place/src/fleet.rs
+++ b/coordination/place/src/fleet.rs
@@ -11,6 +11,8 @@
 
 /// Weight of the newest sample in a target's mean running time.
 const TOOK_WEIGHT: f64 = 0.1;
+/// Weight of the newest sample in a target's mean lag.
+const LAG_WEIGHT: f64 = 0.1;
 
 /// A target with what the policy adds to its view.
 #[derive(Debug)]
@@ -21,6 +23,9 @@
     pub(crate) reserved: Option<RequestId>,
     /// Mean running time of a request in seconds, zero when unknown.
     pub(crate) took: f64,
+    /// Mean seconds from when requests were due to their start, negative when
+    /// they start before.
+    pub(crate) lag: Option<f64>,
 }
 
 impl Target {
@@ -53,6 +58,13 @@
         f64::from(self.view.batch) / self.took
     }
 
+    /// Returns how long a request that is due at a time would wait for room, in
+    /// seconds.
+    pub(crate) fn room_wait(&self, now: Duration, due: Duration) -> f64 {
+        let Some(lag) = self.lag else { return 0.0 };
+        (due.as_secs_f64() - now.as_secs_f64() + lag).max(0.0)
+    }
+
     /// Returns whether it holds an adapter or is loading it.
     pub(crate) fn holds(&self, adapter: AdapterId) -> bool {
         self.view.resident.iter().any(|resident| resident.adapter == adapter)
@@ -76,7 +88,8 @@
     pub(crate) fn set(&mut self, view: TargetView) -> Vec<AdapterId> {
         let id = view.id;
         let old = self.targets.remove(&id);
-        let (reserved, took) = old.as_ref().map_or((None, 0.0), |old| (old.reserved, old.took));
+        let kept = old.as_ref().map(|old| (old.reserved, old.took, old.lag));
+        let (reserved, took, lag) = kept.unwrap_or((None, 0.0, None));
         let mut changed = Vec::new();
         for resident in old.iter().flat_map(|old| &old.view.resident) {
             if !is_ready(&view, resident.adapter) {
@@ -90,7 +103,7 @@
                 changed.push(resident.adapter);
             }
         }
-        self.targets.insert(id, Target { view, reserved, took });
+        self.targets.insert(id, Target { view, reserved, took, lag });
         changed
     }
 
@@ -130,11 +143,14 @@
         self.holders.get(&adapter).map_or(0, BTreeSet::len)
     }
 
-    /// Adds a start to a view until the owner sets it anew.
-    pub(crate) fn start(&mut self, id: TargetId, alone: bool) {
+    /// Adds a start to a view until the owner sets it anew; `late` is the seconds
+    /// since the request was due.
+    pub(crate) fn start(&mut self, id: TargetId, alone: bool, late: f64) {
         let Some(target) = self.targets.get_mut(&id) else { return };
         target.view.running += 1;
         target.view.alone |= alone;
+        let lag = target.lag.unwrap_or(late);
+        target.lag = Some(lag + LAG_WEIGHT * (late - lag));
     }
 
     /// Adds an ordered load to a view until the owner sets it anew.
--- a/coordination/place/src/loads.rs
+++ b/coordination/place/src/loads.rs
@@ -254,6 +254,24 @@
         }
     }
 
+    /// Refuses requests at full targets that would wait in vain, those due last
+    /// first. Looks at the next few crowded adapters in turn.
+    pub(crate) fn shed_crowded(&mut self, now: Duration) {
+        let next = self.crowded.range(self.crowded_at..).take(SHED).copied();
+        let adapters: Vec<AdapterId> = next.collect();
+        self.crowded_at = adapters.last().map_or(AdapterId::MIN, |last| last.saturating_add(1));
+        for lane in adapters.into_iter().flat_map(lanes) {
+            while let Some(request) = self.queue.last(lane) {
+                if !self.is_overtaken(now, lane, request) {
+                    break;
+                }
+                self.take(now, request);
+                let kind = ErrorKind::TooLate;
+                self.refused.push(Decision::Refuse { request, kind });
+            }
+        }
+    }
+
     /// Notes a failed load: puts the adapter off, and refuses those who wait
     /// when it has failed too often.
     pub(crate) fn load_failed(&mut self, now: Duration, adapter: AdapterId) {
--- a/coordination/place/src/owner.rs
+++ b/coordination/place/src/owner.rs
@@ -23,7 +23,8 @@
 /// Share of its window that a request may wait for its adapter where only
 /// stalls weigh; where only batches weigh, it is the whole window.
 const STALL_PATIENCE: f64 = 0.25;
-/// Starved adapters that are counted at most to estimate a wait.
+/// Starved adapters, or requests of a lane, that are counted at most to estimate
+/// a wait.
 const COUNTED: usize = 256;
 
 /// Failed loads of an adapter.
@@ -62,6 +63,8 @@
     pub(crate) touched: BTreeSet<TargetId>,
     /// The adapter at which overtaken requests are looked for next.
     pub(crate) shed_at: AdapterId,
+    /// The same for crowded adapters.
+    pub(crate) crowded_at: AdapterId,
     /// Targets that are kept free, by the request they are kept for.
     pub(crate) reserved: BTreeMap<RequestId, TargetId>,
     /// Refusals to be told with the next decisions.
@@ -98,6 +101,7 @@
             reserved: BTreeMap::new(),
             refused: Vec::new(),
             shed_at: AdapterId::MIN,
+            crowded_at: AdapterId::MIN,
             arrival: settings.load.as_secs_f64(),
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             pace: Pace::new(settings.load),
@@ -114,8 +118,9 @@
 
     /// Takes a request out of the queue to start it.
     fn begin(&mut self, now: Duration, lane: Lane, request: RequestId, target: TargetId) {
+        let due = self.queue.get(request).map_or(now, |waiting| self.queue.due(waiting));
         let Some(waiting) = self.take(now, request) else { return };
-        self.fleet.start(target, lane.alone);
+        self.fleet.start(target, lane.alone, now.as_secs_f64() - due.as_secs_f64());
         if let Need::Adapter(adapter) = lane.need {
             self.prefixes.used(adapter, waiting.prefix, target);
         }
@@ -139,20 +144,27 @@
         self.models.insert(adapter, model);
     }
 
-    /// Returns how long a request would wait at least, in seconds.
+    /// Returns how long a request would wait, in seconds: for its adapter, or for
+    /// room on a target.
     fn wait(&self, now: Duration, lane: Lane, waiting: &Waiting) -> f64 {
+        let due = self.queue.due(waiting);
+        let mut least: Option<f64> = None;
         let mut pace = 0.0;
-        let mut is_held = false;
         self.each_holder(lane.need, |target| {
-            is_held = true;
-            pace += if target.room() > 0 { f64::INFINITY } else { target.pace() };
+            let wait = if target.room() > 0 { 0.0 } else { target.room_wait(now, due) };
+            least = Some(least.map_or(wait, |other| other.min(wait)));
+            pace += target.pace();
         });
-        if is_held {
-            return f64::from(self.queue.depth(lane).total()) / pace;
+        if least == Some(0.0) {
+            return 0.0;
         }
-        match lane.need {
-            Need::Adapter(adapter) => self.load_wait(now, adapter, waiting),
-            Need::Service(_) => 0.0,
+        match (least, lane.need) {
+            (Some(least), _) => {
+                let ahead = self.queue.before(lane, due, COUNTED) as f64;
+                least.max(ahead / pace)
+            }
+            (None, Need::Adapter(adapter)) => self.load_wait(now, adapter, waiting),
+            (None, Need::Service(_)) => 0.0,
         }
     }
 
@@ -295,6 +307,7 @@
 
     fn wants(&mut self, now: Duration) -> Vec<Want> {
         self.shed(now);
+        self.shed_crowded(now);
         let wants = self.best_wants(now);
         self.pace.wanting(now, !wants.is_empty());
         wants
