--- a/coordination/admit/src/queue.rs
+++ b/coordination/admit/src/queue.rs
@@ -8,7 +8,7 @@
 use wire::{AdapterId, CallerId, ErrorKind, Pin, RequestId, Urgency};
 
 /// Requests of one caller that may wait without being set back.
-const BURST: u32 = 4;
+const BURST: u32 = 2;
 /// How far each burst beyond the first sets a caller's request back.
 const SETBACK: Duration = Duration::from_millis(500);
 /// The latest a request is due, whatever its deadline.
--- a/coordination/place/tests/overload.rs
+++ b/coordination/place/tests/overload.rs
@@ -66,3 +66,50 @@
     let mean = outcome.wasted / f64::from(outcome.refused);
     assert!(mean < WINDOW / 4.0, "refused requests waited {mean:.2} s");
 }
+
+/// Returns how many of the requests of a caller that asks for half of what the
+/// target can serve are answered, while another asks for `flood` times that.
+fn answered_beside(flood: u64) -> (u32, u32) {
+    let mut policy = owner_policy(settings());
+    let mut engine = Engine::new(1, 2);
+    engine.resident = vec![(7, true)];
+    let (mut asked, mut answered) = (0, 0);
+    for step in 0..400u64 {
+        let now = secs(0.25 * step as f64);
+        let before = engine.running.len();
+        engine.end(now);
+        for _ in engine.running.len()..before {
+            policy.finished(now, 1, secs(1.0));
+        }
+        policy.set_target(now, engine.view());
+        for part in 0..=flood {
+            let is_quiet = part == 0;
+            if !step.is_multiple_of(4) && (is_quiet || part > 1) {
+                continue;
+            }
+            let mut request = request(step * 100 + part, 7);
+            (request.since, request.deadline) = (now, now + secs(WINDOW));
+            request.caller = if is_quiet { "quiet".into() } else { "flood".into() };
+            let is_taken = policy.enqueue(now, request).is_ok();
+            asked += u32::from(is_quiet);
+            assert!(is_taken || !is_quiet, "the quiet caller is refused at {now:?}");
+        }
+        for decision in policy.decide(now) {
+            if let Decision::Start { request, .. } = decision {
+                answered += u32::from(request.is_multiple_of(100));
+                engine.running.push((request, now + secs(1.0)));
+            }
+        }
+        policy.set_target(now, engine.view());
+        policy.wants(now);
+    }
+    (answered, asked)
+}
+
+#[test]
+fn a_flood_of_one_caller_takes_no_answers_from_another() {
+    for flood in [0, 2, 8, 20] {
+        let (answered, asked) = answered_beside(flood);
+        assert!(answered + 8 >= asked, "flood {flood}: {answered} of {asked}");
+    }
+}
