interface: Input::Undelivered: a forwarded request that never left goes to another owner

Cause: after the only owner of an engine was killed, 39 to 133 of 501 requests failed with owner_lost or queue_full (`scripts/measure outage`): each forward to the dead host came back as a loss of the connection, which leaves open whether the request ran and uses up the retry budget. Ruled out: a late take-over, which came within the lease's end (3.4 to 3.7 s) as configured. Change: the peer layer knows which messages never left its queue, and says so for forwarded requests. Such a request ran nowhere, so it waits for the next owner without a retry, and a call that may run once is not in doubt.

--- a/coordination/node/src/answer.rs
+++ b/coordination/node/src/answer.rs
@@ -1,7 +1,9 @@
 //! Answers on their way through the entry, and what follows when they fail.
 
 use route::Directory;
-use wire::{Answer, Credit, ErrorKind, Fail, Fault, Head, HostId, Outcome, PeerMsg, Piece, Ran};
+use wire::{
+    Answer, Credit, ErrorKind, Fail, Fault, Head, HostId, Outcome, PeerMsg, Piece, Ran, RequestId,
+};
 
 use crate::{
     Output, Tag,
@@ -200,6 +202,25 @@
         self.settle(tag, outcome, Some(verdict), fx);
     }
 
+    /// Takes note that an attempt did not reach its owner. It ran nowhere, so the
+    /// request looks for another owner.
+    pub(crate) fn undelivered(
+        &mut self,
+        ctx: &Ctx,
+        dir: &Directory,
+        to: HostId,
+        id: RequestId,
+        fx: &mut Effects,
+    ) {
+        let Some(&tag) = self.attempts.get(&id) else { return };
+        let Some(request) = self.requests.get(&tag) else { return };
+        if request.stage != (Stage::Sent { request: id, owner: to }) {
+            return;
+        }
+        let fault = Fault::new(ErrorKind::NoTarget, "could not reach the owner");
+        self.failed(ctx, dir, tag, fault, fx);
+    }
+
     /// Takes note that a host is lost: what it had will not be answered.
     pub(crate) fn owner_lost(
         &mut self,
--- a/coordination/node/src/io.rs
+++ b/coordination/node/src/io.rs
@@ -91,6 +91,14 @@
     },
     /// The connection to a host broke; messages may be lost.
     PeerLost(HostId),
+    /// A request that was forwarded has not left this host, and never will: its
+    /// receiver could not be reached.
+    Undelivered {
+        /// The receiver.
+        to: HostId,
+        /// The attempt.
+        request: RequestId,
+    },
     /// A write is on disk.
     Synced(u64),
     /// A write failed.
--- a/coordination/node/src/node.rs
+++ b/coordination/node/src/node.rs
@@ -13,7 +13,8 @@
 use replog::Replica;
 use route::{Directory, OwnedTarget};
 use wire::{
-    Answer, Ask, Command, Credit, Fence, HostId, Incarnation, PeerMsg, Piece, TargetReport,
+    Answer, Ask, Command, Credit, Fence, HostId, Incarnation, PeerMsg, Piece, RequestId,
+    TargetReport,
 };
 
 use crate::{
@@ -213,6 +214,7 @@
             Input::Tick { wall } => self.tick(now, wall, fx),
             Input::Peer { from, msg } => self.peer(now, from, msg, fx),
             Input::PeerLost(host) => self.peer_lost(now, host, fx),
+            Input::Undelivered { to, request } => self.undelivered(now, to, request, fx),
             Input::Synced(ticket) => {
                 self.on_core(fx, |core, fx| core.log(now, replog::Input::Synced(ticket), fx));
             }
@@ -335,6 +337,12 @@
         self.owner().entry_lost(&ctx, host, fx);
     }
 
+    fn undelivered(&self, now: Duration, to: HostId, request: RequestId, fx: &mut Effects) {
+        let ctx = self.ctx(now);
+        self.change_directory(|dir| dir.suspect(now, to));
+        self.on_entry(|entry, dir| entry.undelivered(&ctx, dir, to, request, fx));
+    }
+
     /// Passes a target's report to its owner.
     fn report(&self, now: Duration, report: TargetReport, fx: &mut Effects) {
         let ctx = self.ctx(now);
--- a/coordination/node/tests/common/link.rs
+++ b/coordination/node/tests/common/link.rs
@@ -50,6 +50,14 @@
 }
 
 impl Cluster {
+    /// A host that has ended refuses connections, so a request for it stays.
+    fn give_back(&mut self, from: HostId, to: HostId, msg: &PeerMsg) {
+        let PeerMsg::Forward(forward) = msg else { return };
+        let Some(run) = self.run_of(from) else { return };
+        let input = Input::Undelivered { to, request: forward.request };
+        self.at(LINK_DELAY, Event::Input(from, run, input));
+    }
+
     pub(super) fn send(&mut self, from: HostId, to: HostId, msg: PeerMsg) {
         let traffic = self.links.sent.entry(from).or_default();
         traffic.messages += 1;
@@ -60,6 +68,10 @@
         if let Some(line) = describe(&msg) {
             self.note(format!("host {from} -> host {to}: {line}"));
         }
+        if !self.is_running(to) {
+            self.give_back(from, to, &msg);
+            return;
+        }
         let Some(run) = self.run_of(to) else { return };
         let Some(delay) = self.delay(from, to, &msg) else { return };
         if !self.links.echo.is_zero() {
--- a/daemon/src/shards.rs
+++ b/daemon/src/shards.rs
@@ -66,6 +66,7 @@
     fn deliver(&self, event: peer::Event) -> BoxFuture<'_, ()> {
         let input = match event {
             peer::Event::Message { from, msg } => Input::Peer { from, msg },
+            peer::Event::Undelivered { to, request } => Input::Undelivered { to, request },
             peer::Event::Lost(host) => Input::PeerLost(host),
         };
         Box::pin(self.send(input))
@@ -79,7 +80,7 @@
         Input::CallHead { request, .. }
         | Input::CallPiece { request, .. }
         | Input::CallFailed { request, .. } => Some(*request),
-        Input::PeerLost(host) => Some(u64::from(*host)),
+        Input::PeerLost(host) | Input::Undelivered { to: host, .. } => Some(u64::from(*host)),
         Input::Peer { from, msg } if is_of_request(msg) => Some(u64::from(*from)),
         _ => None,
     }
--- a/transport/peer/src/hub.rs
+++ b/transport/peer/src/hub.rs
@@ -18,7 +18,7 @@
     net::{TcpListener, UdpSocket},
     task::JoinHandle,
 };
-use wire::{HostId, Incarnation, LogBody, MAX_FRAME_BYTES, PeerMsg};
+use wire::{HostId, Incarnation, LogBody, MAX_FRAME_BYTES, PeerMsg, RequestId};
 
 use crate::{
     auth::Key,
@@ -55,6 +55,13 @@
         /// The message.
         msg: PeerMsg,
     },
+    /// A request that was forwarded has not left this host, and never will.
+    Undelivered {
+        /// The receiver.
+        to: HostId,
+        /// The request attempt.
+        request: RequestId,
+    },
     /// A connection with a host broke; messages may be lost in either direction.
     Lost(HostId),
 }
--- a/transport/peer/src/link.rs
+++ b/transport/peer/src/link.rs
@@ -16,7 +16,7 @@
     task::JoinHandle,
     time::timeout,
 };
-use wire::{HostId, PeerMsg};
+use wire::{HostId, PeerMsg, RequestId};
 
 use crate::{
     auth::Nonce,
@@ -38,12 +38,43 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 const BATCH_BYTES: usize = 64 * 1024;
 
+/// An encoded message that waits.
+#[derive(Debug)]
+struct Waiting {
+    payload: Vec<u8>,
+    kind: Kind,
+}
+
+/// What follows when a message is not delivered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    /// It is sent again without being asked for.
+    Repeated,
+    /// Its request can go to another host.
+    Forward(RequestId),
+    /// The connection counts as lost.
+    Other,
+}
+
+impl Kind {
+    fn of(msg: &PeerMsg) -> Kind {
+        match msg {
+            PeerMsg::Log(_)
+            | PeerMsg::Renew(_)
+            | PeerMsg::Grant(_)
+            | PeerMsg::Report(_)
+            | PeerMsg::Wants(_) => Kind::Repeated,
+            PeerMsg::Forward(forward) => Kind::Forward(forward.request),
+            _ => Kind::Other,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Queue {
-    frames: VecDeque<Vec<u8>>,
+    frames: VecDeque<Waiting>,
     bytes: usize,
-    /// Whether a frame that isn't repeated waits, or was refused.
-    tracked: bool,
+    /// Whether a message that isn't repeated was refused.
     overflow: bool,
 }
 
@@ -91,8 +122,8 @@
     /// and any other breaks the connection.
     pub(crate) fn send(&self, msg: &PeerMsg, payload: Vec<u8>) {
         let mut queue = self.pipe.lock();
-        let repeated = is_repeated(msg);
-        let limit = if repeated { REPEATED_BYTES } else { QUEUE_BYTES };
+        let kind = Kind::of(msg);
+        let limit = if kind == Kind::Repeated { REPEATED_BYTES } else { QUEUE_BYTES };
         // One frame always fits, or the longest could never be sent.
         if queue.bytes + payload.len() > limit && !queue.frames.is_empty() {
             drop(queue);
@@ -101,8 +132,7 @@
             return;
         }
         queue.bytes += payload.len();
-        queue.tracked |= !repeated;
-        queue.frames.push_back(payload);
+        queue.frames.push_back(Waiting { payload, kind });
         drop(queue);
         self.pipe.wake.notify_one();
     }
@@ -114,7 +144,7 @@
 
     /// Breaks the connection for a message that can't be sent.
     pub(crate) fn overflow(&self, msg: &PeerMsg) {
-        if is_repeated(msg) {
+        if Kind::of(msg) == Kind::Repeated {
             return;
         }
         self.pipe.lock().overflow = true;
@@ -123,18 +153,6 @@
     }
 }
 
-/// Whether a lost message is sent again without being asked for.
-fn is_repeated(msg: &PeerMsg) -> bool {
-    matches!(
-        msg,
-        PeerMsg::Log(_)
-            | PeerMsg::Renew(_)
-            | PeerMsg::Grant(_)
-            | PeerMsg::Report(_)
-            | PeerMsg::Wants(_)
-    )
-}
-
 async fn run(shared: Arc<Shared>, peer: HostId, pipe: Arc<Pipe>) {
     let mut backoff = MIN_BACKOFF;
     loop {
@@ -144,7 +162,7 @@
                 backoff = MIN_BACKOFF;
                 // The end of the connection is an error in any case.
                 let _ = carry(stream, session, &pipe).await;
-                discard(&shared, &pipe);
+                discard(&shared, peer, &pipe).await;
                 shared.inbox.deliver(Event::Lost(peer)).await;
             }
             Err(_) => {
@@ -182,17 +200,30 @@
     }
 }
 
-/// Drops what waits and tells of it if it isn't repeated anyway.
+/// Drops what waits, and counts the connection as lost if somebody waits for
+/// more than a forwarded request.
 async fn report(shared: &Shared, peer: HostId, pipe: &Pipe) {
-    if discard(shared, pipe) {
+    if discard(shared, peer, pipe).await {
         shared.inbox.deliver(Event::Lost(peer)).await;
     }
 }
 
-fn discard(shared: &Shared, pipe: &Pipe) -> bool {
+/// Drops what waits, which has not left the host, and tells of its requests.
+/// Returns whether anything else was dropped that isn't repeated.
+async fn discard(shared: &Shared, to: HostId, pipe: &Pipe) -> bool {
     let queue = std::mem::take(&mut *pipe.lock());
     shared.stats.drop_frames(Dropped::Broken, queue.frames.len() as u64);
-    queue.tracked || queue.overflow
+    let mut others = queue.overflow;
+    for waiting in &queue.frames {
+        match waiting.kind {
+            Kind::Repeated => {}
+            Kind::Forward(request) => {
+                shared.inbox.deliver(Event::Undelivered { to, request }).await;
+            }
+            Kind::Other => others = true,
+        }
+    }
+    others
 }
 
 async fn connect(shared: &Shared, peer: HostId) -> io::Result<(TcpStream, Session)> {
@@ -264,13 +295,12 @@
     if queue.overflow {
         return false;
     }
-    while let Some(frame) = queue.frames.pop_front() {
-        queue.bytes -= frame.len();
-        session.encode(&frame, batch);
+    while let Some(Waiting { payload, .. }) = queue.frames.pop_front() {
+        queue.bytes -= payload.len();
+        session.encode(&payload, batch);
         if batch.len() >= BATCH_BYTES {
             break;
         }
     }
-    queue.tracked &= !queue.frames.is_empty();
     true
 }
--- a/transport/peer/tests/hubs.rs
+++ b/transport/peer/tests/hubs.rs
@@ -98,14 +98,48 @@
     }
 }
 
+fn forward(request: u64) -> PeerMsg {
+    PeerMsg::Forward(Box::new(wire::Forward {
+        request,
+        incarnation: 1,
+        pin: wire::Pin::Service { service: "s".to_owned() },
+        caller: "c".to_owned(),
+        print: [0; 16],
+        urgency: wire::Urgency::Normal,
+        left: LIMIT,
+        idempotent: false,
+        stream: false,
+        path: "/".to_owned(),
+        body: Bytes::new(),
+        credit: 1,
+    }))
+}
+
 #[tokio::test]
-async fn an_unreachable_host_fails_requests_and_not_repeated_messages() {
+async fn an_unreachable_host_gives_requests_back_and_repeated_messages_up() {
     let (one, mut events) = start(config(4, 1)).await;
     one.send(3, &numbered(1));
     until(|| one.stats().dropped(Dropped::Broken) == 1).await;
+    one.send(3, &forward(7));
+    assert_eq!(next(&mut events).await, Event::Undelivered { to: 3, request: 7 });
     one.send(3, &PeerMsg::Cancel(1));
     assert_eq!(next(&mut events).await, Event::Lost(3));
-    // The first message was lost in silence.
+    // The first message was lost in silence, and a request by itself is no loss.
+    assert!(events.try_recv().is_err());
+}
+
+#[tokio::test]
+async fn a_request_that_may_have_left_is_not_given_back() {
+    let listener = TcpListener::bind(addr(9, 2)).await.expect("the address is free");
+    let (one, mut events) = start(config(9, 1)).await;
+    let accepted = tokio::spawn(accept_and_stall(listener, 2));
+    one.send(2, &forward(7));
+    let mut stream = accepted.await.expect("it is greeted");
+    // The proof of the handshake and the first byte of the frame.
+    let mut bytes = [0; 17];
+    stream.read_exact(&mut bytes).await.expect("the request arrives");
+    drop(stream);
+    assert_eq!(next(&mut events).await, Event::Lost(2));
     assert!(events.try_recv().is_err());
 }
 
