--- a/state/replog/src/io.rs
+++ b/state/replog/src/io.rs
@@ -40,7 +40,8 @@
     /// Appends an entry, on the leader only.
     Propose(Bytes),
     /// Sets which hosts should vote, on the leader only. The replica gets there
-    /// one member at a time.
+    /// one member at a time, as long as it leads; a later leader must be told
+    /// again.
     SetVoters(Vec<HostId>),
     /// All writes up to the ticket are on disk.
     Synced(u64),
--- a/state/replog/tests/faults.rs
+++ b/state/replog/tests/faults.rs
@@ -366,6 +366,7 @@
     world.input(leader, Input::Msg { from, msg });
     world.run(5 * SECOND);
     assert_eq!(voters(&world), [1, 2, 3]);
+    assert_eq!(world.committed.len(), 1, "only the founding changed members");
 }
 
 #[test]
