Forget messages that a removed voter may no longer get

Cause: a voter that is removed turns into an observer, which gets committed entries only, so its next index went back, but the messages sent beyond it still filled its window, and nothing was sent any more.

--- a/state/replog/src/lead.rs
+++ b/state/replog/src/lead.rs
@@ -201,7 +201,7 @@
             return false;
         };
         let limit = if peer.role.is_some() { self.log.last() } else { self.commit };
-        peer.next = peer.next.min(limit + 1);
+        peer.limit(limit);
         if peer.install.is_some() || peer.next > limit {
             return false;
         }
--- a/state/replog/src/peer.rs
+++ b/state/replog/src/peer.rs
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Forgets what was sent after `last`, which the host may no longer get.
+    pub(crate) fn limit(&mut self, last: Index) {
+        self.next = self.next.min(last + 1);
+        while self.unacked.back().is_some_and(|&sent| sent >= self.next) {
+            self.unacked.pop_back();
+        }
+    }
+
     /// Goes back to what the host says it holds. A refusal below what a member
     /// has acknowledged is an old one.
     pub(crate) fn retreat(&mut self, index: Index) -> bool {
--- a/state/replog/tests/faults.rs
+++ b/state/replog/tests/faults.rs
@@ -390,3 +390,21 @@
     world.cut.clear();
     assert_eq!(world.elect(), 3);
 }
+
+#[test]
+fn a_voter_removed_with_entries_on_their_way_is_served_on_return() {
+    let mut world = World::new(18, 3, 0);
+    let leader = world.elect();
+    world.run(SECOND);
+    let away = others(&world, leader)[0];
+    world.cut.insert(away);
+    for _ in 0..6 {
+        world.propose("on the way");
+    }
+    let want = (1..=3).filter(|&h| h != away).collect();
+    world.input(leader, Input::SetVoters(want));
+    world.run(5 * SECOND);
+    world.cut.clear();
+    world.run(10 * SECOND);
+    world.check_converged();
+}
