--- a/coordination/place/src/policy.rs
+++ b/coordination/place/src/policy.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use wire::{AdapterId, DomainId, ErrorKind, RequestId, TargetId, TargetKind, Want};
 
+use crate::owner::Owner;
+
 /// An adapter on a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resident {
@@ -82,7 +84,8 @@
     pub bounds: Bounds,
     /// Weight of load stalls.
     pub stall: f64,
-    /// Weight of batch fullness.
+    /// Weight of batch fullness. Only the ratio of the weights counts; both zero
+    /// stand for equal weights.
     pub batch: f64,
     /// Expected time of a load.
     pub load: Duration,
@@ -130,6 +133,5 @@
 
 /// Makes the policy that hosts run.
 pub fn owner_policy(settings: PolicySettings) -> Box<dyn Policy> {
-    let _ = settings;
-    todo!()
+    Box::new(Owner::new(settings))
 }
