Accept publishes only from holders of a publish key (interface: web::border::Operator::authorise)

Anyone who reached the operator port of a host could change the configuration. With the setting publish_key_file a host takes a publish only if the header x-publish-mac is the HMAC-SHA256 of the exact body with the key; otherwise it answers forbidden (403, ran: no). The body is checked before it is read. Publishes are counted by the code of their answer in poplarhollow_publishes_total. Without the setting a host warns once at its start; `check` finds settings of one deployment of which only some have it.

--- a/cli/src/advice.rs
+++ b/cli/src/advice.rs
@@ -10,7 +10,7 @@
     ("stale_version", "take over what is in force, raise its version and publish again"),
     ("bad_declaration", "correct the files; `poplarhollow check` shows all mistakes"),
     ("no_quorum", "run the command again: files that were accepted get the same receipt"),
-    ("forbidden", "ask an operator of the hosts for access"),
+    ("forbidden", "sign with the publish key of the hosts, --key-file"),
     ("unknown_adapter", "publish a declaration that names it"),
     ("wrong_version", "publish a declaration that names this version, or ask for one in force"),
     ("unknown_service", "see `poplarhollow status` for the services in force"),
--- a/cli/src/cmd.rs
+++ b/cli/src/cmd.rs
@@ -59,6 +59,9 @@
     /// operator addresses of hosts, IP:PORT with commas between
     #[argh(option)]
     pub(crate) host: Option<Addresses>,
+    /// file with the hosts' publish key; the variable POPLARHOLLOW_PUBLISH_KEY_FILE if left out
+    #[argh(option)]
+    pub(crate) key_file: Option<PathBuf>,
     /// seconds to wait until the change is in force everywhere
     #[argh(option, default = "20")]
     pub(crate) wait: u64,
--- a/cli/src/deployment.rs
+++ b/cli/src/deployment.rs
@@ -22,6 +22,12 @@
             let message = format!("{}: [{section}] differs from {}", later.file, earlier.file);
             mistakes.push(message);
         }
+        let signed = |it: &Read<Settings>| it.content.publish_key_file.is_some();
+        if signed(earlier) != signed(later) {
+            let message = "has publish_key_file in [host] but not the other";
+            let (with, without) = if signed(later) { (later, earlier) } else { (earlier, later) };
+            mistakes.push(format!("{}: {message}, {}", with.file, without.file));
+        }
         let twin = settings[..i].iter().find(|it| {
             is_same_system(&it.content, &later.content) && it.content.host == later.content.host
         });
--- a/cli/src/publish.rs
+++ b/cli/src/publish.rs
@@ -1,12 +1,13 @@
 //! `publish`: hands in declarations until a host confirms them.
 
 use std::{
-    fs,
-    path::PathBuf,
+    env, fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
     time::{Duration, Instant},
 };
 
-use api::{FileBody, PublishBody, Receipt};
+use api::{FileBody, PublishBody, PublishKey, Receipt, header::PUBLISH_MAC};
 use bytes::Bytes;
 use decl::Declaration;
 use http::Method;
@@ -24,13 +25,15 @@
 const PAUSE: Duration = Duration::from_millis(300);
 const MAX_WAIT: u64 = 3600;
 const PATH: &str = "/v1/publish";
+/// The variable that names the file with the publish key.
+const KEY_FILE: &str = "POPLARHOLLOW_PUBLISH_KEY_FILE";
 
 impl Publish {
     pub(crate) fn run(self) -> Result<(), Error> {
         if self.files.is_empty() {
             return Err(Error::usage("no file to publish; name declarations"));
         }
-        let author = self.author.clone().or_else(|| std::env::var("USER").ok());
+        let author = self.author.clone().or_else(|| env::var("USER").ok());
         let Some(author) = author.filter(|it| !it.is_empty()) else {
             return Err(Error::usage("no author; add --author"));
         };
@@ -38,13 +41,16 @@
             return Err(Error::usage("the revision is empty; name that of the reviewed code"));
         }
         let addrs = Addresses::or_env(self.host.clone(), HOSTS)?;
+        let key = self.key_path().map(|path| read_key(&path)).transpose()?;
         let files = read_files(&self.files)?;
         let body = PublishBody { files, author, revision: self.revision.clone() };
         let body = serde_json::to_vec(&body).map_err(|err| Error::failed(err.to_string()))?;
+        let mac = key.map(|key| (PUBLISH_MAC, key.sign(&body)));
         let receipt = block_on(async {
             let publisher = Publisher {
                 client: Client::new(EXCHANGE_TIMEOUT),
                 addrs,
+                headers: mac.into_iter().collect(),
                 body: Bytes::from(body),
                 until: Instant::now() + Duration::from_secs(self.wait.min(MAX_WAIT)),
             };
@@ -58,6 +64,19 @@
         print(&receipt);
         Ok(())
     }
+
+    fn key_path(&self) -> Option<PathBuf> {
+        let named = || env::var_os(KEY_FILE).filter(|it| !it.is_empty()).map(PathBuf::from);
+        self.key_file.clone().or_else(named)
+    }
+}
+
+/// Reads the publish key.
+fn read_key(path: &Path) -> Result<PublishKey, Error> {
+    let name = path.display();
+    let content = fs::read(path)
+        .map_err(|err| Error::failed(format!("{name}: could not read key file: {err}")))?;
+    PublishKey::new(&content).ok_or_else(|| Error::failed(format!("{name}: holds no key")))
 }
 
 /// Reads the files and checks them before anything is sent.
@@ -88,6 +107,7 @@
 struct Publisher {
     client: Client,
     addrs: Addresses,
+    headers: Vec<(&'static str, String)>,
     body: Bytes,
     until: Instant,
 }
@@ -101,11 +121,7 @@
             let mut answered = false;
             let mut last = Failure::NotSent("no address of a host".to_owned());
             for addr in &self.addrs.0 {
-                let sent = self
-                    .client
-                    .exchange(*addr, Method::POST, PATH, &[], self.body.clone())
-                    .await
-                    .and_then(|it| parse(*addr, &it));
+                let sent = self.send(*addr).await;
                 let failure = match sent {
                     Ok(receipt) => return Ok(receipt),
                     Err(failure) => failure,
@@ -128,15 +144,20 @@
         }
     }
 
+    /// Hands the files in at one host.
+    async fn send(&self, addr: SocketAddr) -> Result<Receipt, Failure> {
+        let body = self.body.clone();
+        let answer = self.client.exchange(addr, Method::POST, PATH, &self.headers, body).await?;
+        parse(addr, &answer)
+    }
+
     /// Hands the files in again until they are in force everywhere.
     async fn wait_in_force(&self, accepted: Receipt) -> Receipt {
         let mut receipt = accepted;
         while !receipt.everywhere && Instant::now() + PAUSE < self.until {
             sleep(PAUSE).await;
             for addr in &self.addrs.0 {
-                let body = self.body.clone();
-                let sent = self.client.exchange(*addr, Method::POST, PATH, &[], body).await;
-                let Ok(again) = sent.and_then(|it| parse::<Receipt>(*addr, &it)) else {
+                let Ok(again) = self.send(*addr).await else {
                     continue;
                 };
                 if again.index == receipt.index {
--- a/cli/tests/hosts.rs
+++ b/cli/tests/hosts.rs
@@ -94,6 +94,32 @@
     insta::assert_snapshot!(session("--host", &[("four rounds", vec![replies])], &args));
 }
 
+/// Whether a request carries the code of its body.
+fn is_signed(request: &str, key: &[u8]) -> bool {
+    let (_, rest) = request.split_once("x-publish-mac: ").unwrap();
+    let (mac, body) = rest.split_once('\n').unwrap();
+    api::PublishKey::new(key).unwrap().verify(body.as_bytes(), mac)
+}
+
+#[test]
+fn publish_signs_with_the_key_of_a_file() {
+    let path = file("signed.ini", DECLARATION).display().to_string();
+    let key = file("publish.key", "a key\n").display().to_string();
+    let empty = file("empty.key", "\n").display().to_string();
+    let root = Path::new(env!("CARGO_TARGET_TMPDIR")).display().to_string();
+    let args = ["publish", "--revision", "r1", "--author", "ada"];
+    let mut out = String::new();
+    for name in [&key, &empty, "absent.key"] {
+        let host = Host::start(vec![receipt(true)]);
+        let addr = host.addr.to_string();
+        let more = [&path, "--host", &addr, "--key-file", name];
+        let shown = run(&[&args[..], &more].concat());
+        let sent: Vec<_> = host.seen().iter().map(|it| is_signed(it, b"a key")).collect();
+        writeln!(out, "{shown}signed: {sent:?}\n").unwrap();
+    }
+    insta::assert_snapshot!(out.replace(&root, "."));
+}
+
 #[test]
 fn publish_sends_nothing_bad() {
     let path = file("bad.ini", &DECLARATION.replace("= 3", "= x")).display().to_string();
@@ -255,6 +281,7 @@
         ("good", host(2, shared), system("1")),
         ("timing", host(2, &format!("{shared}[timing]\nlease = 4s\n")), system("1")),
         ("hosts", host(2, &format!("3 = 127.0.0.3 n\n{shared}")), system("1")),
+        ("publish key", host(2, shared).replace("ip", "publish_key_file = k\nip"), system("1")),
         ("twin", host(1, shared), system("1")),
         ("voters", host(2, shared), system("1, 2, 3")),
     ];
--- a/daemon/src/border.rs
+++ b/daemon/src/border.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use api::{
-    AuditPage, DomainForce, EntryAddress, PublishBody, Receipt, ReportReply, ServiceReceipt,
-    StatusBody, WhereBody,
+    AuditPage, DomainForce, EntryAddress, PublishBody, PublishKey, Receipt, ReportReply,
+    ServiceReceipt, StatusBody, WhereBody, header::PUBLISH_MAC,
 };
 use futures::future::BoxFuture;
 use node::{Caller, Input, Published};
@@ -61,8 +61,20 @@
 }
 
 impl Operator for Border {
+    fn authorise(&self, body: &[u8], mac: Option<&str>) -> Result<(), Fault> {
+        let allowed = authorise(self.0.publish_key.as_ref(), body, mac);
+        if let Err(fault) = &allowed {
+            self.0.metrics.published(Some(fault));
+        }
+        allowed
+    }
+
     fn publish(&self, body: PublishBody) -> BoxFuture<'_, Result<Receipt, Fault>> {
-        Box::pin(publish(&self.0, body))
+        Box::pin(async move {
+            let result = publish(&self.0, body).await;
+            self.0.metrics.published(result.as_ref().err());
+            result
+        })
     }
 
     fn status(&self) -> StatusBody {
@@ -79,6 +91,18 @@
     }
 }
 
+fn authorise(key: Option<&PublishKey>, body: &[u8], mac: Option<&str>) -> Result<(), Fault> {
+    let Some(key) = key else { return Ok(()) };
+    let Some(mac) = mac else {
+        return Err(Fault::new(ErrorKind::Forbidden, format!("{PUBLISH_MAC} is missing")));
+    };
+    if !key.verify(body, mac) {
+        let detail = format!("{PUBLISH_MAC} is not that of this body and the hosts' key");
+        return Err(Fault::new(ErrorKind::Forbidden, detail));
+    }
+    Ok(())
+}
+
 async fn publish(host: &Host, body: PublishBody) -> Result<Receipt, Fault> {
     let mut files = Vec::with_capacity(body.files.len());
     for file in body.files {
--- a/daemon/src/error.rs
+++ b/daemon/src/error.rs
@@ -20,6 +20,12 @@
         #[source]
         source: io::Error,
     },
+    /// A key file holds no key.
+    #[error("{path} holds no key")]
+    EmptyKey {
+        /// The file.
+        path: PathBuf,
+    },
     /// The settings have mistakes.
     #[error("could not accept settings: {}", list(.0))]
     Settings(Vec<FileError>),
--- a/daemon/src/host.rs
+++ b/daemon/src/host.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+use api::PublishKey;
 use decl::Settings;
 use node::{Change, Input, Node, Output, Published, Tag};
 use peer::Hub;
@@ -22,6 +23,7 @@
 /// A running host.
 pub(crate) struct Host {
     pub(crate) settings: Settings,
+    pub(crate) publish_key: Option<PublishKey>,
     pub(crate) start: Instant,
     pub(crate) node: Node,
     pub(crate) hub: Hub,
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -9,7 +9,7 @@
     Gauge, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry,
     TextEncoder, core::Collector, proto::MetricFamily,
 };
-use wire::{Action, PeerMsg};
+use wire::{Action, Fault, PeerMsg};
 
 const OK: &str = "ok";
 
@@ -28,6 +28,7 @@
     forwards: IntCounter,
     orders: IntCounterVec,
     changes: IntCounterVec,
+    publishes: IntCounterVec,
     state: GaugeVec,
     callers: Gauge,
 }
@@ -85,6 +86,12 @@
             ),
             orders: counters(r, "poplarhollow_orders_total", "Orders to targets", "action"),
             changes: counters(r, "poplarhollow_changes_total", "Changes of state", "kind"),
+            publishes: counters(
+                r,
+                "poplarhollow_publishes_total",
+                "Publishes handed in here by the code of their answer",
+                "code",
+            ),
             state: added(r, state.expect("metric names are valid")),
             callers: added(r, callers.expect("metric names are valid")),
             registry,
@@ -122,6 +129,12 @@
         self.whole.observe(after.as_secs_f64());
     }
 
+    /// Counts the end of a publish.
+    pub(crate) fn published(&self, fault: Option<&Fault>) {
+        let code = fault.map_or(OK, |fault| fault.kind.row().code);
+        self.publishes.with_label_values(&[code]).inc();
+    }
+
     /// Writes all metrics.
     pub(crate) fn text(&self, status: &StatusBody, callers: usize, stats: &Stats) -> String {
         self.callers.set(callers as f64);
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use api::PublishKey;
 use decl::Settings;
 use futures::future::{BoxFuture, select_all};
 use node::{Input, Node, Start};
@@ -46,15 +47,23 @@
 const VOTER_HOST_SHIFT: u32 = 48;
 const VOTER_RANDOM_MASK: u64 = (1 << VOTER_HOST_SHIFT) - 1;
 
+/// The keys from the host's files.
+struct Keys {
+    /// Shared by the hosts; empty without a file.
+    peer: Vec<u8>,
+    /// For publishes, if they are checked.
+    publish: Option<PublishKey>,
+}
+
 /// Runs the daemon until it is told to end.
 pub(crate) fn run(options: &Options) -> Result<ExitCode, DaemonError> {
     let settings = read_settings(&options.config)?;
-    let key = read_key(&settings)?;
+    let keys = Keys { peer: read_key(&settings)?, publish: read_publish_key(&settings)? };
     let cores = thread::available_parallelism().map_or(1, usize::from);
     let workers = options.workers.unwrap_or(cores.min(MAX_WORKERS)).max(1);
     let (log, guard) = logger(&settings);
     let runtime = Builder::new_multi_thread().worker_threads(workers).enable_all().build()?;
-    let ended = runtime.block_on(serve(settings, key, workers, log));
+    let ended = runtime.block_on(serve(settings, keys, workers, log));
     runtime.shutdown_timeout(CLOSE_TIMEOUT);
     drop(guard);
     ended
@@ -75,6 +84,12 @@
     Ok(read(path)?.trim_ascii().to_vec())
 }
 
+fn read_publish_key(settings: &Settings) -> Result<Option<PublishKey>, DaemonError> {
+    let Some(path) = &settings.publish_key_file else { return Ok(None) };
+    let key = PublishKey::new(&read(path)?);
+    key.map(Some).ok_or_else(|| DaemonError::EmptyKey { path: path.to_owned() })
+}
+
 /// Makes the identity that a new data folder gets.
 fn new_voter(host: HostId) -> VoterId {
     let random: u64 = rand::rng().random();
@@ -92,17 +107,21 @@
 /// Starts all parts and waits for the end.
 async fn serve(
     settings: Settings,
-    key: Vec<u8>,
+    keys: Keys,
     workers: usize,
     log: Logger,
 ) -> Result<ExitCode, DaemonError> {
     let mut signals = Signals::new()?;
     let drain = settings.timing.drain;
+    let open = keys.publish.is_none();
     let (exit, mut exited) = unbounded_channel();
-    let (host, mut tasks) = start_host(settings, key, workers, log.clone(), exit).await?;
+    let (host, mut tasks) = start_host(settings, keys, workers, log.clone(), exit).await?;
     let server = start_server(&host, &log)?;
     tasks.push(tokio::spawn(tick(host.clone())));
     info!(log, "started"; "workers" => workers);
+    if open {
+        warn!(log, "without publish_key_file anyone who reaches the operator port may publish");
+    }
     tokio::select! {
         () = signals.next() => {}
         _ = select_all(tasks) => return Err(DaemonError::Worker),
@@ -123,7 +142,7 @@
 
 async fn start_host(
     settings: Settings,
-    key: Vec<u8>,
+    keys: Keys,
     workers: usize,
     log: Logger,
     exit: tokio::sync::mpsc::UnboundedSender<u32>,
@@ -139,7 +158,7 @@
         run: incarnation,
         peers,
         port: settings.peer_port,
-        key,
+        key: keys.peer,
     };
     let hub = Hub::start(config, inbox.clone()).await?;
     let disk = match disk {
@@ -152,6 +171,7 @@
     let host = Arc::new(Host {
         targets: Targets::new(start, inbox),
         settings,
+        publish_key: keys.publish,
         start,
         node,
         hub,
--- a/daemon/tests/start.rs
+++ b/daemon/tests/start.rs
@@ -19,6 +19,11 @@
         ("missing settings", None),
         ("unknown key", Some(GOOD.replace("domain =", "domian ="))),
         ("missing key file", Some(GOOD.replace("domain", "key_file = none\ndomain"))),
+        (
+            "missing publish key file",
+            Some(GOOD.replace("domain", "publish_key_file = none\ndomain")),
+        ),
+        ("empty publish key", Some(GOOD.replace("domain", "publish_key_file = file\ndomain"))),
         ("file as data folder", Some(GOOD.replace("= data", "= file"))),
         ("port in use", Some(GOOD.to_owned())),
     ];
--- a/protocol/api/src/lib.rs
+++ b/protocol/api/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod audit;
 mod error;
+mod mac;
 mod operator;
 mod target;
 mod whereabouts;
@@ -36,6 +37,8 @@
     pub const PRIORITY: &str = "x-priority";
     /// Whether the request was run: `no`, `yes` or `unknown`.
     pub const WAS_RUN: &str = "x-was-run";
+    /// HMAC-SHA256 of a publish's body with the publish key, in hexadecimal.
+    pub const PUBLISH_MAC: &str = "x-publish-mac";
 }
 
 /// The last event of a whole streamed answer.
@@ -47,6 +50,7 @@
 pub use crate::{
     audit::{AuditEntry, AuditPage, ServiceChange},
     error::{ErrorBody, ErrorDetail},
+    mac::PublishKey,
     operator::{
         DomainForce, FileBody, HostRow, PublishBody, QuarantineRow, Receipt, ServiceReceipt,
         StatusBody, TargetRow,
--- a/protocol/decl/src/settings.rs
+++ b/protocol/decl/src/settings.rs
@@ -31,6 +31,7 @@
             "entry_port",
             "operator_port",
             "key_file",
+            "publish_key_file",
             "log",
             "seed",
         ],
@@ -152,6 +153,9 @@
     pub operator_port: u16,
     /// File with the key that hosts share.
     pub key_file: Option<PathBuf>,
+    /// File with the key that a publish is signed with; without it anyone who
+    /// reaches the operator port may publish.
+    pub publish_key_file: Option<PathBuf>,
     /// All hosts of the system, this one included.
     pub peers: Vec<Peer>,
     /// The hosts that found the replication group.
@@ -242,6 +246,7 @@
     let entry_port = reader.or(HOST, "entry_port", DEFAULT_ENTRY_PORT, value::port);
     let operator_port = reader.or(HOST, "operator_port", DEFAULT_OPERATOR_PORT, value::port);
     let key_file = reader.optional(HOST, "key_file", value::file);
+    let publish_key_file = reader.optional(HOST, "publish_key_file", value::file);
     let log = reader.or(HOST, "log", LogFormat::Text, value::choice(&formats));
     let seed = reader.optional(HOST, "seed", value::whole(0..=u64::MAX));
     let peers = read_peers(reader);
@@ -259,6 +264,7 @@
         entry_port,
         operator_port,
         key_file,
+        publish_key_file,
         peers,
         founders: founders?,
         timing,
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -50,6 +50,7 @@
     count: HostId,
     bins: PathBuf,
     dir: TempDir,
+    signed: bool,
     hosts: BTreeMap<HostId, Child>,
     targets: BTreeMap<String, (Child, String)>,
 }
@@ -79,11 +80,21 @@
             count,
             bins: bins.to_owned(),
             dir,
+            signed: false,
             hosts: BTreeMap::new(),
             targets: BTreeMap::new(),
         }
     }
 
+    /// Makes hosts that are started from now on ask for signed publishes.
+    /// Returns the file with the key.
+    pub fn sign(&mut self, key: &str) -> PathBuf {
+        let path = self.dir.path().join("publish-key");
+        fs::write(&path, key).expect("the folder is usable");
+        self.signed = true;
+        path
+    }
+
     /// Starts all hosts, publishes the session's declarations and waits until
     /// all hosts hold a lease.
     pub async fn start(bins: &Path, net: u8, count: HostId) -> Cluster {
@@ -110,6 +121,9 @@
         let mut text = format!("[host]\nid = {host}\nip = {}\n", self.ip(host));
         let domain = domain(host);
         let _ = write!(text, "domain = {domain}\nkey_file = key\n");
+        if self.signed {
+            text.push_str("publish_key_file = publish-key\n");
+        }
         if host <= VOTERS {
             let _ = writeln!(text, "data_dir = data-{host}");
         }
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, path::Path, process::Output};
 
-use api::{AuditPage, Receipt};
+use api::{AuditPage, PublishKey, Receipt, header::PUBLISH_MAC};
 use sessions::cluster::Cluster;
 use tempfile::TempDir;
 use tokio::process::{Child, Command};
@@ -218,3 +218,53 @@
     let page = desk.export(&operators(&cluster, &[1]), &receipt.head).await;
     assert_eq!(page.entries.len(), 2, "accepted once");
 }
+
+/// Hands a body in with a code and returns the status and the error's code.
+async fn hand_in(cluster: &Cluster, body: &str, mac: &str) -> (u16, String, String) {
+    let url = format!("http://{}/v1/publish", operators(cluster, &[2]));
+    let headers = [("content-type", "application/json"), (PUBLISH_MAC, mac)];
+    let reply = cluster.client.post(&url, &headers, body.to_owned()).await;
+    let error = reply.json::<api::ErrorBody>().map(|it| (it.error.code, it.error.ran));
+    let (code, ran) = error.unwrap_or_default();
+    (reply.status, code, ran)
+}
+
+#[tokio::test]
+async fn only_who_has_the_key_can_publish() {
+    let mut cluster = Cluster::new(bins(), 35, 4);
+    let key_file = cluster.sign("a publish key\n").display().to_string();
+    for host in HOSTS {
+        cluster.start_host(host, &[]);
+    }
+    cluster.until_live().await;
+    let desk = Desk::new();
+    let host = operators(&cluster, &[2]);
+    let file = desk.declare("ada", 1);
+    let other = desk.path("other-key");
+    fs::write(&other, "another key").expect("the folder is usable");
+    let args = ["publish", &file, "--revision", "r1", "--author", "ada", "--json"];
+    let args = [&args[..], &["--host", &host]].concat();
+    for option in [&[][..], &["--key-file", &other]] {
+        let run = desk.run(&[&args[..], option].concat()).await;
+        assert_eq!(run.code, Some(1), "{run:?}");
+        assert!(run.err.contains("the request is not authorised: x-publish-mac is"), "{run:?}");
+    }
+    let text = fs::read_to_string(&file).expect("it was written");
+    let files = vec![api::FileBody { name: file.clone(), text }];
+    let body = api::PublishBody { files, author: "ada".to_owned(), revision: "r1".to_owned() };
+    let body = serde_json::to_string(&body).expect("a publish is plain data");
+    let mac = PublishKey::new(b"a publish key").expect("it is a key").sign(body.as_bytes());
+    let forbidden = (403, "forbidden".to_owned(), "no".to_owned());
+    for changed in [body.replace("r1", "r2"), format!("{body} "), "no JSON".to_owned()] {
+        assert_eq!(hand_in(&cluster, &changed, &mac).await, forbidden, "{changed}");
+    }
+    let counted = cluster.metrics(2).await;
+    assert!(counted.contains("poplarhollow_publishes_total{code=\"forbidden\"} 5"), "{counted}");
+    assert_eq!(cluster.status(2).await.expect("it runs").services, []);
+
+    let run = desk.run(&[&args[..], &["--key-file", &key_file]].concat()).await;
+    assert_eq!(run.receipt().sequence, 1);
+    assert_eq!(hand_in(&cluster, &body, &mac).await.0, 200, "sent again");
+    assert_eq!(cluster.status(2).await.expect("it runs").services.len(), 1);
+    assert_eq!(desk.export(&host, &run.receipt().head).await.entries.len(), 1);
+}
--- a/transport/web/src/border.rs
+++ b/transport/web/src/border.rs
@@ -61,6 +61,8 @@
 
 /// What operators reach.
 pub trait Operator: Send + Sync + 'static {
+    /// Returns whether a publish is allowed, by its exact body and its code.
+    fn authorise(&self, body: &[u8], mac: Option<&str>) -> Result<(), Fault>;
     /// Hands in declaration files.
     fn publish(&self, publish: PublishBody) -> BoxFuture<'_, Result<Receipt, Fault>>;
     /// Returns the state of the system as this host sees it.
--- a/transport/web/src/lib.rs
+++ b/transport/web/src/lib.rs
@@ -13,6 +13,7 @@
 mod request;
 mod server;
 mod target;
+mod unread;
 
 pub use crate::{
     entry::{EntryContext, entry_api},
--- a/transport/web/src/operator.rs
+++ b/transport/web/src/operator.rs
@@ -4,14 +4,14 @@
 
 use api::{AuditPage, PublishBody, Receipt, StatusBody};
 use dropshot::{
-    ApiDescription, ApiDescriptionRegisterError, Body, HttpResponseOk, Query, RequestContext,
-    TypedBody, endpoint,
+    ApiDescription, ApiDescriptionRegisterError, Body, Header, HttpResponseOk, Query,
+    RequestContext, endpoint,
 };
 use http::{HeaderValue, Response, header::CONTENT_TYPE};
 use schemars::JsonSchema;
 use serde::Deserialize;
 
-use crate::{border::Operator, error::Failure};
+use crate::{border::Operator, error::Failure, unread::Unread};
 
 /// The most audit entries in one answer.
 const MAX_AUDIT_ENTRIES: usize = 1000;
@@ -30,15 +30,28 @@
     Ok(api)
 }
 
+/// What a publish carries beside its body.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct PublishHeaders {
+    /// HMAC-SHA256 of the exact body with the hosts' publish key, in
+    /// hexadecimal; needed where the hosts have a publish key.
+    #[serde(rename = "x-publish-mac")]
+    mac: Option<String>,
+}
+
 /// Hands in declaration files, all or nothing.
 ///
 /// The same publish may be sent again: it gets the same receipt.
 #[endpoint { method = POST, path = "/v1/publish" }]
 async fn publish(
     context: RequestContext<Context>,
-    body: TypedBody<PublishBody>,
+    headers: Header<PublishHeaders>,
+    body: Unread<PublishBody>,
 ) -> Result<HttpResponseOk<Receipt>, Failure> {
-    let receipt = context.context().publish(body.into_inner()).await?;
+    let operator = context.context();
+    operator.authorise(body.bytes(), headers.into_inner().mac.as_deref())?;
+    let publish = body.read(&context).await?;
+    let receipt = operator.publish(publish).await?;
     Ok(HttpResponseOk(receipt))
 }
 
--- a/transport/web/tests/answers.rs
+++ b/transport/web/tests/answers.rs
@@ -69,6 +69,10 @@
 }
 
 impl Operator for Stub {
+    fn authorise(&self, _: &[u8], _: Option<&str>) -> Result<(), Fault> {
+        Ok(())
+    }
+
     fn publish(&self, _: PublishBody) -> BoxFuture<'_, Result<Receipt, Fault>> {
         Box::pin(ready(Err(Fault::new(ErrorKind::VersionTaken, "notes 3"))))
     }
