Show a voter only while the leader hears the folder that votes

The row of a host in the status took its role from the membership by host. A voter that came back with a new folder was shown as `voter` until its old identity was replaced, and a voter that was down had no row at all. The role is now `voter` if the member's data folder answered the leader within the last election time and its host shows no other folder, else `silent`; members without a lease have a row.

--- a/coordination/node/src/status.rs
+++ b/coordination/node/src/status.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use api::{AuditPage, HostRow, QuarantineRow, ServiceReceipt, StatusBody, TargetRow};
-use wire::{HostId, Membership, Pin, Role};
+use replog::Replica;
+use wire::{HostId, Member, Pin, Role};
 
 use crate::{Node, held::Held, view::View};
 
@@ -21,7 +22,7 @@
         let view = self.view();
         let (alarms, members) = {
             let core = self.core();
-            (core.alarms().to_vec(), core.replica().status().members)
+            (core.alarms().to_vec(), Members::new(core.replica()))
         };
         let ctx = self.ctx(now);
         let hosts = self.host_rows(now, &members);
@@ -44,17 +45,32 @@
         }
     }
 
-    fn host_rows(&self, now: Duration, members: &Membership) -> Vec<HostRow> {
+    /// Shows the hosts that hold leases or are members, on the leader.
+    fn host_rows(&self, now: Duration, members: &Members) -> Vec<HostRow> {
         let mut rows = Vec::new();
         for live in self.member().live(now) {
             rows.push(HostRow {
                 host: live.host,
                 domain: live.domain,
-                role: role(members, live.host).to_owned(),
+                role: members.role(live.host).to_owned(),
                 live: true,
                 applied: live.applied,
             });
         }
+        for host in members.hosts() {
+            if rows.iter().any(|row| row.host == host) {
+                continue;
+            }
+            let domain = self.with_directory(|dir| dir.domain(host).cloned());
+            rows.push(HostRow {
+                host,
+                domain: domain.unwrap_or_default(),
+                role: members.role(host).to_owned(),
+                live: false,
+                applied: 0,
+            });
+        }
+        rows.sort_by_key(|row| row.host);
         rows
     }
 
@@ -68,11 +84,32 @@
     }
 }
 
-fn role(members: &Membership, host: HostId) -> &'static str {
-    match members.members.iter().find(|member| member.host == host) {
-        Some(member) if member.role == Role::Voter => "voter",
-        Some(_) => "learner",
-        None => "observer",
+/// The members of the replication group as their leader hears them.
+struct Members {
+    leading: bool,
+    members: Vec<Member>,
+    heard: Vec<HostId>,
+}
+
+impl Members {
+    fn new(replica: &Replica) -> Members {
+        let status = replica.status();
+        let members = status.members.members;
+        Members { leading: status.leading, members, heard: replica.hears() }
+    }
+
+    /// Returns the members' hosts, on the leader.
+    fn hosts(&self) -> impl Iterator<Item = HostId> {
+        self.members.iter().filter(|_| self.leading).map(|member| member.host)
+    }
+
+    fn role(&self, host: HostId) -> &'static str {
+        match self.members.iter().find(|member| member.host == host) {
+            Some(member) if member.role == Role::Learner => "learner",
+            Some(_) if self.heard.contains(&host) => "voter",
+            Some(_) => "silent",
+            None => "observer",
+        }
     }
 }
 
--- a/coordination/node/tests/state.rs
+++ b/coordination/node/tests/state.rs
@@ -55,6 +55,61 @@
     }
 }
 
+/// Returns what the leader shows of a host: its role and whether it is live.
+fn shown(cluster: &Cluster, host: HostId) -> Option<(String, bool)> {
+    let running = (1..=5).filter(|&host| cluster.is_running(host));
+    let mut statuses = running.map(|host| cluster.node(host).status(cluster.now));
+    let rows = statuses.find(|status| status.leader == Some(status.host))?.hosts;
+    rows.into_iter().find(|row| row.host == host).map(|row| (row.role, row.live))
+}
+
+/// Returns the roles that leaders show of a host, one after the other, until it
+/// votes after it has learnt.
+fn roles(cluster: &mut Cluster, host: HostId) -> Vec<String> {
+    let mut roles: Vec<String> = Vec::new();
+    let done = cluster.run_until(LIMIT, |it| {
+        let Some((role, _)) = shown(it, host) else { return false };
+        if roles.last() != Some(&role) {
+            roles.push(role);
+        }
+        roles.ends_with(&["learner".to_owned(), "voter".to_owned()])
+    });
+    assert!(done, "{roles:?}");
+    roles
+}
+
+#[test]
+fn a_host_with_a_new_disk_is_no_voter_before_its_new_identity_is() {
+    let mut cluster = ready(5, 3);
+    let leader = cluster.leader().expect("there is a leader");
+    let follower = (1..=3).find(|&host| host != leader).expect("three voters");
+    lose_disk(&mut cluster, follower);
+    assert_eq!(roles(&mut cluster, follower), ["voter", "silent", "learner", "voter"]);
+    let leader = cluster.leader().expect("there is a leader");
+    lose_disk(&mut cluster, leader);
+    assert_eq!(roles(&mut cluster, leader), ["silent", "learner", "voter"]);
+}
+
+#[test]
+fn a_voter_that_is_down_is_shown() {
+    let mut cluster = ready(5, 3);
+    let leader = cluster.leader().expect("there is a leader");
+    let down = (1..=3).find(|&host| host != leader).expect("three voters");
+    cluster.run(Duration::from_secs(5));
+    let state = |role: &str, live| Some((role.to_owned(), live));
+    assert_eq!(shown(&cluster, down), state("voter", true));
+    assert_eq!(shown(&cluster, leader), state("voter", true));
+    cluster.kill(down);
+    cluster.run(Duration::from_secs(5));
+    assert_eq!(shown(&cluster, down), state("silent", false));
+    assert_eq!(voters(&cluster).len(), 2);
+    cluster.start(down);
+    assert!(cluster.run_until(LIMIT, |it| shown(it, down) == state("voter", true)));
+    cluster.kill(4);
+    cluster.run(Duration::from_secs(5));
+    assert_eq!(shown(&cluster, 4), None);
+}
+
 #[test]
 fn two_disks_lost_at_once_stop_writes_and_leave_what_is_readable() {
     let mut cluster = ready(5, 3);
--- a/coordination/route/src/directory.rs
+++ b/coordination/route/src/directory.rs
@@ -93,6 +93,11 @@
         self.hosts = hosts.into_iter().collect();
     }
 
+    /// Returns the failure domain of a host.
+    pub fn domain(&self, host: HostId) -> Option<&DomainId> {
+        self.hosts.get(&host)
+    }
+
     /// Takes the digests of a grant that the host's lease holder has taken.
     /// Others, late or repeated ones, must be left out.
     pub fn granted(&mut self, now: Duration, grant: &Grant) {
--- a/protocol/api/src/operator.rs
+++ b/protocol/api/src/operator.rs
@@ -72,11 +72,13 @@
     pub host: u32,
     /// Its failure domain.
     pub domain: String,
-    /// `voter`, `learner` or `observer`.
+    /// `voter` if the leader hears the data folder that votes, `silent` if it does
+    /// not, `learner` or `observer`.
     pub role: String,
     /// Whether it holds a lease.
     pub live: bool,
-    /// The last index it has applied, as far as the leader knows.
+    /// The last index it has applied, as far as the leader knows; zero without
+    /// a lease.
     pub applied: u64,
 }
 
--- a/state/replog/src/change.rs
+++ b/state/replog/src/change.rs
@@ -168,6 +168,12 @@
         host == self.settings.host || acked.is_some_and(|at| within(self.now, at, span))
     }
 
+    /// Tells whether a member's data folder answers, and no other one of its host.
+    pub(crate) fn is_heard(&self, lead: &Lead, member: &Member) -> bool {
+        let other = self.recent_arrival(lead, member.host);
+        other.is_none() && self.answers(lead, member.host, self.settings.election)
+    }
+
     fn recent_arrival(&self, lead: &Lead, host: HostId) -> Option<Arrival> {
         let span: Duration = self.settings.election;
         let arrival = lead.arrivals.get(&host).copied();
--- a/state/replog/src/replica.rs
+++ b/state/replog/src/replica.rs
@@ -156,6 +156,14 @@
         }
     }
 
+    /// On a leader: the hosts of the members whose data folder answered what
+    /// was sent within the last election time.
+    pub fn hears(&self) -> Vec<HostId> {
+        let Role::Leader(lead) = &self.role else { return Vec::new() };
+        let members = &self.log.members().members;
+        members.iter().filter(|it| self.is_heard(lead, it)).map(|it| it.host).collect()
+    }
+
     fn finish(&mut self) -> Vec<Output> {
         self.apply();
         let last = self.log.last();
