--- a/state/replog/src/lead.rs
+++ b/state/replog/src/lead.rs
@@ -308,22 +308,32 @@
         self.step_members();
     }
 
+    /// Returns whether a host was heard of as lately as its role demands.
+    fn is_near(&self, peer: &Peer) -> bool {
+        let patience = match peer.role {
+            Some(_) => self.settings.election,
+            None => self.observer_patience(),
+        };
+        within(self.now, peer.heard, patience)
+    }
+
     fn start_install(&mut self, host: HostId) {
         let Some(snapshot) = self.log.snapshot().cloned() else {
             return;
         };
         let now = self.now;
-        let (member, observer) = (self.settings.election, self.observer_patience());
+        let Role::Leader(lead) = &self.role else {
+            return;
+        };
+        if !lead.peers.get(&host).is_some_and(|peer| self.is_near(peer)) {
+            return;
+        }
         let Role::Leader(lead) = &mut self.role else {
             return;
         };
         let Some(peer) = lead.peers.get_mut(&host) else {
             return;
         };
-        let patience = if peer.role.is_some() { member } else { observer };
-        if !within(now, peer.heard, patience) {
-            return;
-        }
         peer.install = Some(Transfer { snapshot, offset: 0, sent: now });
         self.send_chunk(host);
     }
@@ -355,8 +365,7 @@
             return;
         };
         let election = self.settings.election;
-        let live = |p: &&Peer| within(self.now, p.heard, election);
-        let peer = lead.peers.get(&host).filter(live);
+        let peer = lead.peers.get(&host).filter(|peer| self.is_near(peer));
         let Some(transfer) = peer.and_then(|p| p.install.as_ref()) else {
             return;
         };
