--- a/tests/benches/path/main.rs
+++ b/tests/benches/path/main.rs
@@ -1,6 +1,7 @@
 //! Measures the path of requests through real processes on loopback and prints
 //! the figures. `scripts/measure` builds what it needs and runs it.
 
+mod claims;
 mod delay;
 mod memory;
 mod outage;
@@ -25,6 +26,9 @@
         if runs("rate") {
             rate::measure(bins).await;
         }
+        if runs("claims") {
+            claims::measure(bins).await;
+        }
         if runs("memory") {
             memory::measure(bins).await;
         }
