Give the tests of the stand-ins addresses of their checkout

Cause: an_engine_refuses_and_counts failed once after 129 s in a run of five crates, with "Address already in use" for its fixed 127.53.0.x:8100, which another checkout's run of the same test held. Ruled out: the stand-in itself, since its three neighbours passed. Change: the second octet follows the checkout, as for the other tests.

--- a/tests/tests/stand_ins.rs
+++ b/tests/tests/stand_ins.rs
@@ -7,6 +7,7 @@
 use http::Method;
 use sessions::{
     announce::Announced,
+    checkout::octet,
     client::{Client, Reply},
     cluster::completion,
     counts::Counts,
@@ -20,6 +21,11 @@
 const RUN: u64 = 7;
 const MODEL: &str = "m@a@v1";
 
+/// Returns an address of this checkout.
+fn addr(number: u8) -> String {
+    format!("127.{}.140.{number}:8100", octet())
+}
+
 fn options(addr: &str, kind: KindBody, fenced: bool) -> Options {
     Options {
         name: "t1".to_owned(),
@@ -90,7 +96,7 @@
 
 #[tokio::test]
 async fn an_engine_refuses_and_counts() {
-    let (engine, own) = Served::engine("127.53.0.1:8100", Duration::ZERO, true).await;
+    let (engine, own) = Served::engine(&addr(1), Duration::ZERO, true).await;
     let mut out = Vec::new();
     out.push(engine.complete("1", &[], "x").await.body);
     out.push(engine.order(5, RUN + 1, "load", MODEL).await);
@@ -118,7 +124,7 @@
 
 #[tokio::test]
 async fn an_eviction_in_use_is_a_violation() {
-    let (engine, own) = Served::engine("127.53.0.2:8100", Duration::from_secs(600), false).await;
+    let (engine, own) = Served::engine(&addr(2), Duration::from_secs(600), false).await;
     engine.order(5, RUN, "load", MODEL).await;
     let url = engine.url("/v1/completions");
     let body = completion(MODEL, "long", 4, true);
@@ -141,7 +147,7 @@
 
 #[tokio::test]
 async fn an_answer_is_resumed_at_any_offset() {
-    let (engine, _) = Served::engine("127.53.0.3:8100", Duration::ZERO, true).await;
+    let (engine, _) = Served::engine(&addr(3), Duration::ZERO, true).await;
     engine.order(1, RUN, "load", MODEL).await;
     let url = engine.url("/v1/completions");
     let body = completion(MODEL, "x", 20, true);
@@ -157,7 +163,7 @@
 
 #[tokio::test]
 async fn a_service_counts_calls_it_does_not_answer() {
-    let options = options("127.53.0.4:8100", KindBody::Service("book".to_owned()), true);
+    let options = options(&addr(4), KindBody::Service("book".to_owned()), true);
     let own = Service::new("book".to_owned(), options.clone(), Duration::ZERO);
     let service = Served::new(options.addr, own.clone()).await;
     let url = service.url("/pay");
