Name voters that are not there in an alarm

A declaration `system` may name a host without a data folder or one that is not in the settings; nothing showed that its vote is missing. While that lasts the leader's status now has a line in `alarms` for each of them. It is absent if it is no member and no data folder was seen of it for ten election times.

The test that voters follow the published file now also asks for no alarm at every step.

--- a/coordination/node/src/status.rs
+++ b/coordination/node/src/status.rs
@@ -20,10 +20,12 @@
     /// Returns the state of the system as this host sees it.
     pub fn status(&self, now: Duration) -> StatusBody {
         let view = self.view();
-        let (alarms, members) = {
+        let (mut alarms, members, absent) = {
             let core = self.core();
-            (core.alarms().to_vec(), Members::new(core.replica()))
+            let replica = core.replica();
+            (core.alarms().to_vec(), Members::new(replica), replica.absent())
         };
+        alarms.extend(absent.into_iter().map(|host| self.absent_alarm(host)));
         let ctx = self.ctx(now);
         let hosts = self.host_rows(now, &members);
         let owner = self.owner();
@@ -74,6 +76,13 @@
         rows
     }
 
+    /// Says that a named voter is not there.
+    fn absent_alarm(&self, host: HostId) -> String {
+        let known = self.with_directory(|dir| dir.domain(host).is_some());
+        let what = if known { "shows no data folder" } else { "is not in [hosts]" };
+        format!("host {host} is named as a voter and {what}")
+    }
+
     /// Returns at most `limit` audit entries from a sequence on.
     pub fn audit(&self, from: u64, limit: usize) -> AuditPage {
         let core = self.core();
--- a/coordination/node/tests/state.rs
+++ b/coordination/node/tests/state.rs
@@ -163,12 +163,49 @@
     let text =
         "[service]\nname = system\nversion = 1\nkind = system\n[cluster]\nvoters = 2, 3, 4\n";
     publish(&mut cluster, 5, "system.ini", text).expect("a quorum is left");
-    assert!(cluster.run_until(LIMIT, |it| voters(it) == [2, 3, 4]));
+    let followed = cluster.run_until(LIMIT, |it| {
+        let leader = it.leader().expect("there is a leader");
+        assert_eq!(it.node(leader).status(it.now).alarms, [""; 0]);
+        voters(it) == [2, 3, 4]
+    });
+    assert!(followed);
     cluster.kill(1);
     cluster.kill(2);
     publish(&mut cluster, 5, "notes.ini", &notes(2)).expect("two of the new voters are left");
 }
 
+#[test]
+fn named_voters_that_are_not_there_raise_an_alarm() {
+    let mut cluster = ready(5, 3);
+    let alarms = |it: &Cluster| {
+        let leader = it.leader().expect("there is a leader");
+        it.node(leader).status(it.now).alarms
+    };
+    let system = |version: u64, voters: &str| {
+        format!(
+            "[service]\nname = system\nversion = {version}\nkind = system\n\
+             [cluster]\nvoters = {voters}\n"
+        )
+    };
+    publish(&mut cluster, 5, "system.ini", &system(1, "1, 2, 3, 4, 7")).expect("accepted");
+    let four = "host 4 is named as a voter and shows no data folder";
+    let seven = "host 7 is named as a voter and is not in [hosts]";
+    cluster.run(Duration::from_secs(5));
+    assert_eq!(alarms(&cluster), [four, seven]);
+    cluster.kill(4);
+    cluster.replace_disk(4);
+    cluster.start(4);
+    assert!(cluster.run_until(LIMIT, |it| voters(it) == [1, 2, 3, 4]));
+    cluster.run(Duration::from_secs(20));
+    assert_eq!(alarms(&cluster), [seven]);
+    let leader = cluster.leader().expect("there is a leader");
+    let other = (1..=3).find(|&host| host != leader).expect("three voters");
+    assert!(cluster.node(other).status(cluster.now).alarms.is_empty(), "the leader knows");
+    publish(&mut cluster, 5, "system.ini", &system(2, "1, 2, 3, 4")).expect("accepted");
+    cluster.run(Duration::from_secs(1));
+    assert!(alarms(&cluster).is_empty());
+}
+
 #[test]
 fn a_host_cut_off_for_ten_minutes_comes_back_without_harm() {
     let mut cluster = ready(5, 3);
--- a/state/replog/src/change.rs
+++ b/state/replog/src/change.rs
@@ -7,7 +7,7 @@
 use crate::{
     Replica,
     group::{is_quorum, member, voters, with, within, without},
-    lead::{Arrival, Lead},
+    lead::{Arrival, Lead, OBSERVER_ELECTIONS},
     peer::Peer,
     replica::Role,
 };
@@ -174,6 +174,14 @@
         other.is_none() && self.answers(lead, member.host, self.settings.election)
     }
 
+    /// Tells whether a host is no member and shows no data folder.
+    pub(crate) fn is_absent(&self, lead: &Lead, host: HostId) -> bool {
+        let span = self.settings.election * OBSERVER_ELECTIONS;
+        let arrival = lead.arrivals.get(&host);
+        let seen = arrival.is_some_and(|it| within(self.now, it.at, span));
+        !seen && member(self.log.members(), host).is_none()
+    }
+
     fn recent_arrival(&self, lead: &Lead, host: HostId) -> Option<Arrival> {
         let span: Duration = self.settings.election;
         let arrival = lead.arrivals.get(&host).copied();
--- a/state/replog/src/lead.rs
+++ b/state/replog/src/lead.rs
@@ -26,7 +26,7 @@
 /// Rounds of a new leader that all hosts get.
 const FIRST_ROUNDS: u64 = 2;
 /// Election times after which a silent observer is no longer served.
-const OBSERVER_ELECTIONS: u32 = 10;
+pub(crate) const OBSERVER_ELECTIONS: u32 = 10;
 
 /// A leader's state.
 #[derive(Debug)]
--- a/state/replog/src/replica.rs
+++ b/state/replog/src/replica.rs
@@ -164,6 +164,14 @@
         members.iter().filter(|it| self.is_heard(lead, it)).map(|it| it.host).collect()
     }
 
+    /// On a leader: the hosts that should vote, are no members and have shown no
+    /// data folder for as long as a silent observer is served.
+    pub fn absent(&self) -> Vec<HostId> {
+        let Role::Leader(lead) = &self.role else { return Vec::new() };
+        let hosts = lead.want.iter().flatten().copied();
+        hosts.filter(|&host| self.is_absent(lead, host)).collect()
+    }
+
     fn finish(&mut self) -> Vec<Output> {
         self.apply();
         let last = self.log.last();
