Let hosts that leave together end at once

Cause: a leaving host waited for another one to take its targets, also when all others were leaving or gone, until the drain limit of 30 s. Ruled out: requests in progress; there were none. Change: a host without a possible successor ends as soon as nothing is in progress. Test hosts_that_leave_together: none had ended after 10 s before, all after.

--- a/coordination/node/src/lib.rs
+++ b/coordination/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod heard;
 mod held;
 mod io;
+mod life;
 mod machine;
 mod member;
 mod node;
--- a/coordination/node/src/node.rs
+++ b/coordination/node/src/node.rs
@@ -18,11 +18,12 @@
 };
 
 use crate::{
-    Change, Input, Output, Start,
+    Input, Output, Start,
     core::Core,
     desk::Desk,
     effect::{Effect, Effects},
     entry::Entry,
+    life::Life,
     machine::{Applied, Event, Machine},
     member::Member,
     owner::Owner,
@@ -64,18 +65,6 @@
     routed: Mutex<Arc<View>>,
 }
 
-/// The host's own life.
-#[derive(Debug, Default)]
-struct Life {
-    ticks: u64,
-    /// When a shutdown began.
-    leaving: Option<Duration>,
-    drain: Duration,
-    exited: bool,
-    /// Hosts without a lease, from the last grant.
-    suspect: Vec<HostId>,
-}
-
 impl Node {
     /// Starts a host.
     pub fn new(now: Duration, settings: Settings, start: Start) -> (Node, Vec<Output>) {
@@ -172,6 +161,10 @@
         lock(&self.entry)
     }
 
+    pub(crate) fn life(&self) -> MutexGuard<'_, Life> {
+        lock(&self.life)
+    }
+
     pub(crate) fn host(&self) -> HostId {
         self.host
     }
@@ -322,7 +315,7 @@
         }
         self.change_directory(|dir| dir.granted(now, grant));
         let lost = {
-            let mut life = lock(&self.life);
+            let mut life = self.life();
             let before = std::mem::replace(&mut life.suspect, grant.suspect.clone());
             let new = life.suspect.iter().filter(|host| !before.contains(host));
             new.copied().collect::<Vec<_>>()
@@ -371,7 +364,7 @@
         lock(&self.desk).tick(&ctx, fx);
         self.owner().tick(&ctx, fx);
         let ticks = {
-            let mut life = lock(&self.life);
+            let mut life = self.life();
             life.ticks += 1;
             life.ticks
         };
@@ -436,37 +429,6 @@
         }
     }
 
-    fn shutdown(&self, now: Duration, fx: &mut Effects) {
-        let mut life = lock(&self.life);
-        if life.leaving.is_some() {
-            return;
-        }
-        life.leaving = Some(now);
-        drop(life);
-        self.entry().leave();
-        self.owner().leaving = true;
-        fx.out(Output::Changed(Change::Leaving));
-    }
-
-    /// Ends once nothing is in progress and the targets are given up, or when
-    /// the limit is reached.
-    fn try_exit(&self, now: Duration, fx: &mut Effects) {
-        let (since, drain) = {
-            let life = lock(&self.life);
-            let Some(since) = life.leaving.filter(|_| !life.exited) else { return };
-            (since, life.drain)
-        };
-        let open = self.entry().len() + self.owner().attempts.len();
-        let owns = !self.owner().targets.is_empty();
-        let limit = now >= since + drain;
-        let alone = self.ctx(now).lease.is_none();
-        if !limit && (open > 0 || (owns && !alone)) {
-            return;
-        }
-        lock(&self.life).exited = true;
-        fx.out(Output::Exit(open as u32));
-    }
-
     /// Returns the host that a target should report to and its fencing number.
     pub fn report_to(&self, target: &str) -> Option<(HostId, Fence)> {
         let view = self.view();
--- a/coordination/node/tests/promises.rs
+++ b/coordination/node/tests/promises.rs
@@ -307,3 +307,16 @@
     cluster.input(1, Input::CallFailed { request, failure });
     cluster.run(seconds(1));
 }
+
+#[test]
+fn hosts_that_leave_together_do_not_wait_for_each_other() {
+    let mut cluster = with_engine(Target::engine("e1", 1, true));
+    for host in 1..=6 {
+        cluster.input(host, Input::Shutdown);
+    }
+    // Nobody is left to take the target over; the drain limit is 30 s.
+    cluster.run(seconds(10));
+    for host in 1..=6 {
+        assert_eq!(cluster.exited(host), Some(0), "host {host}");
+    }
+}
--- a/coordination/route/src/directory.rs
+++ b/coordination/route/src/directory.rs
@@ -250,6 +250,12 @@
         Candidate { host, near, weight: requests.max(1), capacity, running, queued }
     }
 
+    /// Returns whether another host could take over this host's targets.
+    pub fn has_successor(&self, now: Duration) -> bool {
+        let mut others = self.hosts.keys().filter(|host| self.own != Some(**host));
+        others.any(|host| self.is_usable(now, *host))
+    }
+
     fn is_usable(&self, now: Duration, host: HostId) -> bool {
         if self.closed.contains(&host) && self.own != Some(host) {
             return false;
