Keep a voter until as many others vote as are wanted

Cause: a published file that names a host without a data folder in place of a voter removed that voter at once and left a smaller quorum (seen with ten hosts; test a_voter_stays_until_its_successor_votes: voters 1, 2). Ruled out: the order of changes; members still change one at a time. Change: a member that is not wanted stays while removing it would leave fewer voters than are wanted. After: 1, 2, 3 until the successor has caught up.

--- a/coordination/node/tests/state.rs
+++ b/coordination/node/tests/state.rs
@@ -264,3 +264,17 @@
     assert!(cluster.run_until(LIMIT, |it| it.told[&key].ended()));
     assert!(cluster.told[&key].whole, "{:?}", cluster.told[&key].fault);
 }
+
+#[test]
+fn a_voter_stays_until_its_successor_votes() {
+    let mut cluster = ready(5, 3);
+    let text =
+        "[service]\nname = system\nversion = 1\nkind = system\n[cluster]\nvoters = 1, 2, 5\n";
+    publish(&mut cluster, 4, "system.ini", text).expect("a quorum is left");
+    cluster.run(Duration::from_secs(30));
+    assert_eq!(voters(&cluster), [1, 2, 3]);
+    cluster.kill(5);
+    cluster.replace_disk(5);
+    cluster.start(5);
+    assert!(cluster.run_until(LIMIT, |it| voters(it) == [1, 2, 5]));
+}
--- a/state/replog/src/change.rs
+++ b/state/replog/src/change.rs
@@ -128,8 +128,8 @@
         None
     }
 
-    /// Finds a member that is not wanted, once all wanted hosts that are there
-    /// vote. The leader itself goes last.
+    /// Finds a member that is not wanted, once no wanted host is learning and as
+    /// many voters are left as are wanted. The leader itself goes last.
     fn removal(&self, lead: &Lead) -> Option<HostId> {
         let members = self.log.members();
         let want = lead.want.as_ref()?;
@@ -141,6 +141,9 @@
             if want.contains(&host) || pending {
                 continue;
             }
+            if voters(&without(members, host)).count() < want.len() {
+                continue;
+            }
             if self.can_do_without(lead, host) {
                 return Some(host);
             }
