--- a/coordination/node/src/status.rs
+++ b/coordination/node/src/status.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use api::{AuditPage, HostRow, QuarantineRow, ServiceReceipt, StatusBody, TargetRow};
+use history::to_hex;
 use replog::Replica;
 use wire::{HostId, Member, Pin, Role};
 
@@ -89,7 +90,7 @@
         let history = &core.machine().history;
         let (last, head) = history.head();
         let entries = history.entries(from).iter().take(limit).map(history::to_api).collect();
-        AuditPage { entries, last, head: hex(&head) }
+        AuditPage { entries, last, head: to_hex(&head) }
     }
 }
 
@@ -153,7 +154,7 @@
         rows.push(ServiceReceipt {
             service: service.clone(),
             version: info.declaration.version,
-            digest: hex(&info.digest),
+            digest: to_hex(&info.digest),
             index: info.index,
         });
     }
@@ -162,10 +163,7 @@
 
 fn quarantine_rows(view: &View) -> Vec<QuarantineRow> {
     let list = view.strikes.list();
-    list.into_iter().map(|(print, strikes)| QuarantineRow { print: hex(&print), strikes }).collect()
-}
-
-/// Writes bytes in hexadecimal.
-pub fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+    list.into_iter()
+        .map(|(print, strikes)| QuarantineRow { print: to_hex(&print), strikes })
+        .collect()
 }
--- a/state/history/src/export.rs
+++ b/state/history/src/export.rs
@@ -5,8 +5,8 @@
 use crate::{Break, Change, Entry, Hash};
 
 /// Writes a hash in hexadecimal.
-pub fn to_hex(hash: &Hash) -> String {
-    hash.iter().map(|it| format!("{it:02x}")).collect()
+pub fn to_hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|it| format!("{it:02x}")).collect()
 }
 
 /// Reads a hash written in lower-case hexadecimal.
