--- a/state/replog/src/log.rs
+++ b/state/replog/src/log.rs
@@ -178,7 +178,8 @@
     }
 }
 
-fn entry_bytes(entry: &Entry) -> usize {
+/// Returns about how many bytes an entry takes.
+pub(crate) fn entry_bytes(entry: &Entry) -> usize {
     match &entry.body {
         EntryBody::Noop => ENTRY_BYTES,
         EntryBody::Members(m) => ENTRY_BYTES * (m.members.len() + 1),
--- a/state/replog/src/replica.rs
+++ b/state/replog/src/replica.rs
@@ -15,7 +15,7 @@
     found::Fresh,
     group::{is_voter, within},
     lead::{Lead, OBSERVER_ROUNDS},
-    log::Log,
+    log::{Log, entry_bytes},
     queue::Queue,
 };
 
@@ -56,6 +56,8 @@
     announced: (Option<HostId>, Term),
     alarmed: BTreeSet<Alarm>,
     snapshot_due: bool,
+    /// Bytes of entries applied since the last snapshot.
+    grown: usize,
 }
 
 /// What a replica does in its term.
@@ -115,6 +117,7 @@
             rng,
             alarmed: BTreeSet::new(),
             snapshot_due: false,
+            grown: 0,
         };
         replica.set_deadline();
         replica.out.extend(snapshot.map(Output::Restore));
@@ -275,23 +278,33 @@
         let keep = self.settings.snapshot_after / KEEP_SHARE;
         if let Some(snap) = self.log.compact(index, state, keep) {
             self.queue.push(Op::Snapshot(snap));
+            self.grown = 0;
         }
     }
 
+    /// Tells whether a snapshot is due: enough entries came, and they hold at
+    /// least as much as the last snapshot, so that snapshots never cost more than
+    /// the entries do.
+    fn is_snapshot_due(&self) -> bool {
+        let (covered, size) = self.log.snapshot().map_or((0, 0), |s| (s.index, s.state.len()));
+        let enough = self.applied >= covered + self.settings.snapshot_after;
+        enough && self.grown >= size && !self.snapshot_due
+    }
+
     fn apply(&mut self) {
         while self.applied < self.commit {
             let Some(entry) = self.log.get(self.applied + 1) else {
                 break;
             };
             self.out.push(Output::Apply(entry.clone()));
+            self.grown += entry_bytes(entry);
             self.applied += 1;
         }
         if self.voter.is_none() {
             self.log.forget(self.applied);
             return;
         }
-        let covered = self.log.snapshot().map_or(0, |s| s.index);
-        if !self.snapshot_due && self.applied >= covered + self.settings.snapshot_after {
+        if self.is_snapshot_due() {
             self.snapshot_due = true;
             self.out.push(Output::SnapshotDue);
         }
