--- a/coordination/node/benches/control.rs
+++ b/coordination/node/benches/control.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use common::{Cluster, NOTES, ready, target::Target};
+use common::{Cluster, Layout, NOTES, ready_in, target::Target};
 use wire::HostId;
 
 const LOSS_PERCENT: u64 = 5;
@@ -21,6 +21,7 @@
 const LIMIT: Duration = Duration::from_secs(40);
 const LEASE: Duration = Duration::from_secs(3);
 const VOTERS: u32 = 3;
+const DOMAINS: u32 = 3;
 const TARGETS_PER_HOST: u32 = 3;
 
 fn clock() -> Duration {
@@ -28,8 +29,8 @@
     START.get_or_init(Instant::now).elapsed()
 }
 
-fn cluster(hosts: u32) -> Cluster {
-    let mut cluster = ready(hosts, VOTERS);
+fn cluster(hosts: u32, domains: u32) -> Cluster {
+    let mut cluster = ready_in(Layout { hosts, voters: VOTERS, domains });
     for number in 0..hosts * TARGETS_PER_HOST {
         let mut target = Target::engine(&format!("e{number}"), number as u8, true);
         target.info.addr = format!("127.9.{}.{}:9000", number / 200, number % 200);
@@ -56,7 +57,7 @@
     println!("hosts  leader B/s  voter B/s  observer B/s  leader us  voter us  observer us");
     let mut rows: [Vec<(f64, f64)>; 6] = Default::default();
     for hosts in [5, 10, 20, 40, 60] {
-        let mut cluster = cluster(hosts);
+        let mut cluster = cluster(hosts, DOMAINS);
         cluster.links.sent.clear();
         cluster.spent.clear();
         cluster.clock = Some(clock);
@@ -112,16 +113,17 @@
         JITTER.as_millis()
     );
     println!("target: 5 s, and {} s with a failure domain cut off", LEASE.as_secs() + 5);
-    println!("hosts  median s  longest s  one domain cut off s");
+    println!("hosts  domains  median s  longest s  one domain cut off s");
     let mut points = Vec::new();
-    for hosts in [5, 10, 20, 40] {
-        let mut cluster = cluster(hosts);
+    let layouts = [(5, 3), (10, 3), (20, 3), (40, 3), (36, 4), (36, 6), (36, 9), (36, 18)];
+    for (hosts, domains) in layouts {
+        let mut cluster = cluster(hosts, domains);
         cluster.links.loss_percent = LOSS_PERCENT;
         cluster.links.jitter = JITTER;
         let times = publish_times(&mut cluster, PUBLISHES);
         let leader = cluster.leader().expect("there is a leader");
-        let domain = (leader + 1) % 3;
-        for id in (1..=hosts).filter(|id| id % 3 == domain) {
+        let domain = (leader + 1) % domains;
+        for id in (1..=hosts).filter(|id| id % domains == domain) {
             cluster.isolate(id);
         }
         let text = NOTES.replace("version = 1", "version = 999");
@@ -131,10 +133,12 @@
         let cut = (cluster.now - began).as_secs_f64();
         let median = times[times.len() / 2];
         let longest = times.last().copied().unwrap_or_default();
-        points.push((f64::from(hosts), median));
-        println!("{hosts:>5}  {median:>8.3}  {longest:>9.3}  {cut:>20.3}");
+        if domains == DOMAINS {
+            points.push((f64::from(hosts), median));
+        }
+        println!("{hosts:>5}  {domains:>7}  {median:>8.3}  {longest:>9.3}  {cut:>20.3}");
     }
-    println!("slope  {:>8.5} s per host\n", slope(&points));
+    println!("slope           {:>8.5} s per host in {DOMAINS} failure domains\n", slope(&points));
 }
 
 /// Time without answers after the leader or an owner is killed.
@@ -142,7 +146,7 @@
     println!("time until a host's loss is made good, 10 hosts");
     println!("lost    leader known s  all targets owned s");
     for (name, is_leader) in [("leader", true), ("owner", false)] {
-        let mut cluster = cluster(10);
+        let mut cluster = cluster(10, DOMAINS);
         let leader = cluster.leader().expect("there is a leader");
         let owner = cluster.owner("e5").expect("owned");
         let lost = if is_leader { leader } else { owner };
--- a/coordination/node/src/core.rs
+++ b/coordination/node/src/core.rs
@@ -225,7 +225,6 @@
             }
         }
         fx.push(Effect::Viewed);
-        fx.push(Effect::Restored);
         self.repeat_unseen(fx);
     }
 
--- a/coordination/node/src/effect.rs
+++ b/coordination/node/src/effect.rs
@@ -17,8 +17,6 @@
     Applied(Box<Event>),
     /// The view changed: registry, configuration, strikes or leader.
     Viewed,
-    /// The whole state was replaced by a snapshot.
-    Restored,
 }
 
 /// The consequences of a step, in order.
--- a/coordination/node/src/node.rs
+++ b/coordination/node/src/node.rs
@@ -140,7 +140,7 @@
                 Effect::Send(to, msg) => outputs.push(Output::Send { to, msg }),
                 Effect::Propose(command) => jobs.push_back(Job::Propose(command)),
                 Effect::Applied(event) => jobs.push_back(Job::Applied(event)),
-                Effect::Viewed | Effect::Restored => jobs.push_back(Job::Viewed),
+                Effect::Viewed => jobs.push_back(Job::Viewed),
             }
         }
     }
--- a/coordination/node/tests/common/mod.rs
+++ b/coordination/node/tests/common/mod.rs
@@ -21,7 +21,7 @@
 
 pub use self::{
     link::Links,
-    requests::{BOOKING, NOTES, booking, completion, ready},
+    requests::{BOOKING, NOTES, booking, completion, ready, ready_in},
 };
 
 const LINK_DELAY: Duration = Duration::from_millis(2);
@@ -95,7 +95,7 @@
     /// Every message and call, if recorded.
     pub trace: Option<Vec<String>>,
     next_tag: Tag,
-    founders: u32,
+    layout: Layout,
 }
 
 fn empty_disk(host: HostId, number: u64) -> replog::Recovered {
@@ -107,17 +107,27 @@
     }
 }
 
-pub fn settings(host: HostId, hosts: u32, voters: u32) -> Settings {
+/// How many hosts there are, how many of them vote, and in how many failure
+/// domains they are.
+#[derive(Debug, Clone, Copy)]
+pub struct Layout {
+    pub hosts: u32,
+    pub voters: u32,
+    pub domains: u32,
+}
+
+pub fn settings(host: HostId, layout: Layout) -> Settings {
+    let Layout { hosts, voters, domains } = layout;
     let mut text = format!(
         "[host]\nid = {host}\nip = 127.1.0.{host}\ndomain = d{}\nseed = {host}\n",
-        host % 3
+        host % domains
     );
     if host <= voters {
         text.push_str("data_dir = /unused\n");
     }
     text.push_str("[hosts]\n");
     for id in 1..=hosts {
-        text.push_str(&format!("{id} = 127.1.0.{id} d{}\n", id % 3));
+        text.push_str(&format!("{id} = 127.1.0.{id} d{}\n", id % domains));
     }
     let founders: Vec<String> = (1..=voters).map(|id| id.to_string()).collect();
     text.push_str(&format!("[cluster]\nfounders = {}\n", founders.join(", ")));
@@ -125,8 +135,9 @@
 }
 
 impl Cluster {
-    /// Starts `hosts` hosts of which the first `voters` have disks.
-    pub fn new(hosts: u32, voters: u32) -> Cluster {
+    /// Starts the hosts; the first ones have disks.
+    pub fn new(layout: Layout) -> Cluster {
+        let Layout { hosts, voters, .. } = layout;
         let mut cluster = Cluster {
             now: Duration::ZERO,
             hosts: BTreeMap::new(),
@@ -144,9 +155,8 @@
             revival: None,
             trace: None,
             next_tag: 1,
-            founders: 0,
+            layout,
         };
-        cluster.founders = voters;
         for host in 1..=hosts {
             let disk = (host <= voters).then(|| empty_disk(host, 1));
             cluster.hosts.insert(
@@ -175,14 +185,14 @@
 
     /// Starts a host, or starts it again after [`Cluster::kill`].
     pub fn start(&mut self, id: HostId) {
-        let (hosts, voters) = (self.hosts.len() as u32, self.founders);
+        let layout = self.layout;
         let now = self.now;
         let wall = self.wall();
         let Some(host) = self.hosts.get_mut(&id) else { return };
         host.run += 1;
         let run = host.run;
         let start = Start { incarnation: run, disk: host.disk.clone(), wall };
-        let (node, outputs) = Node::new(now, settings(id, hosts, voters), start);
+        let (node, outputs) = Node::new(now, settings(id, layout), start);
         host.node = Some(node);
         host.exited = None;
         self.carry_out(id, outputs);
--- a/coordination/node/tests/common/requests.rs
+++ b/coordination/node/tests/common/requests.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use node::Caller;
 
-use super::{Cluster, WALL_START_MS};
+use super::{Cluster, Layout, WALL_START_MS};
 
 /// A model request of a caller.
 pub fn completion(model: &str, prompt: &str) -> Caller {
@@ -47,7 +47,12 @@
 
 /// Starts hosts, publishes the test declarations, waits until they are in force.
 pub fn ready(hosts: u32, voters: u32) -> Cluster {
-    let mut cluster = Cluster::new(hosts, voters);
+    ready_in(Layout { hosts, voters, domains: 3 })
+}
+
+/// The same, in a given number of failure domains.
+pub fn ready_in(layout: Layout) -> Cluster {
+    let mut cluster = Cluster::new(layout);
     let tag = cluster.publish(1, &[("notes.ini", NOTES), ("booking.ini", BOOKING)]);
     let done = cluster.run_until(Duration::from_secs(20), |it| it.published.contains_key(&tag));
     assert!(done, "the publish ended: {:?}", cluster.node(1).status(cluster.now));
