--- a/coordination/node/src/orders.rs
+++ b/coordination/node/src/orders.rs
@@ -91,32 +91,13 @@
     }
 
     fn slot(&mut self, ctx: &Ctx, planner: HostId, grant: SlotGrant, fx: &mut Effects) {
-        let order = match ctx.lease {
-            Some(_) => self.policy.place(ctx.now, grant.adapter),
-            None => None,
-        };
-        let usable = order.filter(|order| self.is_allowed(ctx, order));
-        let Some(order) = usable else {
+        let placed = self.place(ctx, grant.adapter);
+        let reserved = placed.and_then(|order| Some((order, self.reserve(&order)?)));
+        let Some((order, (action, incarnation))) = reserved else {
             let done = SlotDone { slot: grant.slot, used: false, ok: false };
             fx.send(planner, PeerMsg::SlotDone(done));
-            if let Some(order) = order {
-                self.policy.loaded(ctx.now, order, false);
-            }
             return;
         };
-        let Some(held) = self.targets.get_mut(&order.target) else { return };
-        let Some(incarnation) = held.incarnation else { return };
-        let action = match order.victim {
-            Some(victim) => {
-                held.set_presence(victim, Presence::Evicting);
-                Action::Evict
-            }
-            None => {
-                held.adapters.insert(order.adapter, Slot::new(Presence::Loading, false));
-                Action::Load
-            }
-        };
-        self.dirty.insert(order.target);
         let id = self.next_order;
         self.next_order += 1;
         let job = Job {
@@ -136,6 +117,31 @@
         self.flush(ctx);
     }
 
+    /// Asks the policy where to load an adapter, and checks its order.
+    fn place(&mut self, ctx: &Ctx, adapter: AdapterId) -> Option<LoadOrder> {
+        ctx.lease?;
+        let order = self.policy.place(ctx.now, adapter)?;
+        if self.is_allowed(ctx, &order) {
+            return Some(order);
+        }
+        self.policy.loaded(ctx.now, order, false);
+        None
+    }
+
+    /// Marks what an order will change. Returns its first action and the run of
+    /// the target.
+    fn reserve(&mut self, order: &LoadOrder) -> Option<(Action, Incarnation)> {
+        let held = self.targets.get_mut(&order.target)?;
+        let incarnation = held.incarnation?;
+        self.dirty.insert(order.target);
+        if let Some(victim) = order.victim {
+            held.set_presence(victim, Presence::Evicting);
+            return Some((Action::Evict, incarnation));
+        }
+        held.adapters.insert(order.adapter, Slot::new(Presence::Loading, false));
+        Some((Action::Load, incarnation))
+    }
+
     /// Checks an order of the policy against what must hold.
     fn is_allowed(&self, ctx: &Ctx, order: &LoadOrder) -> bool {
         let Some(held) = self.targets.get(&order.target) else { return false };
