--- a/coordination/node/src/orders.rs
+++ b/coordination/node/src/orders.rs
@@ -299,7 +299,6 @@
             }
             Action::Evict => held.set_presence(job.subject(), Presence::Ready),
         }
-        self.stats.load_ended(ok);
         self.dirty.insert(job.order.target);
         self.flush(ctx);
         self.policy.loaded(ctx.now, job.order, ok);
--- a/coordination/node/src/stats.rs
+++ b/coordination/node/src/stats.rs
@@ -21,8 +21,6 @@
     total: f64,
     /// Whether the leader was last told of wanted loads.
     pub(crate) wanted: bool,
-    pub(crate) loads: u64,
-    pub(crate) failed: u64,
 }
 
 impl Stats {
@@ -43,14 +41,6 @@
         self.total = stalled;
     }
 
-    pub(crate) fn load_ended(&mut self, ok: bool) {
-        if ok {
-            self.loads += 1;
-        } else {
-            self.failed += 1;
-        }
-    }
-
     /// Returns the seconds that requests waited for adapters.
     pub(crate) fn stalled(&self) -> f64 {
         self.buckets.iter().map(|bucket| bucket.stalled).sum()
--- a/coordination/node/tests/common/link.rs
+++ b/coordination/node/tests/common/link.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use node::Input;
-use wire::{HostId, LogBody, PeerMsg};
+use wire::{HostId, PeerMsg};
 
 use super::{Cluster, Event, LINK_DELAY};
 
@@ -36,19 +36,6 @@
     last: BTreeMap<(HostId, HostId), Duration>,
 }
 
-/// Returns whether the daemon sends a message as a datagram.
-fn is_datagram(msg: &PeerMsg) -> bool {
-    match msg {
-        PeerMsg::Renew(_) | PeerMsg::Grant(_) => true,
-        PeerMsg::Log(log) => match &log.body {
-            LogBody::Append { entries, .. } => entries.is_empty(),
-            LogBody::Install { .. } => false,
-            _ => true,
-        },
-        _ => false,
-    }
-}
-
 impl Cluster {
     /// A host that has ended refuses connections, so a request for it stays.
     fn give_back(&mut self, from: HostId, to: HostId, msg: &PeerMsg) {
@@ -85,7 +72,7 @@
     fn delay(&mut self, from: HostId, to: HostId, msg: &PeerMsg) -> Option<Duration> {
         let lost = self.mixed() % 100 < self.links.loss_percent;
         let delay = LINK_DELAY + self.part(self.links.jitter);
-        if is_datagram(msg) {
+        if msg.is_periodic() {
             return (!lost).then_some(delay);
         }
         let delay = if lost { delay + RESEND } else { delay };
--- a/protocol/wire/src/id.rs
+++ b/protocol/wire/src/id.rs
@@ -38,8 +38,3 @@
 pub fn request_id(host: HostId, run: Incarnation, seq: u64) -> RequestId {
     (u64::from(host) << HOST_SHIFT) | ((run & RUN_MASK) << RUN_SHIFT) | (seq & SEQ_MASK)
 }
-
-/// Returns the entry host of a request.
-pub fn request_host(id: RequestId) -> HostId {
-    (id >> HOST_SHIFT) as HostId
-}
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -20,7 +20,7 @@
     error::{ErrorKind, Fault, Ran, Retry, Row},
     id::{
         AdapterId, CallerId, DomainId, Fence, Fingerprint, GroupId, HostId, Incarnation, Index,
-        RequestId, Revision, TargetId, Term, VoterId, request_host, request_id,
+        RequestId, Revision, TargetId, Term, VoterId, request_id,
     },
     log::{Entry, EntryBody, LogBody, LogMsg, Member, Membership, Role, Snapshot},
     message::{
--- a/protocol/wire/src/message.rs
+++ b/protocol/wire/src/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    AdapterId, CallerId, DomainId, Fault, Fingerprint, HostId, Incarnation, Index, LogMsg,
+    AdapterId, CallerId, DomainId, Fault, Fingerprint, HostId, Incarnation, Index, LogBody, LogMsg,
     Proposal, RequestId, TargetReport,
 };
 
@@ -286,3 +286,19 @@
         domains: Vec<DomainForce>,
     },
 }
+
+impl PeerMsg {
+    /// Returns whether the message may be lost without harm: it is repeated with
+    /// the next period, so it may travel by UDP.
+    pub fn is_periodic(&self) -> bool {
+        match self {
+            PeerMsg::Renew(_) | PeerMsg::Grant(_) => true,
+            PeerMsg::Log(log) => match &log.body {
+                LogBody::Append { entries, .. } => entries.is_empty(),
+                LogBody::Install { .. } => false,
+                _ => true,
+            },
+            _ => false,
+        }
+    }
+}
--- a/transport/peer/src/hub.rs
+++ b/transport/peer/src/hub.rs
@@ -18,7 +18,7 @@
     net::{TcpListener, UdpSocket},
     task::JoinHandle,
 };
-use wire::{HostId, Incarnation, LogBody, MAX_FRAME_BYTES, PeerMsg, RequestId};
+use wire::{HostId, Incarnation, MAX_FRAME_BYTES, PeerMsg, RequestId};
 
 use crate::{
     auth::Key,
@@ -169,7 +169,7 @@
             link.overflow(msg);
             return;
         }
-        if fits_datagram(msg) && payload.len() + DATAGRAM_EXTRA <= MAX_DATAGRAM_BYTES {
+        if msg.is_periodic() && payload.len() + DATAGRAM_EXTRA <= MAX_DATAGRAM_BYTES {
             self.send_datagram(to, msg, &payload);
             return;
         }
@@ -214,19 +214,6 @@
     }
 }
 
-/// Whether a message may travel by UDP: it is repeated if it is lost.
-fn fits_datagram(msg: &PeerMsg) -> bool {
-    match msg {
-        PeerMsg::Renew(_) | PeerMsg::Grant(_) => true,
-        PeerMsg::Log(log) => match &log.body {
-            LogBody::Append { entries, .. } => entries.is_empty(),
-            LogBody::Install { .. } => false,
-            _ => true,
-        },
-        _ => false,
-    }
-}
-
 /// Opens the UDP socket: a side that never waits, to send, and one to receive.
 fn bind_udp(addr: SocketAddr) -> io::Result<(std::net::UdpSocket, UdpSocket)> {
     let sender = std::net::UdpSocket::bind(addr)?;
