--- /dev/null
+++ b/coordination/fleet/src/event.rs
@@ -0,0 +1,152 @@
+//! What a host writes to its log: one event for each change of what it believes
+//! and for each decision about a request.
+
+use serde::Serialize;
+use wire::{HostId, Index, Term};
+
+use crate::OrderOutcome;
+
+/// A log line.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event {
+    /// The process started.
+    Started {
+        /// The host's name.
+        name: String,
+        /// Its failure domain.
+        domain: String,
+        /// Whether it has a disk.
+        disk: bool,
+        /// Whether the whole system starts for the first time.
+        first_start: bool,
+    },
+    /// The settings were read anew.
+    Reloaded,
+    /// The process was told to end.
+    Stopping,
+    /// The process ends.
+    Stopped {
+        /// Requests that were cut.
+        cut: u64,
+    },
+    /// The leader or the term changed.
+    Leader {
+        /// The leader, if known.
+        leader: Option<HostId>,
+        /// The term.
+        term: Term,
+    },
+    /// Another host gives the orders.
+    Holder {
+        /// The host.
+        host: HostId,
+        /// Its fencing number.
+        fence: u64,
+    },
+    /// A configuration is in force here.
+    Config {
+        /// Its number.
+        number: u64,
+        /// The log index that brought it.
+        index: Index,
+    },
+    /// A version was named.
+    Version {
+        /// The adapter.
+        adapter: String,
+        /// The version.
+        version: u64,
+    },
+    /// A host is known, or changed.
+    Host {
+        /// The host.
+        host: HostId,
+        /// Whether it takes callers.
+        ready: bool,
+    },
+    /// A host has been silent.
+    HostSilent {
+        /// The host.
+        host: HostId,
+    },
+    /// A target is known, or changed.
+    Target {
+        /// Its name.
+        target: String,
+        /// The service.
+        service: String,
+        /// Its address.
+        addr: String,
+        /// What it does.
+        state: String,
+    },
+    /// A target has been silent.
+    TargetSilent {
+        /// Its name.
+        target: String,
+    },
+    /// An order was answered.
+    Ordered {
+        /// The target.
+        target: String,
+        /// Whether it was a load.
+        load: bool,
+        /// What it was about.
+        adapter: String,
+        /// The orders expected to come before.
+        expect: u64,
+        /// The fencing number.
+        fence: u64,
+        /// The answer.
+        outcome: OrderOutcome,
+        /// Time to the answer in milliseconds.
+        took_ms: u64,
+    },
+    /// This host follows another feed.
+    Follows {
+        /// The term of its writer.
+        term: Term,
+        /// The number of its last change.
+        last: u64,
+    },
+    /// The disk failed.
+    DiskFailed {
+        /// The refusal.
+        reason: String,
+    },
+    /// The data folder was opened anew.
+    DiskBack,
+    /// Something needs an operator.
+    Alarm {
+        /// What.
+        what: String,
+    },
+    /// An operator's change.
+    Change {
+        /// What it is about.
+        what: String,
+        /// What became of it.
+        outcome: &'static str,
+    },
+    /// A request that did not get a target's answer, or one in so many that did.
+    Request {
+        /// Its id.
+        id: String,
+        /// Its route.
+        route: String,
+        /// How it ended.
+        outcome: &'static str,
+        /// HTTP status of the answer; zero without one.
+        status: u16,
+        /// What was decided on the way, in order, with milliseconds since arrival.
+        steps: String,
+        /// Time from arrival to the end in milliseconds.
+        took_ms: u64,
+    },
+    /// Lines that were left out since the last such line.
+    LeftOut {
+        /// How many.
+        lines: u64,
+    },
+}
--- /dev/null
+++ b/coordination/fleet/src/lib.rs
@@ -0,0 +1,35 @@
+//! A host that sends callers' requests to targets itself: routes, choice of
+//! targets, retry budget, the hosts that find each other, and on the leader the
+//! adapters' places. Pure: inputs and the present time go in, outputs come out.
+
+mod budget;
+mod choose;
+mod config;
+mod demand;
+mod event;
+mod feed;
+mod hosts;
+mod io;
+mod lead;
+mod loads;
+mod machine;
+mod operator;
+mod place;
+mod request;
+mod routes;
+mod settings;
+mod targets;
+
+pub use crate::{
+    budget::RetryBudget,
+    choose::{Pick, Wanted, pick},
+    config::{Config, ConfigError, Engine, Kind, Limits, Model, Route, Service},
+    event::Event,
+    io::{Input, Order, OrderOutcome, Output, Reply, Report, Tag},
+    loads::{Loads, LoadsSettings, Step},
+    machine::Host,
+    request::{Ask, Choice, Outcome, Route404, Ticket},
+    routes::Routes,
+    settings::{Bounds, Settings},
+    targets::{Target, Targets, adapter_print},
+};
--- /dev/null
+++ b/coordination/fleet/src/request.rs
@@ -0,0 +1,285 @@
+//! Callers' requests: their routes, their targets, and what is counted of them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use wire::{AdapterPrint, FleetMsg, HostId, HostStatus, Incarnation, Running};
+
+use crate::{
+    Host, Pick, RetryBudget, Route, Targets, Wanted, feed::Position, io::Output, pick,
+    targets::adapter_print,
+};
+
+/// Time between two messages to the leader about requests that wait.
+const WANT_AGAIN: Duration = Duration::from_millis(300);
+/// Part of the time for a new version during which the former one may run.
+const FORMER_SHARE: f64 = 0.5;
+
+/// No route takes a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Route404 {
+    /// It is not known yet what is in force.
+    Unknown,
+    /// Nothing in force takes it.
+    None,
+}
+
+/// A request as far as its target is chosen by it.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service it goes to.
+    pub service: String,
+    /// `model` or `model/adapter`, of an engine's request.
+    pub adapter: Option<String>,
+    /// The targets it was sent to.
+    pub tried: BTreeSet<String>,
+}
+
+/// Where a request goes next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Choice {
+    /// To this target.
+    Send(Ticket),
+    /// Nowhere yet: its adapter is on its way.
+    Wait,
+    /// Nowhere yet: all targets that could run it are full.
+    Full,
+    /// Nowhere: no target of the service takes requests.
+    None,
+}
+
+/// A request's place at a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ticket {
+    /// The target's name.
+    pub target: String,
+    /// IP number and port.
+    pub addr: String,
+    adapter: AdapterPrint,
+}
+
+/// How a request ended at a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It answered; the time to the first byte.
+    Answered(Duration),
+    /// It answered with a failure of its own.
+    Failed,
+    /// It refused, and has not run it.
+    Refused,
+    /// It could not be reached, or broke off.
+    Missed,
+    /// The caller left, or its time ran out.
+    Left,
+}
+
+#[derive(Debug)]
+struct WaitingFor {
+    service: String,
+    count: u16,
+    told: Option<Duration>,
+}
+
+/// What is counted of the requests.
+#[derive(Debug, Default)]
+pub(crate) struct Requests {
+    asked: BTreeMap<AdapterPrint, u16>,
+    waiting: BTreeMap<String, WaitingFor>,
+    budgets: BTreeMap<String, RetryBudget>,
+    hosts: u16,
+    active: bool,
+}
+
+impl Requests {
+    /// Takes in how many hosts share the retry budget.
+    pub(crate) fn set_hosts(&mut self, hosts: u16) {
+        self.hosts = hosts;
+    }
+
+    /// Whether requests came since the last status.
+    pub(crate) fn is_active(&self) -> bool {
+        self.active
+    }
+
+    /// Makes the status for the leader.
+    pub(crate) fn status(
+        &mut self,
+        targets: &Targets,
+        run: Incarnation,
+        ready: bool,
+        position: Position,
+    ) -> HostStatus {
+        let mut running = Vec::new();
+        for target in targets.iter() {
+            let Some(number) = target.number else { continue };
+            for (&adapter, &count) in &target.running {
+                let count = u16::try_from(count).unwrap_or(u16::MAX);
+                running.push(Running { target: number, adapter, count });
+            }
+        }
+        let asked = std::mem::take(&mut self.asked).into_iter().collect();
+        self.active = !running.is_empty();
+        HostStatus { run, ready, epoch: position.epoch, last: position.last, running, asked }
+    }
+}
+
+impl Host {
+    /// Finds the route of a request and chooses its service.
+    pub fn route(
+        &self,
+        host: &str,
+        path: &str,
+        draw: u64,
+    ) -> Result<(Arc<Route>, String), Route404> {
+        if !self.knows_config() {
+            return Err(Route404::Unknown);
+        }
+        let route = self.routes.find(host, path).ok_or(Route404::None)?;
+        let service = route.service(draw).ok_or(Route404::None)?.to_owned();
+        Ok((route, service))
+    }
+
+    /// Counts a request that begins.
+    pub fn begin(&mut self, now: Duration, ask: &Ask) {
+        let window = self.settings.bounds.retry_window;
+        self.requests.budgets.entry(ask.service.clone()).or_default().request(now, window);
+        self.requests.active = true;
+        if let Some(adapter) = &ask.adapter {
+            let count = self.requests.asked.entry(adapter_print(adapter)).or_default();
+            *count = count.saturating_add(1);
+        }
+    }
+
+    /// Chooses the target of a request, and counts it there.
+    pub fn choose(&mut self, now: Duration, ask: &Ask, draw: u64) -> Choice {
+        let config = self.config.clone();
+        let engine = config
+            .as_ref()
+            .and_then(|it| it.services.get(&ask.service))
+            .and_then(|it| it.engine.as_ref());
+        let adapter = ask.adapter.as_deref().filter(|_| engine.is_some());
+        let (version, newest) = adapter.map_or((0, 0), |it| self.versions(now, it));
+        let domain = self.settings.domain.clone();
+        let wanted = Wanted {
+            service: &ask.service,
+            adapter,
+            version,
+            newest,
+            engine,
+            domain: &domain,
+            tried: &ask.tried,
+        };
+        match pick(now, &self.targets, &wanted, draw) {
+            Pick::Target(id) => {
+                let print = adapter.map_or(0, adapter_print);
+                let Some(target) = self.targets.get_mut(&id) else { return Choice::None };
+                *target.running.entry(print).or_default() += 1;
+                let addr = target.card.addr.clone();
+                self.requests.active = true;
+                Choice::Send(Ticket { target: id, addr, adapter: print })
+            }
+            Pick::Load => Choice::Wait,
+            Pick::Full => Choice::Full,
+            Pick::None => Choice::None,
+        }
+    }
+
+    /// The lowest version that may run a request, and the newest one.
+    fn versions(&self, now: Duration, adapter: &str) -> (u64, u64) {
+        let newest = self.desired.versions.get(adapter).copied().unwrap_or(0);
+        let grace = self.settings.bounds.version.mul_f64(FORMER_SHARE);
+        let due = self.named.get(adapter).is_none_or(|at| now >= *at + grace);
+        (if due { newest } else { 0 }, newest)
+    }
+
+    /// Takes a request off its target and notes how it ended there.
+    pub fn end(&mut self, now: Duration, ticket: &Ticket, outcome: Outcome) {
+        let Some(target) = self.targets.get_mut(&ticket.target) else { return };
+        if let Some(count) = target.running.get_mut(&ticket.adapter) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                target.running.remove(&ticket.adapter);
+            }
+        }
+        match outcome {
+            Outcome::Answered(delay) => target.health.answered(false, delay),
+            Outcome::Failed => target.health.answered(true, Duration::ZERO),
+            Outcome::Missed => target.health.missed(now),
+            Outcome::Refused | Outcome::Left => {}
+        }
+    }
+
+    /// Takes one further send of a request out of the budget, if there is room.
+    pub fn may_send_again(&mut self, now: Duration, service: &str) -> bool {
+        let bounds = &self.settings.bounds;
+        let hosts = f64::from(self.requests.hosts.max(1)) + 1.0;
+        let allowance = bounds.retry_allowance / hosts;
+        let budget = self.requests.budgets.entry(service.to_owned()).or_default();
+        budget.take(now, bounds.retry_window, bounds.retry_ratio, allowance)
+    }
+
+    /// Notes that a request begins to wait for its adapter.
+    pub fn wait_for(&mut self, ask: &Ask) {
+        let Some(adapter) = &ask.adapter else { return };
+        let waiting = self.requests.waiting.entry(adapter.clone()).or_insert_with(|| WaitingFor {
+            service: ask.service.clone(),
+            count: 0,
+            told: None,
+        });
+        waiting.count = waiting.count.saturating_add(1);
+    }
+
+    /// Notes that a request no longer waits for its adapter.
+    pub fn wait_ended(&mut self, ask: &Ask) {
+        let Some(adapter) = &ask.adapter else { return };
+        let Some(waiting) = self.requests.waiting.get_mut(adapter) else { return };
+        waiting.count = waiting.count.saturating_sub(1);
+        if waiting.count == 0 {
+            self.requests.waiting.remove(adapter);
+        }
+    }
+
+    /// Tells the leader now which adapters requests wait for.
+    pub fn tell_wants(&mut self, now: Duration) -> Vec<Output> {
+        self.tick_requests(now);
+        self.finish(now)
+    }
+
+    pub(crate) fn tick_requests(&mut self, now: Duration) {
+        let leader = if self.leading.is_some() { Some(self.settings.host) } else { self.leader() };
+        let Some(leader) = leader else { return };
+        let mut due = Vec::new();
+        for (adapter, waiting) in &mut self.requests.waiting {
+            if waiting.told.is_some_and(|at| now < at + WANT_AGAIN) {
+                continue;
+            }
+            waiting.told = Some(now);
+            due.push((waiting.service.clone(), adapter.clone(), waiting.count));
+        }
+        for (service, adapter, waiting) in due {
+            self.want(now, leader, service, adapter, waiting);
+        }
+    }
+
+    fn want(
+        &mut self,
+        now: Duration,
+        leader: HostId,
+        service: String,
+        adapter: String,
+        waiting: u16,
+    ) {
+        match &mut self.leading {
+            Some(leading) => {
+                leading.loads.want(now, leader, &service, &adapter, waiting);
+                self.tick_loads(now);
+            }
+            None => self.send(leader, FleetMsg::Want { service, adapter, waiting }),
+        }
+    }
+}
--- a/coordination/node/src/node.rs
+++ b/coordination/node/src/node.rs
@@ -283,6 +283,8 @@
                 self.owner().cancel(&ctx, request, fx);
             }
             PeerMsg::Ask(Ask::InForce { index, tag }) => self.asked(now, from, index, tag, fx),
+            // Hosts of this kind do not send requests to targets of others.
+            PeerMsg::Fleet(_) => {}
             PeerMsg::InForce { tag, commit: _, domains } => {
                 lock(&self.desk).in_force(tag, &domains, fx);
                 self.owner().strike_force(tag, &domains, fx);
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -156,7 +156,7 @@
     let config = peer::Config {
         host: settings.host,
         run: incarnation,
-        peers,
+        peers: peer::Peers::Listed(peers),
         port: settings.peer_port,
         key: keys.peer,
     };
--- /dev/null
+++ b/edge/src/edge.rs
@@ -0,0 +1,244 @@
+//! What all tasks of the process share, and carrying out a host's outputs.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use fleet::{Event, Host, Input, Order, OrderOutcome, Output, Reply, Report, Tag};
+use http::{Method, Request};
+use http_body_util::Full;
+use peer::Hub;
+use tokio::{sync::Notify, sync::oneshot, time::timeout};
+use wire::HostId;
+
+use crate::{
+    client::{Client, SendError, collect},
+    disk::DiskQueue,
+    log::Log,
+    metrics::Metrics,
+};
+
+/// How long the answer to an order is waited for.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long a report is waited for.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// A running host.
+pub(crate) struct Edge {
+    pub(crate) host: RefCell<Host>,
+    pub(crate) name: String,
+    pub(crate) hub: Hub,
+    pub(crate) disk: Option<DiskQueue>,
+    pub(crate) client: Client,
+    /// Wakes requests that wait for a target.
+    pub(crate) wake: Notify,
+    /// Tells idle connections of callers to end.
+    pub(crate) closing: Notify,
+    pub(crate) calls: RefCell<HashMap<Tag, oneshot::Sender<Reply>>>,
+    pub(crate) next_tag: Cell<Tag>,
+    pub(crate) log: Log,
+    pub(crate) metrics: Metrics,
+    /// Requests in progress.
+    pub(crate) active: Cell<usize>,
+    pub(crate) stopping: Cell<bool>,
+    started: Duration,
+}
+
+/// Time since the machine started, suspensions included, so that no lease
+/// outlives one.
+pub(crate) fn clock() -> Duration {
+    let time = nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME);
+    time.map(Duration::from).unwrap_or_default()
+}
+
+impl Edge {
+    pub(crate) fn new(
+        host: Host,
+        hub: Hub,
+        disk: Option<DiskQueue>,
+        log: Log,
+        started: Duration,
+    ) -> Rc<Edge> {
+        Rc::new(Edge {
+            name: host.settings().name.clone(),
+            host: RefCell::new(host),
+            hub,
+            disk,
+            client: Client::default(),
+            wake: Notify::new(),
+            closing: Notify::new(),
+            calls: RefCell::default(),
+            next_tag: Cell::new(1),
+            log,
+            metrics: Metrics::new(),
+            active: Cell::new(0),
+            stopping: Cell::new(false),
+            started,
+        })
+    }
+
+    /// Time since the start of the process.
+    pub(crate) fn now(&self) -> Duration {
+        clock().saturating_sub(self.started)
+    }
+
+    /// Takes one step of the host.
+    pub(crate) fn step(self: &Rc<Edge>, input: Input) {
+        let outputs = self.host.borrow_mut().handle(self.now(), input);
+        self.carry_out(outputs);
+    }
+
+    /// Carries outputs out in order.
+    pub(crate) fn carry_out(self: &Rc<Edge>, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send { to, msg } => self.hub.send(to, &msg),
+                Output::Write(write) => {
+                    if let Some(disk) = &self.disk {
+                        disk.write(write);
+                    }
+                }
+                Output::Reopen(after) => {
+                    if let Some(disk) = &self.disk {
+                        disk.reopen(after);
+                    }
+                }
+                Output::Order(order) => self.order(order),
+                Output::Ask { target, addr } => self.ask(target, addr),
+                Output::Answer { tag, reply } => {
+                    if let Some(call) = self.calls.borrow_mut().remove(&tag) {
+                        let _ = call.send(reply);
+                    }
+                }
+                Output::Config(body) => self.configure(&body),
+                Output::Wake => self.wake.notify_waiters(),
+                Output::Log(event) => self.log.event(&event),
+            }
+        }
+    }
+
+    fn configure(&self, body: &[u8]) {
+        match platform::config::read_config(body) {
+            Ok(config) => self.host.borrow_mut().set_config(config),
+            Err(error) => self.log.event(&Event::Alarm { what: error.to_string() }),
+        }
+        self.wake.notify_waiters();
+    }
+
+    /// Hands in an operator's call and waits for the answer.
+    pub(crate) async fn call(self: &Rc<Edge>, input: impl FnOnce(Tag) -> Input) -> Reply {
+        let tag = self.next_tag.replace(self.next_tag.get() + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.calls.borrow_mut().insert(tag, sender);
+        self.step(input(tag));
+        receiver.await.unwrap_or(Reply::Unknown)
+    }
+
+    /// Returns an address of another host with the same port as this one's.
+    pub(crate) fn addr_of(&self, host: HostId, own: SocketAddr) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::from(host)), own.port())
+    }
+
+    fn order(self: &Rc<Edge>, order: Order) {
+        let edge = self.clone();
+        tokio::task::spawn_local(async move {
+            let target = order.target.clone();
+            let outcome = match timeout(ORDER_TIMEOUT, edge.send_order(&order)).await {
+                Ok(outcome) => outcome,
+                Err(_) => OrderOutcome::Unknown,
+            };
+            edge.metrics.ordered(order.load, outcome);
+            edge.step(Input::Ordered { target, outcome });
+        });
+    }
+
+    async fn send_order(&self, order: &Order) -> OrderOutcome {
+        let body = platform::target::order_body(order, &self.name);
+        let request = self.control(
+            Method::POST,
+            platform::target::ORDER_PATH,
+            &order.target,
+            &order.addr,
+            body,
+        );
+        let Some(mut request) = request else { return OrderOutcome::NotSent };
+        // A kept connection that has closed meanwhile tells that nothing was sent.
+        let mut connection = self.client.reuse(&order.target);
+        loop {
+            let mut open = match connection.take() {
+                Some(open) => open,
+                None => match self.client.open(&order.target, &order.addr).await {
+                    Some(open) => open,
+                    None => return OrderOutcome::NotSent,
+                },
+            };
+            match open.send(request.clone()).await {
+                Ok(response) => {
+                    let status = response.status().as_u16();
+                    let headers = response.headers().clone();
+                    if collect(response.into_body()).await.is_some() && open.outlives(&headers) {
+                        self.client.keep(open, platform::request::keep_alive(&headers));
+                    }
+                    return platform::target::order_outcome(status);
+                }
+                Err(SendError::NotSent) => request = request.clone(),
+                Err(SendError::Lost) => return OrderOutcome::Unknown,
+            }
+        }
+    }
+
+    fn ask(self: &Rc<Edge>, target: String, addr: String) {
+        let edge = self.clone();
+        tokio::task::spawn_local(async move {
+            let asked = timeout(REPORT_TIMEOUT, edge.fetch_report(&target, &addr)).await;
+            let report = asked.ok().flatten();
+            edge.step(Input::Reported { target, report });
+        });
+    }
+
+    async fn fetch_report(&self, target: &str, addr: &str) -> Option<Report> {
+        let request =
+            self.control(Method::GET, platform::target::REPORT_PATH, target, addr, Vec::new())?;
+        let mut open = match self.client.reuse(target) {
+            Some(open) => open,
+            None => self.client.open(target, addr).await?,
+        };
+        let response = open.send(request).await.ok()?;
+        let status = response.status();
+        let headers = response.headers().clone();
+        let body = collect(response.into_body()).await?;
+        if open.outlives(&headers) {
+            self.client.keep(open, platform::request::keep_alive(&headers));
+        }
+        if !status.is_success() {
+            return None;
+        }
+        match platform::target::read_report(&body) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                self.log.event(&Event::Alarm { what: format!("report of {target}: {error}") });
+                None
+            }
+        }
+    }
+
+    fn control(
+        &self,
+        method: Method,
+        path: &str,
+        target: &str,
+        addr: &str,
+        body: Vec<u8>,
+    ) -> Option<Request<Full<bytes::Bytes>>> {
+        let mut request =
+            Request::builder().method(method).uri(path).body(Full::from(body)).ok()?;
+        *request.headers_mut() = platform::request::control_headers(target);
+        let host = http::HeaderValue::from_str(addr).ok()?;
+        request.headers_mut().insert(http::header::HOST, host);
+        Some(request)
+    }
+}
--- /dev/null
+++ b/edge/src/main.rs
@@ -0,0 +1,40 @@
+//! Runs one host that serves callers from the users' machines: it takes their
+//! requests, sends them to targets, and keeps its part of the shared state.
+
+mod answer;
+mod client;
+mod control;
+mod disk;
+mod edge;
+mod error;
+mod front;
+mod listen;
+mod log;
+mod metrics;
+mod relay;
+mod run;
+mod stream;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Runs one host of a serving layer for LoRA adapters. The settings file is named
+/// by the environment of the machine.
+#[derive(Debug, FromArgs)]
+struct Options {
+    /// settings file, in place of the one that the environment names
+    #[argh(option)]
+    settings: Option<std::path::PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let options: Options = argh::from_env();
+    match run::run(options.settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("poplarhollow-edge: {}", error::chain(&error));
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/metrics.rs
@@ -0,0 +1,108 @@
+//! Counters and histograms, in Prometheus' text format.
+
+use fleet::{Host, OrderOutcome};
+use prometheus::{
+    Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+};
+
+/// Bounds of the latency histograms in seconds.
+const SECONDS: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
+
+/// The metrics of one process.
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    sends: IntCounterVec,
+    orders: IntCounterVec,
+    seconds: HistogramVec,
+    state: GaugeVec,
+    active: Gauge,
+}
+
+fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let counter = IntCounterVec::new(Opts::new(name, help), labels).expect("a valid name");
+    registry.register(Box::new(counter.clone())).expect("a new name");
+    counter
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Metrics {
+        let registry = Registry::new();
+        let opts = HistogramOpts::new(
+            "poplarhollow_request_seconds",
+            "Time of a request's parts: wait, first, whole",
+        );
+        let seconds =
+            HistogramVec::new(opts.buckets(SECONDS.to_vec()), &["part"]).expect("a valid name");
+        registry.register(Box::new(seconds.clone())).expect("a new name");
+        let opts = Opts::new("poplarhollow_state", "What the host believes");
+        let state = GaugeVec::new(opts, &["name"]).expect("a valid name");
+        registry.register(Box::new(state.clone())).expect("a new name");
+        let active = Gauge::new("poplarhollow_requests_active", "Requests in progress")
+            .expect("a valid name");
+        registry.register(Box::new(active.clone())).expect("a new name");
+        Metrics {
+            requests: counter(
+                &registry,
+                "poplarhollow_requests_total",
+                "Requests by their end",
+                &["outcome"],
+            ),
+            sends: counter(
+                &registry,
+                "poplarhollow_sends_total",
+                "Sends to targets by their end",
+                &["outcome"],
+            ),
+            orders: counter(
+                &registry,
+                "poplarhollow_orders_total",
+                "Orders to targets by kind and answer",
+                &["kind", "outcome"],
+            ),
+            seconds,
+            state,
+            active,
+            registry,
+        }
+    }
+
+    /// Counts the end of a request.
+    pub(crate) fn ended(&self, outcome: &str, seconds: f64) {
+        self.requests.with_label_values(&[outcome]).inc();
+        self.seconds.with_label_values(&["whole"]).observe(seconds);
+    }
+
+    /// Counts the end of a send.
+    pub(crate) fn sent(&self, outcome: &str) {
+        self.sends.with_label_values(&[outcome]).inc();
+    }
+
+    /// Takes in the time of a part of a request.
+    pub(crate) fn part(&self, part: &str, seconds: f64) {
+        self.seconds.with_label_values(&[part]).observe(seconds);
+    }
+
+    /// Counts the answer to an order.
+    pub(crate) fn ordered(&self, load: bool, outcome: OrderOutcome) {
+        let kind = if load { "load" } else { "unload" };
+        let outcome = format!("{outcome:?}").to_lowercase();
+        self.orders.with_label_values(&[kind, &outcome]).inc();
+    }
+
+    /// Writes all metrics.
+    pub(crate) fn text(&self, host: &Host, active: usize) -> String {
+        self.active.set(active as f64);
+        let gauges = [
+            ("ready", f64::from(u8::from(host.is_ready()))),
+            ("leader", host.leader().map_or(0.0, f64::from)),
+            ("config", host.config().map_or(0.0, |it| it.number as f64)),
+            ("targets", host.targets().iter().count() as f64),
+            ("entries", host.entries(None).len() as f64),
+        ];
+        for (name, value) in gauges {
+            self.state.with_label_values(&[name]).set(value);
+        }
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/edge/src/run.rs
@@ -0,0 +1,193 @@
+//! The life of the process.
+
+use std::{
+    path::{Path, PathBuf},
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use fleet::{Event, Host, Input, Settings};
+use peer::{Hub, Peers};
+use platform::settings::SETTINGS_VARIABLE;
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+    sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    task::LocalSet,
+    time::{MissedTickBehavior, interval, sleep, timeout},
+};
+
+use crate::{
+    control, disk::DiskQueue, disk::open, edge::Edge, edge::clock, error::EdgeError, front, listen,
+    log::Log,
+};
+
+/// Time between two ticks of the host.
+const TICK: Duration = Duration::from_millis(50);
+/// Ticks between two cleanings of idle connections and looks at the settings.
+const SLOW_TICKS: u64 = 20;
+/// How long callers may still come after the process was told to end, since they
+/// use for a while the addresses they were given.
+const LINGER: Duration = Duration::from_millis(2500);
+/// Time before the end of the grace time at which the process ends.
+const BEFORE_KILL: Duration = Duration::from_millis(500);
+/// How long messages to other hosts may take to leave at the end.
+const FLUSH: Duration = Duration::from_millis(200);
+
+/// Runs the host until it is told to end.
+pub(crate) fn run(path: Option<PathBuf>) -> Result<(), EdgeError> {
+    let path = match path {
+        Some(path) => path,
+        None => match std::env::var_os(SETTINGS_VARIABLE) {
+            Some(path) => PathBuf::from(path),
+            None => return Err(EdgeError::NoSettings(SETTINGS_VARIABLE)),
+        },
+    };
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    runtime.block_on(local.run_until(serve(path)))
+}
+
+fn read_settings(path: &Path) -> Result<Settings, EdgeError> {
+    let read = |source| EdgeError::Read { path: path.to_owned(), source };
+    let text = std::fs::read_to_string(path).map_err(read)?;
+    let wrong = |source| EdgeError::Settings { path: path.to_owned(), source };
+    platform::settings::read(&text).map_err(wrong)
+}
+
+struct Inbox(UnboundedSender<Input>);
+
+impl peer::Inbox for Inbox {
+    fn deliver(
+        &self,
+        event: peer::Event,
+    ) -> std::pin::Pin<Box<dyn Future<Output = ()> + Send + '_>> {
+        if let peer::Event::Message { from, msg } = event {
+            let _ = self.0.send(Input::Peer { from, msg });
+        }
+        Box::pin(std::future::ready(()))
+    }
+}
+
+/// The number of this run: later runs have higher ones, unless the time of day
+/// was set back meanwhile.
+fn run_number() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
+
+async fn serve(path: PathBuf) -> Result<(), EdgeError> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut hup = signal(SignalKind::hangup())?;
+    let settings = read_settings(&path)?;
+    let (sender, inputs) = unbounded_channel();
+    let edge = start(settings, &sender).await?;
+    listen_all(&edge).await?;
+    tokio::task::spawn_local(feed(edge.clone(), inputs));
+    tokio::task::spawn_local(tick(edge.clone()));
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => reload(&edge, &path),
+        }
+    }
+    stop(&edge).await;
+    Ok(())
+}
+
+async fn start(settings: Settings, sender: &UnboundedSender<Input>) -> Result<Rc<Edge>, EdgeError> {
+    let log = Log::start(&settings.name);
+    let run = run_number();
+    let (disk, recovered) = match &settings.data_dir {
+        Some(dir) => {
+            let (disk, recovered) = open(dir)?;
+            (Some(DiskQueue::start(dir.clone(), disk, sender.clone())?), Some(recovered))
+        }
+        None => (None, None),
+    };
+    let config = peer::Config {
+        host: settings.host,
+        run,
+        peers: Peers::ByAddress,
+        port: settings.peer_port,
+        key: Vec::new(),
+    };
+    let hub = Hub::start(config, Arc::new(Inbox(sender.clone()))).await?;
+    let started = clock();
+    let (host, outputs) = Host::new(Duration::ZERO, settings, run, recovered, rand::random());
+    let edge = Edge::new(host, hub, disk, log, started);
+    edge.carry_out(outputs);
+    Ok(edge)
+}
+
+async fn listen_all(edge: &Rc<Edge>) -> Result<(), EdgeError> {
+    let settings = edge.host.borrow().settings().clone();
+    if settings.entry.port() != 0 {
+        let listener = listen::bind(settings.entry).await?;
+        listen::serve(edge, listener, front::terms, front::serve);
+    }
+    if let Some(addr) = settings.ready {
+        listen::serve(edge, listen::bind(addr).await?, control::terms, control::ready);
+    }
+    if let Some(addr) = settings.control {
+        listen::serve(edge, listen::bind(addr).await?, control::terms, control::control);
+    }
+    if let Some(addr) = settings.directory {
+        listen::serve(edge, listen::bind(addr).await?, control::terms, control::resolve);
+    }
+    let mut addr = settings.entry;
+    addr.set_port(settings.metrics_port);
+    listen::serve(edge, listen::bind(addr).await?, control::terms, control::metrics);
+    Ok(())
+}
+
+/// Hands arriving inputs to the host.
+async fn feed(edge: Rc<Edge>, mut inputs: UnboundedReceiver<Input>) {
+    while let Some(input) = inputs.recv().await {
+        edge.step(input);
+    }
+}
+
+async fn tick(edge: Rc<Edge>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut count: u64 = 0;
+    loop {
+        ticks.tick().await;
+        edge.step(Input::Tick);
+        count += 1;
+        if count.is_multiple_of(SLOW_TICKS) {
+            edge.client.clean();
+        }
+    }
+}
+
+fn reload(edge: &Rc<Edge>, path: &Path) {
+    match read_settings(path) {
+        Ok(settings) => edge.step(Input::Reload(Box::new(settings))),
+        Err(error) => {
+            let what = crate::error::chain(&error);
+            edge.log.event(&Event::Alarm { what });
+        }
+    }
+}
+
+/// Ends once no caller is served any more, or the grace time is nearly over.
+async fn stop(edge: &Rc<Edge>) {
+    edge.stopping.set(true);
+    edge.step(Input::Stop);
+    let grace = edge.host.borrow().settings().bounds.grace;
+    let limit = grace.saturating_sub(BEFORE_KILL);
+    let ending = async {
+        sleep(LINGER.min(limit)).await;
+        edge.closing.notify_waiters();
+        while edge.active.get() > 0 {
+            sleep(TICK).await;
+        }
+    };
+    let _ = timeout(limit, ending).await;
+    edge.hub.flush(FLUSH).await;
+    edge.log.event(&Event::Stopped { cut: edge.active.get() as u64 });
+    edge.log.end();
+}
--- /dev/null
+++ b/protocol/wire/src/fleet.rs
@@ -0,0 +1,234 @@
+//! Messages of hosts that send callers' requests to targets themselves.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::{DomainId, GroupId, HostId, Incarnation, Index, Term};
+
+/// A target's number within one epoch of the feed.
+pub type TargetNumber = u16;
+
+/// A short digest of an adapter's name, for counts.
+pub type AdapterPrint = u32;
+
+/// What a host says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostCard {
+    /// The host.
+    pub host: HostId,
+    /// Its run.
+    pub run: Incarnation,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Whether it has a disk for the replicated state.
+    pub disk: bool,
+    /// Whether it takes callers.
+    pub ready: bool,
+}
+
+/// Whether a target takes requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TargetState {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+    /// It has not been heard of; it may come back.
+    Silent,
+    /// It ended.
+    Gone,
+}
+
+/// What is known of a target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetCard {
+    /// The name of its run.
+    pub id: String,
+    /// When its process started, in milliseconds since the epoch.
+    pub born: u64,
+    /// Counts what it says of itself.
+    pub sequence: u64,
+    /// The service it belongs to.
+    pub service: String,
+    /// IP number and port.
+    pub addr: String,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Whether it takes requests.
+    pub state: TargetState,
+}
+
+/// An adapter, or a model by itself, at one target.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Placement {
+    /// The target.
+    pub target: TargetNumber,
+    /// `model` or `model/adapter`.
+    pub adapter: String,
+    /// The version that is there.
+    pub version: u64,
+}
+
+/// A change of what all hosts know.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FeedChange {
+    /// A host came, changed, or is silent.
+    Host(HostCard),
+    /// A target came or changed.
+    Target(TargetNumber, TargetCard),
+    /// An adapter may be used at a target.
+    Placed(Placement),
+    /// An adapter may no longer be used at a target.
+    Removed(Placement),
+}
+
+/// Numbers the feeds: the term of the leader that writes one, and its run.
+pub type Epoch = (Term, Incarnation);
+
+/// Changes in their order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Feed {
+    /// The feed.
+    pub epoch: Epoch,
+    /// The number of the last change before these; zero with the whole table.
+    pub after: u64,
+    /// The number of the last change.
+    pub last: u64,
+    /// The changes.
+    pub changes: Vec<FeedChange>,
+}
+
+/// Requests in progress from one host at one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Running {
+    /// The target.
+    pub target: TargetNumber,
+    /// The adapter; zero for none.
+    pub adapter: AdapterPrint,
+    /// How many.
+    pub count: u16,
+}
+
+/// What a host tells the leader of its work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostStatus {
+    /// The host's run.
+    pub run: Incarnation,
+    /// Whether it takes callers.
+    pub ready: bool,
+    /// The feed it follows.
+    pub epoch: Epoch,
+    /// The last change it has taken in.
+    pub last: u64,
+    /// Requests in progress.
+    pub running: Vec<Running>,
+    /// Requests that came since the last status, by adapter.
+    pub asked: Vec<(AdapterPrint, u16)>,
+}
+
+/// What the leader tells all hosts of the targets' loads.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Board {
+    /// The feed.
+    pub epoch: Epoch,
+    /// The last change of the feed.
+    pub last: u64,
+    /// Requests in progress at each target, from all hosts.
+    pub loads: Vec<(TargetNumber, u16)>,
+    /// Hosts that send them.
+    pub hosts: u16,
+}
+
+/// What became of a proposal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Decided {
+    /// It is in force from this index on.
+    InForce(Index),
+    /// A later one is in force.
+    Overtaken(Index),
+    /// It is unknown whether it will be in force.
+    Unknown,
+}
+
+/// A message between hosts that send requests to targets themselves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FleetMsg {
+    /// A host introduces itself.
+    Join(HostCard),
+    /// Answers [`FleetMsg::Join`].
+    Roster {
+        /// The leader, if known.
+        leader: Option<HostId>,
+        /// The replication group, zero before the founding.
+        group: GroupId,
+        /// The host that should found the group.
+        founder: Option<HostId>,
+        /// The hosts known.
+        cards: Vec<HostCard>,
+    },
+    /// A host's work, to the leader.
+    Status(HostStatus),
+    /// The targets' loads, from the leader.
+    Board(Board),
+    /// Changes, from the leader.
+    Feed(Feed),
+    /// Asks the leader for the whole table.
+    Resync,
+    /// A target said something new, to all hosts.
+    Seen(TargetCard),
+    /// A target is alive, to the leader, with the adapters it names.
+    Alive(TargetCard, Vec<(String, u64)>),
+    /// Requests wait for an adapter, to the leader.
+    Want {
+        /// The service.
+        service: String,
+        /// `model` or `model/adapter`.
+        adapter: String,
+        /// Requests that wait.
+        waiting: u16,
+    },
+    /// Hands a command to the leader.
+    Propose {
+        /// Echoed in the answer.
+        tag: u64,
+        /// The encoded command.
+        command: Bytes,
+    },
+    /// Answers [`FleetMsg::Propose`].
+    Proposed {
+        /// The question's tag.
+        tag: u64,
+        /// What became of it.
+        decided: Decided,
+    },
+    /// Asks the leader for the index that a read must have applied.
+    Confirm {
+        /// Echoed in the answer.
+        tag: u64,
+    },
+    /// Answers [`FleetMsg::Confirm`] once a quorum follows the leader.
+    Confirmed {
+        /// The question's tag.
+        tag: u64,
+        /// The index.
+        index: Index,
+    },
+    /// The sender is about to end; also said by a leader that stops leading.
+    Leaving {
+        /// The sender's run.
+        run: Incarnation,
+        /// Time until it ends.
+        within: Duration,
+    },
+}
+
+impl FleetMsg {
+    /// Returns whether the message is repeated, so that one may be lost.
+    pub fn is_periodic(&self) -> bool {
+        matches!(self, FleetMsg::Status(_) | FleetMsg::Board(_))
+    }
+}
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -6,6 +6,7 @@
 mod codec;
 mod command;
 mod error;
+mod fleet;
 mod id;
 mod log;
 mod message;
@@ -18,6 +19,10 @@
         Settle,
     },
     error::{ErrorKind, Fault, Ran, Retry, Row},
+    fleet::{
+        AdapterPrint, Board, Decided, Epoch, Feed, FeedChange, FleetMsg, HostCard, HostStatus,
+        Placement, Running, TargetCard, TargetNumber, TargetState,
+    },
     id::{
         AdapterId, CallerId, DomainId, Fence, Fingerprint, GroupId, HostId, Incarnation, Index,
         RequestId, Revision, TargetId, Term, VoterId, request_id,
--- a/protocol/wire/src/message.rs
+++ b/protocol/wire/src/message.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    AdapterId, CallerId, DomainId, Fault, Fingerprint, HostId, Incarnation, Index, LogBody, LogMsg,
-    Proposal, RequestId, TargetReport,
+    AdapterId, CallerId, DomainId, Fault, Fingerprint, FleetMsg, HostId, Incarnation, Index,
+    LogBody, LogMsg, Proposal, RequestId, TargetReport,
 };
 
 /// How soon a request must be served.
@@ -285,6 +285,8 @@
         /// The counts of each failure domain.
         domains: Vec<DomainForce>,
     },
+    /// A message of hosts that send requests to targets themselves.
+    Fleet(Box<FleetMsg>),
 }
 
 impl PeerMsg {
@@ -293,6 +295,7 @@
     pub fn is_periodic(&self) -> bool {
         match self {
             PeerMsg::Renew(_) | PeerMsg::Grant(_) => true,
+            PeerMsg::Fleet(msg) => msg.is_periodic(),
             PeerMsg::Log(log) => match &log.body {
                 LogBody::Append { entries, .. } => entries.is_empty(),
                 LogBody::Install { .. } => false,
--- /dev/null
+++ b/state/desired/src/lib.rs
@@ -0,0 +1,129 @@
+//! What operators want to be in force: one whole configuration, of which the
+//! highest number counts, the newest version of each adapter, and which host
+//! gives orders to targets.
+//!
+//! A pure state machine: commands are applied in the order of the log.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use wire::{Fence, HostId, Incarnation, Index};
+
+/// A change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Puts a whole configuration in force unless a higher or equal number is.
+    Replace {
+        /// Its number.
+        number: u64,
+        /// The document as the operator sent it.
+        body: Bytes,
+    },
+    /// Names a version of an adapter (`model/adapter`) or of a model.
+    Version {
+        /// The adapter.
+        adapter: String,
+        /// The version.
+        version: u64,
+    },
+    /// Makes a host the holder: the one that gives orders to targets.
+    Hold {
+        /// The host.
+        host: HostId,
+        /// Its run.
+        run: Incarnation,
+    },
+}
+
+/// The host that gives orders to targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// The host.
+    pub host: HostId,
+    /// Its run.
+    pub run: Incarnation,
+    /// The fencing number of its orders.
+    pub fence: Fence,
+}
+
+/// The number and the document of a configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// The number; higher ones replace lower ones.
+    pub number: u64,
+    /// The document as the operator sent it.
+    pub body: Bytes,
+}
+
+/// What applying a command changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// The configuration changed.
+    Config,
+    /// A version changed.
+    Version,
+    /// The holder changed.
+    Holder,
+    /// Nothing: it is in force already, or a later one is.
+    Nothing,
+}
+
+/// The state.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Desired {
+    /// The configuration in force.
+    pub config: Option<Document>,
+    /// The newest versions that were named.
+    pub versions: BTreeMap<String, u64>,
+    /// The host that gives orders.
+    pub holder: Option<Holder>,
+    /// The holder before.
+    pub former: Option<Holder>,
+}
+
+impl Desired {
+    /// Applies the command at `index`.
+    pub fn apply(&mut self, index: Index, command: Command) -> Applied {
+        match command {
+            Command::Replace { number, body } => self.replace(number, body),
+            Command::Version { adapter, version } => self.name(adapter, version),
+            Command::Hold { host, run } => {
+                self.former = self.holder;
+                self.holder = Some(Holder { host, run, fence: index });
+                Applied::Holder
+            }
+        }
+    }
+
+    /// Whether a command would change nothing.
+    pub fn is_met(&self, command: &Command) -> bool {
+        match command {
+            Command::Replace { number, .. } => self.number() >= Some(*number),
+            Command::Version { adapter, version } => self.versions.get(adapter) >= Some(version),
+            Command::Hold { .. } => false,
+        }
+    }
+
+    /// Returns the number of the configuration in force.
+    pub fn number(&self) -> Option<u64> {
+        self.config.as_ref().map(|it| it.number)
+    }
+
+    fn replace(&mut self, number: u64, body: Bytes) -> Applied {
+        if self.number() >= Some(number) {
+            return Applied::Nothing;
+        }
+        self.config = Some(Document { number, body });
+        Applied::Config
+    }
+
+    fn name(&mut self, adapter: String, version: u64) -> Applied {
+        let newest = self.versions.entry(adapter).or_insert(0);
+        if *newest >= version {
+            return Applied::Nothing;
+        }
+        *newest = version;
+        Applied::Version
+    }
+}
--- /dev/null
+++ b/state/desired/tests/desired.rs
@@ -0,0 +1,51 @@
+//! The highest number counts, whatever the order in which changes arrive.
+
+use bytes::Bytes;
+use desired::{Applied, Command, Desired};
+
+fn replace(number: u64, body: &'static str) -> Command {
+    Command::Replace { number, body: Bytes::from_static(body.as_bytes()) }
+}
+
+fn body(state: &Desired) -> &[u8] {
+    &state.config.as_ref().expect("a configuration is in force").body
+}
+
+#[test]
+fn the_highest_number_stays_in_force() {
+    let mut state = Desired::default();
+    assert_eq!(state.apply(1, replace(7, "seven")), Applied::Config);
+    assert_eq!(state.apply(2, replace(5, "five")), Applied::Nothing);
+    assert_eq!(body(&state), b"seven");
+    assert_eq!(state.apply(3, replace(9, "nine")), Applied::Config);
+    assert_eq!(body(&state), b"nine");
+}
+
+#[test]
+fn other_content_under_the_number_in_force_changes_nothing() {
+    let mut state = Desired::default();
+    state.apply(1, replace(7, "first"));
+    assert!(state.is_met(&replace(7, "second")));
+    assert_eq!(state.apply(2, replace(7, "second")), Applied::Nothing);
+    assert_eq!(body(&state), b"first");
+}
+
+#[test]
+fn versions_never_go_back() {
+    let mut state = Desired::default();
+    let name = |version| Command::Version { adapter: "m/a3".to_owned(), version };
+    assert_eq!(state.apply(1, name(3)), Applied::Version);
+    assert_eq!(state.apply(2, name(2)), Applied::Nothing);
+    assert!(state.is_met(&name(3)));
+    assert_eq!(state.versions["m/a3"], 3);
+}
+
+#[test]
+fn fences_grow_with_the_log() {
+    let mut state = Desired::default();
+    state.apply(4, Command::Hold { host: 1, run: 10 });
+    let first = state.holder.expect("a holder").fence;
+    state.apply(9, Command::Hold { host: 2, run: 11 });
+    assert!(state.holder.expect("a holder").fence > first);
+    assert_eq!(state.former.map(|it| it.host), Some(1));
+}
--- a/state/replog/src/found.rs
+++ b/state/replog/src/found.rs
@@ -51,6 +51,7 @@
         let mut hosts = BTreeSet::new();
         hosts.extend(self.settings.founders.iter().copied());
         hosts.extend(self.log.members().members.iter().map(|m| m.host));
+        hosts.extend(self.hint);
         let others = &self.settings.hosts;
         if !others.is_empty() {
             hosts.insert(others[self.hellos % others.len()]);
--- a/state/replog/src/io.rs
+++ b/state/replog/src/io.rs
@@ -43,6 +43,13 @@
     /// one member at a time, as long as it leads; a later leader must be told
     /// again.
     SetVoters(Vec<HostId>),
+    /// Replaces the hosts of the system, for a system in which they find each
+    /// other.
+    SetHosts(Vec<HostId>),
+    /// Names a host that is said to lead, to be asked first.
+    Hint(HostId),
+    /// Replaces the founders; without effect once there is a group.
+    SetFounders(Vec<HostId>),
     /// All writes up to the ticket are on disk.
     Synced(u64),
     /// A write failed. Nothing is acknowledged any more.
--- a/state/replog/src/replica.rs
+++ b/state/replog/src/replica.rs
@@ -44,6 +44,8 @@
     pub(crate) hello_at: Duration,
     /// Counts the times it asked to be served.
     pub(crate) hellos: usize,
+    /// A host that is said to lead.
+    pub(crate) hint: Option<HostId>,
     pub(crate) queue: Queue,
     /// The snapshot that is arriving.
     pub(crate) incoming: Option<Incoming>,
@@ -109,6 +111,7 @@
             deadline: now,
             hello_at: now,
             hellos: 0,
+            hint: None,
             incoming: None,
             answered: (0, 0),
             fresh: BTreeMap::new(),
@@ -133,6 +136,9 @@
             Input::Msg { from, msg } => self.receive(from, msg),
             Input::Propose(data) => self.propose(data),
             Input::SetVoters(hosts) => self.set_voters(hosts),
+            Input::SetHosts(hosts) => self.settings.hosts = hosts,
+            Input::Hint(host) => self.hint = Some(host),
+            Input::SetFounders(hosts) => self.settings.founders = hosts,
             Input::Synced(ticket) => self.synced(ticket),
             Input::SyncFailed(reason) => self.sync_failed(reason),
             Input::Compact { index, state } => self.compact(index, state),
--- a/transport/peer/src/hub.rs
+++ b/transport/peer/src/hub.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     future::Future,
     io,
-    net::{IpAddr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     pin::Pin,
     sync::{
         Arc, Mutex,
@@ -28,6 +28,9 @@
     stats::{Dropped, Stats},
 };
 
+/// Hosts that are remembered where any may come.
+const MAX_PEERS: usize = 4096;
+
 const FLUSH_PAUSE: Duration = Duration::from_millis(5);
 
 /// What the peer layer needs to know.
@@ -37,14 +40,48 @@
     pub host: HostId,
     /// This run of it.
     pub run: Incarnation,
-    /// The hosts of the system with their addresses, this one included.
-    pub peers: BTreeMap<HostId, IpAddr>,
+    /// The hosts of the system.
+    pub peers: Peers,
     /// The port of every host, UDP and TCP.
     pub port: u16,
     /// The shared key; may be empty.
     pub key: Vec<u8>,
 }
 
+/// Which hosts there are, and where.
+#[derive(Debug, Clone)]
+pub enum Peers {
+    /// Exactly these hosts, this one included.
+    Listed(BTreeMap<HostId, IpAddr>),
+    /// Any host that finds this one: a host's number is that of its address.
+    ByAddress,
+}
+
+impl Peers {
+    fn ip(&self, host: HostId) -> Option<IpAddr> {
+        match self {
+            Peers::Listed(peers) => peers.get(&host).copied(),
+            Peers::ByAddress => Some(Ipv4Addr::from(host).into()),
+        }
+    }
+
+    /// Whether a host may have this address.
+    pub(crate) fn may_use(&self, ip: IpAddr) -> bool {
+        match self {
+            Peers::Listed(peers) => peers.values().any(|&it| it == ip),
+            Peers::ByAddress => ip.is_ipv4(),
+        }
+    }
+
+    /// How many hosts there may be.
+    pub(crate) fn most(&self) -> usize {
+        match self {
+            Peers::Listed(peers) => peers.len(),
+            Peers::ByAddress => MAX_PEERS,
+        }
+    }
+}
+
 /// What arrives from other hosts.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -96,10 +133,12 @@
 /// What all tasks of the layer share.
 pub(crate) struct Shared {
     pub(crate) config: Config,
+    /// This host's address.
+    pub(crate) own_ip: IpAddr,
     pub(crate) key: Key,
     pub(crate) inbox: Arc<dyn Inbox>,
     pub(crate) stats: Arc<Stats>,
-    pub(crate) windows: BTreeMap<HostId, Mutex<Window>>,
+    windows: Mutex<BTreeMap<HostId, Window>>,
 }
 
 impl Shared {
@@ -108,11 +147,20 @@
         if host == self.config.host {
             return None;
         }
-        self.config.peers.get(&host).copied()
+        self.config.peers.ip(host)
     }
 
-    pub(crate) fn window(&self, host: HostId) -> std::sync::MutexGuard<'_, Window> {
-        self.windows[&host].lock().expect("no holder panics")
+    /// Uses the window of a peer; none if there are too many peers.
+    pub(crate) fn with_window<T>(
+        &self,
+        host: HostId,
+        work: impl FnOnce(&mut Window) -> T,
+    ) -> Option<T> {
+        let mut windows = self.windows.lock().expect("no holder panics");
+        if !windows.contains_key(&host) && windows.len() >= self.config.peers.most() {
+            return None;
+        }
+        Some(work(windows.entry(host).or_default()))
     }
 }
 
@@ -121,7 +169,7 @@
     shared: Arc<Shared>,
     udp: std::net::UdpSocket,
     seq: AtomicU64,
-    links: BTreeMap<HostId, Link>,
+    links: Mutex<BTreeMap<HostId, Arc<Link>>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -129,37 +177,52 @@
     /// Opens the sockets and starts the tasks of the layer on the present
     /// runtime.
     pub async fn start(config: Config, inbox: Arc<dyn Inbox>) -> Result<Hub, PeerError> {
-        let Some(&ip) = config.peers.get(&config.host) else {
+        let Some(ip) = config.peers.ip(config.host) else {
             return Err(PeerError::NoSelf(config.host));
         };
         let addr = SocketAddr::new(ip, config.port);
         let refused = |source| PeerError::Listen { addr, source };
         let (udp, receiver) = bind_udp(addr).map_err(refused)?;
         let tcp = TcpListener::bind(addr).await.map_err(refused)?;
-        let others: Vec<HostId> =
-            config.peers.keys().copied().filter(|&host| host != config.host).collect();
         let shared = Arc::new(Shared {
             key: Key::new(&config.key),
             inbox,
             stats: Arc::new(Stats::default()),
-            windows: others.iter().map(|&host| (host, Mutex::default())).collect(),
+            windows: Mutex::default(),
+            own_ip: ip,
             config,
         });
-        let mut links = BTreeMap::new();
-        for host in others {
-            links.insert(host, Link::start(shared.clone(), host));
-        }
         let tasks = vec![
             tokio::spawn(listen::accept(shared.clone(), tcp)),
             tokio::spawn(receive(shared.clone(), receiver)),
         ];
-        Ok(Hub { shared, udp, seq: AtomicU64::new(0), links, tasks })
+        Ok(Hub { shared, udp, seq: AtomicU64::new(0), links: Mutex::default(), tasks })
+    }
+
+    /// Returns the connection to a peer, which is opened when it is first used.
+    fn link(&self, to: HostId) -> Option<Arc<Link>> {
+        self.shared.peer_ip(to)?;
+        let mut links = self.links.lock().expect("no holder panics");
+        if let Some(link) = links.get(&to) {
+            return Some(link.clone());
+        }
+        if links.len() >= self.shared.config.peers.most() {
+            return None;
+        }
+        let link = Arc::new(Link::start(self.shared.clone(), to));
+        links.insert(to, link.clone());
+        Some(link)
+    }
+
+    /// Forgets a peer that left the system for good.
+    pub fn forget(&self, host: HostId) {
+        self.links.lock().expect("no holder panics").remove(&host);
     }
 
     /// Sends a message, or drops it and counts that.
     pub fn send(&self, to: HostId, msg: &PeerMsg) {
         let stats = &self.shared.stats;
-        let Some(link) = self.links.get(&to) else {
+        let Some(link) = self.link(to) else {
             stats.drop_frames(Dropped::Unknown, 1);
             return;
         };
@@ -193,13 +256,17 @@
     /// Waits until the queues are empty, for a limited time.
     pub async fn flush(&self, limit: Duration) {
         let flushing = async {
-            while self.links.values().any(Link::is_busy) {
+            while self.is_busy() {
                 tokio::time::sleep(FLUSH_PAUSE).await;
             }
         };
         let _ = tokio::time::timeout(limit, flushing).await;
     }
 
+    fn is_busy(&self) -> bool {
+        self.links.lock().expect("no holder panics").values().any(|link| link.is_busy())
+    }
+
     /// Returns the counters.
     pub fn stats(&self) -> Arc<Stats> {
         self.shared.stats.clone()
@@ -248,7 +315,8 @@
     if !Datagram::verify(bytes, &shared.key) {
         return Err(Dropped::BadTag);
     }
-    if !shared.window(datagram.from).accept(datagram.run, datagram.seq) {
+    let accepted = shared.with_window(datagram.from, |it| it.accept(datagram.run, datagram.seq));
+    if accepted != Some(true) {
         return Err(Dropped::Replayed);
     }
     let msg = wire::decode(datagram.payload).map_err(|_| Dropped::Malformed)?;
--- a/transport/peer/src/lib.rs
+++ b/transport/peer/src/lib.rs
@@ -14,7 +14,7 @@
 mod stats;
 
 pub use crate::{
-    hub::{Config, Event, Hub, Inbox, PeerError},
+    hub::{Config, Event, Hub, Inbox, PeerError, Peers},
     link::QUEUE_BYTES,
     stats::{Dropped, KindCount, Stats},
 };
--- a/transport/peer/src/link.rs
+++ b/transport/peer/src/link.rs
@@ -9,6 +9,7 @@
 };
 
 use rand::Rng;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
@@ -34,6 +35,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long bytes may be unacknowledged before the connection counts as broken.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Probes of an idle connection that may be unanswered.
+const SILENCE_PROBES: u32 = 2;
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 const BATCH_BYTES: usize = 64 * 1024;
@@ -229,16 +234,28 @@
 async fn connect(shared: &Shared, peer: HostId) -> io::Result<(TcpStream, Session)> {
     let config = &shared.config;
     let ip = shared.peer_ip(peer).ok_or(io::ErrorKind::NotFound)?;
-    let own = config.peers[&config.host];
+    let own = shared.own_ip;
     let socket = if ip.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.bind(SocketAddr::new(own, 0))?;
     let connecting = socket.connect(SocketAddr::new(ip, config.port));
     let mut stream = timeout(CONNECT_TIMEOUT, connecting).await??;
     stream.set_nodelay(true)?;
+    watch_silence(&stream)?;
     let session = timeout(HANDSHAKE_TIMEOUT, greet(shared, peer, &mut stream)).await??;
     Ok((stream, session))
 }
 
+/// Lets a connection fail whose peer has gone silent.
+fn watch_silence(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))?;
+    let probes = TcpKeepalive::new()
+        .with_time(SILENCE_TIMEOUT)
+        .with_interval(SILENCE_TIMEOUT / SILENCE_PROBES)
+        .with_retries(SILENCE_PROBES);
+    socket.set_tcp_keepalive(&probes)
+}
+
 async fn greet(shared: &Shared, peer: HostId, stream: &mut TcpStream) -> io::Result<Session> {
     let config = &shared.config;
     let nonce: Nonce = rand::rng().random();
--- a/transport/peer/src/listen.rs
+++ b/transport/peer/src/listen.rs
@@ -27,11 +27,14 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 const FRAME_TIMEOUT: Duration = Duration::from_secs(30);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-const READ_BYTES: usize = 64 * 1024;
+const READ_BYTES: usize = 8 * 1024;
 
 /// Connections per peer that may be in their handshake.
 const HANDSHAKES: usize = 2;
 
+/// Peers for whose handshakes there is room at once.
+const MAX_HANDSHAKES: usize = 64;
+
 /// The reading side of the connection from one peer. The newest connection
 /// replaces the one before it, which ends before the new one delivers.
 #[derive(Debug, Default)]
@@ -50,12 +53,9 @@
 }
 
 pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
-    let mut seats = BTreeMap::new();
-    for &host in shared.windows.keys() {
-        seats.insert(host, Seat::default());
-    }
-    let places = Arc::new(Semaphore::new(HANDSHAKES * seats.len().max(1)));
-    let seats = Arc::new(seats);
+    let seats: Arc<Mutex<BTreeMap<HostId, Arc<Seat>>>> = Arc::default();
+    let places = HANDSHAKES * shared.config.peers.most().clamp(1, MAX_HANDSHAKES);
+    let places = Arc::new(Semaphore::new(places));
     // Connections end with this task.
     let mut connections = JoinSet::new();
     loop {
@@ -64,7 +64,7 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if !shared.config.peers.values().any(|&ip| ip == addr.ip()) {
+        if !shared.config.peers.may_use(addr.ip()) {
             shared.stats.drop_frames(Dropped::Unknown, 1);
             continue;
         }
@@ -78,7 +78,8 @@
             let greeted = timeout(HANDSHAKE_TIMEOUT, greet(&shared, stream)).await;
             drop(place);
             let Ok(Ok((peer, stream, session))) = greeted else { return };
-            serve(&shared, peer, &seats[&peer], stream, session).await;
+            let seat = seats.lock().expect("no holder panics").entry(peer).or_default().clone();
+            serve(&shared, peer, &seat, stream, session).await;
         });
     }
 }
@@ -108,7 +109,9 @@
     if !session.verify_proof(&proof) {
         return Err(refuse(shared, Dropped::BadTag));
     }
-    shared.window(hello.from).restart(hello.run);
+    if shared.with_window(hello.from, |it| it.restart(hello.run)).is_none() {
+        return Err(refuse(shared, Dropped::Overflow));
+    }
     Ok((hello.from, stream, session))
 }
 
--- a/transport/peer/src/stats.rs
+++ b/transport/peer/src/stats.rs
@@ -49,7 +49,7 @@
     }
 }
 
-const KINDS: [&str; 14] = [
+const KINDS: [&str; 15] = [
     "log",
     "renew",
     "grant",
@@ -64,6 +64,7 @@
     "cancel",
     "ask",
     "in_force",
+    "fleet",
 ];
 
 fn kind(msg: &PeerMsg) -> usize {
@@ -82,6 +83,7 @@
         PeerMsg::Cancel(_) => 11,
         PeerMsg::Ask(_) => 12,
         PeerMsg::InForce { .. } => 13,
+        PeerMsg::Fleet(_) => 14,
     }
 }
 
--- a/transport/peer/tests/common/mod.rs
+++ b/transport/peer/tests/common/mod.rs
@@ -8,7 +8,7 @@
 };
 
 use peer::{
-    Config, Event, Hub, Inbox,
+    Config, Event, Hub, Inbox, Peers,
     auth::Key,
     frame::{GREETING_BYTES, Greeting, Session},
 };
@@ -37,7 +37,7 @@
 /// Hosts 1 to 3 on a network of their own.
 pub fn config(net: u8, host: HostId) -> Config {
     let peers: BTreeMap<_, _> = (1..=3).map(|host| (host, ip(net, host))).collect();
-    Config { host, run: 1, peers, port: PORT, key: KEY.to_vec() }
+    Config { host, run: 1, peers: Peers::Listed(peers), port: PORT, key: KEY.to_vec() }
 }
 
 struct Events(UnboundedSender<Event>);
