Do not send entries again while they are under way

Cause: heartbeats go by UDP and overtake entries on a connection; each was refused for want of the entries, and each refusal sent up to four messages of 95 KB again. Ruled out: the disk (others applied at once), the processor (2 %). Change: a refusal sends entries again only after half an election time, doubled up to three times while nothing is taken.

--- a/state/replog/src/lead.rs
+++ b/state/replog/src/lead.rs
@@ -287,6 +287,7 @@
             return;
         }
         let (base, last) = (self.log.base(), self.log.last());
+        let (now, pause) = (self.now, self.settings.election / 2);
         let Role::Leader(lead) = &mut self.role else {
             return;
         };
@@ -298,7 +299,7 @@
             peer.advance(index);
             peer.install.take_if(|_| index >= base);
         } else if peer.install.is_none() {
-            retry = peer.retreat(index);
+            retry = peer.retreat(now, index, pause);
         }
         if retry {
             self.resume(from);
--- a/state/replog/src/peer.rs
+++ b/state/replog/src/peer.rs
@@ -6,6 +6,8 @@
 
 /// Messages with entries that may be unanswered at a time.
 const MAX_UNACKED: usize = 4;
+/// Most doublings of the time before entries are sent again.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// Progress of one host.
 #[derive(Debug)]
@@ -28,6 +30,8 @@
     pub(crate) heard: Duration,
     /// A snapshot on its way there.
     pub(crate) install: Option<Transfer>,
+    /// Before when entries are not sent again, and how often they were.
+    resend: (Duration, u32),
 }
 
 /// A snapshot that is sent in chunks.
@@ -56,6 +60,7 @@
             acked: None,
             heard: now,
             install: None,
+            resend: (Duration::ZERO, 0),
         }
     }
 
@@ -67,6 +72,9 @@
     /// Takes in that the host holds everything up to `index`.
     pub(crate) fn advance(&mut self, index: Index) {
         self.probing = false;
+        if index > self.matched {
+            self.resend = (Duration::ZERO, 0);
+        }
         self.matched = self.matched.max(index);
         self.next = self.next.max(self.matched + 1);
         while self.unacked.front().is_some_and(|&last| last <= self.matched) {
@@ -83,14 +91,21 @@
     }
 
     /// Goes back to what the host says it holds. A refusal below what a member
-    /// has acknowledged is an old one.
-    pub(crate) fn retreat(&mut self, index: Index) -> bool {
+    /// has acknowledged is an old one. Entries that are still under way must not
+    /// be sent again: heartbeats overtake them, and are refused for want of them.
+    /// So each further time takes `pause` and its doublings.
+    pub(crate) fn retreat(&mut self, now: Duration, index: Index, pause: Duration) -> bool {
         if self.role.is_none() {
             self.matched = self.matched.min(index);
         }
         if index < self.matched || index + 1 >= self.next {
             return false;
         }
+        let (until, times) = self.resend;
+        if now < until && !self.probing {
+            return false;
+        }
+        self.resend = (now + pause * 2u32.pow(times), (times + 1).min(MAX_DOUBLINGS));
         self.next = index + 1;
         self.unacked.clear();
         true
--- a/state/replog/tests/steps.rs
+++ b/state/replog/tests/steps.rs
@@ -139,3 +139,32 @@
         _ => false,
     })
 }
+
+/// Entries that travel slower than heartbeats (a congested or lossy link): the
+/// refusals of the heartbeats that overtake them must not send them again and
+/// again.
+#[test]
+fn refusals_that_overtake_entries_do_not_send_them_again() {
+    let (mut replica, now) = leader(&[1]);
+    step(&mut replica, now, msg(2, 4, appended(2)));
+    for _ in 0..3 {
+        step(&mut replica, now, Input::Propose("data".into()));
+    }
+    let refusal = LogBody::Appended { round: 1, index: 2, taken: false };
+    let mut sent = 0;
+    for beat in 1..=4 {
+        let at = now + beat * ELECTION / 10;
+        let out = step(&mut replica, at, msg(2, 4, refusal.clone()));
+        sent += out.iter().filter(|o| has_entries(o)).count();
+    }
+    assert!(sent <= 1, "{sent} messages with entries within less than half an election time");
+    let at = now + 2 * ELECTION;
+    step(&mut replica, at, msg(3, 4, appended(5)));
+    let out = step(&mut replica, at, msg(2, 4, refusal));
+    assert!(out.iter().any(has_entries), "lost entries are sent again in the end");
+}
+
+fn has_entries(out: &Output) -> bool {
+    let Output::Send { to: 2, msg } = out else { return false };
+    matches!(&msg.body, LogBody::Append { entries, .. } if !entries.is_empty())
+}
