--- a/edge/src/listen.rs
+++ b/edge/src/listen.rs
@@ -28,10 +28,20 @@
     TcpListener::bind(addr).await.map_err(|source| EdgeError::Listen { addr, source })
 }
 
-/// Serves each request of each connection until the process ends.
+/// Until when a listener takes connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Until {
+    /// Until idle connections are told to end.
+    Closing,
+    /// Until the process ends.
+    End,
+}
+
+/// Serves each request of each connection.
 pub(crate) fn serve<H, F>(
     edge: &Rc<Edge>,
     listener: TcpListener,
+    until: Until,
     terms: fn(&Edge) -> Terms,
     handler: H,
 ) where
@@ -41,7 +51,11 @@
     let edge = edge.clone();
     tokio::task::spawn_local(async move {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = edge.closing.notified(), if until == Until::Closing => return,
+            };
+            let Ok((stream, _)) = accepted else {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -19,7 +19,14 @@
 };
 
 use crate::{
-    control, disk::DiskQueue, disk::open, edge::Edge, edge::clock, error::EdgeError, front, listen,
+    control,
+    disk::DiskQueue,
+    disk::open,
+    edge::Edge,
+    edge::clock,
+    error::EdgeError,
+    front,
+    listen::{self, Until},
     log::Log,
 };
 
@@ -125,20 +132,32 @@
     let settings = edge.host.borrow().settings().clone();
     if settings.entry.port() != 0 {
         let listener = listen::bind(settings.entry).await?;
-        listen::serve(edge, listener, front::terms, front::serve);
+        listen::serve(edge, listener, Until::Closing, front::terms, front::serve);
     }
     if let Some(addr) = settings.ready {
-        listen::serve(edge, listen::bind(addr).await?, control::terms, control::ready);
+        listen::serve(edge, listen::bind(addr).await?, Until::End, control::terms, control::ready);
     }
     if let Some(addr) = settings.control {
-        listen::serve(edge, listen::bind(addr).await?, control::terms, control::control);
+        listen::serve(
+            edge,
+            listen::bind(addr).await?,
+            Until::End,
+            control::terms,
+            control::control,
+        );
     }
     if let Some(addr) = settings.directory {
-        listen::serve(edge, listen::bind(addr).await?, control::terms, control::resolve);
+        listen::serve(
+            edge,
+            listen::bind(addr).await?,
+            Until::End,
+            control::terms,
+            control::resolve,
+        );
     }
     let mut addr = settings.entry;
     addr.set_port(settings.metrics_port);
-    listen::serve(edge, listen::bind(addr).await?, control::terms, control::metrics);
+    listen::serve(edge, listen::bind(addr).await?, Until::End, control::terms, control::metrics);
     Ok(())
 }
 
