Look at all places once a tick in the leader's account

Change: one survey a tick, digests in place of names, victims looked for once. Line 'unplaced' says why adapters that are waited for are nowhere.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -103,6 +103,19 @@
         /// Time to the answer in milliseconds.
         took_ms: u64,
     },
+    /// Requests wait for adapters that no target can take now; why, by targets.
+    Unplaced {
+        /// Adapters that are waited for.
+        adapters: usize,
+        /// Targets that are waited for: an order or a report of them is open.
+        busy: usize,
+        /// Targets with as many adapters on their way as there may be.
+        transit: usize,
+        /// Targets on which every adapter is in use.
+        in_use: usize,
+        /// Targets that could take one.
+        open: usize,
+    },
     /// This host follows another feed.
     Follows {
         /// The term of its writer.
--- a/coordination/fleet/src/io.rs
+++ b/coordination/fleet/src/io.rs
@@ -56,6 +56,8 @@
     Busy,
     /// The target refused it for good.
     Refused,
+    /// Another target has the address.
+    Elsewhere,
     /// It was never sent.
     NotSent,
     /// No answer came; it may still be carried out.
--- a/coordination/fleet/src/loads.rs
+++ b/coordination/fleet/src/loads.rs
@@ -2,8 +2,7 @@
 //! ordered where, which make way, and which get a second copy.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
-    hash::{DefaultHasher, Hash, Hasher},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -32,25 +31,8 @@
 const BUSY_REST: Duration = Duration::from_millis(150);
 /// Pause after an order without an answer.
 const DOUBT_REST: Duration = Duration::from_millis(700);
-/// How long an adapter must be unused before it makes way.
-const IDLE: Duration = Duration::from_millis(700);
-/// A target may carry this much more than the mean before a home goes elsewhere.
-const HOME_SLACK: f64 = 1.25;
-/// What it costs to fetch an adapter that the target has no copy of, against its
-/// share of the load.
-const FETCH_COST: f64 = 0.35;
-/// What it costs to leave an adapter's usual order of homes, a step.
-const HOME_COST: f64 = 0.25;
 /// Time between two looks at copies.
 const COPY_LOOK: Duration = Duration::from_millis(250);
-/// Least requests a second for a second copy.
-const COPY_RATE: f64 = 0.8;
-/// Loads from the weight store in progress at the same time.
-const STORE_LOADS: usize = 2;
-/// Part of the weight store's rate that is used.
-const STORE_SHARE: f64 = 0.9;
-/// How long a request for an adapter counts without being repeated.
-const WANT_TIME: Duration = Duration::from_millis(1200);
 
 /// Fixed parameters.
 #[derive(Debug, Clone)]
@@ -81,26 +63,29 @@
 
 /// Requests that wait for an adapter.
 #[derive(Debug)]
-struct Want {
-    service: String,
-    hosts: BTreeMap<HostId, (u16, Duration)>,
-    since: Duration,
+pub(crate) struct Want {
+    pub(crate) service: String,
+    pub(crate) hosts: BTreeMap<HostId, (u16, Duration)>,
+    pub(crate) since: Duration,
 }
 
 /// The account.
 #[derive(Debug)]
 pub struct Loads {
-    settings: LoadsSettings,
-    places: BTreeMap<String, Place>,
-    engines: BTreeMap<String, Engine>,
-    versions: BTreeMap<String, u64>,
-    wants: BTreeMap<String, Want>,
-    demand: Demand,
+    pub(crate) settings: LoadsSettings,
+    pub(crate) places: BTreeMap<String, Place>,
+    pub(crate) engines: BTreeMap<String, Engine>,
+    pub(crate) versions: BTreeMap<String, u64>,
+    pub(crate) wants: BTreeMap<String, Want>,
+    pub(crate) demand: Demand,
     running: BTreeMap<HostId, Vec<wire::Running>>,
+    /// Adapters with requests in progress, by target.
+    pub(crate) in_use: BTreeSet<(TargetNumber, AdapterPrint)>,
     next_number: TargetNumber,
-    fetches: VecDeque<Duration>,
+    pub(crate) fetches: VecDeque<Duration>,
     looked: Duration,
-    steps: Vec<Step>,
+    pub(crate) noted: Duration,
+    pub(crate) steps: Vec<Step>,
 }
 
 impl Loads {
@@ -114,9 +99,11 @@
             wants: BTreeMap::new(),
             demand: Demand::default(),
             running: BTreeMap::new(),
+            in_use: BTreeSet::new(),
             next_number: 1,
             fetches: VecDeque::new(),
             looked: Duration::ZERO,
+            noted: Duration::ZERO,
             steps: Vec::new(),
         }
     }
@@ -174,7 +161,7 @@
                 let change = FeedChange::Target(place.number, card.clone());
                 self.steps.push(Step::Tell(change));
                 if card.state == TargetState::Leaving {
-                    self.leave(now, &card.id);
+                    self.rehome(now, &card.id);
                 }
             }
             Some(_) => {
@@ -198,27 +185,8 @@
         self.steps.push(Step::Tell(FeedChange::Target(number, card.clone())));
     }
 
-    /// Adapters of a leaving target that are in use and are nowhere else get
-    /// another home before they are missed.
-    fn leave(&mut self, now: Duration, id: &str) {
-        let Some(place) = self.places.get(id) else { return };
-        let service = place.card.service.clone();
-        let names: Vec<String> = place.held.keys().filter(|it| it.contains('/')).cloned().collect();
-        for name in names {
-            if self.demand.rate(adapter_print(&name)) >= COPY_RATE / 2.0
-                && self.copies(&name, now) == 0
-            {
-                self.want_for(now, 0, &service, &name, 1);
-            }
-        }
-    }
-
     /// Takes in that requests of a host wait for an adapter.
     pub fn want(&mut self, now: Duration, host: HostId, service: &str, name: &str, waiting: u16) {
-        self.want_for(now, host, service, name, waiting);
-    }
-
-    fn want_for(&mut self, now: Duration, host: HostId, service: &str, name: &str, waiting: u16) {
         let want = self.wants.entry(name.to_owned()).or_insert_with(|| Want {
             service: service.to_owned(),
             hosts: BTreeMap::new(),
@@ -232,25 +200,29 @@
         for &(adapter, count) in &status.asked {
             self.demand.count(adapter, count);
         }
-        let used: Vec<(TargetNumber, AdapterPrint)> =
-            status.running.iter().map(|it| (it.target, it.adapter)).collect();
         self.running.insert(host, status.running.clone());
+        self.count_uses();
+        let used: BTreeSet<(TargetNumber, AdapterPrint)> =
+            status.running.iter().map(|it| (it.target, it.adapter)).collect();
         for place in self.places.values_mut() {
-            if !used.iter().any(|(number, _)| *number == place.number) {
-                continue;
-            }
-            for (name, held) in &mut place.held {
-                let print = adapter_print(name);
-                if used.contains(&(place.number, print)) {
+            let number = place.number;
+            for held in place.held.values_mut() {
+                if used.contains(&(number, held.print)) {
                     held.used = now;
                 }
             }
         }
     }
 
+    fn count_uses(&mut self) {
+        let all = self.running.values().flatten();
+        self.in_use = all.map(|it| (it.target, it.adapter)).collect();
+    }
+
     /// Forgets the work of a host that is gone.
     pub fn forget(&mut self, host: HostId) {
         self.running.remove(&host);
+        self.count_uses();
     }
 
     /// Takes the steps that are due. Orders are given only with a fencing number.
@@ -273,13 +245,18 @@
         let ids: Vec<String> =
             self.places.values().filter(silent).map(|it| it.card.id.clone()).collect();
         for id in ids {
-            let Some(place) = self.places.remove(&id) else { continue };
-            let card = TargetCard { state: TargetState::Silent, ..place.card };
-            self.steps.push(Step::Log(Event::TargetSilent { target: id }));
-            self.steps.push(Step::Tell(FeedChange::Target(place.number, card)));
+            self.lose(&id);
         }
     }
 
+    /// Takes a target for silent.
+    fn lose(&mut self, id: &str) {
+        let Some(place) = self.places.remove(id) else { return };
+        let card = TargetCard { state: TargetState::Silent, ..place.card };
+        self.steps.push(Step::Log(Event::TargetSilent { target: id.to_owned() }));
+        self.steps.push(Step::Tell(FeedChange::Target(place.number, card)));
+    }
+
     fn ask(&mut self, now: Duration) {
         for place in self.places.values_mut() {
             if place.asked.is_some_and(|at| now >= at + ASK_TIMEOUT) {
@@ -344,8 +321,13 @@
                 place.ask_at = Some(now + FIRST_ASK);
             }
             OrderOutcome::Done if order.load => {
-                let held =
-                    Held { version: order.version, stage: Stage::Loading, since: now, used: now };
+                let held = Held {
+                    version: order.version,
+                    stage: Stage::Loading,
+                    since: now,
+                    used: now,
+                    print: adapter_print(&name),
+                };
                 place.held.insert(name, held);
                 place.sequence = None;
                 place.ask_at = Some(now);
@@ -358,6 +340,7 @@
                 self.undo(id, &order);
                 self.doubt(now, id, BUSY_REST);
             }
+            OrderOutcome::Elsewhere => self.lose(id),
             OrderOutcome::Refused | OrderOutcome::NotSent => {
                 self.undo(id, &order);
                 self.doubt(now, id, DOUBT_REST);
@@ -398,71 +381,8 @@
         }
     }
 
-    /// Targets that hold an adapter, or will, and take requests.
-    fn copies(&self, name: &str, _now: Duration) -> usize {
-        let holds = |place: &&Place| {
-            place.card.state == TargetState::Ready
-                && place.held.get(name).is_some_and(|it| it.stage != Stage::Leaving)
-        };
-        self.places.values().filter(holds).count()
-    }
-
-    fn is_loading(&self, name: &str) -> bool {
-        let loads = |place: &Place| {
-            place.held.get(name).is_some_and(|it| it.stage == Stage::Loading)
-                || place.sent.as_ref().is_some_and(|it| it.order.load && it.order.name() == name)
-        };
-        self.places.values().any(loads)
-    }
-
-    fn serve_wants(&mut self, now: Duration, fence: Fence) {
-        let mut due = Vec::new();
-        self.wants.retain(|_, want| {
-            want.hosts.retain(|_, (_, at)| now < *at + WANT_TIME);
-            !want.hosts.is_empty()
-        });
-        for (name, want) in &self.wants {
-            let waiting: u32 = want.hosts.values().map(|(count, _)| u32::from(*count)).sum();
-            due.push((waiting, want.since, want.service.clone(), name.clone()));
-        }
-        // Those that most requests wait for go first, then the oldest.
-        due.sort_by_key(|(waiting, since, ..)| (std::cmp::Reverse(*waiting), *since));
-        for (_, _, service, name) in due {
-            if !self.is_loading(&name) && self.copies(&name, now) == 0 {
-                self.place(now, fence, &service, &name, 0);
-            }
-        }
-    }
-
-    /// Orders an adapter to the best target that can take it.
-    fn place(
-        &mut self,
-        now: Duration,
-        fence: Fence,
-        service: &str,
-        name: &str,
-        version: u64,
-    ) -> bool {
-        let Some((model, adapter)) = name.split_once('/') else { return false };
-        let Some(engine) = self.engines.get(service).cloned() else { return false };
-        let Some(id) = self.best_home(now, service, &engine, model, name) else { return false };
-        let mut victim = None;
-        {
-            let place = &self.places[&id];
-            if !place.has_room(&engine) {
-                victim = self.victim(now, place);
-            }
-        }
-        match victim {
-            Some(out) => {
-                let Some((m, a)) = out.split_once('/') else { return false };
-                self.send(now, fence, &id, false, m, Some(a), 0)
-            }
-            None => self.send(now, fence, &id, true, model, Some(adapter), version),
-        }
-    }
-
-    fn send(
+    #[expect(clippy::too_many_arguments, reason = "an order has as many parts")]
+    pub(crate) fn send(
         &mut self,
         now: Duration,
         fence: Fence,
@@ -497,237 +417,8 @@
         self.steps.push(Step::Order(order));
         true
     }
-
-    /// Finds the target for an adapter: its usual home, unless that carries much
-    /// more than the others.
-    fn best_home(
-        &self,
-        now: Duration,
-        service: &str,
-        engine: &Engine,
-        model: &str,
-        name: &str,
-    ) -> Option<String> {
-        let loads = self.shares(service);
-        let count = loads.len().max(1);
-        let mean = loads.values().sum::<f64>() / count as f64;
-        let own = self.demand.rate(adapter_print(name));
-        let mut best: Option<(f64, &str)> = None;
-        for place in self.places.values() {
-            if place.card.service != service || place.card.state != TargetState::Ready {
-                continue;
-            }
-            if place.held.contains_key(name) || !place.has_model(model) || place.is_changing() {
-                continue;
-            }
-            if !place.is_free(now) || !place.has_transit() {
-                continue;
-            }
-            if !place.has_room(engine) && self.victim(now, place).is_none() {
-                continue;
-            }
-            let share = loads.get(place.card.id.as_str()).copied().unwrap_or(0.0);
-            let over = ((share + own) / (mean + own).max(0.1) - HOME_SLACK).max(0.0);
-            let fetch = if place.has_copy(name) { 0.0 } else { FETCH_COST };
-            let cost =
-                4.0 * over + fetch + HOME_COST * home_rank(name, &place.card.id) * count as f64;
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, &place.card.id));
-            }
-        }
-        best.map(|(_, id)| id.to_owned())
-    }
-
-    /// Requests a second that each target of a service can expect.
-    fn shares(&self, service: &str) -> BTreeMap<&str, f64> {
-        let mut copies: BTreeMap<&str, u32> = BTreeMap::new();
-        let places = || {
-            self.places
-                .values()
-                .filter(|it| it.card.service == service && it.card.state == TargetState::Ready)
-        };
-        for place in places() {
-            for (name, held) in &place.held {
-                if held.stage != Stage::Leaving {
-                    *copies.entry(name).or_default() += 1;
-                }
-            }
-        }
-        let mut shares = BTreeMap::new();
-        for place in places() {
-            let mut share = 0.0;
-            for (name, held) in &place.held {
-                if held.stage != Stage::Leaving {
-                    share +=
-                        self.demand.rate(adapter_print(name)) / f64::from(copies[name.as_str()]);
-                }
-            }
-            shares.insert(place.card.id.as_str(), share);
-        }
-        shares
-    }
-
-    /// Finds the adapter that makes way at a target: unused, and the least asked
-    /// for, copies before the last one.
-    fn victim(&self, now: Duration, place: &Place) -> Option<String> {
-        let mut best: Option<(f64, Duration, &String)> = None;
-        for (name, held) in &place.held {
-            if !name.contains('/') || held.stage != Stage::Ready {
-                continue;
-            }
-            let print = adapter_print(name);
-            let busy = self
-                .running
-                .values()
-                .flatten()
-                .any(|it| it.target == place.number && it.adapter == print);
-            if busy || now < held.used + IDLE || self.wants.contains_key(name) {
-                continue;
-            }
-            let rate = self.demand.rate(print) / self.copies(name, now).max(1) as f64;
-            if best.is_none_or(|(least, used, _)| (rate, held.used) < (least, used)) {
-                best = Some((rate, held.used, name));
-            }
-        }
-        best.map(|(_, _, name)| name.clone())
-    }
-
-    /// Gives adapters that are asked for more often than one target's share a
-    /// further copy.
-    fn add_copies(&mut self, now: Duration, fence: Fence) {
-        let total = self.demand.total();
-        if total <= 0.0 {
-            return;
-        }
-        for service in self.engines.keys().cloned().collect::<Vec<_>>() {
-            let count = self.shares(&service).len();
-            for name in self.hot(&service, total / count.max(1) as f64) {
-                let rate = self.demand.rate(adapter_print(&name));
-                let wanted = (rate * count as f64 / total).ceil() as usize;
-                let copies = self.copies(&name, now);
-                if copies > 0 && copies < wanted.min(count) && !self.is_loading(&name) {
-                    self.place(now, fence, &service, &name, 0);
-                }
-            }
-        }
-    }
-
-    fn hot(&self, service: &str, share: f64) -> Vec<String> {
-        let mut names = Vec::new();
-        for place in self.places.values().filter(|it| it.card.service == service) {
-            for name in place.held.keys().filter(|it| it.contains('/')) {
-                let rate = self.demand.rate(adapter_print(name));
-                if rate >= COPY_RATE && rate > share && !names.contains(name) {
-                    names.push(name.clone());
-                }
-            }
-        }
-        names
-    }
-
-    /// Brings adapters to the newest version: in place where they are idle,
-    /// otherwise at another target first.
-    fn renew_versions(&mut self, now: Duration, fence: Fence) {
-        let mut stale = Vec::new();
-        for place in self.places.values() {
-            if place.card.state != TargetState::Ready || !place.is_free(now) {
-                continue;
-            }
-            for (name, held) in &place.held {
-                let newest = self.versions.get(name).copied().unwrap_or(0);
-                if name.contains('/') && held.stage == Stage::Ready && held.version < newest {
-                    stale.push((place.card.id.clone(), name.clone(), newest));
-                }
-            }
-        }
-        for (id, name, newest) in stale {
-            self.renew(now, fence, &id, &name, newest);
-        }
-    }
-
-    fn renew(&mut self, now: Duration, fence: Fence, id: &str, name: &str, newest: u64) {
-        let Some(place) = self.places.get(id) else { return };
-        if !place.is_free(now) || !place.has_transit() {
-            return;
-        }
-        let service = place.card.service.clone();
-        let Some((model, adapter)) = name.split_once('/') else { return };
-        let print = adapter_print(name);
-        let busy = self
-            .running
-            .values()
-            .flatten()
-            .any(|it| it.target == place.number && it.adapter == print);
-        if !busy {
-            let number = place.number;
-            if self.send(now, fence, id, true, model, Some(adapter), newest) {
-                self.steps.push(Step::Tell(FeedChange::Removed(placement(number, name, 0))));
-                if let Some(place) = self.places.get_mut(id)
-                    && let Some(held) = place.held.get_mut(name)
-                {
-                    *held = Held {
-                        version: newest,
-                        stage: Stage::Loading,
-                        since: now,
-                        used: held.used,
-                    };
-                }
-            }
-            return;
-        }
-        let renewed = |place: &Place| {
-            place
-                .held
-                .get(name)
-                .is_some_and(|it| it.version >= newest && it.stage != Stage::Leaving)
-                || place.sent.as_ref().is_some_and(|it| it.order.load && it.order.name() == name)
-        };
-        if !self.places.values().any(renewed) {
-            self.place(now, fence, &service, name, newest);
-        }
-    }
-
-    /// Loads models onto targets that hold none, within the store's rate.
-    fn load_models(&mut self, now: Duration, fence: Fence) {
-        while self.fetches.front().is_some_and(|&at| at + self.settings.window < now) {
-            self.fetches.pop_front();
-        }
-        let mut empty = Vec::new();
-        for place in self.places.values() {
-            let models = place.held.keys().any(|name| !name.contains('/'));
-            if !models && place.card.state == TargetState::Ready && place.is_free(now) {
-                empty.push((place.card.id.clone(), place.card.service.clone()));
-            }
-        }
-        for (id, service) in empty {
-            let Some(engine) = self.engines.get(&service).cloned() else { continue };
-            let fitting = engine.models.iter().filter(|it| it.weights_mb <= engine.weights_mb);
-            let Some(model) = fitting.min_by_key(|it| self.copies(&it.name, now)) else { continue };
-            let stored = self.places[&id].stored.contains(&model.name);
-            if !stored && !self.may_fetch(&engine) {
-                continue;
-            }
-            if self.send(now, fence, &id, true, &model.name, None, 0) && !stored {
-                self.fetches.push_back(now);
-            }
-        }
-    }
-
-    fn may_fetch(&self, engine: &Engine) -> bool {
-        let limit = engine.loads * self.settings.window.as_secs_f64() * STORE_SHARE;
-        let loading = self.places.values().filter(|it| it.is_changing()).count();
-        loading < STORE_LOADS && (self.fetches.len() as f64) < limit.floor()
-    }
 }
 
-fn placement(target: TargetNumber, name: &str, version: u64) -> Placement {
+pub(crate) fn placement(target: TargetNumber, name: &str, version: u64) -> Placement {
     Placement { target, adapter: name.to_owned(), version }
 }
-
-/// A number from 0 to 1 that tells how far a target stands in an adapter's order
-/// of homes. It depends on nothing but the two names.
-fn home_rank(name: &str, target: &str) -> f64 {
-    let mut hasher = DefaultHasher::new();
-    (name, target).hash(&mut hasher);
-    (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
-}
--- a/coordination/fleet/src/place.rs
+++ b/coordination/fleet/src/place.rs
@@ -5,11 +5,12 @@
     time::Duration,
 };
 
-use wire::{TargetCard, TargetNumber};
+use wire::{AdapterPrint, TargetCard, TargetNumber, TargetState};
 
 use crate::{
     Engine,
     io::{Order, Report},
+    targets::adapter_print,
 };
 
 /// Adapters in transit to one target at the same time.
@@ -38,6 +39,8 @@
     pub(crate) since: Duration,
     /// When a request last used it.
     pub(crate) used: Duration,
+    /// The digest of its name.
+    pub(crate) print: AdapterPrint,
 }
 
 /// An order on its way to a target.
@@ -94,6 +97,16 @@
         self.sequence.is_some() && self.sent.is_none() && now >= self.rest
     }
 
+    /// Whether an adapter of a model can be ordered here now, room aside.
+    pub(crate) fn can_take(&self, now: Duration, model: &str, name: &str) -> bool {
+        self.card.state == TargetState::Ready
+            && self.is_free(now)
+            && !self.held.contains_key(name)
+            && self.has_model(model)
+            && !self.is_changing()
+            && self.has_transit()
+    }
+
     /// Whether a model is there.
     pub(crate) fn has_model(&self, model: &str) -> bool {
         self.held.get(model).is_some_and(|it| it.stage == Stage::Ready)
@@ -156,7 +169,9 @@
         let name = order.name();
         if order.load {
             let used = now;
-            let held = Held { version: order.version, stage: Stage::Loading, since: now, used };
+            let print = adapter_print(&name);
+            let held =
+                Held { version: order.version, stage: Stage::Loading, since: now, used, print };
             self.held.insert(name, held);
         } else if let Some(held) = self.held.get_mut(&name) {
             held.stage = Stage::Leaving;
@@ -184,8 +199,14 @@
         self.heard = now;
         self.stored = report.stored.clone();
         for (name, version) in &report.held {
-            let fresh =
-                Held { version: *version, stage: Stage::Ready, since: now, used: Duration::ZERO };
+            let print = adapter_print(name);
+            let fresh = Held {
+                version: *version,
+                stage: Stage::Ready,
+                since: now,
+                used: Duration::ZERO,
+                print,
+            };
             let held = self.held.entry(name.clone()).or_insert(fresh);
             match held.stage {
                 Stage::Loading if held.version <= *version => {
--- /dev/null
+++ b/coordination/fleet/src/renew.rs
@@ -0,0 +1,113 @@
+//! Models for empty targets, and adapters of versions that were named.
+
+use std::time::Duration;
+
+use wire::{FeedChange, Fence, TargetState};
+
+use crate::{
+    Engine, Loads, Step,
+    loads::placement,
+    place::{Held, Place, Stage},
+    targets::adapter_print,
+};
+
+/// Loads from the weight store in progress at the same time.
+const STORE_LOADS: usize = 2;
+/// Part of the weight store's rate that is used.
+const STORE_SHARE: f64 = 0.9;
+
+impl Loads {
+    /// Brings adapters to the newest version: in place where they are idle,
+    /// otherwise at another target first.
+    pub(crate) fn renew_versions(&mut self, now: Duration, fence: Fence) {
+        let mut stale = Vec::new();
+        for place in self.places.values() {
+            if place.card.state != TargetState::Ready || !place.is_free(now) {
+                continue;
+            }
+            for (name, held) in &place.held {
+                let newest = self.versions.get(name).copied().unwrap_or(0);
+                if name.contains('/') && held.stage == Stage::Ready && held.version < newest {
+                    stale.push((place.card.id.clone(), name.clone(), newest));
+                }
+            }
+        }
+        for (id, name, newest) in stale {
+            self.renew(now, fence, &id, &name, newest);
+        }
+    }
+
+    fn renew(&mut self, now: Duration, fence: Fence, id: &str, name: &str, newest: u64) {
+        let Some(place) = self.places.get(id) else { return };
+        if !place.is_free(now) || !place.has_transit() {
+            return;
+        }
+        let service = place.card.service.clone();
+        let Some((model, adapter)) = name.split_once('/') else { return };
+        let print = adapter_print(name);
+        let busy = self.in_use.contains(&(place.number, print));
+        if !busy {
+            let number = place.number;
+            if self.send(now, fence, id, true, model, Some(adapter), newest) {
+                self.steps.push(Step::Tell(FeedChange::Removed(placement(number, name, 0))));
+                if let Some(place) = self.places.get_mut(id)
+                    && let Some(held) = place.held.get_mut(name)
+                {
+                    *held = Held {
+                        version: newest,
+                        stage: Stage::Loading,
+                        since: now,
+                        used: held.used,
+                        print,
+                    };
+                }
+            }
+            return;
+        }
+        let renewed = |place: &Place| {
+            place
+                .held
+                .get(name)
+                .is_some_and(|it| it.version >= newest && it.stage != Stage::Leaving)
+                || place.sent.as_ref().is_some_and(|it| it.order.load && it.order.name() == name)
+        };
+        if !self.places.values().any(renewed) {
+            let mut survey = self.survey();
+            self.place(now, fence, &mut survey, &service, name, newest);
+        }
+    }
+
+    /// Loads models onto targets that hold none, within the store's rate.
+    pub(crate) fn load_models(&mut self, now: Duration, fence: Fence) {
+        while self.fetches.front().is_some_and(|&at| at + self.settings.window < now) {
+            self.fetches.pop_front();
+        }
+        let mut empty = Vec::new();
+        for place in self.places.values() {
+            let models = place.held.keys().any(|name| !name.contains('/'));
+            if !models && place.card.state == TargetState::Ready && place.is_free(now) {
+                empty.push((place.card.id.clone(), place.card.service.clone()));
+            }
+        }
+        for (id, service) in empty {
+            let Some(engine) = self.engines.get(&service).cloned() else { continue };
+            let fitting = engine.models.iter().filter(|it| it.weights_mb <= engine.weights_mb);
+            let Some(model) = fitting.min_by_key(|it| self.copies(adapter_print(&it.name))) else {
+                continue;
+            };
+            let stored = self.places[&id].stored.contains(&model.name);
+            if !stored && !self.may_fetch(&engine) {
+                continue;
+            }
+            if self.send(now, fence, &id, true, &model.name, None, 0) && !stored {
+                self.fetches.push_back(now);
+            }
+        }
+    }
+
+    fn may_fetch(&self, engine: &Engine) -> bool {
+        let limit = engine.loads * self.settings.window.as_secs_f64() * STORE_SHARE;
+        let loading = self.places.values().filter(|it| it.is_changing()).count();
+        loading < STORE_LOADS && (self.fetches.len() as f64) < limit.floor()
+    }
+}
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -184,7 +184,7 @@
                     if collect(response.into_body()).await.is_some() && open.outlives(&headers) {
                         self.client.keep(open, platform::request::keep_alive(&headers));
                     }
-                    return platform::target::order_outcome(status);
+                    return platform::target::order_outcome(status, &headers, &order.target);
                 }
                 Err(SendError::NotSent) => request = request.clone(),
                 Err(SendError::Lost) => return OrderOutcome::Unknown,
