Let reports that lag change neither places nor order numbers back

Cause: a report lists what was there some hundred milliseconds ago. Change: what was seen gone is not taken from an older report, a lower order number neither, and what is on its way takes a place.

--- a/coordination/fleet/src/loads.rs
+++ b/coordination/fleet/src/loads.rs
@@ -282,9 +282,15 @@
             place.ask_at = Some(now + ASK_AGAIN * 4);
             return;
         };
+        place.heard = now;
+        if place.is_stale(now, report, REPORT_LAG) {
+            place.ask_at = Some(now + ASK_AGAIN);
+            return;
+        }
         let (came, went) = place.reported(now, report, REPORT_LAG);
         if place.sent.is_none() && now >= place.rest {
-            place.sequence = Some(report.sequence);
+            // Reports lag, so that a lower number than the one known is old.
+            place.sequence = place.sequence.max(Some(report.sequence));
         }
         let number = place.number;
         let open = place.held.values().any(|it| it.stage != Stage::Ready);
@@ -334,7 +340,7 @@
             }
             OrderOutcome::Done => {
                 place.sequence = place.sequence.map(|it| it + 1);
-                place.drop_adapter(&name);
+                place.drop_adapter(now, &name);
             }
             OrderOutcome::Busy => {
                 self.undo(id, &order);
--- a/coordination/fleet/src/place.rs
+++ b/coordination/fleet/src/place.rs
@@ -63,6 +63,9 @@
     pub(crate) held: BTreeMap<String, Held>,
     /// Adapters it held before, the newest last.
     copies: VecDeque<String>,
+    /// Adapters that were seen gone, and when. Reports that are older than that
+    /// still name them.
+    dropped: BTreeMap<String, Duration>,
     /// Models it has on its disk or in its memory.
     pub(crate) stored: Vec<String>,
     /// When to ask it for a report.
@@ -84,6 +87,7 @@
             sent: None,
             held: BTreeMap::new(),
             copies: VecDeque::new(),
+            dropped: BTreeMap::new(),
             stored: Vec::new(),
             ask_at: Some(now),
             asked: None,
@@ -180,12 +184,21 @@
     }
 
     /// Notes that an adapter is gone.
-    pub(crate) fn drop_adapter(&mut self, name: &str) {
+    pub(crate) fn drop_adapter(&mut self, now: Duration, name: &str) {
         if self.held.remove(name).is_some() && name.contains('/') {
+            self.dropped.insert(name.to_owned(), now);
             self.remember(name);
         }
     }
 
+    /// Whether a report is older than what is known to be gone: then it tells
+    /// nothing of how many orders were accepted either.
+    pub(crate) fn is_stale(&mut self, now: Duration, report: &Report, lag: Duration) -> bool {
+        self.dropped.retain(|_, at| now < *at + lag);
+        let there = report.held.iter().map(|(name, _)| name).chain(&report.pending);
+        there.into_iter().any(|name| self.dropped.contains_key(name))
+    }
+
     /// Takes in a report. Reports are older than their arrival, so what was
     /// ordered within `lag` is left as it is. Returns what became usable and what
     /// is gone.
@@ -198,6 +211,12 @@
         let (mut came, mut went) = (Vec::new(), Vec::new());
         self.heard = now;
         self.stored = report.stored.clone();
+        for name in &report.pending {
+            let print = adapter_print(name);
+            let coming =
+                Held { version: 0, stage: Stage::Loading, since: now, used: Duration::ZERO, print };
+            self.held.entry(name.clone()).or_insert(coming);
+        }
         for (name, version) in &report.held {
             let print = adapter_print(name);
             let fresh = Held {
@@ -233,7 +252,7 @@
         }
         for name in lost {
             let version = self.held.get(&name).map_or(0, |it| it.version);
-            self.drop_adapter(&name);
+            self.drop_adapter(now, &name);
             went.push((name, version));
         }
         (came, went)
