Send prompts to a target in turn

Ruled out: this host's processor (1 %), the way (8 ms), the number of streams (the pauses came with clumps of prompts). Change: one host of the target's failure domain gives out its turns: tokens that are read in under half of the longest pause, at the speed that was seen; the urgent first, those that can be on time before those that can't. Backlogs go to the choice of copies. A lost word costs a pause, nothing else.

--- a/coordination/fleet/src/choose.rs
+++ b/coordination/fleet/src/choose.rs
@@ -8,6 +8,8 @@
 const FAILURE_WEIGHT: f64 = 6.0;
 /// Weight of a target in another failure domain against one nearby.
 const FAR_WEIGHT: f64 = 1.1;
+/// Prompt tokens that weigh as much as one running request.
+const BACKLOG_TOKENS: f64 = 250.0;
 /// Least delay that distinguishes targets, in milliseconds.
 const DELAY_FLOOR_MS: f64 = 5.0;
 
@@ -98,5 +100,6 @@
     // Equals are told apart by less than one request.
     let tie = 1e-3 * f64::from((draw >> 32) as u32 ^ crate::adapter_print(&target.card.id))
         / f64::from(u32::MAX);
-    (f64::from(target.load()) + 1.0) * far * failing * delay * (1.0 + tie)
+    let backlog = f64::from(target.backlog) / BACKLOG_TOKENS;
+    (f64::from(target.load()) + 1.0 + backlog) * far * failing * delay * (1.0 + tie)
 }
--- a/coordination/fleet/src/config.rs
+++ b/coordination/fleet/src/config.rs
@@ -48,6 +48,9 @@
     pub timeout: Duration,
     /// The time within which the answer is worth most.
     pub objective: Duration,
+    /// The longest pause of its stream that is still on time; zero if it is not
+    /// said.
+    pub pause: Duration,
     /// Its rank; zero goes first.
     pub priority: u8,
     /// Targets that one request may be sent to.
--- a/coordination/fleet/src/io.rs
+++ b/coordination/fleet/src/io.rs
@@ -184,6 +184,13 @@
     },
     /// A new configuration is in force here; its document.
     Config(Bytes),
+    /// A request hears of its turn.
+    Turn {
+        /// Its number.
+        ticket: u64,
+        /// Whether it is its turn; otherwise it waits.
+        granted: bool,
+    },
     /// Waiting requests may find a target now.
     Wake,
     /// Write a log line.
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -182,12 +182,7 @@
             loads: leading.loads.running(),
             hosts: heard.len() as u16,
         };
-        self.requests.set_hosts(board.hosts);
-        for (number, load) in &board.loads {
-            if let Some(target) = self.targets.numbered(*number) {
-                target.others = u32::from(*load).saturating_sub(target.own());
-            }
-        }
+        self.take_board(&board);
         for host in heard {
             self.send(host, FleetMsg::Board(board.clone()));
         }
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -15,12 +15,14 @@
 mod loads;
 mod machine;
 mod operator;
+mod pace;
 mod place;
 mod renew;
 mod request;
 mod routes;
 mod settings;
 mod targets;
+mod turns;
 
 pub use crate::{
     budget::RetryBudget,
@@ -34,4 +36,5 @@
     routes::Routes,
     settings::{Bounds, Settings},
     targets::{Target, Targets, adapter_print},
+    turns::Turns,
 };
--- a/coordination/fleet/src/loads.rs
+++ b/coordination/fleet/src/loads.rs
@@ -79,6 +79,7 @@
     pub(crate) wants: BTreeMap<String, Want>,
     pub(crate) demand: Demand,
     running: BTreeMap<HostId, Vec<wire::Running>>,
+    backlogs: BTreeMap<HostId, Vec<(TargetNumber, u32)>>,
     /// Adapters with requests in progress, by target.
     pub(crate) in_use: BTreeSet<(TargetNumber, AdapterPrint)>,
     next_number: TargetNumber,
@@ -99,6 +100,7 @@
             wants: BTreeMap::new(),
             demand: Demand::default(),
             running: BTreeMap::new(),
+            backlogs: BTreeMap::new(),
             in_use: BTreeSet::new(),
             next_number: 1,
             fetches: VecDeque::new(),
@@ -137,14 +139,18 @@
         changes
     }
 
-    /// Returns the requests in progress at each target.
-    pub fn running(&self) -> Vec<(TargetNumber, u16)> {
-        let mut counts: BTreeMap<TargetNumber, u16> = BTreeMap::new();
+    /// Returns the requests in progress at each target, and the prompt tokens
+    /// that are read or wait there.
+    pub fn running(&self) -> Vec<(TargetNumber, u16, u32)> {
+        let mut counts: BTreeMap<TargetNumber, (u16, u32)> = BTreeMap::new();
         for running in self.running.values().flatten() {
-            let count = counts.entry(running.target).or_default();
+            let (count, _) = counts.entry(running.target).or_default();
             *count = count.saturating_add(running.count);
         }
-        counts.into_iter().collect()
+        for &(target, tokens) in self.backlogs.values().flatten() {
+            counts.entry(target).or_default().1 += tokens;
+        }
+        counts.into_iter().map(|(target, (count, tokens))| (target, count, tokens)).collect()
     }
 
     /// Takes in what a target is known to be. A new one is asked for a report.
@@ -201,6 +207,7 @@
             self.demand.count(adapter, count);
         }
         self.running.insert(host, status.running.clone());
+        self.backlogs.insert(host, status.backlogs.clone());
         self.count_uses();
         let used: BTreeSet<(TargetNumber, AdapterPrint)> =
             status.running.iter().map(|it| (it.target, it.adapter)).collect();
@@ -222,6 +229,7 @@
     /// Forgets the work of a host that is gone.
     pub fn forget(&mut self, host: HostId) {
         self.running.remove(&host);
+        self.backlogs.remove(&host);
         self.count_uses();
     }
 
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    Config, Event, Routes, Settings, Targets,
+    Config, Event, Routes, Settings, Targets, Turns,
     feed::{Position, Take},
     hosts::Hosts,
     io::{Input, Output, Tag},
@@ -61,6 +61,7 @@
     reported: Duration,
     resynced: Duration,
     leader: Option<HostId>,
+    pub(crate) turns: Turns,
     /// A leader that others named.
     hint: Option<HostId>,
     pub(crate) out: Vec<Output>,
@@ -102,6 +103,7 @@
             reported: now,
             resynced: now,
             leader: None,
+            turns: Turns::default(),
             hint: None,
             out: Vec::new(),
             settings,
@@ -216,6 +218,8 @@
         self.report(now);
         self.tick_lead(now);
         self.tick_requests(now);
+        let granted = self.turns.tick(now);
+        self.tell_turns(granted);
     }
 
     /// Notes that what is in force here was confirmed by a leader.
@@ -276,7 +280,9 @@
             return;
         }
         self.reported = now;
-        let status = self.requests.status(&self.targets, self.run, self.is_ready(), self.position);
+        let mut status =
+            self.requests.status(&self.targets, self.run, self.is_ready(), self.position);
+        status.backlogs = self.backlogs();
         if let Some(leading) = &mut self.leading {
             leading.loads.status(now, self.settings.host, &status);
         } else if let Some(leader) = self.leader {
@@ -330,12 +336,7 @@
             FleetMsg::Status(status) => self.status_of(now, from, &status),
             FleetMsg::Board(board) => {
                 if board.epoch == self.position.epoch {
-                    self.requests.set_hosts(board.hosts);
-                    for (number, load) in &board.loads {
-                        if let Some(target) = self.targets.numbered(*number) {
-                            target.others = u32::from(*load).saturating_sub(target.own());
-                        }
-                    }
+                    self.take_board(&board);
                 }
                 if board.epoch > self.position.epoch
                     || (board.epoch == self.position.epoch && board.last > self.position.last)
@@ -343,6 +344,14 @@
                     self.resync(now, from);
                 }
             }
+            FleetMsg::TurnAsk(ask) => self.turn_asked(now, from, &ask),
+            FleetMsg::Turn { ticket, granted } => {
+                self.out.push(Output::Turn { ticket, granted });
+            }
+            FleetMsg::TurnEnded { ticket, target, read } => {
+                let granted = self.turns.end(now, (from, ticket), &target, read);
+                self.tell_turns(granted);
+            }
             FleetMsg::Feed(feed) => self.follow(now, from, &feed),
             FleetMsg::Resync => self.send_table(from),
             FleetMsg::Seen(card) => self.know_target(now, &card),
--- /dev/null
+++ b/coordination/fleet/src/pace.rs
@@ -0,0 +1,106 @@
+//! Turns at targets, as the hosts agree on them.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    time::Duration,
+};
+
+use wire::{Board, FleetMsg, HostId, TargetNumber, TurnAsk};
+
+use crate::{Host, io::Output};
+
+impl Host {
+    /// Returns the host that gives out the turns of a target: one of its failure
+    /// domain that takes callers, the same one for all hosts that know the same
+    /// hosts. Where they differ, two hosts give out turns for a while, which costs
+    /// pauses and nothing else.
+    fn turn_giver(&self, target: &str) -> Option<HostId> {
+        let domain = &self.targets.get(target)?.card.domain;
+        let rank = |host: HostId| {
+            let mut hasher = DefaultHasher::new();
+            (host, target).hash(&mut hasher);
+            hasher.finish()
+        };
+        let near = self.hosts.ready().filter(|it| it.domain == *domain).map(|it| it.host);
+        let near = near.max_by_key(|&it| rank(it));
+        near.or_else(|| self.hosts.ready().map(|it| it.host).max_by_key(|&it| rank(it)))
+    }
+
+    /// Asks for a request's turn, for the first time or again. Returns the host
+    /// that was asked; none if nobody gives out turns.
+    pub fn ask_turn(&mut self, now: Duration, ask: &TurnAsk) -> (Option<HostId>, Vec<Output>) {
+        let giver = self.turn_giver(&ask.target);
+        match giver {
+            Some(host) if host == self.settings.host => self.turn_asked(now, host, ask),
+            Some(host) => self.send(host, FleetMsg::TurnAsk(ask.clone())),
+            None => {}
+        }
+        (giver, self.finish(now))
+    }
+
+    /// Gives a turn back to the host that was asked for it; `read` tells whether
+    /// the prompt was read.
+    pub fn end_turn(
+        &mut self,
+        now: Duration,
+        giver: HostId,
+        ticket: u64,
+        target: &str,
+        read: bool,
+    ) -> Vec<Output> {
+        if giver == self.settings.host {
+            let granted = self.turns.end(now, (giver, ticket), target, read);
+            self.tell_turns(granted);
+        } else {
+            let target = target.to_owned();
+            self.send(giver, FleetMsg::TurnEnded { ticket, target, read });
+        }
+        self.finish(now)
+    }
+
+    pub(crate) fn turn_asked(&mut self, now: Duration, from: HostId, ask: &TurnAsk) {
+        let granted = self.turns.ask(now, from, ask);
+        if !granted.contains(&(from, ask.ticket)) {
+            self.tell_turn(from, ask.ticket, false);
+        }
+        self.tell_turns(granted);
+    }
+
+    pub(crate) fn tell_turns(&mut self, granted: Vec<(HostId, u64)>) {
+        for (host, ticket) in granted {
+            self.tell_turn(host, ticket, true);
+        }
+    }
+
+    fn tell_turn(&mut self, host: HostId, ticket: u64, granted: bool) {
+        if host == self.settings.host {
+            self.out.push(Output::Turn { ticket, granted });
+        } else {
+            self.send(host, FleetMsg::Turn { ticket, granted });
+        }
+    }
+
+    /// Prompt tokens that are read or wait at the targets whose turns this host
+    /// gives out.
+    pub(crate) fn backlogs(&self) -> Vec<(TargetNumber, u32)> {
+        let mut backlogs = Vec::new();
+        for (target, tokens) in self.turns.backlogs() {
+            if let Some(number) = self.targets.get(target).and_then(|it| it.number) {
+                backlogs.push((number, tokens));
+            }
+        }
+        backlogs
+    }
+
+    /// Takes in the targets' loads.
+    pub(crate) fn take_board(&mut self, board: &Board) {
+        self.requests.set_hosts(board.hosts);
+        self.targets.clear_loads();
+        for &(number, load, backlog) in &board.loads {
+            if let Some(target) = self.targets.numbered(number) {
+                target.others = u32::from(load).saturating_sub(target.own());
+                target.backlog = backlog;
+            }
+        }
+    }
+}
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -15,8 +15,9 @@
 
 /// Time between two messages to the leader about requests that wait.
 const WANT_AGAIN: Duration = Duration::from_millis(300);
-/// Part of the time for a new version during which the former one may run.
-const FORMER_SHARE: f64 = 0.5;
+/// Part of the time for a new version during which requests are still sent to the
+/// former one; some then wait at their targets for a while.
+const FORMER_SHARE: f64 = 0.15;
 
 /// No route takes a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -124,7 +125,15 @@
         }
         let asked = std::mem::take(&mut self.asked).into_iter().collect();
         self.active = !running.is_empty();
-        HostStatus { run, ready, epoch: position.epoch, last: position.last, running, asked }
+        HostStatus {
+            run,
+            ready,
+            epoch: position.epoch,
+            last: position.last,
+            running,
+            asked,
+            backlogs: Vec::new(),
+        }
     }
 }
 
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -72,6 +72,8 @@
     pub running: BTreeMap<AdapterPrint, u32>,
     /// Requests of other hosts in progress, as last heard.
     pub others: u32,
+    /// Prompt tokens that are read or wait there, as last heard.
+    pub backlog: u32,
     /// The adapters that may be used there, with their versions.
     pub adapters: HashMap<String, u64>,
     /// What was seen of it.
@@ -85,6 +87,7 @@
             number: None,
             running: BTreeMap::new(),
             others: 0,
+            backlog: 0,
             adapters: HashMap::new(),
             health: Health::default(),
         }
@@ -219,6 +222,14 @@
         }
     }
 
+    /// Forgets the loads that were heard of.
+    pub fn clear_loads(&mut self) {
+        for target in self.by_id.values_mut() {
+            target.others = 0;
+            target.backlog = 0;
+        }
+    }
+
     /// Finds a target by its number in the feed.
     pub fn numbered(&mut self, number: TargetNumber) -> Option<&mut Target> {
         self.by_id.values_mut().find(|it| it.number == Some(number))
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -40,6 +40,7 @@
     pub(crate) closing: Notify,
     pub(crate) calls: RefCell<HashMap<Tag, oneshot::Sender<Reply>>>,
     pub(crate) next_tag: Cell<Tag>,
+    pub(crate) turns: crate::turn::TurnDesk,
     pub(crate) log: Log,
     pub(crate) metrics: Metrics,
     /// Requests in progress.
@@ -73,6 +74,7 @@
             closing: Notify::new(),
             calls: RefCell::default(),
             next_tag: Cell::new(1),
+            turns: Default::default(),
             log,
             metrics: Metrics::new(),
             active: Cell::new(0),
@@ -115,6 +117,7 @@
                     }
                 }
                 Output::Config(body) => self.configure(&body),
+                Output::Turn { ticket, granted } => self.turns.hear(ticket, granted),
                 Output::Wake => self.wake.notify_waiters(),
                 Output::Log(event) => self.log.event(&event),
             }
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -14,6 +14,7 @@
 mod relay;
 mod run;
 mod stream;
+mod turn;
 
 use std::process::ExitCode;
 
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -19,6 +19,7 @@
     edge::Edge,
     front::Active,
     stream,
+    turn::{self, Turn},
 };
 
 /// Part of a request's time that it may wait for its adapter or for room.
@@ -64,6 +65,8 @@
 pub(crate) struct Placed {
     edge: Rc<Edge>,
     ticket: Ticket,
+    /// The turn to send a prompt.
+    turn: Option<Turn>,
     ended: bool,
 }
 
@@ -73,6 +76,13 @@
         &self.ticket.target
     }
 
+    /// Notes that the target has read the prompt.
+    pub(crate) fn prompt_read(&mut self) {
+        if let Some(turn) = self.turn.take() {
+            turn.read();
+        }
+    }
+
     /// Notes how the request ended there.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.finish(outcome);
@@ -209,7 +219,7 @@
             let (until, look, why) = match choice {
                 Choice::Send(ticket) => {
                     edge.metrics.part("wait", now.saturating_sub(begun).as_secs_f64());
-                    return Ok(Placed { edge: edge.clone(), ticket, ended: false });
+                    return Ok(Placed { edge: edge.clone(), ticket, turn: None, ended: false });
                 }
                 Choice::Wait => (begun + longest, LOAD_LOOK, NoPlace::Busy),
                 Choice::Full => (begun + longest, ROOM_LOOK, NoPlace::Busy),
@@ -234,6 +244,23 @@
         }
     }
 
+    /// Finds a place, and for a prompt its turn there.
+    pub(crate) async fn place_in_turn(&mut self) -> Result<Placed, NoPlace> {
+        let mut placed = self.place().await?;
+        if !self.kind().is_stream() || self.ask.adapter.is_none() {
+            return Ok(placed);
+        }
+        let Some(tokens) = self.head.prompt_tokens else { return Ok(placed) };
+        match turn::take(self, placed.target().to_owned(), tokens).await {
+            Ok(turn) => placed.turn = turn,
+            Err(turn::Overdue) => {
+                placed.finish(Outcome::Left);
+                return Err(NoPlace::Busy);
+            }
+        }
+        Ok(placed)
+    }
+
     /// Whether the request may be sent once more, which takes its part of the
     /// budget. `ran` tells whether the last target may have run it.
     pub(crate) fn may_go_again(&mut self, ran: bool) -> bool {
@@ -427,7 +454,7 @@
 /// Serves a request.
 pub(crate) async fn relay(mut job: Job) -> Answer {
     loop {
-        let placed = match job.place().await {
+        let placed = match job.place_in_turn().await {
             Ok(placed) => placed,
             Err(NoPlace::Busy) => return job.give_up(StatusCode::SERVICE_UNAVAILABLE, "busy"),
             Err(NoPlace::NoTarget) => {
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -169,7 +169,7 @@
 /// Goes on with a stream at another target.
 async fn resume(job: &mut Job, last: Option<u64>) -> Option<Source> {
     loop {
-        let placed = job.place().await.ok()?;
+        let placed = job.place_in_turn().await.ok()?;
         let (response, connection, placed, delay) = match job.send(placed, last).await {
             Sent::Head(sent) => *sent,
             Sent::Again => continue,
@@ -211,6 +211,7 @@
                 Err(_) => continue,
             },
         };
+        source.placed.prompt_read();
         let Some(whole) = events.push(&bytes) else { return Ended::Broken };
         if whole.is_empty() {
             continue;
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -128,6 +128,8 @@
     pub running: Vec<Running>,
     /// Requests that came since the last status, by adapter.
     pub asked: Vec<(AdapterPrint, u16)>,
+    /// Prompt tokens that are read or wait, at targets whose turns it gives out.
+    pub backlogs: Vec<(TargetNumber, u32)>,
 }
 
 /// What the leader tells all hosts of the targets' loads.
@@ -137,8 +139,9 @@
     pub epoch: Epoch,
     /// The last change of the feed.
     pub last: u64,
-    /// Requests in progress at each target, from all hosts.
-    pub loads: Vec<(TargetNumber, u16)>,
+    /// Requests in progress at each target, from all hosts, and prompt tokens that
+    /// are read or wait there.
+    pub loads: Vec<(TargetNumber, u16, u32)>,
     /// Hosts that send them.
     pub hosts: u16,
 }
@@ -154,6 +157,25 @@
     Unknown,
 }
 
+/// A request asks for its turn to send its prompt to a target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnAsk {
+    /// The host's number for it.
+    pub ticket: u64,
+    /// The target's name.
+    pub target: String,
+    /// Tokens of the prompt.
+    pub tokens: u32,
+    /// Its rank; zero goes first.
+    pub priority: u8,
+    /// Milliseconds since it arrived.
+    pub waited_ms: u32,
+    /// Milliseconds from its arrival within which its answer should begin.
+    pub objective_ms: u32,
+    /// The longest pause of a stream there that is still on time, in milliseconds.
+    pub pause_ms: u32,
+}
+
 /// A message between hosts that send requests to targets themselves.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetMsg {
@@ -217,6 +239,24 @@
         /// The index.
         index: Index,
     },
+    /// Asks for a turn, of the host that gives out the target's.
+    TurnAsk(TurnAsk),
+    /// Answers [`FleetMsg::TurnAsk`].
+    Turn {
+        /// The asking host's number.
+        ticket: u64,
+        /// Whether it is its turn; otherwise it waits.
+        granted: bool,
+    },
+    /// A turn ends, or is no longer waited for.
+    TurnEnded {
+        /// The host's number.
+        ticket: u64,
+        /// The target's name.
+        target: String,
+        /// Whether the prompt was read.
+        read: bool,
+    },
     /// The sender is about to end; also said by a leader that stops leading.
     Leaving {
         /// The sender's run.
@@ -229,6 +269,13 @@
 impl FleetMsg {
     /// Returns whether the message is repeated, so that one may be lost.
     pub fn is_periodic(&self) -> bool {
-        matches!(self, FleetMsg::Status(_) | FleetMsg::Board(_))
+        matches!(
+            self,
+            FleetMsg::Status(_)
+                | FleetMsg::Board(_)
+                | FleetMsg::TurnAsk(_)
+                | FleetMsg::Turn { .. }
+                | FleetMsg::TurnEnded { .. }
+        )
     }
 }
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -21,7 +21,7 @@
     error::{ErrorKind, Fault, Ran, Retry, Row},
     fleet::{
         AdapterPrint, Board, Decided, Epoch, Feed, FeedChange, FleetMsg, HostCard, HostStatus,
-        Placement, Running, TargetCard, TargetNumber, TargetState,
+        Placement, Running, TargetCard, TargetNumber, TargetState, TurnAsk,
     },
     id::{
         AdapterId, CallerId, DomainId, Fence, Fingerprint, GroupId, HostId, Incarnation, Index,
