Take the way out of a target's reading speed; let targets that left give way

Change: the speed is the slope of that time over the prompt's length; a target that is no longer usable after the wait is chosen anew. Test: time_that_no_prompt_needs_does_not_lower_the_speed.

--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use wire::{AdapterPrint, FleetMsg, HostId, HostStatus, Incarnation, Running};
+use wire::{AdapterPrint, FleetMsg, HostId, HostStatus, Incarnation, Running, TargetState};
 
 use crate::{
     Host, Pick, RetryBudget, Route, Targets, Wanted, feed::Position, io::Output, pick,
@@ -198,6 +198,13 @@
         }
     }
 
+    /// Whether a target still takes a request that was placed there.
+    pub fn is_usable(&self, target: &str, ask: &Ask) -> bool {
+        let Some(target) = self.targets.get(target) else { return false };
+        let has = ask.adapter.as_ref().is_none_or(|it| target.adapters.contains_key(it));
+        has && target.card.state == TargetState::Ready
+    }
+
     /// The lowest version that may run a request, and the newest one.
     fn versions(&self, now: Duration, adapter: &str) -> (u64, u64) {
         let newest = self.desired.versions.get(adapter).copied().unwrap_or(0);
--- a/coordination/fleet/src/turns.rs
+++ b/coordination/fleet/src/turns.rs
@@ -17,10 +17,12 @@
 const FIRST_TOKENS: f64 = 2500.0;
 /// Least tokens at a time.
 const LEAST_TOKENS: f64 = 600.0;
-/// Weight of the newest reading in a target's speed.
-const FRESH: f64 = 0.1;
-/// Prompts below this length tell nothing of a target's speed.
-const TELLING_TOKENS: u32 = 300;
+/// What a reading counts after the next one.
+const KEPT: f64 = 0.97;
+/// Readings before a target's speed is known.
+const LEAST_READINGS: f64 = 4.0;
+/// Bounds of the speeds that are believed, in tokens a millisecond.
+const SPEEDS: std::ops::RangeInclusive<f64> = 2.0..=200.0;
 /// How long a prompt counts as being read if nobody says that it was.
 const LONGEST_READ: Duration = Duration::from_millis(1500);
 /// How long a host that waits for its turn may be silent.
@@ -51,8 +53,42 @@
 struct Queue {
     reading: BTreeMap<TurnKey, Reading>,
     asking: BTreeMap<TurnKey, Asking>,
-    /// Tokens read in a millisecond; zero before it is known.
-    speed: f64,
+    speed: Speed,
+}
+
+/// A target's speed in reading prompts: the slope of the time to the first event
+/// over the prompt's length. The time that no prompt needs to be read (the way,
+/// the first steps) is in the constant and doesn't count.
+#[derive(Debug, Default)]
+struct Speed {
+    count: f64,
+    tokens: f64,
+    time: f64,
+    tokens_tokens: f64,
+    tokens_time: f64,
+}
+
+impl Speed {
+    fn add(&mut self, tokens: f64, ms: f64) {
+        self.count = self.count * KEPT + 1.0;
+        self.tokens = self.tokens * KEPT + tokens;
+        self.time = self.time * KEPT + ms;
+        self.tokens_tokens = self.tokens_tokens * KEPT + tokens * tokens;
+        self.tokens_time = self.tokens_time * KEPT + tokens * ms;
+    }
+
+    /// Tokens a millisecond, once enough was seen.
+    fn get(&self) -> Option<f64> {
+        if self.count < LEAST_READINGS {
+            return None;
+        }
+        let spread = self.count * self.tokens_tokens - self.tokens * self.tokens;
+        let common = self.count * self.tokens_time - self.tokens * self.time;
+        if spread <= 0.0 || common <= 0.0 {
+            return None;
+        }
+        Some((spread / common).clamp(*SPEEDS.start(), *SPEEDS.end()))
+    }
 }
 
 /// The turns of the targets that this host gives out.
@@ -63,10 +99,8 @@
 
 impl Queue {
     fn tokens_at_once(&self, pause: Duration) -> f64 {
-        if self.speed == 0.0 {
-            return FIRST_TOKENS;
-        }
-        let tokens = self.speed * pause.as_secs_f64() * 1000.0 * PAUSE_SHARE;
+        let Some(speed) = self.speed.get() else { return FIRST_TOKENS };
+        let tokens = speed * pause.as_secs_f64() * 1000.0 * PAUSE_SHARE;
         tokens.max(LEAST_TOKENS)
     }
 
@@ -144,12 +178,8 @@
         queue.asking.remove(&key);
         let Some(reading) = queue.reading.remove(&key) else { return Vec::new() };
         let took = now.saturating_sub(reading.since).as_secs_f64() * 1000.0;
-        if read && reading.alone && reading.tokens >= TELLING_TOKENS && took >= 1.0 {
-            let speed = f64::from(reading.tokens) / took;
-            queue.speed = match queue.speed {
-                0.0 => speed,
-                known => known + FRESH * (speed - known),
-            };
+        if read && reading.alone {
+            queue.speed.add(f64::from(reading.tokens), took);
         }
         queue.grant(now)
     }
--- a/coordination/fleet/tests/turns.rs
+++ b/coordination/fleet/tests/turns.rs
@@ -86,3 +86,21 @@
     assert_eq!(turns.end(ms(10), (2, 2), "t", false), []);
     assert_eq!(turns.end(ms(100), (1, 1), "t", true), [(3, 3)]);
 }
+
+/// The way and the first steps take time in which a target could read on: they
+/// must not count as slow reading, or half of its speed is never used.
+#[test]
+fn time_that_no_prompt_needs_does_not_lower_the_speed() {
+    let mut turns = Turns::default();
+    let mut now = ms(0);
+    for ticket in 0..40 {
+        let tokens = 500 + 100 * (ticket as u32 % 30);
+        assert_eq!(turns.ask(now, 1, &ask(ticket, tokens, 0, 0)), [(1, ticket)]);
+        now += ms(70) + ms(u64::from(tokens) / 20);
+        turns.end(now, (1, ticket), "t", true);
+    }
+    // 20 tokens a millisecond leave room for 2,700 within 45 % of 300 ms.
+    assert_eq!(turns.ask(now, 1, &ask(100, 1300, 0, 0)), [(1, 100)]);
+    assert_eq!(turns.ask(now, 2, &ask(101, 1300, 0, 0)), [(2, 101)]);
+    assert_eq!(turns.ask(now, 3, &ask(102, 1300, 0, 0)), []);
+}
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -124,6 +124,8 @@
 pub(crate) enum NoPlace {
     /// Its adapter did not arrive, or there was no room, in time.
     Busy,
+    /// Its turn to be sent did not come in time.
+    NoTurn,
     /// No target takes requests.
     NoTarget,
     /// Its time is over.
@@ -244,21 +246,28 @@
         }
     }
 
-    /// Finds a place, and for a prompt its turn there.
+    /// Finds a place, and for a prompt its turn there. A target that leaves, or
+    /// loses the adapter, while the turn is waited for gives way to another.
     pub(crate) async fn place_in_turn(&mut self) -> Result<Placed, NoPlace> {
-        let mut placed = self.place().await?;
-        if !self.kind().is_stream() || self.ask.adapter.is_none() {
-            return Ok(placed);
-        }
-        let Some(tokens) = self.head.prompt_tokens else { return Ok(placed) };
-        match turn::take(self, placed.target().to_owned(), tokens).await {
-            Ok(turn) => placed.turn = turn,
-            Err(turn::Overdue) => {
-                placed.finish(Outcome::Left);
-                return Err(NoPlace::Busy);
+        loop {
+            let mut placed = self.place().await?;
+            if !self.kind().is_stream() || self.ask.adapter.is_none() {
+                return Ok(placed);
+            }
+            let Some(tokens) = self.head.prompt_tokens else { return Ok(placed) };
+            match turn::take(self, placed.target().to_owned(), tokens).await {
+                Ok(turn) => placed.turn = turn,
+                Err(turn::Overdue) => {
+                    placed.finish(Outcome::Left);
+                    return Err(NoPlace::NoTurn);
+                }
+            }
+            if self.edge.host.borrow().is_usable(placed.target(), &self.ask) {
+                return Ok(placed);
             }
+            self.note("gone", placed.target());
+            placed.finish(Outcome::Left);
         }
-        Ok(placed)
     }
 
     /// Whether the request may be sent once more, which takes its part of the
@@ -457,6 +466,9 @@
         let placed = match job.place_in_turn().await {
             Ok(placed) => placed,
             Err(NoPlace::Busy) => return job.give_up(StatusCode::SERVICE_UNAVAILABLE, "busy"),
+            Err(NoPlace::NoTurn) => {
+                return job.give_up(StatusCode::SERVICE_UNAVAILABLE, "no_turn");
+            }
             Err(NoPlace::NoTarget) => {
                 return job.give_up(StatusCode::SERVICE_UNAVAILABLE, "no_target");
             }
