Let the former holder lead again; tell callers without room to come back later

Cause: after each change of leader the new holder waited 3.3 s before it could order adapters, and all calls of adapters that were nowhere were refused; callers came back after 0.3 to 1 s into the same state and were refused again (priced). Change: the host that last held the orders stands for election first; callers come back after 1.5 to 4 s, 3.5 to 6 s while nobody leads; a turn is waited for up to 3.2 objectives (callers leave after 4).

--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -108,6 +108,8 @@
         let Some(holder) = self.desired.holder else { return };
         self.log(Event::Holder { host: holder.host, fence: holder.fence });
         let own = (holder.host, holder.run) == (self.settings.host, self.run);
+        // Another holder would have to wait before it gives orders.
+        self.step_log(now, LogInput::Prefer(holder.host == self.settings.host));
         let former = self.desired.former;
         let lease = self.settings.bounds.lease;
         let Some(leading) = &mut self.leading else { return };
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -83,6 +83,7 @@
             disk: disk.is_some(),
             ready: false,
         };
+        let held = disk.as_ref().and_then(last_holder);
         let (replica, outputs) = Replica::new(now, log_settings(&settings, seed), disk);
         let mut host = Host {
             hosts: Hosts::new(card),
@@ -115,6 +116,10 @@
             first_start: host.settings.first_start,
         });
         host.carry_out(now, outputs);
+        if let Some(holder) = held {
+            let own = holder == host.settings.host;
+            host.step_log(now, LogInput::Prefer(own));
+        }
         let out = host.finish(now);
         (host, out)
     }
@@ -696,6 +701,19 @@
     }
 }
 
+/// The last host that was made the holder, by what is on disk. Whether that was
+/// committed does not matter for a preference.
+fn last_holder(disk: &Recovered) -> Option<HostId> {
+    for entry in disk.entries.iter().rev() {
+        let EntryBody::Data(bytes) = &entry.body else { continue };
+        if let Ok(Command::Hold { host, .. }) = decode_state(bytes) {
+            return Some(host);
+        }
+    }
+    let state = &disk.snapshot.as_ref()?.state;
+    decode_state::<Desired>(state).ok()?.holder.map(|it| it.host)
+}
+
 fn log_settings(settings: &Settings, seed: u64) -> replog::Settings {
     replog::Settings {
         host: settings.host,
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -37,10 +37,15 @@
 const SILENT_OBJECTIVES: f64 = 1.5;
 /// Least time left that is worth a further send, in latency objectives.
 const LEAST_LEFT: f64 = 0.3;
-/// When a refused caller should come back, at least, and the span over which
-/// their returns are spread.
-const COME_BACK: Duration = Duration::from_millis(300);
-const COME_BACK_SPREAD: Duration = Duration::from_millis(700);
+/// When a caller should come back that found no room, at least, and the span over
+/// which their returns are spread. It has waited beyond its objective, so what is
+/// left to win is that its next try finds room; callers don't wait for more than
+/// a third of the time they have left.
+const COME_BACK: Duration = Duration::from_millis(1500);
+const COME_BACK_SPREAD: Duration = Duration::from_millis(2500);
+/// The same while nobody can order adapters: an election and the time between two
+/// holders have to pass.
+const COME_BACK_LEADERLESS: Duration = Duration::from_millis(3500);
 
 /// A request.
 pub(crate) struct Job {
@@ -410,8 +415,9 @@
             };
             plain(status)
         } else {
-            let spread = COME_BACK_SPREAD.mul_f64(rand::random::<f64>());
-            not_run(COME_BACK + spread)
+            let leaderless = self.edge.host.borrow().leader().is_none();
+            let least = if leaderless { COME_BACK_LEADERLESS } else { COME_BACK };
+            not_run(least + COME_BACK_SPREAD.mul_f64(rand::random::<f64>()))
         };
         self.done(why, answer.status().as_u16());
         answer
--- a/edge/src/turn.rs
+++ b/edge/src/turn.rs
@@ -18,8 +18,8 @@
 /// Time between two requests for the same turn.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
 /// How long a turn is waited for, in latency objectives from the request's
-/// arrival. Then the caller is better off coming back.
-const LONGEST_OBJECTIVES: f64 = 2.5;
+/// arrival. Callers leave after four without an event.
+const LONGEST_OBJECTIVES: f64 = 3.2;
 
 /// What was heard of a turn.
 #[derive(Default)]
