Move a waiting prompt to the copy with fewer prompts to read

Change: each word about a turn tells the backlog; a request that must wait goes at most twice to a copy with less; copies by 1.6 times an adapter's share.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -116,6 +116,15 @@
         /// Targets that could take one.
         open: usize,
     },
+    /// Prompts wait for their turn at a target.
+    Prompts {
+        /// The target.
+        target: String,
+        /// Tokens that it reads in a millisecond; zero before that is known.
+        speed: f64,
+        /// Tokens that are read or wait.
+        backlog: u32,
+    },
     /// This host follows another feed.
     Follows {
         /// The term of its writer.
--- a/coordination/fleet/src/homes.rs
+++ b/coordination/fleet/src/homes.rs
@@ -27,6 +27,9 @@
 const HOME_COST: f64 = 0.25;
 /// What it costs to go beyond the slack, for each mean load.
 const OVER_COST: f64 = 4.0;
+/// Copies that an adapter gets, against its share of the targets: a clump of its
+/// requests needs more room than the mean.
+const COPY_SLACK: f64 = 1.6;
 /// Least requests a second for a second copy.
 const COPY_RATE: f64 = 0.8;
 /// How long a request for an adapter counts without being repeated.
@@ -248,9 +251,10 @@
         let mut survey = self.survey();
         for service in self.engines.keys().cloned().collect::<Vec<_>>() {
             let count = self.places.values().filter(|it| it.card.service == service).count();
-            for name in self.hot(&service, total / count.max(1) as f64) {
+            let share = total / COPY_SLACK / count.max(1) as f64;
+            for name in self.hot(&service, share) {
                 let print = adapter_print(&name);
-                let wanted = (self.demand.rate(print) * count as f64 / total).ceil() as usize;
+                let wanted = (self.demand.rate(print) / share).ceil() as usize;
                 let copies = survey.copies.get(&print).copied().unwrap_or(0);
                 if copies > 0 && copies < wanted.min(count) && !survey.loading.contains(&print) {
                     self.place(now, fence, &mut survey, &service, &name, 0);
@@ -259,7 +263,7 @@
         }
     }
 
-    /// Adapters asked for more often than one target's share.
+    /// Adapters asked for more often than one copy's share.
     fn hot(&self, service: &str, share: f64) -> BTreeSet<String> {
         let mut names = BTreeSet::new();
         for place in self.places.values().filter(|it| it.card.service == service) {
--- a/coordination/fleet/src/io.rs
+++ b/coordination/fleet/src/io.rs
@@ -190,6 +190,8 @@
         ticket: u64,
         /// Whether it is its turn; otherwise it waits.
         granted: bool,
+        /// Prompt tokens that are read or wait there.
+        backlog: u32,
     },
     /// Waiting requests may find a target now.
     Wake,
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -62,6 +62,7 @@
     resynced: Duration,
     leader: Option<HostId>,
     pub(crate) turns: Turns,
+    pub(crate) noted_prompts: Duration,
     /// A leader that others named.
     hint: Option<HostId>,
     pub(crate) out: Vec<Output>,
@@ -105,6 +106,7 @@
             resynced: now,
             leader: None,
             turns: Turns::default(),
+            noted_prompts: now,
             hint: None,
             out: Vec::new(),
             settings,
@@ -224,7 +226,8 @@
         self.tick_lead(now);
         self.tick_requests(now);
         let granted = self.turns.tick(now);
-        self.tell_turns(granted);
+        self.tell_turns(granted, 0);
+        self.note_prompts(now);
     }
 
     /// Notes that what is in force here was confirmed by a leader.
@@ -350,12 +353,12 @@
                 }
             }
             FleetMsg::TurnAsk(ask) => self.turn_asked(now, from, &ask),
-            FleetMsg::Turn { ticket, granted } => {
-                self.out.push(Output::Turn { ticket, granted });
+            FleetMsg::Turn { ticket, granted, backlog } => {
+                self.out.push(Output::Turn { ticket, granted, backlog });
             }
             FleetMsg::TurnEnded { ticket, target, read } => {
                 let granted = self.turns.end(now, (from, ticket), &target, read);
-                self.tell_turns(granted);
+                self.tell_turns(granted, self.turns.backlog(&target));
             }
             FleetMsg::Feed(feed) => self.follow(now, from, &feed),
             FleetMsg::Resync => self.send_table(from),
--- a/coordination/fleet/src/pace.rs
+++ b/coordination/fleet/src/pace.rs
@@ -7,7 +7,10 @@
 
 use wire::{Board, FleetMsg, HostId, TargetNumber, TurnAsk};
 
-use crate::{Host, io::Output};
+use crate::{Ask, Event, Host, Pick, io::Output};
+
+/// Time between two lines about the prompts that wait at a target.
+const NOTE_PROMPTS: Duration = Duration::from_secs(2);
 
 impl Host {
     /// Returns the host that gives out the turns of a target: one of its failure
@@ -50,7 +53,7 @@
     ) -> Vec<Output> {
         if giver == self.settings.host {
             let granted = self.turns.end(now, (giver, ticket), target, read);
-            self.tell_turns(granted);
+            self.tell_turns(granted, self.turns.backlog(target));
         } else {
             let target = target.to_owned();
             self.send(giver, FleetMsg::TurnEnded { ticket, target, read });
@@ -60,23 +63,42 @@
 
     pub(crate) fn turn_asked(&mut self, now: Duration, from: HostId, ask: &TurnAsk) {
         let granted = self.turns.ask(now, from, ask);
+        let backlog = self.turns.backlog(&ask.target);
         if !granted.contains(&(from, ask.ticket)) {
-            self.tell_turn(from, ask.ticket, false);
+            self.tell_turn(from, ask.ticket, false, backlog);
         }
-        self.tell_turns(granted);
+        self.tell_turns(granted, backlog);
     }
 
-    pub(crate) fn tell_turns(&mut self, granted: Vec<(HostId, u64)>) {
+    pub(crate) fn tell_turns(&mut self, granted: Vec<(HostId, u64)>, backlog: u32) {
         for (host, ticket) in granted {
-            self.tell_turn(host, ticket, true);
+            self.tell_turn(host, ticket, true, backlog);
         }
     }
 
-    fn tell_turn(&mut self, host: HostId, ticket: u64, granted: bool) {
+    fn tell_turn(&mut self, host: HostId, ticket: u64, granted: bool, backlog: u32) {
         if host == self.settings.host {
-            self.out.push(Output::Turn { ticket, granted });
+            self.out.push(Output::Turn { ticket, granted, backlog });
         } else {
-            self.send(host, FleetMsg::Turn { ticket, granted });
+            self.send(host, FleetMsg::Turn { ticket, granted, backlog });
+        }
+    }
+
+    /// Takes in how many prompt tokens are read or wait at a target, and tells
+    /// whether a request that waits there would now go to another one.
+    pub fn is_better_elsewhere(
+        &mut self,
+        now: Duration,
+        ask: &Ask,
+        target: &str,
+        backlog: u32,
+    ) -> bool {
+        if let Some(known) = self.targets.get_mut(target) {
+            known.backlog = backlog;
+        }
+        match self.would_choose(now, ask, 0) {
+            Pick::Target(id) => id != target,
+            Pick::Load | Pick::Full | Pick::None => false,
         }
     }
 
@@ -92,6 +114,21 @@
         backlogs
     }
 
+    /// Writes what is believed of targets whose prompts wait, once in a while, and
+    /// forgets targets that are gone.
+    pub(crate) fn note_prompts(&mut self, now: Duration) {
+        if now < self.noted_prompts + NOTE_PROMPTS {
+            return;
+        }
+        self.noted_prompts = now;
+        let targets = &self.targets;
+        self.turns.retain(|target| targets.get(target).is_some());
+        for (target, speed, backlog) in self.turns.beliefs() {
+            let speed = speed.unwrap_or_default();
+            self.log(Event::Prompts { target, speed, backlog });
+        }
+    }
+
     /// Takes in the targets' loads.
     pub(crate) fn take_board(&mut self, board: &Board) {
         self.requests.set_hosts(board.hosts);
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -166,6 +166,23 @@
 
     /// Chooses the target of a request, and counts it there.
     pub fn choose(&mut self, now: Duration, ask: &Ask, draw: u64) -> Choice {
+        match self.would_choose(now, ask, draw) {
+            Pick::Target(id) => {
+                let print = ask.adapter.as_deref().map_or(0, adapter_print);
+                let Some(target) = self.targets.get_mut(&id) else { return Choice::None };
+                *target.running.entry(print).or_default() += 1;
+                let addr = target.card.addr.clone();
+                self.requests.active = true;
+                Choice::Send(Ticket { target: id, addr, adapter: print })
+            }
+            Pick::Load => Choice::Wait,
+            Pick::Full => Choice::Full,
+            Pick::None => Choice::None,
+        }
+    }
+
+    /// Chooses the target of a request.
+    pub(crate) fn would_choose(&self, now: Duration, ask: &Ask, draw: u64) -> Pick {
         let config = self.config.clone();
         let engine = config
             .as_ref()
@@ -183,19 +200,7 @@
             domain: &domain,
             tried: &ask.tried,
         };
-        match pick(now, &self.targets, &wanted, draw) {
-            Pick::Target(id) => {
-                let print = adapter.map_or(0, adapter_print);
-                let Some(target) = self.targets.get_mut(&id) else { return Choice::None };
-                *target.running.entry(print).or_default() += 1;
-                let addr = target.card.addr.clone();
-                self.requests.active = true;
-                Choice::Send(Ticket { target: id, addr, adapter: print })
-            }
-            Pick::Load => Choice::Wait,
-            Pick::Full => Choice::Full,
-            Pick::None => Choice::None,
-        }
+        pick(now, &self.targets, &wanted, draw)
     }
 
     /// Whether a target still takes a request that was placed there.
--- a/coordination/fleet/src/turns.rs
+++ b/coordination/fleet/src/turns.rs
@@ -207,6 +207,18 @@
         all.filter(|(_, tokens)| *tokens > 0)
     }
 
+    /// Returns what is believed of each target whose prompts wait: tokens a
+    /// millisecond, if known, and tokens that are read or wait.
+    pub fn beliefs(&self) -> Vec<(String, Option<f64>, u32)> {
+        let mut beliefs = Vec::new();
+        for (target, queue) in &self.queues {
+            if !queue.asking.is_empty() {
+                beliefs.push((target.clone(), queue.speed.get(), queue.backlog()));
+            }
+        }
+        beliefs
+    }
+
     /// Forgets targets that are gone.
     pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
         self.queues.retain(|target, queue| known(target) || !queue.reading.is_empty());
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -117,7 +117,9 @@
                     }
                 }
                 Output::Config(body) => self.configure(&body),
-                Output::Turn { ticket, granted } => self.turns.hear(ticket, granted),
+                Output::Turn { ticket, granted, backlog } => {
+                    self.turns.hear(ticket, granted, backlog);
+                }
                 Output::Wake => self.wake.notify_waiters(),
                 Output::Log(event) => self.log.event(&event),
             }
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -19,7 +19,7 @@
     edge::Edge,
     front::Active,
     stream,
-    turn::{self, Turn},
+    turn::{self, NoTurn, Turn},
 };
 
 /// Part of a request's time that it may wait for its adapter or for room.
@@ -32,6 +32,8 @@
 const ROOM_LOOK: Duration = Duration::from_millis(30);
 /// Time between two looks for an adapter, beside the news of it.
 const LOAD_LOOK: Duration = Duration::from_millis(300);
+/// How often a request that waits for its turn goes to another target.
+const MAX_MOVES: u32 = 2;
 /// A repeatable request without an answer goes elsewhere after this many latency
 /// objectives.
 const SILENT_OBJECTIVES: f64 = 1.5;
@@ -254,15 +256,23 @@
     /// Finds a place, and for a prompt its turn there. A target that leaves, or
     /// loses the adapter, while the turn is waited for gives way to another.
     pub(crate) async fn place_in_turn(&mut self) -> Result<Placed, NoPlace> {
+        let mut moves = 0;
         loop {
             let mut placed = self.place().await?;
             if !self.kind().is_stream() || self.ask.adapter.is_none() {
                 return Ok(placed);
             }
             let Some(tokens) = self.head.prompt_tokens else { return Ok(placed) };
-            match turn::take(self, placed.target().to_owned(), tokens).await {
+            let target = placed.target().to_owned();
+            match turn::take(self, target, tokens, moves < MAX_MOVES).await {
                 Ok(turn) => placed.turn = turn,
-                Err(turn::Overdue) => {
+                Err(NoTurn::BetterElsewhere) => {
+                    self.note("moves from", placed.target());
+                    placed.finish(Outcome::Left);
+                    moves += 1;
+                    continue;
+                }
+                Err(NoTurn::Overdue) => {
                     placed.finish(Outcome::Left);
                     return Err(NoPlace::NoTurn);
                 }
--- a/edge/src/turn.rs
+++ b/edge/src/turn.rs
@@ -26,6 +26,7 @@
 struct Word {
     heard: Cell<bool>,
     granted: Cell<bool>,
+    backlog: Cell<u32>,
     news: Notify,
 }
 
@@ -38,10 +39,11 @@
 
 impl TurnDesk {
     /// Takes in a word about a turn.
-    pub(crate) fn hear(&self, ticket: u64, granted: bool) {
+    pub(crate) fn hear(&self, ticket: u64, granted: bool, backlog: u32) {
         let words = self.words.borrow();
         let Some(word) = words.get(&ticket) else { return };
         word.heard.set(true);
+        word.backlog.set(backlog);
         word.granted.set(granted || word.granted.get());
         word.news.notify_one();
     }
@@ -78,16 +80,22 @@
 /// over this.
 const UNTOLD_PAUSE_SHARE: u32 = 3;
 
-/// The turn did not come in time.
+/// Why a request has no turn at a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Overdue;
+pub(crate) enum NoTurn {
+    /// It did not come in time.
+    Overdue,
+    /// Another target has fewer prompts to read.
+    BetterElsewhere,
+}
 
 /// Waits for a prompt's turn at a target; none if nobody gives out turns there.
 pub(crate) async fn take(
     job: &mut Job,
     target: String,
     tokens: u32,
-) -> Result<Option<Turn>, Overdue> {
+    may_move: bool,
+) -> Result<Option<Turn>, NoTurn> {
     let edge = job.edge.clone();
     let ticket = edge.turns.next.replace(edge.turns.next.get() + 1);
     let word = Rc::new(Word::default());
@@ -101,7 +109,7 @@
     loop {
         let now = edge.now();
         if now >= latest {
-            return Err(Overdue);
+            return Err(NoTurn::Overdue);
         }
         let ask = TurnAsk {
             ticket,
@@ -135,6 +143,13 @@
                 () = word.news.notified() => {}
                 () = sleep(rest) => {}
             }
+            if may_move && word.heard.get() && !word.granted.get() {
+                let (now, backlog) = (edge.now(), word.backlog.get());
+                let mut host = edge.host.borrow_mut();
+                if host.is_better_elsewhere(now, &job.ask, &target, backlog) {
+                    return Err(NoTurn::BetterElsewhere);
+                }
+            }
         }
         if word.granted.get() || !word.heard.get() {
             let waited = edge.now().saturating_sub(begun);
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -247,6 +247,8 @@
         ticket: u64,
         /// Whether it is its turn; otherwise it waits.
         granted: bool,
+        /// Prompt tokens that are read or wait there.
+        backlog: u32,
     },
     /// A turn ends, or is no longer waited for.
     TurnEnded {
