Test hosts that find each other; drop a silent voter for one that is there

Found by the tests: a core host that is gone for good stayed a voter beside the host that replaced it, so that with the next loss no quorum was left (a_replaced_core_host_counts, failed before); and a target's silence was told with an old sequence, so that hosts disagreed about it. Change: silent members stay only while fewer hosts with disks than 2f+1 are there; the account keeps the newest sequence.

--- a/coordination/fleet/src/hosts.rs
+++ b/coordination/fleet/src/hosts.rs
@@ -141,8 +141,8 @@
     }
 
     /// Returns which hosts should vote: those with disks that are there, and
-    /// members that are silent until as many others are there.
-    pub(crate) fn voters(&self, now: Duration, members: &[HostId]) -> Vec<HostId> {
+    /// members that are silent only while fewer than `needed` are there.
+    pub(crate) fn voters(&self, now: Duration, members: &[HostId], needed: usize) -> Vec<HostId> {
         let there =
             |host: &HostId| self.card(*host).is_some_and(|it| it.disk) && self.is_heard(now, *host);
         let mut voters: Vec<HostId> = members.iter().copied().filter(there).collect();
@@ -151,8 +151,9 @@
                 voters.push(host);
             }
         }
+        let enough = voters.len() >= needed;
         for &host in members {
-            if voters.len() < members.len() && !voters.contains(&host) {
+            if !enough && !voters.contains(&host) {
                 voters.push(host);
             }
         }
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -166,7 +166,8 @@
             return;
         }
         leading.looked = now;
-        let voters = self.hosts.voters(now, &members);
+        let needed = 2 * self.settings.tolerated + 1;
+        let voters = self.hosts.voters(now, &members, needed);
         self.step_log(now, LogInput::SetVoters(voters));
     }
 
--- a/coordination/fleet/src/loads.rs
+++ b/coordination/fleet/src/loads.rs
@@ -161,6 +161,7 @@
                 let mut same = card.clone();
                 same.sequence = place.card.sequence;
                 if place.card == same {
+                    place.card.sequence = card.sequence.max(place.card.sequence);
                     return;
                 }
                 place.card = card.clone();
--- /dev/null
+++ b/coordination/fleet/tests/hosts.rs
@@ -0,0 +1,257 @@
+//! Hosts that find each other, keep a configuration, and tell each other of
+//! targets, in virtual time with fixed seeds.
+
+mod common;
+
+use bytes::Bytes;
+use common::{World, ms, target};
+use desired::Command;
+use fleet::{Input, Reply};
+use wire::{HostId, TargetState};
+
+fn replace(number: u64) -> Command {
+    Command::Replace { number, body: Bytes::from(format!("document {number}")) }
+}
+
+/// Hands a change to a host, again and again as an operator does, until it is
+/// answered that it is in force.
+fn put(world: &mut World, host: HostId, command: &Command) {
+    for _ in 0..20 {
+        let tag = world.tag();
+        world.input(host, Input::Change { tag, command: command.clone() });
+        world.run(ms(1000));
+        if world.machines[&host].replies.get(&tag) == Some(&Reply::InForce) {
+            return;
+        }
+    }
+    panic!("{command:?} is not in force after 20 s");
+}
+
+fn read(world: &mut World, host: HostId) -> Option<Bytes> {
+    let tag = world.tag();
+    world.input(host, Input::Read { tag });
+    world.run(ms(1500));
+    match world.machines[&host].replies.get(&tag) {
+        Some(Reply::Config(body)) => Some(body.clone()),
+        _ => None,
+    }
+}
+
+fn in_force(world: &World, host: HostId) -> Option<&Bytes> {
+    world.machines[&host].configs.last()
+}
+
+#[test]
+fn hosts_find_each_other_in_any_order() {
+    for seed in 0..20 {
+        let seeds: &[HostId] = if seed % 2 == 0 { &[1, 2, 3] } else { &[2, 9, 11] };
+        let mut world = World::new(seed, 4, 7, seeds);
+        world.run(ms(6000));
+        assert!(world.leader().is_some_and(|it| it <= 4), "seed {seed}: {:?}", world.leader());
+        put(&mut world, 11, &replace(1));
+        world.run(ms(1000));
+        for host in world.running() {
+            let body = in_force(&world, host).expect("a configuration");
+            assert_eq!(body, "document 1", "seed {seed}, host {host}");
+        }
+    }
+}
+
+/// An acknowledged change outlives the loss of the disk that acknowledged it.
+#[test]
+fn what_was_acknowledged_survives_a_lost_disk() {
+    for seed in 0..10 {
+        let mut world = World::new(seed, 3, 2, &[1, 2, 3]);
+        world.run(ms(5000));
+        for number in 1..=6 {
+            put(&mut world, 5, &replace(number));
+            let victim = world.leader().expect("a leader");
+            world.wipe(victim);
+            world.run(ms(300));
+            world.start(victim);
+            world.run(ms(6000));
+            let body = read(&mut world, 4).expect("it can be read");
+            assert_eq!(body, format!("document {number}"), "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn all_killed_at_once_come_back_with_what_was_acknowledged() {
+    for seed in 0..10 {
+        let mut world = World::new(seed, 3, 4, &[1, 2, 3]);
+        world.run(ms(5000));
+        for number in 1..=40 {
+            put(&mut world, 6, &replace(number));
+        }
+        for host in world.running() {
+            world.kill(host);
+        }
+        world.run(ms(800));
+        for host in world.machines.keys().copied().collect::<Vec<_>>() {
+            world.start(host);
+        }
+        world.run(ms(4000));
+        let body = read(&mut world, 7).expect("it can be read");
+        assert_eq!(body, "document 40", "seed {seed}");
+    }
+}
+
+/// A host of the core is gone for good; an empty one at another address takes
+/// its part, and the system then bears the loss of another.
+#[test]
+fn a_replaced_core_host_counts() {
+    for seed in 0..10 {
+        let mut world = World::new(seed, 3, 2, &[1, 2, 3]);
+        world.run(ms(5000));
+        put(&mut world, 4, &replace(1));
+        world.kill(2);
+        world.run(ms(1000));
+        world.add(20, true);
+        world.run(ms(8000));
+        put(&mut world, 4, &replace(2));
+        world.kill(1);
+        world.run(ms(4000));
+        put(&mut world, 5, &replace(3));
+        assert_eq!(read(&mut world, 20).as_deref(), Some(b"document 3".as_slice()), "seed {seed}");
+    }
+}
+
+/// A host that is cut off goes on with what it last confirmed, shows no operator
+/// anything older than the newest, and catches up.
+#[test]
+fn a_host_that_is_cut_off_shows_no_old_configuration() {
+    for seed in 0..10 {
+        let mut world = World::new(seed, 3, 3, &[1, 2, 3]);
+        world.run(ms(5000));
+        put(&mut world, 4, &replace(1));
+        let lone = world.leader().expect("a leader");
+        world.cut.insert(lone);
+        world.run(ms(4000));
+        put(&mut world, 5, &replace(2));
+        assert_eq!(
+            read(&mut world, lone),
+            None,
+            "seed {seed}: a leader that is cut off knows nothing"
+        );
+        assert!(world.machines[&lone].host.as_ref().is_some_and(|it| it.is_ready()));
+        world.cut.clear();
+        world.run(ms(4000));
+        assert_eq!(in_force(&world, lone).expect("a configuration"), "document 2");
+    }
+}
+
+/// Two operators hand in changes at two hosts at once; the higher number stays.
+#[test]
+fn racing_changes_end_with_the_highest() {
+    let mut world = World::new(5, 3, 3, &[1, 2, 3]);
+    world.run(ms(5000));
+    for number in (2..40).step_by(2) {
+        let (high, low) = (world.tag(), world.tag());
+        world.input(4, Input::Change { tag: high, command: replace(number + 1) });
+        world.input(5, Input::Change { tag: low, command: replace(number) });
+        world.run(ms(700));
+        assert_eq!(world.machines[&4].replies.get(&high), Some(&Reply::InForce));
+        assert_eq!(world.machines[&5].replies.get(&low), Some(&Reply::InForce));
+        assert_eq!(read(&mut world, 6), Some(format!("document {}", number + 1).into()));
+    }
+}
+
+/// A host that starts again answers callers only once a leader has confirmed
+/// what it holds.
+#[test]
+fn a_host_that_starts_waits_for_confirmation() {
+    let mut world = World::new(3, 3, 1, &[1, 2, 3]);
+    world.run(ms(5000));
+    put(&mut world, 4, &replace(1));
+    let other = (1..=3).find(|&it| Some(it) != world.leader()).expect("a follower");
+    world.kill(other);
+    put(&mut world, 4, &replace(2));
+    world.cut.insert(other);
+    world.start(other);
+    world.run(ms(5000));
+    let knows =
+        |world: &World| world.machines[&other].host.as_ref().is_some_and(|it| it.knows_config());
+    assert!(!knows(&world), "it may hold an old configuration");
+    world.cut.clear();
+    world.run(ms(5000));
+    assert!(knows(&world));
+    assert_eq!(in_force(&world, other).expect("a configuration"), "document 2");
+}
+
+fn knows(world: &World, host: HostId, id: &str) -> bool {
+    let state = world.machines[&host].host.as_ref().expect("it runs");
+    state.targets().ready("s").any(|it| it.card.id == id)
+}
+
+/// A target says that it leaves, at any host: every host knows within a second,
+/// with a leader, and without one.
+#[test]
+fn a_leaving_target_is_known_everywhere() {
+    for leaderless in [false, true] {
+        let mut world = World::new(8, 3, 5, &[1, 2, 3]);
+        world.run(ms(5000));
+        let beat =
+            |sequence, state| Input::Beat { card: target("t1", 5, sequence, state), held: vec![] };
+        world.input(6, beat(1, TargetState::Ready));
+        world.run(ms(1500));
+        for host in world.running() {
+            assert!(knows(&world, host, "t1"), "host {host}");
+        }
+        if leaderless {
+            let leader = world.leader().expect("a leader");
+            world.kill(leader);
+        }
+        world.input(7, beat(2, TargetState::Leaving));
+        world.run(ms(500));
+        for host in world.running() {
+            assert!(!knows(&world, host, "t1"), "host {host}, leaderless {leaderless}");
+        }
+        // A late heartbeat of before does not bring it back.
+        world.input(8, beat(1, TargetState::Ready));
+        world.run(ms(500));
+        for host in world.running() {
+            assert!(!knows(&world, host, "t1"), "host {host}");
+        }
+    }
+}
+
+#[test]
+fn a_silent_target_is_forgotten_and_comes_back() {
+    let mut world = World::new(8, 3, 2, &[1, 2, 3]);
+    world.run(ms(5000));
+    let beat = |sequence| Input::Beat {
+        card: target("t1", 5, sequence, TargetState::Ready),
+        held: vec![],
+    };
+    world.input(4, beat(1));
+    world.run(ms(7000));
+    assert!(!knows(&world, 5, "t1"), "it was silent for more than four heartbeats");
+    world.input(4, beat(2));
+    world.run(ms(1000));
+    assert!(knows(&world, 5, "t1"));
+}
+
+/// What may be lost is a share of the messages, also of the feed.
+#[test]
+fn hosts_agree_on_targets_over_a_link_that_loses_messages() {
+    let mut world = World::new(4, 3, 4, &[1, 2, 3]);
+    world.run(ms(5000));
+    world.loss = 0.05;
+    for sequence in 1..=6 {
+        for number in 0..60 {
+            let card = target(&format!("t{number}"), 5, sequence, TargetState::Ready);
+            world.input(1 + number % 7, Input::Beat { card, held: vec![] });
+            world.run(ms(20));
+        }
+    }
+    world.run(ms(1500));
+    let count = |host| {
+        let state = world.machines[&host].host.as_ref().expect("it runs");
+        state.targets().iter().count()
+    };
+    let leader = world.leader().expect("a leader");
+    for host in world.running() {
+        assert_eq!(count(host), 60, "host {host}, the leader is {leader}");
+    }
+}
