--- a/edge/src/client.rs
+++ b/edge/src/client.rs
@@ -124,7 +124,7 @@
     socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))?;
     let probes = TcpKeepalive::new()
         .with_time(SILENCE_TIMEOUT)
-        .with_interval(SILENCE_TIMEOUT / SILENCE_PROBES)
+        .with_interval(SILENCE_TIMEOUT)
         .with_retries(SILENCE_PROBES);
     socket.set_tcp_keepalive(&probes)
 }
--- /dev/null
+++ b/edge/tests/common/mod.rs
@@ -0,0 +1,355 @@
+//! Hosts as processes on loopback, and a stand-in target.
+#![allow(dead_code)]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io,
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use fleet::Report;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use platform::stand_in;
+use sessions::checkout::octet;
+use tempfile::TempDir;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::{sleep, timeout},
+};
+use wire::{TargetCard, TargetState};
+
+/// A bound on waiting, not an expectation.
+pub const LIMIT: Duration = Duration::from_secs(60);
+
+pub const ENTRY: u16 = 8149;
+pub const READY: u16 = 8141;
+pub const CONTROL: u16 = 8144;
+pub const DIRECTORY: u16 = 8143;
+
+pub fn ip(net: u8, host: u8) -> String {
+    format!("127.{}.{}.{host}", octet(), 180 + net)
+}
+
+/// Hosts on a network of their own. Hosts 1 to 3 have disks.
+pub struct Cluster {
+    net: u8,
+    dir: TempDir,
+    children: BTreeMap<u8, Child>,
+    started: BTreeSet<u8>,
+}
+
+impl Cluster {
+    pub fn start(net: u8, hosts: u8) -> Cluster {
+        let dir = TempDir::new().expect("a folder can be made");
+        let mut cluster = Cluster { net, dir, children: BTreeMap::new(), started: BTreeSet::new() };
+        for host in (1..=hosts).rev() {
+            cluster.run(host);
+        }
+        cluster
+    }
+
+    pub fn addr(&self, host: u8, port: u16) -> SocketAddr {
+        format!("{}:{port}", ip(self.net, host)).parse().expect("an address")
+    }
+
+    /// Starts a host, for the first time or again.
+    pub fn run(&mut self, host: u8) {
+        let first = self.started.insert(host);
+        let own = ip(self.net, host);
+        let seeds: Vec<String> =
+            (1..=3).map(|it| format!("{}:{CONTROL}", ip(self.net, it))).collect();
+        let disk = match host {
+            1..=3 => format!("dataDir={}\n", self.dir.path().join(format!("data{host}")).display()),
+            _ => String::new(),
+        };
+        let text = format!(
+            "nodeName=edge-{host}\nip={own}\nzone=z{}\nlistenAddresses.frontend={own}:{ENTRY}\n\
+             listenAddresses.ready={own}:{READY}\nlistenAddresses.controlPlane={own}:{CONTROL}\n\
+             listenAddresses.directory={own}:{DIRECTORY}\nportRange=7380,7395\nseeds={}\n\
+             bootstrap={first}\nfaultTolerance.machines=1\n{disk}bounds.graceS=8\n\
+             bounds.retryAllowance=60\nbounds.leaseMs=3000\nheartbeatMs=300\n",
+            host % 3,
+            seeds.join(","),
+        );
+        let path = self.dir.path().join(format!("host{host}.conf"));
+        std::fs::write(&path, text).expect("the file can be written");
+        let child = Command::new(env!("CARGO_BIN_EXE_poplarhollow-edge"))
+            .arg("--settings")
+            .arg(path)
+            .stdout(Stdio::null())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the program starts");
+        self.children.insert(host, child);
+    }
+
+    /// Kills a host's process at once.
+    pub fn kill(&mut self, host: u8) {
+        let Some(mut child) = self.children.remove(&host) else { return };
+        child.kill().expect("it runs");
+        child.wait().expect("it was killed");
+    }
+
+    /// Tells a host's process to end, and waits until it has.
+    pub async fn term(&mut self, host: u8) -> bool {
+        let Some(mut child) = self.children.remove(&host) else { return false };
+        let pid = child.id().to_string();
+        Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs");
+        loop {
+            if let Some(status) = child.try_wait().expect("it can be waited for") {
+                return status.success();
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Waits until a host takes callers.
+    pub async fn ready(&self, host: u8) {
+        let addr = self.addr(host, READY);
+        until(async || {
+            let answer = call(addr, Method::GET, platform::registry::READY_PATH, &[], "").await;
+            answer.is_ok_and(|it| it.status == StatusCode::OK)
+        })
+        .await;
+    }
+
+    /// Puts a configuration in force, as an operator does.
+    pub async fn configure(&self, host: u8, document: &str) {
+        let addr = self.addr(host, CONTROL);
+        until(async || {
+            let path = platform::config::REPLACE_PATH;
+            let answer = call(addr, Method::POST, path, &[], document).await;
+            answer.is_ok_and(|it| it.status == StatusCode::OK)
+        })
+        .await;
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for child in self.children.values_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn until(mut condition: impl AsyncFnMut() -> bool) {
+    let waiting = async {
+        while !condition().await {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(LIMIT, waiting).await.expect("the condition comes true");
+}
+
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    /// None if the answer was broken off.
+    pub body: Option<String>,
+}
+
+/// Sends one request over a new connection.
+pub async fn call(
+    addr: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> io::Result<Answer> {
+    let stream = TcpStream::connect(addr).await?;
+    let (mut sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    tokio::spawn(connection);
+    let mut request = Request::builder().method(method).uri(path).header("host", "a.example");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(Bytes::from(body.to_owned()))).expect("it is a request");
+    let response = sender.send_request(request).await.map_err(io::Error::other)?;
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.ok();
+    let body = body.map(|it| String::from_utf8_lossy(&it.to_bytes()).into_owned());
+    Ok(Answer { status: parts.status, headers: parts.headers, body })
+}
+
+/// What a stand-in has seen.
+#[derive(Default)]
+struct Seen {
+    held: BTreeMap<String, u64>,
+    sequence: u64,
+    /// Requests that it ran, by their tries.
+    runs: Vec<String>,
+    fences: BTreeSet<u64>,
+}
+
+/// A stand-in target of the machines' kind: it holds adapters, counts orders, and
+/// answers streams of five events.
+#[derive(Clone)]
+pub struct Target {
+    card: TargetCard,
+    seen: Arc<Mutex<Seen>>,
+}
+
+/// Events of a stream.
+pub const EVENTS: u64 = 5;
+
+impl Target {
+    /// Starts a target that reports to the hosts' control addresses in turn.
+    pub async fn start(net: u8, number: u8, service: &str, control: Vec<SocketAddr>) -> Target {
+        let addr = format!("{}:8080", ip(net, 100 + number));
+        let listener = TcpListener::bind(&addr).await.expect("the address is free");
+        let card = TargetCard {
+            id: format!("i-{number}"),
+            born: 1,
+            sequence: 0,
+            service: service.to_owned(),
+            addr,
+            domain: "z1".to_owned(),
+            slots: 4,
+            state: TargetState::Ready,
+        };
+        let seen = Seen { held: BTreeMap::from([("m".to_owned(), 1)]), ..Seen::default() };
+        let target = Target { card, seen: Arc::new(Mutex::new(seen)) };
+        tokio::spawn(target.clone().serve(listener));
+        tokio::spawn(target.clone().report(control));
+        target
+    }
+
+    /// Requests that it ran.
+    pub fn runs(&self) -> Vec<String> {
+        self.seen.lock().expect("no holder panics").runs.clone()
+    }
+
+    /// Fencing numbers of the orders that it took.
+    pub fn fences(&self) -> usize {
+        self.seen.lock().expect("no holder panics").fences.len()
+    }
+
+    async fn report(mut self, control: Vec<SocketAddr>) {
+        loop {
+            self.card.sequence += 1;
+            let held: Vec<(String, u64)> = {
+                let seen = self.seen.lock().expect("no holder panics");
+                seen.held.iter().map(|(name, version)| (name.clone(), *version)).collect()
+            };
+            let (path, body) = stand_in::beat(&self.card, &held);
+            let at = control[self.card.sequence as usize % control.len()];
+            let _ = timeout(Duration::from_millis(500), call(at, Method::POST, &path, &[], &body))
+                .await;
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    async fn serve(self, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            let target = self.clone();
+            let service = service_fn(move |request| {
+                let target = target.clone();
+                async move { Ok::<_, std::convert::Infallible>(target.answer(request).await) }
+            });
+            tokio::spawn(async move {
+                let serving = hyper::server::conn::http1::Builder::new();
+                let _ = serving.serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (parts, body) = request.into_parts();
+        let body = body.collect().await.map(|it| it.to_bytes()).unwrap_or_default();
+        let mut seen = self.seen.lock().expect("no holder panics");
+        match parts.uri.path() {
+            platform::target::ORDER_PATH => plain(seen.order(&body), HeaderMap::new(), ""),
+            platform::target::REPORT_PATH => {
+                let held = seen.held.iter().map(|(name, version)| (name.clone(), *version));
+                let report =
+                    Report { held: held.collect(), sequence: seen.sequence, ..Report::default() };
+                plain(200, HeaderMap::new(), &stand_in::report(&report))
+            }
+            _ => self.run(&mut seen, &parts.headers),
+        }
+    }
+
+    fn run(&self, seen: &mut Seen, headers: &HeaderMap) -> Response<Full<Bytes>> {
+        let text = |name| headers.get(name).and_then(|it| it.to_str().ok());
+        if text(stand_in::TARGET) != Some(self.card.id.as_str()) {
+            return plain(421, stand_in::not_run(), "");
+        }
+        let Some(attempt) = headers.get(stand_in::ATTEMPT) else {
+            return plain(400, stand_in::not_run(), "");
+        };
+        let signed = stand_in::signed(attempt);
+        let Some(adapter) = text(stand_in::MODEL) else {
+            seen.runs.push(String::from_utf8_lossy(attempt.as_bytes()).into_owned());
+            return plain(200, signed, "done");
+        };
+        if !seen.held.contains_key(adapter) {
+            return plain(421, stand_in::not_run(), "");
+        }
+        seen.runs.push(String::from_utf8_lossy(attempt.as_bytes()).into_owned());
+        let last = text(stand_in::LAST_EVENT).and_then(|it| it.parse().ok()).unwrap_or(0);
+        let mut events = String::new();
+        for number in last + 1..=EVENTS {
+            events += &format!("id: {number}\ndata: {adapter} {number}\n\n");
+        }
+        plain(200, signed, &events)
+    }
+}
+
+impl Seen {
+    fn order(&mut self, body: &[u8]) -> u16 {
+        let Ok(order) = stand_in::read_order(body) else { return 400 };
+        if order.expect != Some(self.sequence) {
+            return 409;
+        }
+        self.fences.insert(order.fence);
+        self.sequence += 1;
+        if order.load {
+            self.held.insert(order.name, 1);
+            return 202;
+        }
+        self.held.remove(&order.name);
+        200
+    }
+}
+
+fn plain(status: u16, headers: HeaderMap, body: &str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_owned())));
+    *response.status_mut() = StatusCode::from_u16(status).expect("a status");
+    *response.headers_mut() = headers;
+    response
+}
+
+/// A configuration with a stream, a call that runs once, and a repeatable one.
+pub fn document(version: u64) -> String {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        format!(
+            r#"{{"name":"{name}","host":"a.example","pathPrefix":"{prefix}","routeType":"{kind}",
+            "timeoutMs":9000,"targetLatencyMs":1000,"priority":1,"service":"{service}","maxAttempts":2,
+            "resumable":true,"gapTargetMs":300}}"#
+        )
+    };
+    let routes = [
+        route("stream", "/stream/", "streaming", "models"),
+        route("once", "/once/", "unsafe", "app"),
+        route("read", "/read/", "safe", "app"),
+    ];
+    format!(
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"models","healthPath":"/h","engine":
+        {{"slots":4,"kvCapacity":9000,"models":[{{"name":"m","weightsMb":100,"loadS":1,"adapters":9,"adapterMb":1}}],
+        "weightsMb":110,"adapterSlots":2,"loadsPerS":4}}}},{{"name":"app","healthPath":"/h"}}],
+        "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
+        routes.join(",")
+    )
+}
