Split the host's machine by what it does; share what stood twice

machine.rs (734 lines) into replicated, members, beats, follow; the watch for silent connections is peer's, the chain of causes wire's. No behaviour changes; tests of the crates pass.

--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -12,8 +12,9 @@
     feed::FeedWriter,
     io::{Output, Tag},
     loads::{Loads, LoadsSettings, Step},
-    machine::{SILENT_BEATS, election},
+    machine::SILENT_BEATS,
     operator::Confirming,
+    replicated::ELECTION,
 };
 
 /// Time between two boards for up to [`BOARD_HOSTS`] hosts; longer in proportion
@@ -128,7 +129,7 @@
         let leading = self.leading.as_ref()?;
         let quorum_at = self.replica.status().quorum_at?;
         // No other leader can be elected before an election time has passed.
-        if now >= quorum_at + election() / 2 || leading.from.is_none_or(|from| now < from) {
+        if now >= quorum_at + ELECTION / 2 || leading.from.is_none_or(|from| now < from) {
             return None;
         }
         leading.fence
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -2,22 +2,26 @@
 //! targets, retry budget, the hosts that find each other, and on the leader the
 //! adapters' places. Pure: inputs and the present time go in, outputs come out.
 
+mod beats;
 mod budget;
 mod choose;
 mod config;
 mod demand;
 mod event;
 mod feed;
+mod follow;
 mod homes;
 mod hosts;
 mod io;
 mod lead;
 mod loads;
 mod machine;
+mod members;
 mod operator;
 mod pace;
 mod place;
 mod renew;
+mod replicated;
 mod request;
 mod routes;
 mod settings;
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -2,34 +2,21 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use desired::{Applied, Command, Desired};
-use replog::{Input as LogInput, Output as LogOutput, Recovered, Replica};
-use wire::{
-    Entry, EntryBody, FeedChange, FleetMsg, HostCard, HostId, Incarnation, Index, LogMsg, PeerMsg,
-    Snapshot, TargetCard, TargetState, decode, decode_state, encode,
-};
+use desired::{Command, Desired};
+use replog::{Input as LogInput, Recovered, Replica};
+use wire::{FleetMsg, HostCard, HostId, Incarnation, Index, LogMsg, PeerMsg, decode, encode};
 
 use crate::{
     Config, Event, Routes, Settings, Targets, Turns,
-    feed::{Position, Take},
+    feed::Position,
     hosts::Hosts,
     io::{Input, Output, Tag},
     lead::Leading,
     operator::{Desk, Question},
+    replicated::{last_holder, log_settings},
     request::Requests,
 };
 
-/// Shortest time without a leader before an election.
-const ELECTION: Duration = Duration::from_millis(900);
-/// Time between a leader's heartbeats.
-const HEARTBEAT: Duration = Duration::from_millis(150);
-/// Entries after which a snapshot is due.
-const SNAPSHOT_AFTER: u64 = 24;
-/// Time between two introductions while no leader is known.
-const JOIN_AGAIN: Duration = Duration::from_millis(400);
-/// Time between two tries to open a data folder that failed.
-const REOPEN: Duration = Duration::from_millis(500);
 /// Time between two statuses while something changes.
 const STATUS: Duration = Duration::from_millis(250);
 /// The same while nothing does.
@@ -53,18 +40,18 @@
     pub(crate) position: Position,
     pub(crate) requests: Requests,
     pub(crate) leading: Option<Leading>,
-    desk: Desk,
+    pub(crate) desk: Desk,
     /// Whether what is in force was confirmed since the start.
-    confirmed: bool,
-    stopping: bool,
-    joined: Option<Duration>,
-    reported: Duration,
-    resynced: Duration,
-    leader: Option<HostId>,
+    pub(crate) confirmed: bool,
+    pub(crate) stopping: bool,
+    pub(crate) joined: Option<Duration>,
+    pub(crate) reported: Duration,
+    pub(crate) resynced: Duration,
+    pub(crate) leader: Option<HostId>,
     pub(crate) turns: Turns,
     pub(crate) noted_prompts: Duration,
     /// A leader that others named.
-    hint: Option<HostId>,
+    pub(crate) hint: Option<HostId>,
     pub(crate) out: Vec<Output>,
 }
 
@@ -249,39 +236,6 @@
         }
     }
 
-    /// Tells the leader, or everyone if this host leads, what it is.
-    fn tell_card(&mut self, card: HostCard) {
-        if let Some(leading) = &mut self.leading {
-            leading.feed.push(FeedChange::Host(card));
-        } else if let Some(leader) = self.leader {
-            self.send(leader, FleetMsg::Join(card));
-        }
-    }
-
-    /// Looks for the leader while none is known.
-    fn join(&mut self, now: Duration) {
-        let founder = self.hosts.founder(now, self.settings.first_start, &self.settings.seeds);
-        let status = self.replica.status();
-        if founder == Some(self.settings.host) && status.group == 0 {
-            self.step_log(now, LogInput::SetFounders(vec![self.settings.host]));
-        }
-        let follows = status.leader.is_some() && self.position.epoch.0 >= status.term;
-        if follows || self.leading.is_some() {
-            return;
-        }
-        if self.joined.is_some_and(|at| now < at + JOIN_AGAIN) {
-            return;
-        }
-        self.joined = Some(now);
-        let card = self.hosts.own().clone();
-        let seeds = self.settings.seeds.clone();
-        let mut asked = self.hosts.ask(&seeds);
-        asked.extend(self.leader.or(self.hint));
-        for host in asked {
-            self.send(host, FleetMsg::Join(card.clone()));
-        }
-    }
-
     fn report(&mut self, now: Duration) {
         let span = if self.requests.is_active() { STATUS } else { STATUS_AT_REST };
         if now < self.reported + span {
@@ -382,193 +336,6 @@
         }
     }
 
-    fn joined_by(&mut self, now: Duration, from: HostId, card: &HostCard) {
-        if card.host != from {
-            return;
-        }
-        let new = self.hosts.merge(card);
-        self.hosts.hear(now, from);
-        if new {
-            self.log(Event::Host { host: card.host, ready: card.ready });
-            self.share_hosts(now);
-        }
-        let leader = if self.leading.is_some() { Some(self.settings.host) } else { self.leader };
-        let roster = FleetMsg::Roster {
-            leader,
-            group: self.replica.status().group,
-            founder: self.hosts.founder(now, self.settings.first_start, &self.settings.seeds),
-            cards: self.hosts.cards(),
-        };
-        self.send(from, roster);
-        if let Some(leading) = &mut self.leading {
-            if new {
-                leading.feed.push(FeedChange::Host(card.clone()));
-            }
-            self.send_table(from);
-        }
-    }
-
-    fn roster(
-        &mut self,
-        now: Duration,
-        leader: Option<HostId>,
-        founder: Option<HostId>,
-        cards: &[HostCard],
-    ) {
-        let mut new = false;
-        for card in cards {
-            // A host speaks for itself: what others tell of one that is known
-            // may be old.
-            if self.hosts.card(card.host).is_none() {
-                new |= self.hosts.merge(card);
-            }
-        }
-        if new {
-            self.share_hosts(now);
-        }
-        if let Some(leader) = leader.filter(|&it| it != self.settings.host) {
-            self.hint = Some(leader);
-            self.step_log(now, LogInput::Hint(leader));
-        }
-        if founder == Some(self.settings.host)
-            && self.replica.status().group == 0
-            && self.settings.first_start
-        {
-            self.step_log(now, LogInput::SetFounders(vec![self.settings.host]));
-        }
-    }
-
-    fn share_hosts(&mut self, now: Duration) {
-        let hosts = self.hosts.all();
-        self.step_log(now, LogInput::SetHosts(hosts));
-    }
-
-    fn leaving(&mut self, now: Duration, from: HostId, run: Incarnation) {
-        let Some(card) = self.hosts.card(from).cloned() else { return };
-        if card.run != run || !card.ready {
-            return;
-        }
-        let card = HostCard { ready: false, ..card };
-        self.hosts.merge(&card);
-        self.hosts.hear(now, from);
-        self.log(Event::Host { host: from, ready: false });
-        if let Some(leading) = &mut self.leading {
-            leading.feed.push(FeedChange::Host(card));
-        }
-    }
-
-    fn resync(&mut self, now: Duration, leader: HostId) {
-        if now < self.resynced + JOIN_AGAIN / 4 {
-            return;
-        }
-        self.resynced = now;
-        self.send(leader, FleetMsg::Resync);
-    }
-
-    fn follow(&mut self, now: Duration, from: HostId, feed: &wire::Feed) {
-        let before = self.position.epoch;
-        match self.position.take(feed) {
-            Take::Ignore => return,
-            Take::Resync => return self.resync(now, from),
-            Take::Replace => self.targets.clear_feed(),
-            Take::Append => {}
-        }
-        if before != self.position.epoch {
-            self.log(Event::Follows { term: feed.epoch.0, last: feed.last });
-        }
-        for change in &feed.changes {
-            self.apply_change(now, change);
-        }
-        self.out.push(Output::Wake);
-    }
-
-    pub(crate) fn apply_change(&mut self, now: Duration, change: &FeedChange) {
-        match change {
-            FeedChange::Host(card) => {
-                if self.hosts.merge(card) {
-                    self.share_hosts(now);
-                }
-            }
-            FeedChange::Target(number, card) => {
-                self.note_target(card);
-                if let Some(target) = self.targets.get_mut(&card.id) {
-                    target.number = Some(*number);
-                }
-            }
-            FeedChange::Placed(place) => {
-                if let Some(target) = self.targets.numbered(place.target) {
-                    target.adapters.insert(place.adapter.clone(), place.version);
-                }
-            }
-            FeedChange::Removed(place) => {
-                if let Some(target) = self.targets.numbered(place.target) {
-                    target.adapters.remove(&place.adapter);
-                }
-            }
-        }
-    }
-
-    /// Takes in what a target said to this host.
-    fn beat(&mut self, now: Duration, card: TargetCard, held: Vec<(String, u64)>) {
-        if self.note_target(&card) {
-            if card.state != TargetState::Ready {
-                self.tell_all_seen(&card);
-            }
-            self.out.push(Output::Wake);
-        }
-        if self.leading.is_some() {
-            self.alive(now, &card, &held);
-        } else if let Some(leader) = self.leader {
-            self.send(leader, FleetMsg::Alive(card, held));
-        }
-    }
-
-    fn left(&mut self, now: Duration, id: &str) {
-        let Some(target) = self.targets.get(id) else { return };
-        let card = TargetCard { state: TargetState::Gone, ..target.card.clone() };
-        self.tell_all_seen(&card);
-        self.know_target(now, &card);
-    }
-
-    /// Tells every host that a target takes no more requests, without waiting for
-    /// a leader that may just be lost.
-    fn tell_all_seen(&mut self, card: &TargetCard) {
-        for host in self.hosts.others() {
-            self.send(host, FleetMsg::Seen(card.clone()));
-        }
-    }
-
-    /// Takes in what a target is, wherever it comes from.
-    fn know_target(&mut self, now: Duration, card: &TargetCard) {
-        self.note_target(card);
-        if let Some(leading) = &mut self.leading {
-            leading.loads.target(now, card);
-        }
-        self.out.push(Output::Wake);
-    }
-
-    fn alive(&mut self, now: Duration, card: &TargetCard, _held: &[(String, u64)]) {
-        self.note_target(card);
-        let known = self.targets.get(&card.id).map(|it| it.card.clone());
-        if let (Some(leading), Some(card)) = (&mut self.leading, known) {
-            leading.loads.target(now, &card);
-        }
-    }
-
-    /// Merges a target's card. Returns whether it changed anything.
-    fn note_target(&mut self, card: &TargetCard) -> bool {
-        let changed = self.targets.merge(card);
-        if changed {
-            self.log(Event::Target {
-                target: card.id.clone(),
-                service: card.service.clone(),
-                addr: card.addr.clone(),
-                state: format!("{:?}", card.state).to_lowercase(),
-            });
-        }
-        changed
-    }
-
     fn reload(&mut self, settings: Settings) {
         self.settings.seeds = settings.seeds;
         self.settings.bounds = settings.bounds;
@@ -588,114 +355,6 @@
         self.tell_card(card);
     }
 
-    fn sync_failed(&mut self, now: Duration, reason: String) {
-        self.log(Event::DiskFailed { reason: reason.clone() });
-        self.step_log(now, LogInput::SyncFailed(reason));
-        self.out.push(Output::Reopen(REOPEN));
-    }
-
-    /// Goes on with the folder as it was found, as after a restart.
-    fn reopened(&mut self, now: Duration, disk: Recovered) {
-        self.log(Event::DiskBack);
-        let seed = now.as_nanos() as u64;
-        let (replica, outputs) = Replica::new(now, log_settings(&self.settings, seed), Some(disk));
-        self.replica = replica;
-        self.carry_out(now, outputs);
-        self.share_hosts(now);
-    }
-
-    /// Takes one step of the log.
-    pub(crate) fn step_log(&mut self, now: Duration, input: LogInput) {
-        let outputs = self.replica.handle(now, input);
-        self.carry_out(now, outputs);
-    }
-
-    fn carry_out(&mut self, now: Duration, outputs: Vec<LogOutput>) {
-        let mut snapshot_due = false;
-        for output in outputs {
-            match output {
-                LogOutput::Send { to, msg } => {
-                    self.out.push(Output::Send { to, msg: PeerMsg::Log(msg) });
-                }
-                LogOutput::Write(write) => self.out.push(Output::Write(write)),
-                LogOutput::Apply(entry) => self.apply(now, entry),
-                LogOutput::Restore(snapshot) => self.restore(now, &snapshot),
-                LogOutput::SnapshotDue => snapshot_due = true,
-                LogOutput::Leader { leader, term } => {
-                    self.leader = leader;
-                    self.log(Event::Leader { leader, term });
-                    self.desk.hurry();
-                    self.joined = None;
-                }
-                LogOutput::Alarm(alarm) => self.log(Event::Alarm { what: format!("{alarm:?}") }),
-            }
-        }
-        if snapshot_due {
-            let state = encode(&self.desired).into();
-            let index = self.replica.status().applied;
-            self.step_log(now, LogInput::Compact { index, state });
-        }
-    }
-
-    fn apply(&mut self, now: Duration, entry: Entry) {
-        let EntryBody::Data(bytes) = entry.body else { return };
-        let command: Command = match decode_state(&bytes) {
-            Ok(command) => command,
-            Err(error) => {
-                let what = format!("could not read log entry {}: {error}", entry.index);
-                return self.log(Event::Alarm { what });
-            }
-        };
-        let version = match &command {
-            Command::Version { adapter, version } => Some((adapter.clone(), *version)),
-            _ => None,
-        };
-        match self.desired.apply(entry.index, command) {
-            Applied::Config => self.configured(entry.index),
-            Applied::Version => {
-                let (adapter, version) = version.expect("a version was applied");
-                self.named.insert(adapter.clone(), now);
-                self.log(Event::Version { adapter, version });
-                self.out.push(Output::Wake);
-            }
-            Applied::Holder => self.held_by(now),
-            Applied::Nothing => {}
-        }
-        self.configure_loads();
-    }
-
-    fn restore(&mut self, now: Duration, snapshot: &Snapshot) {
-        if snapshot.state.is_empty() {
-            return;
-        }
-        match decode_state::<Desired>(&snapshot.state) {
-            Ok(desired) => {
-                let newer = desired.number() > self.desired.number();
-                for (adapter, version) in &desired.versions {
-                    if self.desired.versions.get(adapter) != Some(version) {
-                        self.named.insert(adapter.clone(), now);
-                    }
-                }
-                self.desired = desired;
-                if newer {
-                    self.configured(snapshot.index);
-                }
-            }
-            Err(error) => {
-                let what = format!("could not read snapshot {}: {error}", snapshot.index);
-                self.log(Event::Alarm { what });
-            }
-        }
-    }
-
-    /// Hands the new document to the process, which reads it.
-    fn configured(&mut self, index: Index) {
-        let Some(document) = &self.desired.config else { return };
-        let (number, body): (u64, Bytes) = (document.number, document.body.clone());
-        self.log(Event::Config { number, index });
-        self.out.push(Output::Config(body));
-    }
-
     /// Takes the configuration as it was read from the document in force.
     pub fn set_config(&mut self, config: Config) {
         self.routes = Arc::new(Routes::new(&config));
@@ -703,32 +362,3 @@
         self.configure_loads();
     }
 }
-
-/// The last host that was made the holder, by what is on disk. Whether that was
-/// committed does not matter for a preference.
-fn last_holder(disk: &Recovered) -> Option<HostId> {
-    for entry in disk.entries.iter().rev() {
-        let EntryBody::Data(bytes) = &entry.body else { continue };
-        if let Ok(Command::Hold { host, .. }) = decode_state(bytes) {
-            return Some(host);
-        }
-    }
-    let state = &disk.snapshot.as_ref()?.state;
-    decode_state::<Desired>(state).ok()?.holder.map(|it| it.host)
-}
-
-fn log_settings(settings: &Settings, seed: u64) -> replog::Settings {
-    replog::Settings {
-        host: settings.host,
-        founders: Vec::new(),
-        hosts: settings.seeds.clone(),
-        election: ELECTION,
-        heartbeat: HEARTBEAT,
-        snapshot_after: SNAPSHOT_AFTER,
-        seed,
-    }
-}
-
-pub(crate) fn election() -> Duration {
-    ELECTION
-}
--- a/coordination/fleet/src/place.rs
+++ b/coordination/fleet/src/place.rs
@@ -43,6 +43,10 @@
     pub(crate) print: AdapterPrint,
 }
 
+/// What a report shows: adapters that became usable, and those that are gone, with
+/// their versions.
+pub(crate) type Changes = (Vec<(String, u64)>, Vec<(String, u64)>);
+
 /// An order on its way to a target.
 #[derive(Debug, Clone)]
 pub(crate) struct Sent {
@@ -202,12 +206,7 @@
     /// Takes in a report. Reports are older than their arrival, so what was
     /// ordered within `lag` is left as it is. Returns what became usable and what
     /// is gone.
-    pub(crate) fn reported(
-        &mut self,
-        now: Duration,
-        report: &Report,
-        lag: Duration,
-    ) -> (Vec<(String, u64)>, Vec<(String, u64)>) {
+    pub(crate) fn reported(&mut self, now: Duration, report: &Report, lag: Duration) -> Changes {
         let (mut came, mut went) = (Vec::new(), Vec::new());
         self.heard = now;
         self.stored = report.stored.clone();
--- a/daemon/src/disk.rs
+++ b/daemon/src/disk.rs
@@ -10,7 +10,9 @@
 use replog::Write;
 use store::Disk;
 
-use crate::{error::chain, shards::Shards};
+use wire::chain;
+
+use crate::shards::Shards;
 
 /// The most changes that one sync covers.
 const BATCH_OPS: usize = 1024;
--- a/daemon/src/error.rs
+++ b/daemon/src/error.rs
@@ -50,15 +50,3 @@
     let lines: Vec<String> = errors.iter().map(FileError::to_string).collect();
     lines.join("; ")
 }
-
-/// Writes an error with its causes on one line.
-pub(crate) fn chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text.push_str(": ");
-        text.push_str(&cause.to_string());
-        source = cause.source();
-    }
-    text
-}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -13,7 +13,9 @@
 
 use std::process::ExitCode;
 
-use crate::{error::chain, options::Options};
+use wire::chain;
+
+use crate::options::Options;
 
 fn main() -> ExitCode {
     let options: Options = argh::from_env();
--- a/edge/src/client.rs
+++ b/edge/src/client.rs
@@ -16,15 +16,10 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
 /// How long a new connection may take; the first packet may be lost once.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
-/// How long bytes may be unacknowledged before a target counts as silent.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Unanswered probes after which an idle connection counts as silent.
-const SILENCE_PROBES: u32 = 2;
 /// Part of the time a target keeps an idle connection during which it is used.
 const KEPT_SHARE: f64 = 0.5;
 /// How long an idle connection is used if the target does not say.
@@ -108,7 +103,7 @@
         let addr: SocketAddr = addr.parse().ok()?;
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        watch_silence(&stream).ok()?;
+        peer::watch_silence(&stream).ok()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         let task = tokio::task::spawn_local(async move {
             // The request learns of an error from its own future.
@@ -119,16 +114,6 @@
     }
 }
 
-fn watch_silence(stream: &TcpStream) -> std::io::Result<()> {
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))?;
-    let probes = TcpKeepalive::new()
-        .with_time(SILENCE_TIMEOUT)
-        .with_interval(SILENCE_TIMEOUT)
-        .with_retries(SILENCE_PROBES);
-    socket.set_tcp_keepalive(&probes)
-}
-
 impl Connection {
     /// Sends a request and waits for the head of its answer.
     pub(crate) async fn send(
--- a/edge/src/disk.rs
+++ b/edge/src/disk.rs
@@ -12,7 +12,7 @@
 use store::Disk;
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::error::chain;
+use wire::chain;
 
 enum Job {
     Write(Write),
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -34,7 +34,7 @@
     match run::run(options.settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("poplarhollow-edge: {}", error::chain(&error));
+            eprintln!("poplarhollow-edge: {}", wire::chain(&error));
             ExitCode::FAILURE
         }
     }
--- a/protocol/wire/src/error.rs
+++ b/protocol/wire/src/error.rs
@@ -202,3 +202,15 @@
 }
 
 impl std::error::Error for Fault {}
+
+/// Writes an error with its causes on one line.
+pub fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -18,7 +18,7 @@
         Action, Claim, ClaimKey, Command, DeclFile, Intent, Move, Outcome, Proposal, Publish,
         Settle,
     },
-    error::{ErrorKind, Fault, Ran, Retry, Row},
+    error::{ErrorKind, Fault, Ran, Retry, Row, chain},
     fleet::{
         AdapterPrint, Board, Decided, Epoch, Feed, FeedChange, FleetMsg, HostCard, HostStatus,
         Placement, Running, TargetCard, TargetNumber, TargetState, TurnAsk,
--- a/transport/peer/src/lib.rs
+++ b/transport/peer/src/lib.rs
@@ -15,6 +15,6 @@
 
 pub use crate::{
     hub::{Config, Event, Hub, Inbox, PeerError, Peers},
-    link::QUEUE_BYTES,
+    link::{QUEUE_BYTES, watch_silence},
     stats::{Dropped, KindCount, Stats},
 };
--- a/transport/peer/src/link.rs
+++ b/transport/peer/src/link.rs
@@ -245,8 +245,8 @@
     Ok((stream, session))
 }
 
-/// Lets a connection fail whose peer has gone silent.
-fn watch_silence(stream: &TcpStream) -> io::Result<()> {
+/// Lets a connection fail whose other side has gone silent.
+pub fn watch_silence(stream: &TcpStream) -> io::Result<()> {
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))?;
     let probes = TcpKeepalive::new()
