Explain one request from the hosts' logs

poplarhollow explain ID [FILES]: the request's own line with its steps, then what hosts came to believe meanwhile of the targets and adapters that it met. Events no longer use the key of the writer's name for another host.

--- a/cli/src/cmd.rs
+++ b/cli/src/cmd.rs
@@ -28,6 +28,7 @@
     Where(Where),
     Audit(Audit),
     Request(Request),
+    Explain(Explain),
     Completions(Completions),
 }
 
@@ -194,6 +195,18 @@
     pub(crate) json: bool,
 }
 
+/// Tells one request's story from the hosts' log lines.
+#[derive(Debug, FromArgs, ArgsInfo)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct Explain {
+    /// the name of the caller's try
+    #[argh(positional)]
+    pub(crate) id: String,
+    /// log files of one or more hosts; standard input if left out
+    #[argh(positional)]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// Prints a completion script: bash, zsh, fish or nushell.
 #[derive(Debug, FromArgs, ArgsInfo)]
 #[argh(subcommand, name = "completions")]
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod date;
 mod deployment;
 mod error;
+mod explain;
 mod output;
 mod publish;
 mod request;
@@ -60,6 +61,7 @@
         Cmd::Where(cmd) => cmd.run(),
         Cmd::Audit(cmd) => cmd.run(),
         Cmd::Request(cmd) => cmd.run(),
+        Cmd::Explain(cmd) => cmd.run(),
         Cmd::Completions(cmd) => cmd.run(),
     }
 }
--- a/cli/tests/help.rs
+++ b/cli/tests/help.rs
@@ -6,7 +6,7 @@
 
 use support::run;
 
-const COMMANDS: [&[&str]; 11] = [
+const COMMANDS: [&[&str]; 12] = [
     &[],
     &["check"],
     &["publish"],
@@ -17,6 +17,7 @@
     &["audit", "export"],
     &["audit", "verify"],
     &["request"],
+    &["explain"],
     &["completions"],
 ];
 
--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -40,7 +40,7 @@
     /// Another host gives the orders.
     Holder {
         /// The host.
-        host: HostId,
+        holder: HostId,
         /// Its fencing number.
         fence: u64,
     },
@@ -61,14 +61,14 @@
     /// A host is known, or changed.
     Host {
         /// The host.
-        host: HostId,
+        peer: HostId,
         /// Whether it takes callers.
         ready: bool,
     },
     /// A host has been silent.
     HostSilent {
         /// The host.
-        host: HostId,
+        peer: HostId,
     },
     /// A target is known, or changed.
     Target {
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -107,7 +107,7 @@
     /// former one can be within the time between two holders.
     pub(crate) fn held_by(&mut self, now: Duration) {
         let Some(holder) = self.desired.holder else { return };
-        self.log(Event::Holder { host: holder.host, fence: holder.fence });
+        self.log(Event::Holder { holder: holder.host, fence: holder.fence });
         let own = (holder.host, holder.run) == (self.settings.host, self.run);
         // Another holder would have to wait before it gives orders.
         self.step_log(now, LogInput::Prefer(holder.host == self.settings.host));
@@ -140,7 +140,7 @@
             return;
         }
         for card in self.hosts.expire(now) {
-            self.log(Event::HostSilent { host: card.host });
+            self.log(Event::HostSilent { peer: card.host });
             if let Some(leading) = &mut self.leading {
                 leading.loads.forget(card.host);
                 leading.feed.push(FeedChange::Host(card));
@@ -236,7 +236,7 @@
         }
         let card = wire::HostCard { ready: status.ready, run: status.run, ..card.clone() };
         self.hosts.merge(&card);
-        self.log(Event::Host { host: from, ready: card.ready });
+        self.log(Event::Host { peer: from, ready: card.ready });
         if let Some(leading) = &mut self.leading {
             leading.feed.push(FeedChange::Host(card));
         }
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -231,7 +231,7 @@
         if self.hosts.own().ready != ready {
             self.hosts.set_ready(ready);
             let card = self.hosts.own().clone();
-            self.log(Event::Host { host: card.host, ready });
+            self.log(Event::Host { peer: card.host, ready });
             self.tell_card(card);
         }
     }
--- a/coordination/fleet/src/members.rs
+++ b/coordination/fleet/src/members.rs
@@ -51,7 +51,7 @@
         let new = self.hosts.merge(card);
         self.hosts.hear(now, from);
         if new {
-            self.log(Event::Host { host: card.host, ready: card.ready });
+            self.log(Event::Host { peer: card.host, ready: card.ready });
             self.share_hosts(now);
         }
         let leader = if self.leading.is_some() { Some(self.settings.host) } else { self.leader };
@@ -113,7 +113,7 @@
         let card = HostCard { ready: false, ..card };
         self.hosts.merge(&card);
         self.hosts.hear(now, from);
-        self.log(Event::Host { host: from, ready: false });
+        self.log(Event::Host { peer: from, ready: false });
         if let Some(leading) = &mut self.leading {
             leading.feed.push(FeedChange::Host(card));
         }
