--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -2,8 +2,9 @@
 
 use std::{
     collections::BTreeSet,
+    fmt::Write as _,
     fs::File,
-    io::{BufRead, BufReader, stdin},
+    io::{BufRead, BufReader, Write as _, stdin, stdout},
 };
 
 use serde_json::Value;
@@ -49,10 +50,13 @@
             let why = "it was served and left out, or the logs are of other hosts or times";
             return Err(Error::failed(format!("no line names request {}: {why}", self.id)));
         }
+        let mut story = String::new();
         for request in own {
-            print_request(request);
-            print_around(request, &lines);
+            tell_request(request, &mut story);
+            tell_around(request, &lines, &mut story);
         }
+        // A reader that ends early has seen what it wanted.
+        let _ = stdout().write_all(story.as_bytes());
         Ok(())
     }
 }
@@ -83,9 +87,10 @@
     Some(hours * 3600.0 + minutes * 60.0 + seconds)
 }
 
-fn print_request(line: &Line) {
+fn tell_request(line: &Line, story: &mut String) {
     let number = |key: &str| line.fields.get(key).and_then(Value::as_u64).unwrap_or(0);
-    println!(
+    let _ = writeln!(
+        story,
         "{} {}: request {} on route {}: {}, status {}, after {} ms",
         line.time,
         line.host,
@@ -97,13 +102,13 @@
     );
     for step in line.text("steps").split(';').map(str::trim).filter(|it| !it.is_empty()) {
         let (at, what) = step.split_once(' ').unwrap_or(("?", step));
-        println!("  at {at} ms: {what}");
+        let _ = writeln!(story, "  at {at} ms: {what}");
     }
 }
 
-/// Prints what hosts came to believe meanwhile of the targets and adapters that the
+/// Tells what hosts came to believe meanwhile of the targets and adapters that the
 /// request met, and of the leader.
-fn print_around(request: &Line, lines: &[Line]) {
+fn tell_around(request: &Line, lines: &[Line], story: &mut String) {
     let took = request.fields.get("took_ms").and_then(Value::as_f64).unwrap_or(0.0) / 1000.0;
     let words: BTreeSet<&str> = request.text("steps").split([' ', ';']).collect();
     let mut shown = BTreeSet::new();
@@ -120,11 +125,11 @@
         };
         let mut fields = line.fields.clone();
         if let Some(map) = fields.as_object_mut() {
-            map.retain(|key, _| !["msg", "level", "ts", "event"].contains(&key.as_str()));
+            map.retain(|key, _| !["msg", "level", "ts", "event", "host"].contains(&key.as_str()));
         }
         // Many hosts come to believe the same; the first one is enough.
         if about && shown.insert((line.event.clone(), fields.to_string())) {
-            println!("  {} {}: {} {fields}", line.time, line.host, line.event);
+            let _ = writeln!(story, "  {} {}: {} {fields}", line.time, line.host, line.event);
         }
     }
 }
