Remove what nothing reads; move a request's place into a file of its own

The answer to a proposal (hosts learn from the log), the adapters beside each forwarded heartbeat, three bounds and three fields of services that nothing used.

--- a/coordination/fleet/src/beats.rs
+++ b/coordination/fleet/src/beats.rs
@@ -8,7 +8,7 @@
 
 impl Host {
     /// Takes in what a target said to this host.
-    pub(crate) fn beat(&mut self, now: Duration, card: TargetCard, held: Vec<(String, u64)>) {
+    pub(crate) fn beat(&mut self, now: Duration, card: TargetCard) {
         if self.note_target(&card) {
             if card.state != TargetState::Ready {
                 self.tell_all_seen(&card);
@@ -16,9 +16,9 @@
             self.out.push(Output::Wake);
         }
         if self.leading.is_some() {
-            self.alive(now, &card, &held);
+            self.alive(now, &card);
         } else if let Some(leader) = self.leader {
-            self.send(leader, FleetMsg::Alive(card, held));
+            self.send(leader, FleetMsg::Alive(card));
         }
     }
 
@@ -46,7 +46,7 @@
         self.out.push(Output::Wake);
     }
 
-    pub(crate) fn alive(&mut self, now: Duration, card: &TargetCard, _held: &[(String, u64)]) {
+    pub(crate) fn alive(&mut self, now: Duration, card: &TargetCard) {
         self.note_target(card);
         let known = self.targets.get(&card.id).map(|it| it.card.clone());
         if let (Some(leading), Some(card)) = (&mut self.leading, known) {
--- a/coordination/fleet/src/config.rs
+++ b/coordination/fleet/src/config.rs
@@ -1,9 +1,6 @@
 //! A whole configuration: routes, services and limits.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use thiserror::Error;
 
@@ -66,8 +63,6 @@
     pub name: String,
     /// Size of the weights in MB.
     pub weights_mb: f64,
-    /// Time of a load from the weight store.
-    pub load: Duration,
     /// Size of one adapter in MB.
     pub adapter_mb: f64,
 }
@@ -77,8 +72,6 @@
 pub struct Engine {
     /// Requests in one batch.
     pub slots: u32,
-    /// Tokens that fit into memory.
-    pub tokens: u64,
     /// Memory for weights and adapters in MB.
     pub weights_mb: f64,
     /// Adapters that one target holds.
@@ -94,8 +87,6 @@
 pub struct Service {
     /// Its name.
     pub name: String,
-    /// Connections that one target accepts from all hosts.
-    pub connections: u32,
     /// Its engine, if it runs models.
     pub engine: Option<Engine>,
 }
@@ -187,10 +178,4 @@
         }
         Ok(())
     }
-
-    /// Returns the services that routes use.
-    pub fn used_services(&self) -> BTreeSet<&str> {
-        let splits = self.routes.iter().flat_map(|route| &route.split);
-        splits.filter(|(_, weight)| *weight > 0).map(|(name, _)| name.as_str()).collect()
-    }
 }
--- a/coordination/fleet/src/io.rs
+++ b/coordination/fleet/src/io.rs
@@ -97,12 +97,10 @@
     SyncFailed(String),
     /// The folder was opened anew.
     Reopened(Box<replog::Recovered>),
-    /// A target said something of itself, with the models and adapters it names.
+    /// A target said something of itself.
     Beat {
         /// What it said.
         card: TargetCard,
-        /// What it holds.
-        held: Vec<(String, u64)>,
     },
     /// A target took its leave.
     Left {
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -5,7 +5,7 @@
 
 use desired::Command;
 use replog::Input as LogInput;
-use wire::{Board, Decided, Feed, FeedChange, Fence, FleetMsg, HostId, HostStatus, Index, encode};
+use wire::{Board, Feed, FeedChange, Fence, FleetMsg, HostId, HostStatus, Index, encode};
 
 use crate::{
     Event, Host,
@@ -53,7 +53,7 @@
         } else if !status.leading && self.leading.is_some() {
             self.leading = None;
         }
-        self.answer_proposals();
+        self.forget_met();
         self.answer_reads(status.quorum_at, status.commit);
         self.carry_steps();
         self.flush_feed(now);
@@ -258,22 +258,10 @@
         }
     }
 
-    /// Tells who proposed what is in force now.
-    fn answer_proposals(&mut self) {
-        let applied = self.replica.status().applied;
+    /// Forgets the proposals that are in force.
+    fn forget_met(&mut self) {
         let Some(leading) = &mut self.leading else { return };
-        let met: Vec<(HostId, Tag)> = leading
-            .proposed
-            .iter()
-            .filter(|(_, command)| self.desired.is_met(command))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in &met {
-            leading.proposed.remove(key);
-        }
-        for (host, tag) in met {
-            self.send(host, FleetMsg::Proposed { tag, decided: Decided::InForce(applied) });
-        }
+        leading.proposed.retain(|_, command| !self.desired.is_met(command));
     }
 
     /// Notes a read, to be confirmed once a quorum has followed this leader after
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -36,7 +36,7 @@
     io::{Input, Order, OrderOutcome, Output, Reply, Report, Tag},
     loads::{Loads, LoadsSettings, Step},
     machine::Host,
-    request::{Ask, Choice, Outcome, Route404, Ticket},
+    request::{Ask, Choice, NoRoute, Outcome, Ticket},
     routes::Routes,
     settings::{Bounds, Settings},
     targets::{Target, Targets, adapter_print},
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -121,7 +121,7 @@
             Input::Synced(ticket) => self.step_log(now, LogInput::Synced(ticket)),
             Input::SyncFailed(reason) => self.sync_failed(now, reason),
             Input::Reopened(disk) => self.reopened(now, *disk),
-            Input::Beat { card, held } => self.beat(now, card, held),
+            Input::Beat { card } => self.beat(now, card),
             Input::Left { id } => self.left(now, &id),
             Input::Change { tag, command } => self.desk.change(now, tag, command),
             Input::Read { tag } => self.desk.read(now, tag),
@@ -317,7 +317,7 @@
             FleetMsg::Feed(feed) => self.follow(now, from, &feed),
             FleetMsg::Resync => self.send_table(from),
             FleetMsg::Seen(card) => self.know_target(now, &card),
-            FleetMsg::Alive(card, held) => self.alive(now, &card, &held),
+            FleetMsg::Alive(card) => self.alive(now, &card),
             FleetMsg::Want { service, adapter, waiting } => {
                 if let Some(leading) = &mut self.leading {
                     leading.loads.want(now, from, &service, &adapter, waiting);
@@ -331,7 +331,6 @@
             }
             FleetMsg::Confirm { tag } => self.confirm_read(now, from, tag),
             FleetMsg::Confirmed { tag, index } => self.confirmed_read(tag, index),
-            FleetMsg::Proposed { .. } => {}
             FleetMsg::Leaving { run, .. } => self.leaving(now, from, run),
         }
     }
--- a/coordination/fleet/src/place.rs
+++ b/coordination/fleet/src/place.rs
@@ -15,8 +15,9 @@
 
 /// Adapters in transit to one target at the same time.
 const TRANSIT: usize = 4;
-/// Adapters that a target may keep in its own memory after they were unloaded.
-const COPIES: usize = 120;
+/// Adapters that are remembered as perhaps still in a target's own memory after they
+/// were unloaded. How many it keeps is not said anywhere.
+const COPIES: usize = 128;
 
 /// Where a model or adapter is on its way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -21,7 +21,7 @@
 
 /// No route takes a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Route404 {
+pub enum NoRoute {
     /// It is not known yet what is in force.
     Unknown,
     /// Nothing in force takes it.
@@ -144,12 +144,12 @@
         host: &str,
         path: &str,
         draw: u64,
-    ) -> Result<(Arc<Route>, String), Route404> {
+    ) -> Result<(Arc<Route>, String), NoRoute> {
         if !self.knows_config() {
-            return Err(Route404::Unknown);
+            return Err(NoRoute::Unknown);
         }
-        let route = self.routes.find(host, path).ok_or(Route404::None)?;
-        let service = route.service(draw).ok_or(Route404::None)?.to_owned();
+        let route = self.routes.find(host, path).ok_or(NoRoute::None)?;
+        let service = route.service(draw).ok_or(NoRoute::None)?.to_owned();
         Ok((route, service))
     }
 
--- a/coordination/fleet/src/routes.rs
+++ b/coordination/fleet/src/routes.rs
@@ -32,11 +32,6 @@
         let routes = self.by_host.get(&name)?;
         routes.iter().find(|route| path.starts_with(&route.prefix)).cloned()
     }
-
-    /// Returns whether a host name has routes.
-    pub fn has_host(&self, host: &str) -> bool {
-        self.by_host.contains_key(&host.to_ascii_lowercase())
-    }
 }
 
 impl Route {
--- a/coordination/fleet/src/settings.rs
+++ b/coordination/fleet/src/settings.rs
@@ -7,14 +7,8 @@
 /// What is promised, and within which time.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Bounds {
-    /// How long a leaving target serves on after it was told that this is known.
-    pub drain: Duration,
     /// How long a process may run on after it was told to end.
     pub grace: Duration,
-    /// How soon an acknowledged configuration is in force everywhere.
-    pub apply: Duration,
-    /// How soon an operator's change is acknowledged.
-    pub ack: Duration,
     /// How soon an acknowledged adapter version is in force everywhere.
     pub version: Duration,
     /// Least time between orders of two holders to one target.
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -1,7 +1,7 @@
 //! The targets as one host knows them.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     hash::{DefaultHasher, Hash, Hasher},
     time::Duration,
 };
@@ -234,9 +234,4 @@
     pub fn numbered(&mut self, number: TargetNumber) -> Option<&mut Target> {
         self.by_id.values_mut().find(|it| it.number == Some(number))
     }
-
-    /// Returns the services that have targets.
-    pub fn services(&self) -> BTreeSet<&str> {
-        self.by_id.values().map(|it| it.card.service.as_str()).collect()
-    }
 }
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -53,10 +53,7 @@
 
 fn bounds() -> Bounds {
     Bounds {
-        drain: ms(2000),
         grace: ms(8000),
-        apply: ms(2000),
-        ack: ms(4000),
         version: ms(5000),
         lease: ms(3000),
         retry_ratio: 0.2,
--- a/coordination/fleet/tests/hosts.rs
+++ b/coordination/fleet/tests/hosts.rs
@@ -191,8 +191,7 @@
     for leaderless in [false, true] {
         let mut world = World::new(8, 3, 5, &[1, 2, 3]);
         world.run(ms(5000));
-        let beat =
-            |sequence, state| Input::Beat { card: target("t1", 5, sequence, state), held: vec![] };
+        let beat = |sequence, state| Input::Beat { card: target("t1", 5, sequence, state) };
         world.input(6, beat(1, TargetState::Ready));
         world.run(ms(1500));
         for host in world.running() {
@@ -220,10 +219,7 @@
 fn a_silent_target_is_forgotten_and_comes_back() {
     let mut world = World::new(8, 3, 2, &[1, 2, 3]);
     world.run(ms(5000));
-    let beat = |sequence| Input::Beat {
-        card: target("t1", 5, sequence, TargetState::Ready),
-        held: vec![],
-    };
+    let beat = |sequence| Input::Beat { card: target("t1", 5, sequence, TargetState::Ready) };
     world.input(4, beat(1));
     world.run(ms(7000));
     assert!(!knows(&world, 5, "t1"), "it was silent for more than four heartbeats");
@@ -241,7 +237,7 @@
     for sequence in 1..=6 {
         for number in 0..60 {
             let card = target(&format!("t{number}"), 5, sequence, TargetState::Ready);
-            world.input(1 + number % 7, Input::Beat { card, held: vec![] });
+            world.input(1 + number % 7, Input::Beat { card });
             world.run(ms(20));
         }
     }
--- a/coordination/fleet/tests/loads.rs
+++ b/coordination/fleet/tests/loads.rs
@@ -83,15 +83,9 @@
 fn account() -> Loads {
     let settings = LoadsSettings { window: ms(5000), silence: Duration::from_secs(1000) };
     let mut loads = Loads::new(settings);
-    let model = Model { name: "m".to_owned(), weights_mb: 100.0, load: ms(2000), adapter_mb: 1.0 };
-    let engine = Engine {
-        slots: 64,
-        tokens: 100_000,
-        weights_mb: 200.0,
-        adapters: SLOTS,
-        loads: 3.0,
-        models: vec![model],
-    };
+    let model = Model { name: "m".to_owned(), weights_mb: 100.0, adapter_mb: 1.0 };
+    let engine =
+        Engine { slots: 64, weights_mb: 200.0, adapters: SLOTS, loads: 3.0, models: vec![model] };
     loads.configure(BTreeMap::from([("s".to_owned(), engine)]), BTreeMap::new());
     loads
 }
--- a/coordination/fleet/tests/turns.rs
+++ b/coordination/fleet/tests/turns.rs
@@ -68,7 +68,7 @@
 
 /// The word that a prompt was read is lost, or its host is gone.
 #[test]
-fn a_turn_that_is_not_given_back_ends_by_itself() {
+fn a_turn_that_nobody_ends_stops_by_itself() {
     let mut turns = Turns::default();
     turns.ask(ms(0), 1, &ask(1, 4000, 0, 0));
     assert_eq!(turns.ask(ms(0), 2, &ask(2, 4000, 0, 0)), []);
--- a/edge/src/control.rs
+++ b/edge/src/control.rs
@@ -113,7 +113,7 @@
 
 fn beat(edge: &Rc<Edge>, id: &str, body: &[u8]) -> Answer {
     match registry::read_beat(id, body) {
-        Ok((card, held)) => edge.step(Input::Beat { card, held }),
+        Ok(card) => edge.step(Input::Beat { card }),
         Err(error) => {
             let what = format!("heartbeat of {id}: {error}");
             edge.log.event(&Event::Alarm { what: what.clone() });
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use fleet::{Ask, Event, Route404};
+use fleet::{Ask, Event, NoRoute};
 use http::{HeaderValue, Request, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -71,8 +71,8 @@
     let routed = edge.host.borrow().route(&name, parts.uri.path(), rand::random());
     let (route, service) = match routed {
         Ok(routed) => routed,
-        Err(Route404::Unknown) => return own(edge, &parts, "no_config", not_run(COME_BACK)),
-        Err(Route404::None) => {
+        Err(NoRoute::Unknown) => return own(edge, &parts, "no_config", not_run(COME_BACK)),
+        Err(NoRoute::None) => {
             return own(edge, &parts, "no_route", plain(StatusCode::NOT_FOUND));
         }
     };
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -11,6 +11,7 @@
 mod listen;
 mod log;
 mod metrics;
+mod placed;
 mod relay;
 mod run;
 mod stream;
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -3,7 +3,7 @@
 use std::{fmt::Write as _, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use fleet::{Ask, Choice, Event, Kind, Outcome, Ticket};
+use fleet::{Ask, Choice, Event, Kind, Outcome};
 use http::{Request, Response, StatusCode, request::Parts};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -18,8 +18,9 @@
     client::{Connection, SendError, collect},
     edge::Edge,
     front::Active,
+    placed::{Placed, Waiting},
     stream,
-    turn::{self, NoTurn, Turn},
+    turn::{self, NoTurn},
 };
 
 /// Part of a request's time that it may wait for its adapter or for room.
@@ -68,64 +69,6 @@
     steps: String,
 }
 
-/// A place at a target. It is given back when the request ends there.
-pub(crate) struct Placed {
-    edge: Rc<Edge>,
-    ticket: Ticket,
-    /// The turn to send a prompt.
-    turn: Option<Turn>,
-    ended: bool,
-}
-
-impl Placed {
-    /// The target's name.
-    pub(crate) fn target(&self) -> &str {
-        &self.ticket.target
-    }
-
-    /// Notes that the target has read the prompt.
-    pub(crate) fn prompt_read(&mut self) {
-        if let Some(turn) = self.turn.take() {
-            turn.read();
-        }
-    }
-
-    /// Notes how the request ended there.
-    pub(crate) fn end(mut self, outcome: Outcome) {
-        self.finish(outcome);
-    }
-
-    fn finish(&mut self, outcome: Outcome) {
-        if std::mem::replace(&mut self.ended, true) {
-            return;
-        }
-        let word = match outcome {
-            Outcome::Answered(_) => "answered",
-            Outcome::Failed => "failed",
-            Outcome::Refused => "refused",
-            Outcome::Missed => "missed",
-            Outcome::Left => "left",
-        };
-        self.edge.metrics.sent(word);
-        self.edge.host.borrow_mut().end(self.edge.now(), &self.ticket, outcome);
-    }
-}
-
-impl Drop for Placed {
-    fn drop(&mut self) {
-        self.finish(Outcome::Left);
-    }
-}
-
-/// A wait for an adapter, which the leader is told of.
-struct Waiting(Rc<Edge>, Ask);
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        self.0.host.borrow_mut().wait_ended(&self.1);
-    }
-}
-
 /// Why a request has no target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum NoPlace {
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -16,7 +16,8 @@
 use crate::{
     answer::{Answer, AnswerBody, BrokenOff, Piece},
     client::Connection,
-    relay::{Job, Placed, Sent},
+    placed::Placed,
+    relay::{Job, Sent},
 };
 
 /// Pieces that may wait for a slow caller; the target's connection is read no
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -146,17 +146,6 @@
     pub hosts: u16,
 }
 
-/// What became of a proposal.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Decided {
-    /// It is in force from this index on.
-    InForce(Index),
-    /// A later one is in force.
-    Overtaken(Index),
-    /// It is unknown whether it will be in force.
-    Unknown,
-}
-
 /// A request asks for its turn to send its prompt to a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TurnAsk {
@@ -202,8 +191,8 @@
     Resync,
     /// A target said something new, to all hosts.
     Seen(TargetCard),
-    /// A target is alive, to the leader, with the adapters it names.
-    Alive(TargetCard, Vec<(String, u64)>),
+    /// A target is alive, to the leader.
+    Alive(TargetCard),
     /// Requests wait for an adapter, to the leader.
     Want {
         /// The service.
@@ -213,20 +202,14 @@
         /// Requests that wait.
         waiting: u16,
     },
-    /// Hands a command to the leader.
+    /// Hands a command to the leader. The sender learns that it is in force when it
+    /// applies the entry.
     Propose {
-        /// Echoed in the answer.
+        /// The sender's number for it.
         tag: u64,
         /// The encoded command.
         command: Bytes,
     },
-    /// Answers [`FleetMsg::Propose`].
-    Proposed {
-        /// The question's tag.
-        tag: u64,
-        /// What became of it.
-        decided: Decided,
-    },
     /// Asks the leader for the index that a read must have applied.
     Confirm {
         /// Echoed in the answer.
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -20,8 +20,8 @@
     },
     error::{ErrorKind, Fault, Ran, Retry, Row, chain},
     fleet::{
-        AdapterPrint, Board, Decided, Epoch, Feed, FeedChange, FleetMsg, HostCard, HostStatus,
-        Placement, Running, TargetCard, TargetNumber, TargetState, TurnAsk,
+        AdapterPrint, Board, Epoch, Feed, FeedChange, FleetMsg, HostCard, HostStatus, Placement,
+        Running, TargetCard, TargetNumber, TargetState, TurnAsk,
     },
     id::{
         AdapterId, CallerId, DomainId, Fence, Fingerprint, GroupId, HostId, Incarnation, Index,
