--- a/coordination/fleet/src/config.rs
+++ b/coordination/fleet/src/config.rs
@@ -102,6 +102,13 @@
     pub idle: Duration,
 }
 
+impl Default for Limits {
+    /// What holds where a configuration says nothing, or is not known yet.
+    fn default() -> Limits {
+        Limits { head_bytes: 16 * 1024, body_bytes: 4 * 1024 * 1024, idle: Duration::from_secs(15) }
+    }
+}
+
 /// A configuration.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Config {
--- a/coordination/fleet/src/homes.rs
+++ b/coordination/fleet/src/homes.rs
@@ -3,7 +3,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
-    hash::{DefaultHasher, Hash, Hasher},
     time::Duration,
 };
 
@@ -13,7 +12,7 @@
     Engine, Event, Loads, Step,
     loads::Want,
     place::{Place, Stage},
-    targets::adapter_print,
+    targets::{adapter_print, digest},
 };
 
 /// How long an adapter must be unused before it makes way.
@@ -53,11 +52,6 @@
 }
 
 impl Loads {
-    /// Targets that hold an adapter, or will, and take requests.
-    pub(crate) fn copies(&self, print: AdapterPrint) -> usize {
-        self.survey().copies.get(&print).copied().unwrap_or(0)
-    }
-
     /// Looks at all places once.
     pub(crate) fn survey(&self) -> Survey {
         let mut survey = Survey::default();
@@ -299,7 +293,5 @@
 /// A number from 0 to 1 that tells how far a target stands in an adapter's order
 /// of homes. It depends on nothing but the two names.
 fn home_rank(name: &str, target: &str) -> f64 {
-    let mut hasher = DefaultHasher::new();
-    (name, target).hash(&mut hasher);
-    (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+    (digest(&(name, target)) >> 11) as f64 / (1u64 << 53) as f64
 }
--- a/coordination/fleet/src/hosts.rs
+++ b/coordination/fleet/src/hosts.rs
@@ -8,7 +8,7 @@
 use wire::{HostCard, HostId};
 
 /// How long a host counts as there after it was last heard of.
-pub(crate) const HEARD_FOR: Duration = Duration::from_secs(3);
+const HEARD_FOR: Duration = Duration::from_secs(3);
 /// How long the first host of the system waits for others with disks.
 const GATHER: Duration = Duration::from_millis(900);
 /// The most voters.
@@ -84,7 +84,7 @@
     }
 
     /// Whether a host was heard of lately.
-    pub(crate) fn is_heard(&self, now: Duration, host: HostId) -> bool {
+    fn is_heard(&self, now: Duration, host: HostId) -> bool {
         host == self.own || self.known.get(&host).is_some_and(|it| it.heard + HEARD_FOR > now)
     }
 
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Voters that bear the losses that must be borne at once.
+    fn voters_needed(&self) -> usize {
+        2 * self.settings.tolerated + 1
+    }
+
     fn name_voters(&mut self, now: Duration) {
         let members: Vec<HostId> =
             self.replica.status().members.members.iter().map(|it| it.host).collect();
@@ -167,7 +172,7 @@
             return;
         }
         leading.looked = now;
-        let needed = 2 * self.settings.tolerated + 1;
+        let needed = self.voters_needed();
         let voters = self.hosts.voters(now, &members, needed);
         self.step_log(now, LogInput::SetVoters(voters));
     }
@@ -246,7 +251,7 @@
     pub(crate) fn propose(&mut self, now: Duration, from: HostId, tag: Tag, command: Command) {
         let voters = self.replica.status().members.members;
         let voters = voters.iter().filter(|it| it.role == wire::Role::Voter).count();
-        let needed = 2 * self.settings.tolerated + 1;
+        let needed = self.voters_needed();
         let Some(leading) = &mut self.leading else { return };
         if voters < needed && now < leading.since + FIRST_VOTERS {
             return;
--- a/coordination/fleet/src/loads.rs
+++ b/coordination/fleet/src/loads.rs
@@ -363,9 +363,7 @@
             OrderOutcome::Unknown => {
                 // It may still be carried out: it keeps its place until a report
                 // that is later than any effect of it.
-                if let Some(place) = self.places.get_mut(id) {
-                    place.accept(now, &order);
-                }
+                place.accept(now, &order);
                 self.doubt(now, id, DOUBT_REST);
             }
         }
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -242,8 +242,7 @@
             return;
         }
         self.reported = now;
-        let mut status =
-            self.requests.status(&self.targets, self.run, self.is_ready(), self.position);
+        let mut status = self.requests.status(&self.targets, self.run, self.is_ready());
         status.backlogs = self.backlogs();
         if let Some(leading) = &mut self.leading {
             leading.loads.status(now, self.settings.host, &status);
@@ -254,8 +253,7 @@
 
     /// Sends operators' questions to the leader.
     fn ask_leader(&mut self, now: Duration) {
-        let leader = if self.leading.is_some() { Some(self.settings.host) } else { self.leader };
-        let Some(leader) = leader else { return };
+        let Some(leader) = self.leader else { return };
         let own = self.settings.host;
         for question in self.desk.due(now) {
             match question {
@@ -292,7 +290,7 @@
     fn fleet_msg(&mut self, now: Duration, from: HostId, msg: FleetMsg) {
         match msg {
             FleetMsg::Join(card) => self.joined_by(now, from, &card),
-            FleetMsg::Roster { leader, group: _, founder, cards } => {
+            FleetMsg::Roster { leader, founder, cards } => {
                 self.roster(now, leader, founder, &cards);
             }
             FleetMsg::Status(status) => self.status_of(now, from, &status),
@@ -331,7 +329,7 @@
             }
             FleetMsg::Confirm { tag } => self.confirm_read(now, from, tag),
             FleetMsg::Confirmed { tag, index } => self.confirmed_read(tag, index),
-            FleetMsg::Leaving { run, .. } => self.leaving(now, from, run),
+            FleetMsg::Leaving { run } => self.leaving(now, from, run),
         }
     }
 
@@ -346,7 +344,7 @@
         self.stopping = true;
         self.log(Event::Stopping);
         self.hosts.set_ready(false);
-        let leaving = FleetMsg::Leaving { run: self.run, within: self.settings.bounds.grace };
+        let leaving = FleetMsg::Leaving { run: self.run };
         for host in self.hosts.heard(now) {
             self.send(host, leaving.clone());
         }
--- a/coordination/fleet/src/members.rs
+++ b/coordination/fleet/src/members.rs
@@ -54,10 +54,8 @@
             self.log(Event::Host { peer: card.host, ready: card.ready });
             self.share_hosts(now);
         }
-        let leader = if self.leading.is_some() { Some(self.settings.host) } else { self.leader };
         let roster = FleetMsg::Roster {
-            leader,
-            group: self.replica.status().group,
+            leader: self.leader,
             founder: self.hosts.founder(now, self.settings.first_start, &self.settings.seeds),
             cards: self.hosts.cards(),
         };
--- a/coordination/fleet/src/pace.rs
+++ b/coordination/fleet/src/pace.rs
@@ -1,13 +1,10 @@
 //! Turns at targets, as the hosts agree on them.
 
-use std::{
-    hash::{DefaultHasher, Hash, Hasher},
-    time::Duration,
-};
+use std::time::Duration;
 
 use wire::{Board, FleetMsg, HostId, TargetNumber, TurnAsk};
 
-use crate::{Ask, Event, Host, Pick, io::Output};
+use crate::{Ask, Event, Host, Pick, io::Output, targets::digest};
 
 /// Time between two lines about the prompts that wait at a target.
 const NOTE_PROMPTS: Duration = Duration::from_secs(2);
@@ -19,11 +16,7 @@
     /// pauses and nothing else.
     fn turn_giver(&self, target: &str) -> Option<HostId> {
         let domain = &self.targets.get(target)?.card.domain;
-        let rank = |host: HostId| {
-            let mut hasher = DefaultHasher::new();
-            (host, target).hash(&mut hasher);
-            hasher.finish()
-        };
+        let rank = |host: HostId| digest(&(host, target));
         let near = self.hosts.ready().filter(|it| it.domain == *domain).map(|it| it.host);
         let near = near.max_by_key(|&it| rank(it));
         near.or_else(|| self.hosts.ready().map(|it| it.host).max_by_key(|&it| rank(it)))
--- a/coordination/fleet/src/place.rs
+++ b/coordination/fleet/src/place.rs
@@ -209,7 +209,6 @@
     /// is gone.
     pub(crate) fn reported(&mut self, now: Duration, report: &Report, lag: Duration) -> Changes {
         let (mut came, mut went) = (Vec::new(), Vec::new());
-        self.heard = now;
         self.stored = report.stored.clone();
         for name in &report.pending {
             let print = adapter_print(name);
--- a/coordination/fleet/src/renew.rs
+++ b/coordination/fleet/src/renew.rs
@@ -89,12 +89,15 @@
                 empty.push((place.card.id.clone(), place.card.service.clone()));
             }
         }
+        if empty.is_empty() {
+            return;
+        }
+        let copies = self.survey().copies;
         for (id, service) in empty {
             let Some(engine) = self.engines.get(&service).cloned() else { continue };
             let fitting = engine.models.iter().filter(|it| it.weights_mb <= engine.weights_mb);
-            let Some(model) = fitting.min_by_key(|it| self.copies(adapter_print(&it.name))) else {
-                continue;
-            };
+            let held = |name: &str| copies.get(&adapter_print(name)).copied().unwrap_or(0);
+            let Some(model) = fitting.min_by_key(|it| held(&it.name)) else { continue };
             let stored = self.places[&id].stored.contains(&model.name);
             if !stored && !self.may_fetch(&engine) {
                 continue;
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -9,8 +9,7 @@
 use wire::{AdapterPrint, FleetMsg, HostId, HostStatus, Incarnation, Running, TargetState};
 
 use crate::{
-    Host, Pick, RetryBudget, Route, Targets, Wanted, feed::Position, io::Output, pick,
-    targets::adapter_print,
+    Host, Pick, RetryBudget, Route, Targets, Wanted, io::Output, pick, targets::adapter_print,
 };
 
 /// Time between two messages to the leader about requests that wait.
@@ -113,7 +112,6 @@
         targets: &Targets,
         run: Incarnation,
         ready: bool,
-        position: Position,
     ) -> HostStatus {
         let mut running = Vec::new();
         for target in targets.iter() {
@@ -125,15 +123,7 @@
         }
         let asked = std::mem::take(&mut self.asked).into_iter().collect();
         self.active = !running.is_empty();
-        HostStatus {
-            run,
-            ready,
-            epoch: position.epoch,
-            last: position.last,
-            running,
-            asked,
-            backlogs: Vec::new(),
-        }
+        HostStatus { run, ready, running, asked, backlogs: Vec::new() }
     }
 }
 
@@ -183,21 +173,18 @@
 
     /// Chooses the target of a request.
     pub(crate) fn would_choose(&self, now: Duration, ask: &Ask, draw: u64) -> Pick {
-        let config = self.config.clone();
-        let engine = config
-            .as_ref()
-            .and_then(|it| it.services.get(&ask.service))
-            .and_then(|it| it.engine.as_ref());
+        let services = self.config.as_ref().map(|it| &it.services);
+        let service = services.and_then(|it| it.get(&ask.service));
+        let engine = service.and_then(|it| it.engine.as_ref());
         let adapter = ask.adapter.as_deref().filter(|_| engine.is_some());
         let (version, newest) = adapter.map_or((0, 0), |it| self.versions(now, it));
-        let domain = self.settings.domain.clone();
         let wanted = Wanted {
             service: &ask.service,
             adapter,
             version,
             newest,
             engine,
-            domain: &domain,
+            domain: &self.settings.domain,
             tried: &ask.tried,
         };
         pick(now, &self.targets, &wanted, draw)
@@ -272,8 +259,7 @@
     }
 
     pub(crate) fn tick_requests(&mut self, now: Duration) {
-        let leader = if self.leading.is_some() { Some(self.settings.host) } else { self.leader() };
-        let Some(leader) = leader else { return };
+        let Some(leader) = self.leader else { return };
         let mut due = Vec::new();
         for (adapter, waiting) in &mut self.requests.waiting {
             if waiting.told.is_some_and(|at| now < at + WANT_AGAIN) {
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -17,11 +17,16 @@
 /// Targets that ended and are remembered, so that late heartbeats are known.
 const REMEMBERED: usize = 4096;
 
+/// Returns a digest that is the same on all hosts that run the same program.
+pub(crate) fn digest(value: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Returns the short digest of an adapter's name; never zero.
 pub fn adapter_print(name: &str) -> AdapterPrint {
-    let mut hasher = DefaultHasher::new();
-    name.hash(&mut hasher);
-    (hasher.finish() as AdapterPrint).max(1)
+    (digest(&name) as AdapterPrint).max(1)
 }
 
 /// What was seen of a target's answers.
--- a/coordination/fleet/tests/loads.rs
+++ b/coordination/fleet/tests/loads.rs
@@ -288,15 +288,7 @@
     for (target, name) in held.iter().filter(|(_, name)| name.contains('/')) {
         running.push(Running { target: *target, adapter: fleet::adapter_print(name), count: 1 });
     }
-    let status = HostStatus {
-        run: 1,
-        ready: true,
-        epoch: (1, 1),
-        last: 0,
-        running,
-        asked: vec![],
-        backlogs: vec![],
-    };
+    let status = HostStatus { run: 1, ready: true, running, asked: vec![], backlogs: vec![] };
     for step in 0..500 {
         if step % 20 == 0 {
             world.loads.status(world.now, 1, &status);
--- a/edge/src/client.rs
+++ b/edge/src/client.rs
@@ -79,8 +79,13 @@
         None
     }
 
-    /// Keeps a connection whose answer was read to its end.
-    pub(crate) fn keep(&self, connection: Connection, told: Option<Duration>) {
+    /// Keeps a connection whose answer, with these headers, was read to its end,
+    /// unless the target closes it.
+    pub(crate) fn keep(&self, connection: Connection, headers: &HeaderMap) {
+        if closes(headers) {
+            return;
+        }
+        let told = platform::request::keep_alive(headers);
         let span = told.map_or(KEPT_UNTOLD, |it| it.mul_f64(KEPT_SHARE));
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(connection.target.clone()).or_default();
@@ -129,12 +134,12 @@
             },
         }
     }
+}
 
-    /// Whether the connection can take another request after this answer.
-    pub(crate) fn outlives(&self, headers: &HeaderMap) -> bool {
-        let closes = headers.get(http::header::CONNECTION);
-        !closes.is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"))
-    }
+/// Whether a target closes its connection after an answer.
+fn closes(headers: &HeaderMap) -> bool {
+    let value = headers.get(http::header::CONNECTION);
+    value.is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"))
 }
 
 /// Reads a whole body; none if it is broken off or too long.
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -8,15 +8,16 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use fleet::{Event, Host, Input, Order, OrderOutcome, Output, Reply, Report, Tag};
-use http::{Method, Request};
+use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::Full;
 use peer::Hub;
 use tokio::{sync::Notify, sync::oneshot, time::timeout};
 use wire::HostId;
 
 use crate::{
-    client::{Client, SendError, collect},
+    client::{Client, Connection, SendError, collect},
     disk::DiskQueue,
     log::Log,
     metrics::Metrics,
@@ -171,32 +172,43 @@
             &order.addr,
             body,
         );
-        let Some(mut request) = request else { return OrderOutcome::NotSent };
+        let Some(request) = request else { return OrderOutcome::NotSent };
         // A kept connection that has closed meanwhile tells that nothing was sent.
-        let mut connection = self.client.reuse(&order.target);
+        let mut kept = self.client.reuse(&order.target);
         loop {
-            let mut open = match connection.take() {
+            let open = match kept.take() {
                 Some(open) => open,
                 None => match self.client.open(&order.target, &order.addr).await {
                     Some(open) => open,
                     None => return OrderOutcome::NotSent,
                 },
             };
-            match open.send(request.clone()).await {
-                Ok(response) => {
-                    let status = response.status().as_u16();
-                    let headers = response.headers().clone();
-                    if collect(response.into_body()).await.is_some() && open.outlives(&headers) {
-                        self.client.keep(open, platform::request::keep_alive(&headers));
-                    }
+            match self.exchange(open, request.clone()).await {
+                Ok((status, headers, _)) => {
+                    let status = status.as_u16();
                     return platform::target::order_outcome(status, &headers, &order.target);
                 }
-                Err(SendError::NotSent) => request = request.clone(),
+                Err(SendError::NotSent) => {}
                 Err(SendError::Lost) => return OrderOutcome::Unknown,
             }
         }
     }
 
+    /// Sends a request that is no caller's, and keeps the connection after a whole
+    /// answer. The body is none if it was broken off.
+    async fn exchange(
+        &self,
+        mut open: Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, HeaderMap, Option<Bytes>), SendError> {
+        let (parts, body) = open.send(request).await?.into_parts();
+        let body = collect(body).await;
+        if body.is_some() {
+            self.client.keep(open, &parts.headers);
+        }
+        Ok((parts.status, parts.headers, body))
+    }
+
     fn ask(self: &Rc<Edge>, target: String, addr: String) {
         let edge = self.clone();
         tokio::task::spawn_local(async move {
@@ -209,17 +221,12 @@
     async fn fetch_report(&self, target: &str, addr: &str) -> Option<Report> {
         let request =
             self.control(Method::GET, platform::target::REPORT_PATH, target, addr, Vec::new())?;
-        let mut open = match self.client.reuse(target) {
+        let open = match self.client.reuse(target) {
             Some(open) => open,
             None => self.client.open(target, addr).await?,
         };
-        let response = open.send(request).await.ok()?;
-        let status = response.status();
-        let headers = response.headers().clone();
-        let body = collect(response.into_body()).await?;
-        if open.outlives(&headers) {
-            self.client.keep(open, platform::request::keep_alive(&headers));
-        }
+        let (status, _, body) = self.exchange(open, request).await.ok()?;
+        let body = body?;
         if !status.is_success() {
             return None;
         }
@@ -239,7 +246,7 @@
         target: &str,
         addr: &str,
         body: Vec<u8>,
-    ) -> Option<Request<Full<bytes::Bytes>>> {
+    ) -> Option<Request<Full<Bytes>>> {
         let mut request =
             Request::builder().method(method).uri(path).body(Full::from(body)).ok()?;
         *request.headers_mut() = platform::request::control_headers(target);
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use fleet::{Ask, Event, NoRoute};
+use fleet::{Ask, Event, Limits, NoRoute};
 use http::{HeaderValue, Request, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -17,10 +17,6 @@
     relay::{Job, relay},
 };
 
-/// Terms of a caller's connection before a configuration is known.
-const DEFAULT_TERMS: Terms = Terms { idle: Duration::from_secs(15), head_bytes: 16 * 1024 };
-/// Bytes of a body before a configuration is known.
-const DEFAULT_BODY_BYTES: usize = 4 * 1024 * 1024;
 /// When a caller should come back that came before the host knew what is in force.
 const COME_BACK: Duration = Duration::from_millis(500);
 /// How long a caller that gives no deadline is taken to wait.
@@ -28,12 +24,15 @@
 /// How long a body may take to arrive.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
+/// What callers may send now.
+fn limits(edge: &Edge) -> Limits {
+    edge.host.borrow().config().map(|it| it.limits).unwrap_or_default()
+}
+
 /// Terms of a caller's connection.
 pub(crate) fn terms(edge: &Edge) -> Terms {
-    match edge.host.borrow().config() {
-        Some(config) => Terms { idle: config.limits.idle, head_bytes: config.limits.head_bytes },
-        None => DEFAULT_TERMS,
-    }
+    let limits = limits(edge);
+    Terms { idle: limits.idle, head_bytes: limits.head_bytes }
 }
 
 /// Counts a request for as long as it lives.
@@ -105,7 +104,7 @@
 }
 
 async fn read_body(edge: &Edge, body: Incoming) -> Result<Bytes, StatusCode> {
-    let limit = edge.host.borrow().config().map_or(DEFAULT_BODY_BYTES, |it| it.limits.body_bytes);
+    let limit = limits(edge).body_bytes;
     match timeout(BODY_TIME, Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -9,7 +9,6 @@
 use hyper::body::Incoming;
 use platform::request::{
     Head, ToTarget, answer_headers, answers, forward_headers, is_encoded, is_not_run, is_signed,
-    keep_alive,
 };
 use tokio::time::{sleep, timeout};
 
@@ -341,8 +340,8 @@
         let status = response.status().as_u16();
         self.note("refused", &format!("{status} {}", placed.target()));
         let headers = response.headers().clone();
-        if collect(response.into_body()).await.is_some() && connection.outlives(&headers) {
-            self.edge.client.keep(connection, keep_alive(&headers));
+        if collect(response.into_body()).await.is_some() {
+            self.edge.client.keep(connection, &headers);
         }
         self.ask.tried.insert(placed.target().to_owned());
         placed.end(Outcome::Refused);
@@ -394,9 +393,7 @@
                 Sent::Again | Sent::Head(_) => None,
             };
         };
-        if connection.outlives(&parts.headers) {
-            self.edge.client.keep(connection, keep_alive(&parts.headers));
-        }
+        self.edge.client.keep(connection, &parts.headers);
         let failed = parts.status.is_server_error();
         let target = placed.target().to_owned();
         placed.end(if failed { Outcome::Failed } else { Outcome::Answered(delay) });
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -4,10 +4,10 @@
 
 use bytes::{Bytes, BytesMut};
 use fleet::{Kind, Outcome};
-use http::Response;
+use http::{HeaderMap, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use platform::request::{answer_headers, is_signed, keep_alive};
+use platform::request::{answer_headers, is_signed};
 use tokio::{
     sync::mpsc::{Sender, channel},
     time::sleep,
@@ -95,9 +95,7 @@
     *answer.status_mut() = parts.status;
     *answer.headers_mut() = answer_headers(&parts.headers);
     job.edge.metrics.part("first", delay.as_secs_f64());
-    let told = keep_alive(&parts.headers);
-    let keep = connection.outlives(&parts.headers);
-    let source = Source { body, connection, placed, told, keep, delay };
+    let source = Source { body, headers: parts.headers, connection, placed, delay };
     let events = Events { last: job.head.last_event, ..Events::default() };
     tokio::task::spawn_local(pump(job, source, events, sender));
     answer
@@ -106,10 +104,9 @@
 /// Where a stream comes from.
 struct Source {
     body: Incoming,
+    headers: HeaderMap,
     connection: Connection,
     placed: Placed,
-    told: Option<Duration>,
-    keep: bool,
     delay: Duration,
 }
 
@@ -126,9 +123,7 @@
         match read(&job, &mut source, &mut events, &sender).await {
             Ended::Whole => {
                 source.placed.end(Outcome::Answered(source.delay));
-                if source.keep {
-                    job.edge.client.keep(source.connection, source.told);
-                }
+                job.edge.client.keep(source.connection, &source.headers);
                 job.done("served", 200);
                 return;
             }
@@ -184,9 +179,7 @@
             }
         }
         job.note("resumed", placed.target());
-        let told = keep_alive(&parts.headers);
-        let keep = connection.outlives(&parts.headers);
-        return Some(Source { body, connection, placed, told, keep, delay });
+        return Some(Source { body, headers: parts.headers, connection, placed, delay });
     }
 }
 
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -1,11 +1,9 @@
 //! Messages of hosts that send callers' requests to targets themselves.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{DomainId, GroupId, HostId, Incarnation, Index, Term};
+use crate::{DomainId, HostId, Incarnation, Index, Term};
 
 /// A target's number within one epoch of the feed.
 pub type TargetNumber = u16;
@@ -120,10 +118,6 @@
     pub run: Incarnation,
     /// Whether it takes callers.
     pub ready: bool,
-    /// The feed it follows.
-    pub epoch: Epoch,
-    /// The last change it has taken in.
-    pub last: u64,
     /// Requests in progress.
     pub running: Vec<Running>,
     /// Requests that came since the last status, by adapter.
@@ -174,8 +168,6 @@
     Roster {
         /// The leader, if known.
         leader: Option<HostId>,
-        /// The replication group, zero before the founding.
-        group: GroupId,
         /// The host that should found the group.
         founder: Option<HostId>,
         /// The hosts known.
@@ -242,12 +234,10 @@
         /// Whether the prompt was read.
         read: bool,
     },
-    /// The sender is about to end; also said by a leader that stops leading.
+    /// The sender takes no more callers, and is about to end.
     Leaving {
         /// The sender's run.
         run: Incarnation,
-        /// Time until it ends.
-        within: Duration,
     },
 }
 
--- a/transport/peer/src/hub.rs
+++ b/transport/peer/src/hub.rs
@@ -214,11 +214,6 @@
         Some(link)
     }
 
-    /// Forgets a peer that left the system for good.
-    pub fn forget(&self, host: HostId) {
-        self.links.lock().expect("no holder panics").remove(&host);
-    }
-
     /// Sends a message, or drops it and counts that.
     pub fn send(&self, to: HostId, msg: &PeerMsg) {
         let stats = &self.shared.stats;
