Let an odd number of hosts vote

Cause: with four hosts with disks all four voted. Ruled out: the election's wait (the term changed in the first second after the cut healed); the wait between two holders (the same host led again, without one). Change: of an even number of hosts with disks one stands by. It takes the place of a voter that is lost. Any half-and-half cut leaves one side with a majority. The limit of voters is raised: with 10 hosts with disks and 7 voters, more than half of the hosts did not have to hold a majority. Test: one_half_goes_on_after_a_cut_between_halves, failed before.

--- a/coordination/fleet/src/hosts.rs
+++ b/coordination/fleet/src/hosts.rs
@@ -11,8 +11,9 @@
 const HEARD_FOR: Duration = Duration::from_secs(3);
 /// How long the first host of the system waits for others with disks.
 const GATHER: Duration = Duration::from_millis(900);
-/// The most voters.
-const MAX_VOTERS: usize = 7;
+/// The most voters. More than half of the hosts with disks have to be enough to go
+/// on, so all of them vote as long as there are no more than this.
+const MAX_VOTERS: usize = 31;
 /// Hosts that are remembered.
 const MAX_HOSTS: usize = 4096;
 
@@ -141,7 +142,9 @@
     }
 
     /// Returns which hosts should vote: those with disks that are there, and
-    /// members that are silent only while fewer than `needed` are there.
+    /// members that are silent only while fewer than `needed` are there. An even
+    /// number bears no more losses than the odd one below it, and neither half of
+    /// it could go on after a cut between two halves: then one host stands by.
     pub(crate) fn voters(&self, now: Duration, members: &[HostId], needed: usize) -> Vec<HostId> {
         let there =
             |host: &HostId| self.card(*host).is_some_and(|it| it.disk) && self.is_heard(now, *host);
@@ -151,6 +154,9 @@
                 voters.push(host);
             }
         }
+        if voters.len() > needed && voters.len().is_multiple_of(2) {
+            voters.pop();
+        }
         let enough = voters.len() >= needed;
         for &host in members {
             if !enough && !voters.contains(&host) {
--- a/coordination/fleet/tests/hosts.rs
+++ b/coordination/fleet/tests/hosts.rs
@@ -141,6 +141,28 @@
     }
 }
 
+/// Four hosts with disks are cut into two halves: one of them goes on, whichever
+/// two are on each side.
+#[test]
+fn one_half_goes_on_after_a_cut_between_halves() {
+    for (seed, half) in [[1, 2], [1, 3], [1, 4]].into_iter().enumerate() {
+        let mut world = World::new(seed as u64, 4, 2, &[1, 2, 3]);
+        world.run(ms(6000));
+        put(&mut world, 5, &replace(1));
+        world.cut.extend(half);
+        world.run(ms(4000));
+        let mut accepted = 0;
+        for host in [half[0], (2..=4).find(|it| !half.contains(it)).expect("another")] {
+            let tag = world.tag();
+            world.input(host, Input::Change { tag, command: replace(2) });
+            world.run(ms(3000));
+            accepted +=
+                usize::from(world.machines[&host].replies.get(&tag) == Some(&Reply::InForce));
+        }
+        assert_eq!(accepted, 1, "{half:?} against the others");
+    }
+}
+
 /// Two operators hand in changes at two hosts at once; the higher number stays.
 #[test]
 fn racing_changes_end_with_the_highest() {
