--- a/coordination/fleet/src/beats.rs
+++ b/coordination/fleet/src/beats.rs
@@ -15,10 +15,11 @@
             }
             self.out.push(Output::Wake);
         }
-        if self.leading.is_some() {
-            self.alive(now, &card);
-        } else if let Some(leader) = self.leader {
-            self.send(leader, FleetMsg::Alive(card));
+        let holder = self.holder(&card.domain).or(self.leader);
+        if !self.hold_known(now, &card.id)
+            && let Some(holder) = holder
+        {
+            self.send(holder, FleetMsg::Alive(card));
         }
     }
 
@@ -40,18 +41,19 @@
     /// Takes in what a target is, wherever it comes from.
     pub(crate) fn know_target(&mut self, now: Duration, card: &TargetCard) {
         self.note_target(card);
-        if let Some(leading) = &mut self.leading {
-            leading.loads.target(now, card);
-        }
+        self.hold_target(now, card);
         self.out.push(Output::Wake);
     }
 
     pub(crate) fn alive(&mut self, now: Duration, card: &TargetCard) {
         self.note_target(card);
-        let known = self.targets.get(&card.id).map(|it| it.card.clone());
-        if let (Some(leading), Some(card)) = (&mut self.leading, known) {
-            leading.loads.target(now, &card);
-        }
+        self.hold_known(now, &card.id);
+    }
+
+    /// Takes in that a target is alive, if this host holds its failure domain.
+    fn hold_known(&mut self, now: Duration, id: &str) -> bool {
+        let Some(card) = self.targets.get(id).map(|it| it.card.clone()) else { return false };
+        self.hold_target(now, &card)
     }
 
     /// Merges a target's card. Returns whether it changed anything.
--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -2,7 +2,7 @@
 //! and for each decision about a request.
 
 use serde::Serialize;
-use wire::{HostId, Index, Term};
+use wire::{DomainId, HostId, Index, Term, Topic};
 
 use crate::OrderOutcome;
 
@@ -37,12 +37,29 @@
         /// The term.
         term: Term,
     },
-    /// Another host gives the orders.
+    /// Another host, or another run of it, gives the orders to the targets of a
+    /// failure domain.
     Holder {
+        /// The failure domain.
+        domain: DomainId,
         /// The host.
         holder: HostId,
         /// Its fencing number.
         fence: u64,
+        /// Whether it has to wait before it gives any.
+        waits: bool,
+    },
+    /// This host may give orders to the targets of a failure domain from now on, or
+    /// no more.
+    Orders {
+        /// The failure domain.
+        domain: DomainId,
+        /// Whether it may.
+        may: bool,
+        /// Its fencing number.
+        fence: u64,
+        /// Milliseconds since the last renewal that was answered was sent.
+        renewed_ms: Option<u64>,
     },
     /// A configuration is in force here.
     Config {
@@ -127,8 +144,12 @@
     },
     /// This host follows another feed.
     Follows {
-        /// The term of its writer.
-        term: Term,
+        /// What it tells of.
+        of: Topic,
+        /// Its writer.
+        writer: HostId,
+        /// The leader's term, or the holder's fencing number.
+        number: u64,
         /// The number of its last change.
         last: u64,
     },
--- a/coordination/fleet/src/feed.rs
+++ b/coordination/fleet/src/feed.rs
@@ -1,18 +1,20 @@
-//! The changes that the leader sends to all hosts, and following them.
+//! The changes that the leader and the holders send to all hosts, and following
+//! them.
 
-use wire::{Epoch, Feed, FeedChange};
+use wire::{Epoch, Feed, FeedChange, Topic};
 
 /// Changes that are kept until they are sent.
 #[derive(Debug)]
 pub(crate) struct FeedWriter {
+    topic: Topic,
     pub(crate) epoch: Epoch,
     pub(crate) last: u64,
     waiting: Vec<FeedChange>,
 }
 
 impl FeedWriter {
-    pub(crate) fn new(epoch: Epoch) -> FeedWriter {
-        FeedWriter { epoch, last: 0, waiting: Vec::new() }
+    pub(crate) fn new(topic: Topic, epoch: Epoch) -> FeedWriter {
+        FeedWriter { topic, epoch, last: 0, waiting: Vec::new() }
     }
 
     pub(crate) fn push(&mut self, change: FeedChange) {
@@ -27,7 +29,14 @@
         let changes = std::mem::take(&mut self.waiting);
         let after = self.last;
         self.last += changes.len() as u64;
-        Some(Feed { epoch: self.epoch, after, last: self.last, changes })
+        let topic = self.topic.clone();
+        Some(Feed { topic, epoch: self.epoch, after, last: self.last, changes })
+    }
+
+    /// Makes the message that replaces everything by a table.
+    pub(crate) fn table(&self, changes: Vec<FeedChange>) -> Feed {
+        let topic = self.topic.clone();
+        Feed { topic, epoch: self.epoch, after: 0, last: self.last, changes }
     }
 }
 
--- a/coordination/fleet/src/follow.rs
+++ b/coordination/fleet/src/follow.rs
@@ -1,38 +1,43 @@
-//! Following the leader's feed.
+//! Following the feeds of the leader and the holders.
 
 use std::time::Duration;
 
-use wire::{FeedChange, FleetMsg, HostId};
+use wire::{FeedChange, HostId, Topic};
 
-use crate::{Event, Host, feed::Take, io::Output, members::JOIN_AGAIN};
+use crate::{Event, Host, feed::Take, io::Output};
 
 impl Host {
-    pub(crate) fn resync(&mut self, now: Duration, leader: HostId) {
-        if now < self.resynced + JOIN_AGAIN / 4 {
-            return;
-        }
-        self.resynced = now;
-        self.send(leader, FleetMsg::Resync);
-    }
-
     pub(crate) fn follow(&mut self, now: Duration, from: HostId, feed: &wire::Feed) {
-        let before = self.position.epoch;
-        match self.position.take(feed) {
+        let position = match &feed.topic {
+            Topic::Hosts => &mut self.position,
+            Topic::Targets(domain) => &mut self.heard.entry(domain.clone()).or_default().position,
+        };
+        let before = position.epoch;
+        match position.take(feed) {
             Take::Ignore => return,
-            Take::Resync => return self.resync(now, from),
-            Take::Replace => self.targets.clear_feed(),
+            Take::Resync => return self.resync(now, from, feed.topic.clone()),
+            Take::Replace => {
+                if let Topic::Targets(domain) = &feed.topic {
+                    self.targets.clear_feed(domain);
+                }
+            }
             Take::Append => {}
         }
-        if before != self.position.epoch {
-            self.log(Event::Follows { term: feed.epoch.0, last: feed.last });
+        if before != feed.epoch {
+            let (of, number, last) = (feed.topic.clone(), feed.epoch.0, feed.last);
+            self.log(Event::Follows { of, writer: from, number, last });
         }
         for change in &feed.changes {
-            self.apply_change(now, change);
+            self.apply_change(now, &feed.topic, change);
         }
         self.out.push(Output::Wake);
     }
 
-    pub(crate) fn apply_change(&mut self, now: Duration, change: &FeedChange) {
+    pub(crate) fn apply_change(&mut self, now: Duration, topic: &Topic, change: &FeedChange) {
+        let domain = match topic {
+            Topic::Hosts => "",
+            Topic::Targets(domain) => domain.as_str(),
+        };
         match change {
             FeedChange::Host(card) => {
                 if self.hosts.merge(card) {
@@ -46,12 +51,12 @@
                 }
             }
             FeedChange::Placed(place) => {
-                if let Some(target) = self.targets.numbered(place.target) {
+                if let Some(target) = self.targets.numbered(domain, place.target) {
                     target.adapters.insert(place.adapter.clone(), place.version);
                 }
             }
             FeedChange::Removed(place) => {
-                if let Some(target) = self.targets.numbered(place.target) {
+                if let Some(target) = self.targets.numbered(domain, place.target) {
                     target.adapters.remove(&place.adapter);
                 }
             }
--- a/coordination/fleet/src/homes.rs
+++ b/coordination/fleet/src/homes.rs
@@ -10,9 +10,10 @@
 
 use crate::{
     Engine, Event, Loads, Step,
+    elsewhere::{copies_of, unit},
     loads::Want,
     place::{Place, Stage},
-    targets::{adapter_print, digest},
+    targets::adapter_print,
 };
 
 /// How long an adapter must be unused before it makes way.
@@ -41,7 +42,8 @@
 /// What one look at all places shows.
 #[derive(Debug, Default)]
 pub(crate) struct Survey {
-    /// Targets that hold each adapter, or will, and take requests.
+    /// Targets of this failure domain that hold each adapter, or will, and take
+    /// requests.
     pub(crate) copies: HashMap<AdapterPrint, usize>,
     /// Adapters on their way.
     pub(crate) loading: BTreeSet<AdapterPrint>,
@@ -75,7 +77,8 @@
             let mut share = 0.0;
             for held in place.held.values() {
                 if held.stage != Stage::Leaving {
-                    share += self.demand.rate(held.print) / survey.copies[&held.print] as f64;
+                    let copies = survey.copies[&held.print] + self.elsewhere.copies(held.print);
+                    share += self.demand.rate(held.print) / copies as f64;
                 }
             }
             survey.shares.insert(place.number, share);
@@ -227,6 +230,7 @@
                 continue;
             }
             let copies = survey.copies.get(&held.print).copied().unwrap_or(1).max(1);
+            let copies = copies + self.elsewhere.copies(held.print);
             let rate = self.demand.rate(held.print) / copies as f64;
             if best.is_none_or(|(least, used, _)| (rate, held.used) < (least, used)) {
                 best = Some((rate, held.used, name));
@@ -243,14 +247,20 @@
             return;
         }
         let mut survey = self.survey();
+        let domain = self.settings.domain.clone();
         for service in self.engines.keys().cloned().collect::<Vec<_>>() {
-            let count = self.places.values().filter(|it| it.card.service == service).count();
-            let share = total / COPY_SLACK / count.max(1) as f64;
+            let own = self.places.values().filter(|it| it.card.service == service).count();
+            let sizes = self.elsewhere.sizes(&service, &domain, own);
+            let count = sizes.values().sum::<usize>().max(1);
+            let share = total / COPY_SLACK / count as f64;
             for name in self.hot(&service, share) {
                 let print = adapter_print(&name);
                 let wanted = (self.demand.rate(print) / share).ceil() as usize;
-                let copies = survey.copies.get(&print).copied().unwrap_or(0);
-                if copies > 0 && copies < wanted.min(count) && !survey.loading.contains(&print) {
+                let here = survey.copies.get(&print).copied().unwrap_or(0);
+                let all = here + self.elsewhere.copies(print);
+                let mine = copies_of(&name, wanted, &sizes, &domain);
+                let wanted = all > 0 && all < wanted.min(count) && here < mine.min(own);
+                if wanted && !survey.loading.contains(&print) {
                     self.place(now, fence, &mut survey, &service, &name, 0);
                 }
             }
@@ -259,15 +269,17 @@
 
     /// Adapters asked for more often than one copy's share.
     fn hot(&self, service: &str, share: f64) -> BTreeSet<String> {
+        let hot = |print| self.demand.rate(print) >= COPY_RATE.max(share);
         let mut names = BTreeSet::new();
         for place in self.places.values().filter(|it| it.card.service == service) {
             for (name, held) in &place.held {
-                let rate = self.demand.rate(held.print);
-                if name.contains('/') && rate >= COPY_RATE && rate > share {
+                if name.contains('/') && hot(held.print) {
                     names.insert(name.clone());
                 }
             }
         }
+        let elsewhere = self.elsewhere.names(service);
+        names.extend(elsewhere.filter(|it| hot(adapter_print(it))).cloned());
         names
     }
 
@@ -293,5 +305,5 @@
 /// A number from 0 to 1 that tells how far a target stands in an adapter's order
 /// of homes. It depends on nothing but the two names.
 fn home_rank(name: &str, target: &str) -> f64 {
-    (digest(&(name, target)) >> 11) as f64 / (1u64 << 53) as f64
+    unit(&(name, target))
 }
--- a/coordination/fleet/src/hosts.rs
+++ b/coordination/fleet/src/hosts.rs
@@ -85,7 +85,7 @@
     }
 
     /// Whether a host was heard of lately.
-    fn is_heard(&self, now: Duration, host: HostId) -> bool {
+    pub(crate) fn is_heard(&self, now: Duration, host: HostId) -> bool {
         host == self.own || self.known.get(&host).is_some_and(|it| it.heard + HEARD_FOR > now)
     }
 
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -1,45 +1,49 @@
-//! What the leader does besides the log: it gives the orders, writes the feed,
-//! and names the voters.
+//! What the leader does besides the log: it names the voters and the holders of
+//! orders, and writes the feed of the hosts.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use desired::Command;
 use replog::Input as LogInput;
-use wire::{Board, Feed, FeedChange, Fence, FleetMsg, HostId, HostStatus, Index, encode};
+use wire::{
+    DomainId, FeedChange, FleetMsg, HostCard, HostId, Incarnation, Index, Renewal, Topic, encode,
+};
 
 use crate::{
     Event, Host,
     feed::FeedWriter,
-    io::{Output, Tag},
-    loads::{Loads, LoadsSettings, Step},
-    machine::SILENT_BEATS,
+    hold::{HOLD_LEASES, HOLDER_MARGIN},
+    io::Tag,
     operator::Confirming,
     replicated::ELECTION,
+    targets::digest,
 };
 
-/// Time between two boards for up to [`BOARD_HOSTS`] hosts; longer in proportion
-/// for more, so that the leader's bytes stay bounded.
-const BOARD: Duration = Duration::from_millis(250);
-const BOARD_HOSTS: u32 = 12;
 /// Time between two looks at the voters.
 const VOTERS: Duration = Duration::from_millis(500);
-/// Added to the time between orders of two holders, for clocks and queues.
-const HOLDER_MARGIN: Duration = Duration::from_millis(300);
+/// Time between two looks at the holders.
+const HOLDERS: Duration = Duration::from_millis(100);
+/// Time between two tries to name a failure domain's holder.
+const NAME_AGAIN: Duration = Duration::from_millis(1000);
 /// How long a first founder waits for enough voters before it takes changes.
 const FIRST_VOTERS: Duration = Duration::from_secs(8);
 
 /// A leader's tables.
 #[derive(Debug)]
 pub(crate) struct Leading {
-    pub(crate) loads: Loads,
     pub(crate) feed: FeedWriter,
     since: Duration,
-    /// The fencing number, once this host holds the orders.
-    fence: Option<Fence>,
-    /// From when on orders may be given.
-    from: Option<Duration>,
-    boarded: Duration,
     looked: Duration,
+    named: Duration,
+    /// When each failure domain's holder was last named.
+    naming: BTreeMap<DomainId, Duration>,
+    /// When each host's renewal was last answered.
+    answered: BTreeMap<HostId, Duration>,
+    /// Runs that have said that they end, and give no more orders.
+    left: BTreeSet<(HostId, Incarnation)>,
     proposed: BTreeMap<(HostId, Tag), Command>,
     reads: Vec<Confirming>,
 }
@@ -55,84 +59,160 @@
         }
         self.forget_met();
         self.answer_reads(status.quorum_at, status.commit);
-        self.carry_steps();
-        self.flush_feed(now);
     }
 
     fn begin_to_lead(&mut self, now: Duration, term: wire::Term) {
-        let settings = LoadsSettings {
-            window: self.settings.bounds.load_window,
-            silence: self.settings.beat * SILENT_BEATS,
-        };
         let epoch = (term, self.run);
         let mut leading = Leading {
-            loads: Loads::new(settings),
-            feed: FeedWriter::new(epoch),
+            feed: FeedWriter::new(Topic::Hosts, epoch),
             since: now,
-            fence: None,
-            from: None,
-            boarded: now,
             looked: Duration::ZERO,
+            named: Duration::ZERO,
+            naming: BTreeMap::new(),
+            answered: BTreeMap::new(),
+            left: BTreeSet::new(),
             proposed: BTreeMap::new(),
             reads: Vec::new(),
         };
-        let cards: Vec<_> = self.targets.iter().map(|it| it.card.clone()).collect();
-        for card in cards {
-            leading.loads.target(now, &card);
-        }
         for card in self.hosts.cards() {
             leading.feed.push(FeedChange::Host(card));
         }
-        self.targets.clear_feed();
         self.position = crate::feed::Position { epoch, last: 0 };
         self.leading = Some(leading);
-        self.configure_loads();
-        let command = Command::Hold { host: self.settings.host, run: self.run };
-        self.step_log(now, LogInput::Propose(encode(&command).into()));
     }
 
-    /// Gives the account the engines and versions in force.
-    pub(crate) fn configure_loads(&mut self) {
-        let (Some(leading), Some(config)) = (&mut self.leading, &self.config) else { return };
-        let mut engines = BTreeMap::new();
-        for service in config.services.values() {
-            if let Some(engine) = &service.engine {
-                engines.insert(service.name.clone(), engine.clone());
+    /// Whether a quorum followed this leader so lately that no other one can have
+    /// been elected since.
+    fn leads_surely(&self, now: Duration) -> bool {
+        let quorum_at = self.replica.status().quorum_at;
+        self.leading.is_some() && quorum_at.is_some_and(|at| now < at + ELECTION / 2)
+    }
+
+    /// Whether a host that holds orders may go on; then it is noted that it may.
+    pub(crate) fn answers_renewal(&mut self, now: Duration, host: HostId) -> bool {
+        let surely = self.leads_surely(now);
+        if let Some(leading) = self.leading.as_mut().filter(|_| surely) {
+            leading.answered.insert(host, now);
+        }
+        surely
+    }
+
+    /// Takes in that a host is there.
+    pub(crate) fn renewed_by(&mut self, now: Duration, from: HostId, renewal: &Renewal) {
+        if self.leading.is_none() {
+            return;
+        }
+        if self.answers_renewal(now, from) {
+            self.send(from, FleetMsg::Renewed { sent_ms: renewal.sent_ms });
+        }
+        let Some(card) = self.hosts.card(from) else { return };
+        if card.ready == renewal.ready && card.run == renewal.run {
+            return;
+        }
+        let card = HostCard { ready: renewal.ready, run: renewal.run, ..card.clone() };
+        self.hosts.merge(&card);
+        self.log(Event::Host { peer: from, ready: card.ready });
+        if let Some(leading) = &mut self.leading {
+            leading.feed.push(FeedChange::Host(card));
+        }
+    }
+
+    /// Notes that a run gives no more orders.
+    pub(crate) fn note_left(&mut self, host: HostId, run: Incarnation) {
+        if let Some(leading) = &mut self.leading {
+            leading.left.insert((host, run));
+        }
+    }
+
+    /// The failure domains with hosts or targets.
+    pub(crate) fn domains(&self) -> BTreeSet<DomainId> {
+        let mut domains: BTreeSet<DomainId> =
+            self.hosts.cards().into_iter().map(|it| it.domain).collect();
+        for target in self.targets.iter() {
+            if !domains.contains(&target.card.domain) {
+                domains.insert(target.card.domain.clone());
             }
         }
-        leading.loads.configure(engines, self.desired.versions.clone());
+        domains
     }
 
-    /// Follows a change of the holder. A new holder waits until no order of the
-    /// former one can be within the time between two holders.
-    pub(crate) fn held_by(&mut self, now: Duration) {
-        let Some(holder) = self.desired.holder else { return };
-        self.log(Event::Holder { holder: holder.host, fence: holder.fence });
-        let own = (holder.host, holder.run) == (self.settings.host, self.run);
-        // Another holder would have to wait before it gives orders.
-        self.step_log(now, LogInput::Prefer(holder.host == self.settings.host));
-        let former = self.desired.former;
-        let lease = self.settings.bounds.lease;
+    /// Names holders where there is none, or the one that is named can't be giving
+    /// orders any more.
+    fn name_holders(&mut self, now: Duration) {
+        if !self.leads_surely(now) {
+            return;
+        }
         let Some(leading) = &mut self.leading else { return };
-        if !own {
-            leading.fence = None;
+        if now < leading.named + HOLDERS {
             return;
         }
-        leading.fence = Some(holder.fence);
-        let same = former.is_none_or(|it| it.host == holder.host);
-        let wait = if same { Duration::ZERO } else { lease + HOLDER_MARGIN };
-        leading.from = Some(now + wait);
+        leading.named = now;
+        for domain in self.domains() {
+            let named = self.leading.as_ref().and_then(|it| it.naming.get(&domain));
+            if named.is_some_and(|at| now < *at + NAME_AGAIN) {
+                continue;
+            }
+            let Some((host, run)) = self.next_holder(now, &domain) else { continue };
+            if let Some(leading) = &mut self.leading {
+                leading.naming.insert(domain.clone(), now);
+            }
+            let command = Command::Hold { domain, host, run };
+            self.step_log(now, LogInput::Propose(encode(&command).into()));
+        }
     }
 
-    /// The fencing number under which orders may be given now.
-    fn order_fence(&self, now: Duration) -> Option<Fence> {
+    /// The host to be named the holder of a failure domain; none if the present
+    /// one goes on, or may still give orders.
+    fn next_holder(&self, now: Duration, domain: &str) -> Option<(HostId, Incarnation)> {
+        let Some(holder) = self.desired.holders.get(domain) else {
+            return self.best_holder(now, domain, None);
+        };
         let leading = self.leading.as_ref()?;
-        let quorum_at = self.replica.status().quorum_at?;
-        // No other leader can be elected before an election time has passed.
-        if now >= quorum_at + ELECTION / 2 || leading.from.is_none_or(|from| now < from) {
-            return None;
+        let card = self.hosts.card(holder.host);
+        let card = card.filter(|it| self.hosts.is_heard(now, it.host) && !self.has_left(it));
+        if let Some(card) = card {
+            // A later run of the same host is the same holder.
+            return (card.run != holder.run).then_some((card.host, card.run));
+        }
+        let last = leading.answered.get(&holder.host).copied().unwrap_or(leading.since);
+        let lapsed = last + self.settings.bounds.lease * HOLD_LEASES + HOLDER_MARGIN;
+        let own = holder.host == self.settings.host && self.stopping;
+        let left = own || leading.left.contains(&(holder.host, holder.run));
+        (left || now >= lapsed).then(|| self.best_holder(now, domain, Some(holder.host)))?
+    }
+
+    fn has_left(&self, card: &HostCard) -> bool {
+        let own = card.host == self.settings.host && self.stopping;
+        let leading = self.leading.as_ref();
+        own || leading.is_some_and(|it| it.left.contains(&(card.host, card.run)))
+    }
+
+    /// The best host to hold a failure domain: one there that takes callers and
+    /// has the fewest other duties.
+    fn best_holder(
+        &self,
+        now: Duration,
+        domain: &str,
+        not: Option<HostId>,
+    ) -> Option<(HostId, Incarnation)> {
+        let held = |host| self.desired.holders.values().filter(|it| it.host == host).count();
+        let mut best = None;
+        for card in self.hosts.cards() {
+            if !self.hosts.is_heard(now, card.host) || self.has_left(&card) {
+                continue;
+            }
+            if Some(card.host) == not {
+                continue;
+            }
+            let leads = card.host == self.settings.host;
+            let draw = digest(&(card.host, domain));
+            let rank =
+                (!card.ready, card.domain != domain, held(card.host), card.disk, leads, draw);
+            if best.as_ref().is_none_or(|(least, _, _)| rank < *least) {
+                best = Some((rank, card.host, card.run));
+            }
         }
-        leading.fence
+        best.map(|(_, host, run)| (host, run))
     }
 
     pub(crate) fn tick_lead(&mut self, now: Duration) {
@@ -142,21 +222,11 @@
         for card in self.hosts.expire(now) {
             self.log(Event::HostSilent { peer: card.host });
             if let Some(leading) = &mut self.leading {
-                leading.loads.forget(card.host);
                 leading.feed.push(FeedChange::Host(card));
             }
         }
-        self.tick_loads(now);
         self.name_voters(now);
-        self.send_board(now);
-    }
-
-    /// Lets the account take the steps that are due.
-    pub(crate) fn tick_loads(&mut self, now: Duration) {
-        let fence = self.order_fence(now);
-        if let Some(leading) = &mut self.leading {
-            leading.loads.tick(now, fence);
-        }
+        self.name_holders(now);
     }
 
     /// Voters that bear the losses that must be borne at once.
@@ -177,73 +247,17 @@
         self.step_log(now, LogInput::SetVoters(voters));
     }
 
-    fn send_board(&mut self, now: Duration) {
-        let heard = self.hosts.heard(now);
-        let span = BOARD * (heard.len() as u32).div_ceil(BOARD_HOSTS).max(1);
-        let Some(leading) = &mut self.leading else { return };
-        if now < leading.boarded + span {
-            return;
-        }
-        leading.boarded = now;
-        let board = Board {
-            epoch: leading.feed.epoch,
-            last: leading.feed.last,
-            loads: leading.loads.running(),
-            hosts: heard.len() as u16,
-        };
-        self.take_board(&board);
-        for host in heard {
-            self.send(host, FleetMsg::Board(board.clone()));
-        }
-    }
-
-    fn carry_steps(&mut self) {
-        let Some(leading) = &mut self.leading else { return };
-        for step in leading.loads.take_steps() {
-            match step {
-                Step::Order(order) => self.out.push(Output::Order(order)),
-                Step::Ask { target, addr } => self.out.push(Output::Ask { target, addr }),
-                Step::Tell(change) => leading.feed.push(change),
-                Step::Log(event) => self.out.push(Output::Log(event)),
+    /// Sends a whole table to a host.
+    pub(crate) fn send_table(&mut self, to: HostId, topic: &Topic) {
+        let table = match topic {
+            Topic::Hosts => {
+                let cards = self.hosts.cards().into_iter().map(FeedChange::Host).collect();
+                self.leading.as_ref().map(|it| it.feed.table(cards))
             }
-        }
-    }
-
-    fn flush_feed(&mut self, now: Duration) {
-        let Some(leading) = &mut self.leading else { return };
-        let Some(feed) = leading.feed.flush() else { return };
-        for change in &feed.changes {
-            self.apply_change(now, change);
-        }
-        self.position.last = feed.last;
-        self.out.push(Output::Wake);
-        for host in self.hosts.heard(now) {
-            self.send(host, FleetMsg::Feed(feed.clone()));
-        }
-    }
-
-    /// Sends the whole table to a host.
-    pub(crate) fn send_table(&mut self, to: HostId) {
-        let Some(leading) = &mut self.leading else { return };
-        let mut changes: Vec<FeedChange> =
-            self.hosts.cards().into_iter().map(FeedChange::Host).collect();
-        changes.extend(leading.loads.table());
-        let feed = Feed { epoch: leading.feed.epoch, after: 0, last: leading.feed.last, changes };
-        self.send(to, FleetMsg::Feed(feed));
-    }
-
-    pub(crate) fn status_of(&mut self, now: Duration, from: HostId, status: &HostStatus) {
-        let Some(leading) = &mut self.leading else { return };
-        leading.loads.status(now, from, status);
-        let Some(card) = self.hosts.card(from) else { return };
-        if card.ready == status.ready && card.run == status.run {
-            return;
-        }
-        let card = wire::HostCard { ready: status.ready, run: status.run, ..card.clone() };
-        self.hosts.merge(&card);
-        self.log(Event::Host { peer: from, ready: card.ready });
-        if let Some(leading) = &mut self.leading {
-            leading.feed.push(FeedChange::Host(card));
+            Topic::Targets(domain) => self.targets_table(domain),
+        };
+        if let Some(table) = table {
+            self.send(to, FleetMsg::Feed(table));
         }
     }
 
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -1,15 +1,17 @@
 //! A host that sends callers' requests to targets itself: routes, choice of
-//! targets, retry budget, the hosts that find each other, and on the leader the
-//! adapters' places. Pure: inputs and the present time go in, outputs come out.
+//! targets, retry budget, the hosts that find each other, and on the holder of a
+//! failure domain its adapters' places. Pure: inputs and the present time go in, outputs come out.
 
 mod beats;
 mod budget;
 mod choose;
 mod config;
 mod demand;
+mod elsewhere;
 mod event;
 mod feed;
 mod follow;
+mod hold;
 mod homes;
 mod hosts;
 mod io;
@@ -32,6 +34,7 @@
     budget::RetryBudget,
     choose::{Pick, Wanted, pick},
     config::{Config, ConfigError, Engine, Kind, Limits, Model, Route, Service},
+    elsewhere::Elsewhere,
     event::Event,
     io::{Input, Order, OrderOutcome, Output, Reply, Report, Tag},
     loads::{Loads, LoadsSettings, Step},
--- a/coordination/fleet/src/loads.rs
+++ b/coordination/fleet/src/loads.rs
@@ -1,5 +1,6 @@
-//! The leader's account of all targets' places: which models and adapters are
-//! ordered where, which make way, and which get a second copy.
+//! A holder's account of the places at the targets of its failure domain: which
+//! models and adapters are ordered where, which make way, and which get a second
+//! copy.
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -7,13 +8,15 @@
 };
 
 use wire::{
-    AdapterPrint, FeedChange, Fence, HostId, HostStatus, Placement, TargetCard, TargetNumber,
-    TargetState,
+    AdapterPrint, DomainId, FeedChange, Fence, HostId, HostStatus, Placement, TargetCard,
+    TargetNumber, TargetState,
 };
 
 use crate::{
     Engine, Event,
     demand::Demand,
+    elsewhere::Elsewhere,
+    hold::silent,
     io::{Order, OrderOutcome, Report},
     place::{Held, Place, Sent, Stage},
     targets::adapter_print,
@@ -33,10 +36,14 @@
 const DOUBT_REST: Duration = Duration::from_millis(700);
 /// Time between two looks at copies.
 const COPY_LOOK: Duration = Duration::from_millis(250);
+/// How long what a host said of its work holds without being repeated.
+const STATUS_TIME: Duration = Duration::from_secs(3);
 
 /// Fixed parameters.
 #[derive(Debug, Clone)]
 pub struct LoadsSettings {
+    /// The failure domain.
+    pub domain: DomainId,
     /// The span over which loads from the weight store are counted.
     pub window: Duration,
     /// Silence after which a target counts as gone.
@@ -78,8 +85,12 @@
     pub(crate) versions: BTreeMap<String, u64>,
     pub(crate) wants: BTreeMap<String, Want>,
     pub(crate) demand: Demand,
-    running: BTreeMap<HostId, Vec<wire::Running>>,
-    backlogs: BTreeMap<HostId, Vec<(TargetNumber, u32)>>,
+    /// What each host does at these targets, and when it said so.
+    work: BTreeMap<HostId, (Duration, HostStatus)>,
+    /// What is at the targets of other failure domains.
+    pub(crate) elsewhere: Elsewhere,
+    /// When the first step was taken.
+    pub(crate) since: Option<Duration>,
     /// Adapters with requests in progress, by target.
     pub(crate) in_use: BTreeSet<(TargetNumber, AdapterPrint)>,
     next_number: TargetNumber,
@@ -99,8 +110,9 @@
             versions: BTreeMap::new(),
             wants: BTreeMap::new(),
             demand: Demand::default(),
-            running: BTreeMap::new(),
-            backlogs: BTreeMap::new(),
+            work: BTreeMap::new(),
+            elsewhere: Elsewhere::default(),
+            since: None,
             in_use: BTreeSet::new(),
             next_number: 1,
             fetches: VecDeque::new(),
@@ -125,6 +137,16 @@
         self.versions = versions;
     }
 
+    /// Takes in what is at the targets of other failure domains.
+    pub fn set_elsewhere(&mut self, elsewhere: Elsewhere) {
+        self.elsewhere = elsewhere;
+    }
+
+    /// Whether a target is in the account.
+    pub(crate) fn has(&self, id: &str) -> bool {
+        self.places.contains_key(id)
+    }
+
     /// Returns the table for a host that starts to follow.
     pub fn table(&self) -> Vec<FeedChange> {
         let mut changes = Vec::new();
@@ -143,11 +165,11 @@
     /// that are read or wait there.
     pub fn running(&self) -> Vec<(TargetNumber, u16, u32)> {
         let mut counts: BTreeMap<TargetNumber, (u16, u32)> = BTreeMap::new();
-        for running in self.running.values().flatten() {
+        for running in self.work.values().flat_map(|(_, it)| &it.running) {
             let (count, _) = counts.entry(running.target).or_default();
             *count = count.saturating_add(running.count);
         }
-        for &(target, tokens) in self.backlogs.values().flatten() {
+        for &(target, tokens) in self.work.values().flat_map(|(_, it)| &it.backlogs) {
             counts.entry(target).or_default().1 += tokens;
         }
         counts.into_iter().map(|(target, (count, tokens))| (target, count, tokens)).collect()
@@ -207,8 +229,7 @@
         for &(adapter, count) in &status.asked {
             self.demand.count(adapter, count);
         }
-        self.running.insert(host, status.running.clone());
-        self.backlogs.insert(host, status.backlogs.clone());
+        self.work.insert(host, (now, status.clone()));
         self.count_uses();
         let used: BTreeSet<(TargetNumber, AdapterPrint)> =
             status.running.iter().map(|it| (it.target, it.adapter)).collect();
@@ -223,21 +244,25 @@
     }
 
     fn count_uses(&mut self) {
-        let all = self.running.values().flatten();
+        let all = self.work.values().flat_map(|(_, it)| &it.running);
         self.in_use = all.map(|it| (it.target, it.adapter)).collect();
     }
 
-    /// Forgets the work of a host that is gone.
-    pub fn forget(&mut self, host: HostId) {
-        self.running.remove(&host);
-        self.backlogs.remove(&host);
-        self.count_uses();
+    /// Forgets the work of hosts that are silent.
+    fn forget_work(&mut self, now: Duration) {
+        let known = self.work.len();
+        self.work.retain(|_, (at, _)| now < *at + STATUS_TIME);
+        if self.work.len() < known {
+            self.count_uses();
+        }
     }
 
     /// Takes the steps that are due. Orders are given only with a fencing number.
     pub fn tick(&mut self, now: Duration, fence: Option<Fence>) {
+        self.since.get_or_insert(now);
         self.demand.decay(now);
         self.drop_silent(now);
+        self.forget_work(now);
         self.ask(now);
         let Some(fence) = fence else { return };
         self.load_models(now, fence);
@@ -261,9 +286,8 @@
     /// Takes a target for silent.
     fn lose(&mut self, id: &str) {
         let Some(place) = self.places.remove(id) else { return };
-        let card = TargetCard { state: TargetState::Silent, ..place.card };
         self.steps.push(Step::Log(Event::TargetSilent { target: id.to_owned() }));
-        self.steps.push(Step::Tell(FeedChange::Target(place.number, card)));
+        self.steps.push(Step::Tell(silent(place.number, place.card)));
     }
 
     fn ask(&mut self, now: Duration) {
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -4,16 +4,19 @@
 
 use desired::{Command, Desired};
 use replog::{Input as LogInput, Recovered, Replica};
-use wire::{FleetMsg, HostCard, HostId, Incarnation, Index, LogMsg, PeerMsg, decode, encode};
+use wire::{
+    DomainId, FleetMsg, HostCard, HostId, Incarnation, Index, LogMsg, PeerMsg, decode, encode,
+};
 
 use crate::{
     Config, Event, Routes, Settings, Targets, Turns,
     feed::Position,
+    hold::{Heard, Holding},
     hosts::Hosts,
     io::{Input, Output, Tag},
     lead::Leading,
     operator::{Desk, Question},
-    replicated::{last_holder, log_settings},
+    replicated::log_settings,
     request::Requests,
 };
 
@@ -37,7 +40,16 @@
     pub(crate) routes: Arc<Routes>,
     pub(crate) hosts: Hosts,
     pub(crate) targets: Targets,
+    /// Where this host stands in the leader's feed.
     pub(crate) position: Position,
+    /// What it heard of the failure domains' holders.
+    pub(crate) heard: BTreeMap<DomainId, Heard>,
+    /// The failure domains that it holds.
+    pub(crate) holding: BTreeMap<DomainId, Holding>,
+    /// When the last renewal was sent that a leader answered.
+    pub(crate) renewed: Option<Duration>,
+    /// When the last renewal was sent.
+    pub(crate) renewing: Option<Duration>,
     pub(crate) requests: Requests,
     pub(crate) leading: Option<Leading>,
     pub(crate) desk: Desk,
@@ -46,7 +58,7 @@
     pub(crate) stopping: bool,
     pub(crate) joined: Option<Duration>,
     pub(crate) reported: Duration,
-    pub(crate) resynced: Duration,
+    pub(crate) resynced: Option<Duration>,
     pub(crate) leader: Option<HostId>,
     pub(crate) turns: Turns,
     pub(crate) noted_prompts: Duration,
@@ -71,7 +83,6 @@
             disk: disk.is_some(),
             ready: false,
         };
-        let held = disk.as_ref().and_then(last_holder);
         let (replica, outputs) = Replica::new(now, log_settings(&settings, seed), disk);
         let mut host = Host {
             hosts: Hosts::new(card),
@@ -83,6 +94,10 @@
             routes: Arc::default(),
             targets: Targets::default(),
             position: Position::default(),
+            heard: BTreeMap::new(),
+            holding: BTreeMap::new(),
+            renewed: None,
+            renewing: None,
             requests: Requests::default(),
             leading: None,
             desk: Desk::default(),
@@ -90,7 +105,7 @@
             stopping: false,
             joined: None,
             reported: now,
-            resynced: now,
+            resynced: None,
             leader: None,
             turns: Turns::default(),
             noted_prompts: now,
@@ -105,10 +120,6 @@
             first_start: host.settings.first_start,
         });
         host.carry_out(now, outputs);
-        if let Some(holder) = held {
-            let own = holder == host.settings.host;
-            host.step_log(now, LogInput::Prefer(own));
-        }
         let out = host.finish(now);
         (host, out)
     }
@@ -126,14 +137,14 @@
             Input::Change { tag, command } => self.desk.change(now, tag, command),
             Input::Read { tag } => self.desk.read(now, tag),
             Input::Ordered { target, outcome } => {
-                if let Some(leading) = &mut self.leading {
-                    leading.loads.ordered(now, &target, outcome);
+                if let Some(loads) = self.loads_of(&target) {
+                    loads.ordered(now, &target, outcome);
                 }
                 self.tick_loads(now);
             }
             Input::Reported { target, report } => {
-                if let Some(leading) = &mut self.leading {
-                    leading.loads.reported(now, &target, report.as_ref());
+                if let Some(loads) = self.loads_of(&target) {
+                    loads.reported(now, &target, report.as_ref());
                 }
                 self.tick_loads(now);
             }
@@ -198,6 +209,8 @@
     pub(crate) fn finish(&mut self, now: Duration) -> Vec<Output> {
         self.ask_leader(now);
         self.lead_on(now);
+        self.carry_steps();
+        self.flush_feeds(now);
         let applied = self.replica.status().applied;
         for (tag, reply) in self.desk.answers(now, applied, &self.desired) {
             self.out.push(Output::Answer { tag, reply });
@@ -209,8 +222,10 @@
         self.step_log(now, LogInput::Tick);
         self.confirm();
         self.join(now);
-        self.report(now);
+        self.renew(now);
+        self.report(now, STATUS, STATUS_AT_REST);
         self.tick_lead(now);
+        self.tick_holding(now);
         self.tick_requests(now);
         let granted = self.turns.tick(now);
         self.tell_turns(granted, 0);
@@ -236,21 +251,6 @@
         }
     }
 
-    fn report(&mut self, now: Duration) {
-        let span = if self.requests.is_active() { STATUS } else { STATUS_AT_REST };
-        if now < self.reported + span {
-            return;
-        }
-        self.reported = now;
-        let mut status = self.requests.status(&self.targets, self.run, self.is_ready());
-        status.backlogs = self.backlogs();
-        if let Some(leading) = &mut self.leading {
-            leading.loads.status(now, self.settings.host, &status);
-        } else if let Some(leader) = self.leader {
-            self.send(leader, FleetMsg::Status(status));
-        }
-    }
-
     /// Sends operators' questions to the leader.
     fn ask_leader(&mut self, now: Duration) {
         let Some(leader) = self.leader else { return };
@@ -293,17 +293,10 @@
             FleetMsg::Roster { leader, founder, cards } => {
                 self.roster(now, leader, founder, &cards);
             }
+            FleetMsg::Renew(renewal) => self.renewed_by(now, from, &renewal),
+            FleetMsg::Renewed { sent_ms } => self.renewal_answered(sent_ms),
             FleetMsg::Status(status) => self.status_of(now, from, &status),
-            FleetMsg::Board(board) => {
-                if board.epoch == self.position.epoch {
-                    self.take_board(&board);
-                }
-                if board.epoch > self.position.epoch
-                    || (board.epoch == self.position.epoch && board.last > self.position.last)
-                {
-                    self.resync(now, from);
-                }
-            }
+            FleetMsg::Board(board) => self.board(now, from, &board),
             FleetMsg::TurnAsk(ask) => self.turn_asked(now, from, &ask),
             FleetMsg::Turn { ticket, granted, backlog } => {
                 self.out.push(Output::Turn { ticket, granted, backlog });
@@ -313,14 +306,11 @@
                 self.tell_turns(granted, self.turns.backlog(&target));
             }
             FleetMsg::Feed(feed) => self.follow(now, from, &feed),
-            FleetMsg::Resync => self.send_table(from),
+            FleetMsg::Resync(topic) => self.send_table(from, &topic),
             FleetMsg::Seen(card) => self.know_target(now, &card),
             FleetMsg::Alive(card) => self.alive(now, &card),
             FleetMsg::Want { service, adapter, waiting } => {
-                if let Some(leading) = &mut self.leading {
-                    leading.loads.want(now, from, &service, &adapter, waiting);
-                }
-                self.tick_loads(now);
+                self.wanted(now, from, &service, &adapter, waiting);
             }
             FleetMsg::Propose { tag, command } => {
                 if let Ok(command) = decode::<Command>(&command) {
--- a/coordination/fleet/src/members.rs
+++ b/coordination/fleet/src/members.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use replog::Input as LogInput;
-use wire::{FeedChange, FleetMsg, HostCard, HostId, Incarnation};
+use wire::{FeedChange, FleetMsg, HostCard, HostId, Incarnation, Topic};
 
 use crate::{Event, Host};
 
@@ -64,7 +64,7 @@
             if new {
                 leading.feed.push(FeedChange::Host(card.clone()));
             }
-            self.send_table(from);
+            self.send_table(from, &Topic::Hosts);
         }
     }
 
@@ -104,6 +104,7 @@
     }
 
     pub(crate) fn leaving(&mut self, now: Duration, from: HostId, run: Incarnation) {
+        self.note_left(from, run);
         let Some(card) = self.hosts.card(from).cloned() else { return };
         if card.run != run || !card.ready {
             return;
--- a/coordination/fleet/src/pace.rs
+++ b/coordination/fleet/src/pace.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wire::{Board, FleetMsg, HostId, TargetNumber, TurnAsk};
+use wire::{FleetMsg, HostId, TargetNumber, TurnAsk};
 
 use crate::{Ask, Event, Host, Pick, io::Output, targets::digest};
 
@@ -95,12 +95,13 @@
         }
     }
 
-    /// Prompt tokens that are read or wait at the targets whose turns this host
-    /// gives out.
-    pub(crate) fn backlogs(&self) -> Vec<(TargetNumber, u32)> {
+    /// Prompt tokens that are read or wait at those targets of a failure domain
+    /// whose turns this host gives out.
+    pub(crate) fn backlogs(&self, domain: &str) -> Vec<(TargetNumber, u32)> {
         let mut backlogs = Vec::new();
         for (target, tokens) in self.turns.backlogs() {
-            if let Some(number) = self.targets.get(target).and_then(|it| it.number) {
+            let target = self.targets.get(target).filter(|it| it.card.domain == domain);
+            if let Some(number) = target.and_then(|it| it.number) {
                 backlogs.push((number, tokens));
             }
         }
@@ -121,16 +122,4 @@
             self.log(Event::Prompts { target, speed, backlog });
         }
     }
-
-    /// Takes in the targets' loads.
-    pub(crate) fn take_board(&mut self, board: &Board) {
-        self.requests.set_hosts(board.hosts);
-        self.targets.clear_loads();
-        for &(number, load, backlog) in &board.loads {
-            if let Some(target) = self.targets.numbered(number) {
-                target.others = u32::from(load).saturating_sub(target.own());
-                target.backlog = backlog;
-            }
-        }
-    }
 }
--- a/coordination/fleet/src/renew.rs
+++ b/coordination/fleet/src/renew.rs
@@ -11,8 +11,12 @@
     targets::adapter_print,
 };
 
-/// Loads from the weight store in progress at the same time.
+/// Loads from the weight store in progress at the same time, over all failure
+/// domains; at least one in each.
 const STORE_LOADS: usize = 2;
+/// How long after it began a holder takes the failure domains for equals, since it
+/// may not know their targets yet.
+const SETTLING: Duration = Duration::from_secs(5);
 /// Part of the weight store's rate that is used.
 const STORE_SHARE: f64 = 0.9;
 
@@ -79,7 +83,9 @@
 
     /// Loads models onto targets that hold none, within the store's rate.
     pub(crate) fn load_models(&mut self, now: Duration, fence: Fence) {
-        while self.fetches.front().is_some_and(|&at| at + self.settings.window < now) {
+        while self.fetches.len() > 1
+            && self.fetches.front().is_some_and(|&at| at + self.settings.window < now)
+        {
             self.fetches.pop_front();
         }
         let mut empty = Vec::new();
@@ -92,14 +98,20 @@
         if empty.is_empty() {
             return;
         }
-        let copies = self.survey().copies;
+        let mut copies = self.survey().copies;
+        for engine in self.engines.values() {
+            for model in &engine.models {
+                let print = adapter_print(&model.name);
+                *copies.entry(print).or_default() += self.elsewhere.copies(print);
+            }
+        }
         for (id, service) in empty {
             let Some(engine) = self.engines.get(&service).cloned() else { continue };
             let fitting = engine.models.iter().filter(|it| it.weights_mb <= engine.weights_mb);
             let held = |name: &str| copies.get(&adapter_print(name)).copied().unwrap_or(0);
             let Some(model) = fitting.min_by_key(|it| held(&it.name)) else { continue };
             let stored = self.places[&id].stored.contains(&model.name);
-            if !stored && !self.may_fetch(&engine) {
+            if !stored && !self.may_fetch(now, &service, &engine) {
                 continue;
             }
             if self.send(now, fence, &id, true, &model.name, None, 0) && !stored {
@@ -108,9 +120,30 @@
         }
     }
 
-    fn may_fetch(&self, engine: &Engine) -> bool {
-        let limit = engine.loads * self.settings.window.as_secs_f64() * STORE_SHARE;
+    /// Whether this failure domain's part of the weight store's rate allows another
+    /// load.
+    fn may_fetch(&self, now: Duration, service: &str, engine: &Engine) -> bool {
+        let domains = self.elsewhere.domains();
         let loading = self.places.values().filter(|it| it.is_changing()).count();
-        loading < STORE_LOADS && (self.fetches.len() as f64) < limit.floor()
+        if loading >= (STORE_LOADS / domains).max(1) {
+            return false;
+        }
+        let window = self.settings.window;
+        let limit = engine.loads * window.as_secs_f64() * STORE_SHARE * self.part(now, service);
+        if limit >= 1.0 {
+            return (self.fetches.len() as f64) < limit.floor();
+        }
+        self.fetches.back().is_none_or(|&at| now >= at + window.div_f64(limit.max(0.01)))
+    }
+
+    /// This failure domain's part of a service's targets.
+    fn part(&self, now: Duration, service: &str) -> f64 {
+        let equal = 1.0 / self.elsewhere.domains() as f64;
+        if self.since.is_none_or(|at| now < at + SETTLING) {
+            return equal;
+        }
+        let own = self.places.values().filter(|it| it.card.service == service).count();
+        let sizes = self.elsewhere.sizes(service, &self.settings.domain, own);
+        own as f64 / sizes.values().sum::<usize>().max(1) as f64
     }
 }
--- a/coordination/fleet/src/replicated.rs
+++ b/coordination/fleet/src/replicated.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use desired::{Applied, Command, Desired};
 use replog::{Input as LogInput, Output as LogOutput, Recovered, Replica};
-use wire::{Entry, EntryBody, HostId, Index, PeerMsg, Snapshot, decode_state, encode};
+use wire::{Entry, EntryBody, Index, PeerMsg, Snapshot, decode_state, encode};
 
 use crate::{Event, Host, Settings, io::Output};
 
@@ -81,6 +81,10 @@
             Command::Version { adapter, version } => Some((adapter.clone(), *version)),
             _ => None,
         };
+        let domain = match &command {
+            Command::Hold { domain, .. } => Some(domain.clone()),
+            _ => None,
+        };
         match self.desired.apply(entry.index, command) {
             Applied::Config => self.configured(entry.index),
             Applied::Version => {
@@ -89,7 +93,14 @@
                 self.log(Event::Version { adapter, version });
                 self.out.push(Output::Wake);
             }
-            Applied::Holder => self.held_by(now),
+            Applied::Holder => {
+                let domain = domain.expect("a holder was applied");
+                if let Some(it) = self.desired.holders.get(&domain) {
+                    let (holder, fence, waits) = (it.host, it.fence, it.waits);
+                    self.log(Event::Holder { domain, holder, fence, waits });
+                }
+                self.follow_holders(now);
+            }
             Applied::Nothing => {}
         }
         self.configure_loads();
@@ -108,6 +119,7 @@
                     }
                 }
                 self.desired = desired;
+                self.follow_holders(now);
                 if newer {
                     self.configured(snapshot.index);
                 }
@@ -128,19 +140,6 @@
     }
 }
 
-/// The last host that was made the holder, by what is on disk. Whether that was
-/// committed does not matter for a preference.
-pub(crate) fn last_holder(disk: &Recovered) -> Option<HostId> {
-    for entry in disk.entries.iter().rev() {
-        let EntryBody::Data(bytes) = &entry.body else { continue };
-        if let Ok(Command::Hold { host, .. }) = decode_state(bytes) {
-            return Some(host);
-        }
-    }
-    let state = &disk.snapshot.as_ref()?.state;
-    decode_state::<Desired>(state).ok()?.holder.map(|it| it.host)
-}
-
 pub(crate) fn log_settings(settings: &Settings, seed: u64) -> replog::Settings {
     replog::Settings {
         host: settings.host,
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -6,14 +6,18 @@
     time::Duration,
 };
 
-use wire::{AdapterPrint, FleetMsg, HostId, HostStatus, Incarnation, Running, TargetState};
+use wire::{AdapterPrint, DomainId, FleetMsg, TargetState};
 
 use crate::{
-    Host, Pick, RetryBudget, Route, Targets, Wanted, io::Output, pick, targets::adapter_print,
+    Host, Pick, RetryBudget, Route, Wanted, elsewhere::domain_order, io::Output, pick,
+    targets::adapter_print,
 };
 
-/// Time between two messages to the leader about requests that wait.
+/// Time between two messages to a holder about requests that wait.
 const WANT_AGAIN: Duration = Duration::from_millis(300);
+/// How long an adapter is waited for before the holder of a second failure domain
+/// is asked for it, too.
+const SECOND_HOLDER: Duration = Duration::from_millis(900);
 /// Part of the time for a new version during which requests are still sent to the
 /// former one; some then wait at their targets for a while.
 const FORMER_SHARE: f64 = 0.15;
@@ -82,6 +86,7 @@
 struct WaitingFor {
     service: String,
     count: u16,
+    since: Duration,
     told: Option<Duration>,
 }
 
@@ -92,7 +97,6 @@
     waiting: BTreeMap<String, WaitingFor>,
     budgets: BTreeMap<String, RetryBudget>,
     hosts: u16,
-    active: bool,
 }
 
 impl Requests {
@@ -103,27 +107,12 @@
 
     /// Whether requests came since the last status.
     pub(crate) fn is_active(&self) -> bool {
-        self.active
+        !self.asked.is_empty()
     }
 
-    /// Makes the status for the leader.
-    pub(crate) fn status(
-        &mut self,
-        targets: &Targets,
-        run: Incarnation,
-        ready: bool,
-    ) -> HostStatus {
-        let mut running = Vec::new();
-        for target in targets.iter() {
-            let Some(number) = target.number else { continue };
-            for (&adapter, &count) in &target.running {
-                let count = u16::try_from(count).unwrap_or(u16::MAX);
-                running.push(Running { target: number, adapter, count });
-            }
-        }
-        let asked = std::mem::take(&mut self.asked).into_iter().collect();
-        self.active = !running.is_empty();
-        HostStatus { run, ready, running, asked, backlogs: Vec::new() }
+    /// Takes how often each adapter was asked for since the last time.
+    pub(crate) fn take_asked(&mut self) -> Vec<(AdapterPrint, u16)> {
+        std::mem::take(&mut self.asked).into_iter().collect()
     }
 }
 
@@ -147,7 +136,6 @@
     pub fn begin(&mut self, now: Duration, ask: &Ask) {
         let window = self.settings.bounds.retry_window;
         self.requests.budgets.entry(ask.service.clone()).or_default().request(now, window);
-        self.requests.active = true;
         if let Some(adapter) = &ask.adapter {
             let count = self.requests.asked.entry(adapter_print(adapter)).or_default();
             *count = count.saturating_add(1);
@@ -162,7 +150,6 @@
                 let Some(target) = self.targets.get_mut(&id) else { return Choice::None };
                 *target.running.entry(print).or_default() += 1;
                 let addr = target.card.addr.clone();
-                self.requests.active = true;
                 Choice::Send(Ticket { target: id, addr, adapter: print })
             }
             Pick::Load => Choice::Wait,
@@ -232,11 +219,12 @@
     }
 
     /// Notes that a request begins to wait for its adapter.
-    pub fn wait_for(&mut self, ask: &Ask) {
+    pub fn wait_for(&mut self, now: Duration, ask: &Ask) {
         let Some(adapter) = &ask.adapter else { return };
         let waiting = self.requests.waiting.entry(adapter.clone()).or_insert_with(|| WaitingFor {
             service: ask.service.clone(),
             count: 0,
+            since: now,
             told: None,
         });
         waiting.count = waiting.count.saturating_add(1);
@@ -252,41 +240,57 @@
         }
     }
 
-    /// Tells the leader now which adapters requests wait for.
+    /// Tells the holders now which adapters requests wait for.
     pub fn tell_wants(&mut self, now: Duration) -> Vec<Output> {
         self.tick_requests(now);
         self.finish(now)
     }
 
     pub(crate) fn tick_requests(&mut self, now: Duration) {
-        let Some(leader) = self.leader else { return };
         let mut due = Vec::new();
         for (adapter, waiting) in &mut self.requests.waiting {
             if waiting.told.is_some_and(|at| now < at + WANT_AGAIN) {
                 continue;
             }
             waiting.told = Some(now);
-            due.push((waiting.service.clone(), adapter.clone(), waiting.count));
+            let holders = 1 + usize::from(now >= waiting.since + SECOND_HOLDER);
+            due.push((waiting.service.clone(), adapter.clone(), waiting.count, holders));
         }
-        for (service, adapter, waiting) in due {
-            self.want(now, leader, service, adapter, waiting);
+        for (service, adapter, waiting, holders) in due {
+            for domain in self.homes(now, &service, &adapter).into_iter().take(holders) {
+                self.want(now, &domain, service.clone(), adapter.clone(), waiting);
+            }
         }
     }
 
+    /// The failure domains with targets of a service that an adapter goes to, in
+    /// this order: those whose targets get orders now, if there are any.
+    fn homes(&self, now: Duration, service: &str, adapter: &str) -> Vec<DomainId> {
+        let mut sizes: BTreeMap<DomainId, usize> = BTreeMap::new();
+        for target in self.targets.ready(service) {
+            *sizes.entry(target.card.domain.clone()).or_default() += 1;
+        }
+        let mut order = domain_order(adapter, &sizes);
+        if order.iter().any(|it| self.gets_orders(now, it)) {
+            order.retain(|it| self.gets_orders(now, it));
+        }
+        order
+    }
+
     fn want(
         &mut self,
         now: Duration,
-        leader: HostId,
+        domain: &str,
         service: String,
         adapter: String,
         waiting: u16,
     ) {
-        match &mut self.leading {
-            Some(leading) => {
-                leading.loads.want(now, leader, &service, &adapter, waiting);
-                self.tick_loads(now);
-            }
-            None => self.send(leader, FleetMsg::Want { service, adapter, waiting }),
+        let own = self.settings.host;
+        if let Some(holding) = self.holding.get_mut(domain) {
+            holding.loads.want(now, own, &service, &adapter, waiting);
+            self.tick_loads(now);
+        } else if let Some(holder) = self.holder(domain) {
+            self.send(holder, FleetMsg::Want { service, adapter, waiting });
         }
     }
 }
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use wire::{AdapterPrint, TargetCard, TargetNumber, TargetState};
+use wire::{AdapterPrint, Board, Running, TargetCard, TargetNumber, TargetState};
 
 /// Weight of the newest answer in what is remembered of a target.
 const FRESH: f64 = 0.15;
@@ -71,7 +71,7 @@
 pub struct Target {
     /// What it says of itself.
     pub card: TargetCard,
-    /// Its number in the feed.
+    /// Its number in the feed of its failure domain.
     pub number: Option<TargetNumber>,
     /// Requests of this host in progress, by adapter.
     pub running: BTreeMap<AdapterPrint, u32>,
@@ -218,25 +218,41 @@
         }
     }
 
-    /// Forgets what a feed said, before another one begins.
-    pub fn clear_feed(&mut self) {
-        for target in self.by_id.values_mut() {
+    /// Forgets what a failure domain's feed said, before another one begins.
+    pub fn clear_feed(&mut self, domain: &str) {
+        for target in self.by_id.values_mut().filter(|it| it.card.domain == domain) {
             target.number = None;
             target.others = 0;
             target.adapters.clear();
         }
     }
 
-    /// Forgets the loads that were heard of.
-    pub fn clear_loads(&mut self) {
-        for target in self.by_id.values_mut() {
-            target.others = 0;
-            target.backlog = 0;
+    /// Takes in the loads of a failure domain's targets.
+    pub(crate) fn take_loads(&mut self, board: &Board) {
+        for target in self.by_id.values_mut().filter(|it| it.card.domain == board.domain) {
+            let load = board.loads.iter().find(|(number, ..)| Some(*number) == target.number);
+            let (load, backlog) = load.map_or((0, 0), |&(_, load, backlog)| (load, backlog));
+            target.others = u32::from(load).saturating_sub(target.own());
+            target.backlog = backlog;
+        }
+    }
+
+    /// Returns this host's requests in progress at a failure domain's targets.
+    pub(crate) fn running(&self, domain: &str) -> Vec<Running> {
+        let mut running = Vec::new();
+        for target in self.by_id.values().filter(|it| it.card.domain == domain) {
+            let Some(number) = target.number else { continue };
+            for (&adapter, &count) in &target.running {
+                let count = u16::try_from(count).unwrap_or(u16::MAX);
+                running.push(Running { target: number, adapter, count });
+            }
         }
+        running
     }
 
-    /// Finds a target by its number in the feed.
-    pub fn numbered(&mut self, number: TargetNumber) -> Option<&mut Target> {
-        self.by_id.values_mut().find(|it| it.number == Some(number))
+    /// Finds a target by its number in the feed of its failure domain.
+    pub(crate) fn numbered(&mut self, domain: &str, number: TargetNumber) -> Option<&mut Target> {
+        let there = |it: &&mut Target| it.number == Some(number) && it.card.domain == domain;
+        self.by_id.values_mut().find(there)
     }
 }
--- /dev/null
+++ b/coordination/fleet/tests/holders.rs
@@ -0,0 +1,208 @@
+//! Who gives orders to targets, in virtual time with fixed seeds: through changes
+//! of the leader, and never two hosts to one target within the lease time.
+
+mod common;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bytes::Bytes;
+use common::{World, ms, target};
+use desired::Command;
+use fleet::Input;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use wire::{HostId, TargetState};
+
+const LEASE: Duration = Duration::from_millis(3000);
+const TARGETS: u64 = 6;
+
+/// Six hosts, the first three with disks, that know six targets of three failure
+/// domains and a configuration.
+fn world(seed: u64) -> World {
+    let mut world = World::new(seed, 3, 3, &[1, 2, 3]);
+    world.run(ms(3000));
+    let command = Command::Replace { number: 1, body: Bytes::from_static(b"one") };
+    let tag = world.tag();
+    world.input(4, Input::Change { tag, command });
+    world.run(ms(1000));
+    beat(&mut world, 1);
+    world.run(ms(2500));
+    world
+}
+
+fn name(number: u64) -> String {
+    format!("t{number}")
+}
+
+/// Lets all targets send a heartbeat to the hosts in turn.
+fn beat(world: &mut World, sequence: u64) {
+    let hosts = world.running();
+    for number in 0..TARGETS {
+        let mut card = target(&name(number), 5, sequence, TargetState::Ready);
+        card.domain = format!("d{}", number % 3);
+        let host = hosts[(number + sequence) as usize % hosts.len()];
+        world.input(host, Input::Beat { card });
+    }
+}
+
+/// Lets requests wait for ever new adapters for a while, ten a second.
+fn load(world: &mut World, span: Duration, next: &mut u64) {
+    let end = world.now + span;
+    while world.now < end {
+        let hosts = world.running();
+        world.want(hosts[*next as usize % hosts.len()], &format!("m/a{next}"));
+        *next += 1;
+        if next.is_multiple_of(10) {
+            beat(world, *next);
+        }
+        world.run(ms(100));
+    }
+}
+
+/// The host that last gave an order to a target.
+fn giver(world: &World, target: &str) -> Option<HostId> {
+    world.orders().into_iter().rev().find(|(_, to, _)| to == target).map(|(.., host)| host)
+}
+
+fn orders_since(world: &World, since: Duration, domain: u64) -> Vec<Duration> {
+    let there = |to: &str| (0..TARGETS).any(|it| it % 3 == domain && name(it) == to);
+    let orders = world.orders().into_iter();
+    orders.filter(|(at, to, _)| *at >= since && there(to)).map(|(at, ..)| at).collect()
+}
+
+/// Pattern: the leader is killed, cut off or frozen. Orders go on without it.
+#[test]
+fn orders_go_on_while_there_is_no_leader() {
+    for seed in 0..10 {
+        let mut world = world(seed);
+        let mut next = 0;
+        load(&mut world, ms(3000), &mut next);
+        let leader = world.leader().expect("a leader");
+        match seed % 3 {
+            0 => world.kill(leader),
+            1 => {
+                world.cut.insert(leader);
+            }
+            _ => {
+                world.frozen.insert(leader);
+            }
+        }
+        let since = world.now;
+        load(&mut world, ms(900), &mut next);
+        for domain in 0..3 {
+            let orders = orders_since(&world, since, domain);
+            assert!(!orders.is_empty(), "seed {seed}: no order in failure domain {domain}");
+        }
+    }
+}
+
+/// A holder that is lost for good gives way to another; only its failure domain
+/// waits.
+#[test]
+fn a_lost_holder_is_replaced() {
+    for seed in 0..10 {
+        let mut world = world(seed);
+        let mut next = 0;
+        load(&mut world, ms(3000), &mut next);
+        let lost = giver(&world, "t1").expect("a holder");
+        world.kill(lost);
+        let since = world.now;
+        load(&mut world, ms(3000), &mut next);
+        assert!(!orders_since(&world, since, 0).is_empty(), "seed {seed}");
+        load(&mut world, LEASE * 3, &mut next);
+        let new = giver(&world, "t1").expect("a holder");
+        assert_ne!(new, lost, "seed {seed}");
+    }
+}
+
+/// A holder that is told to end says so, and the next one need not wait for its
+/// lease to lapse.
+#[test]
+fn a_holder_that_leaves_gives_way_at_once() {
+    let mut world = world(3);
+    let mut next = 0;
+    load(&mut world, ms(3000), &mut next);
+    let old = giver(&world, "t1").expect("a holder");
+    world.input(old, Input::Stop);
+    let since = world.now;
+    load(&mut world, LEASE + ms(1000), &mut next);
+    let new = world
+        .orders()
+        .into_iter()
+        .find(|(at, to, host)| *at >= since && *host != old && ["t1", "t4"].contains(&to.as_str()));
+    assert!(new.is_some(), "orders at {:?}", orders_since(&world, since, 1));
+}
+
+/// All hosts are killed and start again: a holder is the same host as before, and
+/// gives orders as soon as there is a leader.
+#[test]
+fn holders_begin_at_once_after_all_were_killed() {
+    for seed in 0..10 {
+        let mut world = world(seed);
+        let mut next = 0;
+        load(&mut world, ms(5000), &mut next);
+        for host in world.running() {
+            world.kill(host);
+        }
+        world.run(ms(800));
+        for host in world.machines.keys().copied().collect::<Vec<_>>() {
+            world.start(host);
+            world.run(ms(10));
+        }
+        let since = world.now;
+        load(&mut world, ms(4000), &mut next);
+        for domain in 0..3 {
+            let first = orders_since(&world, since, domain).first().copied();
+            let after = first.expect("an order") - since;
+            assert!(after < LEASE, "seed {seed}: failure domain {domain} after {after:?}");
+        }
+    }
+}
+
+/// Hosts are killed, cut off, frozen and started again at random: a target never
+/// gets orders of two hosts within the lease time.
+#[test]
+fn no_two_hosts_order_within_the_lease_time() {
+    let mut changes = 0;
+    for seed in 0..16 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut world = world(seed);
+        let mut next = 0;
+        for _ in 0..12 {
+            let hosts: Vec<HostId> = world.machines.keys().copied().collect();
+            let host = hosts[rng.random_range(0..hosts.len())];
+            let giver = giver(&world, "t1").unwrap_or(host);
+            let host = if rng.random_bool(0.5) { giver } else { host };
+            match rng.random_range(0..5) {
+                0 => world.kill(host),
+                1 => {
+                    world.cut.insert(host);
+                }
+                2 => {
+                    world.frozen.insert(host);
+                }
+                3 => world.input(host, Input::Stop),
+                _ => {}
+            }
+            load(&mut world, ms(rng.random_range(300..9000)), &mut next);
+            world.cut.clear();
+            world.frozen.clear();
+            let stopped = world.machines[&host].host.is_none() || rng.random_bool(0.3);
+            if stopped {
+                world.start(host);
+            }
+            load(&mut world, ms(rng.random_range(100..3000)), &mut next);
+        }
+        let mut last: BTreeMap<String, (Duration, HostId)> = BTreeMap::new();
+        for (at, to, host) in world.orders() {
+            if let Some((before, other)) = last.insert(to.clone(), (at, host))
+                && other != host
+            {
+                changes += 1;
+                let gap = at - before;
+                assert!(gap >= LEASE, "seed {seed}: {to} by {other}, then {host} after {gap:?}");
+            }
+        }
+    }
+    assert!(changes > 30, "{changes} changes of a holder");
+}
--- a/edge/src/control.rs
+++ b/edge/src/control.rs
@@ -112,17 +112,19 @@
 }
 
 fn beat(edge: &Rc<Edge>, id: &str, body: &[u8]) -> Answer {
-    match registry::read_beat(id, body) {
-        Ok(card) => edge.step(Input::Beat { card }),
+    let card = match registry::read_beat(id, body) {
+        Ok(card) => card,
         Err(error) => {
             let what = format!("heartbeat of {id}: {error}");
             edge.log.event(&Event::Alarm { what: what.clone() });
             return refused(StatusCode::BAD_REQUEST, &what);
         }
-    }
+    };
+    let domain = card.domain.clone();
+    edge.step(Input::Beat { card });
     let host = edge.host.borrow();
-    let next = host.leader().zip(host.settings().control);
-    let next = next.map(|(leader, own)| edge.addr_of(leader, own).to_string());
+    let next = host.holder(&domain).or(host.leader()).zip(host.settings().control);
+    let next = next.map(|(holder, own)| edge.addr_of(holder, own).to_string());
     json(StatusCode::OK, registry::beat_answer(next))
 }
 
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -182,7 +182,7 @@
             if waiting.is_none() && choice == Choice::Wait {
                 let adapter = self.ask.adapter.clone().unwrap_or_default();
                 self.note("waits", &adapter);
-                edge.host.borrow_mut().wait_for(&self.ask);
+                edge.host.borrow_mut().wait_for(now, &self.ask);
                 waiting = Some(Waiting(edge.clone(), self.ask.clone()));
                 let outputs = edge.host.borrow_mut().tell_wants(now);
                 edge.carry_out(outputs);
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -84,12 +84,24 @@
     Removed(Placement),
 }
 
-/// Numbers the feeds: the term of the leader that writes one, and its run.
+/// Numbers the feeds of a topic: the term of the leader, or the fencing number of
+/// the holder, that writes one, and its run.
 pub type Epoch = (Term, Incarnation);
 
+/// What a feed tells of.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Topic {
+    /// The hosts; the leader writes it.
+    Hosts,
+    /// The targets of a failure domain; the holder of their orders writes it.
+    Targets(DomainId),
+}
+
 /// Changes in their order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Feed {
+    /// What it tells of.
+    pub topic: Topic,
     /// The feed.
     pub epoch: Epoch,
     /// The number of the last change before these; zero with the whole table.
@@ -111,24 +123,38 @@
     pub count: u16,
 }
 
-/// What a host tells the leader of its work.
+/// What a host tells the holder of a failure domain of its work.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostStatus {
-    /// The host's run.
-    pub run: Incarnation,
-    /// Whether it takes callers.
-    pub ready: bool,
-    /// Requests in progress.
+    /// The failure domain.
+    pub domain: DomainId,
+    /// Requests in progress at its targets.
     pub running: Vec<Running>,
-    /// Requests that came since the last status, by adapter.
+    /// Requests that came since the last status, by adapter, wherever they went.
     pub asked: Vec<(AdapterPrint, u16)>,
     /// Prompt tokens that are read or wait, at targets whose turns it gives out.
     pub backlogs: Vec<(TargetNumber, u32)>,
 }
 
-/// What the leader tells all hosts of the targets' loads.
+/// A host tells the leader that it is there, and asks whether it may go on to hold
+/// orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// The host's run.
+    pub run: Incarnation,
+    /// Whether it takes callers.
+    pub ready: bool,
+    /// When it was sent, in milliseconds of the sender's clock.
+    pub sent_ms: u64,
+}
+
+/// What the holder of a failure domain tells all hosts of its targets' loads.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Board {
+    /// The failure domain.
+    pub domain: DomainId,
+    /// Whether it may give orders now.
+    pub orders: bool,
     /// The feed.
     pub epoch: Epoch,
     /// The last change of the feed.
@@ -173,19 +199,26 @@
         /// The hosts known.
         cards: Vec<HostCard>,
     },
-    /// A host's work, to the leader.
+    /// A host is there, to the leader.
+    Renew(Renewal),
+    /// Answers [`FleetMsg::Renew`]: who holds orders may go on.
+    Renewed {
+        /// When the renewal was sent, by the clock of its sender.
+        sent_ms: u64,
+    },
+    /// A host's work, to a holder.
     Status(HostStatus),
-    /// The targets' loads, from the leader.
+    /// The targets' loads, from their holder.
     Board(Board),
-    /// Changes, from the leader.
+    /// Changes, from the leader or a holder.
     Feed(Feed),
-    /// Asks the leader for the whole table.
-    Resync,
+    /// Asks the writer of a feed for the whole table.
+    Resync(Topic),
     /// A target said something new, to all hosts.
     Seen(TargetCard),
-    /// A target is alive, to the leader.
+    /// A target is alive, to its holder.
     Alive(TargetCard),
-    /// Requests wait for an adapter, to the leader.
+    /// Requests wait for an adapter, to a holder.
     Want {
         /// The service.
         service: String,
@@ -246,7 +279,9 @@
     pub fn is_periodic(&self) -> bool {
         matches!(
             self,
-            FleetMsg::Status(_)
+            FleetMsg::Renew(_)
+                | FleetMsg::Renewed { .. }
+                | FleetMsg::Status(_)
                 | FleetMsg::Board(_)
                 | FleetMsg::TurnAsk(_)
                 | FleetMsg::Turn { .. }
--- a/state/desired/src/lib.rs
+++ b/state/desired/src/lib.rs
@@ -1,6 +1,6 @@
 //! What operators want to be in force: one whole configuration, of which the
 //! highest number counts, the newest version of each adapter, and which host
-//! gives orders to targets.
+//! gives orders to the targets of each failure domain.
 //!
 //! A pure state machine: commands are applied in the order of the log.
 
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use flate2::{Compression, read::DeflateDecoder, read::DeflateEncoder};
 use serde::{Deserialize, Serialize};
-use wire::{Fence, HostId, Incarnation, Index};
+use wire::{DomainId, Fence, HostId, Incarnation, Index};
 
 /// A change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,16 +28,26 @@
         /// The version.
         version: u64,
     },
-    /// Makes a host the holder: the one that gives orders to targets.
+    /// Makes a host the holder of a failure domain: the one that gives orders to
+    /// its targets.
     Hold {
+        /// The failure domain.
+        domain: DomainId,
         /// The host.
         host: HostId,
         /// Its run.
         run: Incarnation,
     },
+    /// A holder has waited as long as it had to, and begins to give orders.
+    Begin {
+        /// The failure domain.
+        domain: DomainId,
+        /// The fencing number of its orders.
+        fence: Fence,
+    },
 }
 
-/// The host that gives orders to targets.
+/// The host that gives orders to the targets of a failure domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holder {
     /// The host.
@@ -46,6 +56,10 @@
     pub run: Incarnation,
     /// The fencing number of its orders.
     pub fence: Fence,
+    /// Whether another host may have given orders shortly before, so that it has
+    /// to wait. A later run of the same host has to, too, if this one did not
+    /// begin.
+    pub waits: bool,
 }
 
 /// The number and the document of a configuration.
@@ -79,7 +93,7 @@
     Config,
     /// A version changed.
     Version,
-    /// The holder changed.
+    /// A holder changed.
     Holder,
     /// Nothing: it is in force already, or a later one is.
     Nothing,
@@ -92,10 +106,8 @@
     pub config: Option<Document>,
     /// The newest versions that were named.
     pub versions: BTreeMap<String, u64>,
-    /// The host that gives orders.
-    pub holder: Option<Holder>,
-    /// The holder before.
-    pub former: Option<Holder>,
+    /// The holder of each failure domain.
+    pub holders: BTreeMap<DomainId, Holder>,
 }
 
 impl Desired {
@@ -104,11 +116,20 @@
         match command {
             Command::Replace { number, body } => self.replace(number, body),
             Command::Version { adapter, version } => self.name(adapter, version),
-            Command::Hold { host, run } => {
-                self.former = self.holder;
-                self.holder = Some(Holder { host, run, fence: index });
+            Command::Hold { domain, host, run } => {
+                let former = self.holders.get(&domain);
+                let waits = former.is_some_and(|it| it.host != host || it.waits);
+                self.holders.insert(domain, Holder { host, run, fence: index, waits });
                 Applied::Holder
             }
+            Command::Begin { domain, fence } => {
+                if let Some(holder) = self.holders.get_mut(&domain)
+                    && holder.fence == fence
+                {
+                    holder.waits = false;
+                }
+                Applied::Nothing
+            }
         }
     }
 
@@ -118,6 +139,9 @@
             Command::Replace { number, .. } => self.number() >= Some(*number),
             Command::Version { adapter, version } => self.versions.get(adapter) >= Some(version),
             Command::Hold { .. } => false,
+            Command::Begin { domain, fence } => {
+                !self.holders.get(domain).is_some_and(|it| it.fence == *fence && it.waits)
+            }
         }
     }
 
