Tell callers to come back after an election when nothing is known yet

Ruled out: answering from what is on disk (an older configuration could be shown). Change: they are told 1.8 to 2.6 s, which is spread. Callers with less time take a third of it, as before. The longer time to come back where no adapter can be ordered asks whether any failure domain's targets get orders, no longer whether a leader is known. No test of its own: a figure told to callers.

--- a/coordination/fleet/src/hold.rs
+++ b/coordination/fleet/src/hold.rs
@@ -307,6 +307,11 @@
         known.orders && known.board.is_some_and(|at| now < at + silence)
     }
 
+    /// Whether any targets get orders now, as far as known.
+    pub fn any_orders(&self, now: Duration) -> bool {
+        self.desired.holders.keys().any(|domain| self.gets_orders(now, domain))
+    }
+
     /// Asks a feed's writer for the whole table.
     pub(crate) fn resync(&mut self, now: Duration, writer: HostId, topic: Topic) {
         let asked = match &topic {
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -17,8 +17,11 @@
     relay::{Job, relay},
 };
 
-/// When a caller should come back that came before the host knew what is in force.
-const COME_BACK: Duration = Duration::from_millis(500);
+/// When a caller should come back that came before the host knew what is in force,
+/// at least, and the span over which their returns are spread. After all hosts were
+/// lost a leader is elected first, which takes one to two election times.
+const COME_BACK: Duration = Duration::from_millis(1800);
+const COME_BACK_SPREAD: Duration = Duration::from_millis(800);
 /// How long a caller that gives no deadline is taken to wait.
 const DEFAULT_LEFT: Duration = Duration::from_secs(60);
 /// How long a body may take to arrive.
@@ -70,7 +73,10 @@
     let routed = edge.host.borrow().route(&name, parts.uri.path(), rand::random());
     let (route, service) = match routed {
         Ok(routed) => routed,
-        Err(NoRoute::Unknown) => return own(edge, &parts, "no_config", not_run(COME_BACK)),
+        Err(NoRoute::Unknown) => {
+            let after = COME_BACK + COME_BACK_SPREAD.mul_f64(rand::random());
+            return own(edge, &parts, "no_config", not_run(after));
+        }
         Err(NoRoute::None) => {
             return own(edge, &parts, "no_route", plain(StatusCode::NOT_FOUND));
         }
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -49,7 +49,7 @@
 const COME_BACK_SPREAD: Duration = Duration::from_millis(2500);
 /// The same while nobody can order adapters: an election and the time between two
 /// holders have to pass.
-const COME_BACK_LEADERLESS: Duration = Duration::from_millis(3500);
+const COME_BACK_UNORDERED: Duration = Duration::from_millis(3500);
 
 /// A request.
 pub(crate) struct Job {
@@ -398,8 +398,8 @@
             };
             plain(status)
         } else {
-            let leaderless = self.edge.host.borrow().leader().is_none();
-            let least = if leaderless { COME_BACK_LEADERLESS } else { COME_BACK };
+            let ordered = self.edge.host.borrow().any_orders(self.edge.now());
+            let least = if ordered { COME_BACK } else { COME_BACK_UNORDERED };
             not_run(least + COME_BACK_SPREAD.mul_f64(rand::random::<f64>()))
         };
         self.done(why, answer.status().as_u16());
