--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -1,4 +1,4 @@
-//! `check`: declarations and settings, offline.
+//! `check`: declarations, settings, and what the machines read, offline.
 
 use std::{collections::BTreeMap, fs, path::Path};
 
@@ -58,6 +58,7 @@
                 report.accepted.push(format!("{file}: {}", about_service(&content)));
                 declarations.push(Read { file, content });
             }
+            Ok(File::Machine(about)) => report.accepted.push(format!("{file}: {about}")),
             Ok(File::Settings(content)) => {
                 report.accepted.push(format!("{file}: {}", about_host(&content)));
                 settings.push(Read { file, content: *content });
@@ -86,6 +87,8 @@
 enum File {
     Declaration(Declaration),
     Settings(Box<Settings>),
+    /// A file of the machines; what it holds.
+    Machine(String),
 }
 
 /// Reads one file, whose kind is told by its content.
@@ -103,12 +106,37 @@
             let settings = Settings::parse(file, &text).map_err(strings)?;
             Ok(File::Settings(Box::new(settings)))
         }
+        None if platform::deploy::is_deploy(&text) => deploy(file, &text),
+        None if platform::settings::is_settings(&text) => machine(file, &text),
         None => Err(vec![format!(
-            "{file}: neither a declaration with [service] nor settings with [host]"
+            "{file}: no declaration with [service], no settings with [host], and no deploy file or \
+             settings of the machines"
         )]),
     }
 }
 
+fn deploy(file: &str, text: &str) -> Result<File, Vec<String>> {
+    match platform::deploy::check(text) {
+        Ok(roles) => Ok(File::Machine(format!("deploy file, roles {}", roles.join(", ")))),
+        Err(errors) => Err(errors.iter().map(|it| format!("{file}: {it}")).collect()),
+    }
+}
+
+fn machine(file: &str, text: &str) -> Result<File, Vec<String>> {
+    match platform::settings::read(text) {
+        Ok(settings) => {
+            let role = if settings.data_dir.is_some() { "with a disk" } else { "without a disk" };
+            let (name, domain) = (settings.name, settings.domain);
+            Ok(File::Machine(format!("settings of machine {name} in {domain}, {role}")))
+        }
+        Err(error) => {
+            let line = error.field().and_then(|it| platform::settings::line_of(text, it));
+            let place = line.map(|it| format!("line {it}: ")).unwrap_or_default();
+            Err(vec![format!("{file}: {place}{error}")])
+        }
+    }
+}
+
 fn about_service(declaration: &Declaration) -> String {
     let Declaration { service, version, kind, calls, .. } = declaration;
     let start = format!("service {service}, version {version}");
--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -29,6 +29,16 @@
     Stopped {
         /// Requests that were cut.
         cut: u64,
+        /// Milliseconds since its start.
+        up_ms: u64,
+        /// Messages to other hosts.
+        sent: u64,
+        /// Their bytes.
+        sent_bytes: u64,
+        /// Messages from other hosts.
+        received: u64,
+        /// Their bytes.
+        received_bytes: u64,
     },
     /// The leader or the term changed.
     Leader {
--- a/coordination/fleet/src/hold.rs
+++ b/coordination/fleet/src/hold.rs
@@ -62,6 +62,13 @@
     ordering: bool,
 }
 
+impl Heard {
+    /// When the holder's last board came.
+    pub(crate) fn board_at(&self) -> Option<Duration> {
+        self.board
+    }
+}
+
 /// What a host heard of a failure domain's holder.
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct Heard {
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -63,6 +63,10 @@
     pub(crate) reported: Duration,
     pub(crate) resynced: Option<Duration>,
     pub(crate) leader: Option<HostId>,
+    /// When the leader last changed.
+    pub(crate) led_since: Option<Duration>,
+    /// When a configuration was last put in force here.
+    pub(crate) configured_at: Option<Duration>,
     pub(crate) turns: Turns,
     pub(crate) noted_prompts: Duration,
     /// A leader that others named.
@@ -111,6 +115,8 @@
             reported: now,
             resynced: None,
             leader: None,
+            led_since: None,
+            configured_at: None,
             turns: Turns::default(),
             noted_prompts: now,
             hint: None,
@@ -158,6 +164,23 @@
         self.finish(now)
     }
 
+    /// Returns how old each belief is: since when the leader is the same, since when
+    /// the configuration is in force here, when the last renewal was sent that was
+    /// answered, and when each holder was last heard.
+    pub fn belief_ages(&self, now: Duration) -> Vec<(String, Duration)> {
+        let mut ages = Vec::new();
+        let mut add = |name: String, at: Option<Duration>| {
+            ages.extend(at.map(|at| (name, now.saturating_sub(at))));
+        };
+        add("leader".to_owned(), self.led_since);
+        add("config".to_owned(), self.configured_at);
+        add("renewal".to_owned(), self.renewed);
+        for (domain, heard) in &self.heard {
+            add(format!("holder of {domain}"), heard.board_at());
+        }
+        ages
+    }
+
     /// Whether the host takes callers.
     pub fn is_ready(&self) -> bool {
         self.knows_config() && !self.stopping
--- a/coordination/fleet/src/replicated.rs
+++ b/coordination/fleet/src/replicated.rs
@@ -54,6 +54,7 @@
                 LogOutput::SnapshotDue => snapshot_due = true,
                 LogOutput::Leader { leader, term } => {
                     self.leader = leader;
+                    self.led_since = Some(now);
                     self.log(Event::Leader { leader, term });
                     self.desk.hurry();
                     self.joined = None;
@@ -86,7 +87,7 @@
             _ => None,
         };
         match self.desired.apply(entry.index, command) {
-            Applied::Config => self.configured(entry.index),
+            Applied::Config => self.configured(now, entry.index),
             Applied::Version => {
                 let (adapter, version) = version.expect("a version was applied");
                 self.named.insert(adapter.clone(), now);
@@ -121,7 +122,7 @@
                 self.desired = desired;
                 self.follow_holders(now);
                 if newer {
-                    self.configured(snapshot.index);
+                    self.configured(now, snapshot.index);
                 }
             }
             Err(error) => {
@@ -132,7 +133,8 @@
     }
 
     /// Hands the new document to the process, which reads it.
-    pub(crate) fn configured(&mut self, index: Index) {
+    pub(crate) fn configured(&mut self, now: Duration, index: Index) {
+        self.configured_at = Some(now);
         let Some(document) = &self.desired.config else { return };
         let (number, body): (u64, Bytes) = (document.number, document.body.clone());
         self.log(Event::Config { number, index });
--- a/edge/src/control.rs
+++ b/edge/src/control.rs
@@ -160,7 +160,8 @@
 
 /// Writes the metrics.
 pub(crate) async fn metrics(edge: Rc<Edge>, _: Request<Incoming>) -> Answer {
-    let text = edge.metrics.text(&edge.host.borrow(), edge.active.get());
+    let text =
+        edge.metrics.text(edge.now(), &edge.host.borrow(), edge.active.get(), &edge.hub.stats());
     let mut answer = plain(StatusCode::OK);
     *answer.body_mut() = crate::answer::AnswerBody::Whole(Bytes::from(text));
     answer
--- a/edge/src/log.rs
+++ b/edge/src/log.rs
@@ -22,7 +22,8 @@
 
 /// Writes events.
 pub(crate) struct Log {
-    logger: Logger,
+    /// None if no lines are written.
+    logger: Option<Logger>,
     room: Cell<(Duration, f64)>,
     left_out: Cell<u64>,
     guard: RefCell<Option<AsyncGuard>>,
@@ -51,8 +52,8 @@
 }
 
 impl Log {
-    /// Starts the writer.
-    pub(crate) fn start(name: &str) -> Log {
+    /// Starts the writer, unless no lines are to be written.
+    pub(crate) fn start(name: &str, on: bool) -> Log {
         let drain = slog_json::Json::default(std::io::stdout()).fuse();
         let (drain, guard) = Async::new(drain)
             .chan_size(WAITING_LINES)
@@ -60,7 +61,7 @@
             .build_with_guard();
         let logger = Logger::root(drain.fuse(), o!("host" => name.to_owned()));
         Log {
-            logger,
+            logger: on.then_some(logger),
             room: Cell::new((Duration::ZERO, REQUEST_BURST)),
             left_out: Cell::new(0),
             guard: RefCell::new(Some(guard)),
@@ -69,12 +70,16 @@
 
     /// Writes an event.
     pub(crate) fn event(&self, event: &Event) {
+        let Some(logger) = &self.logger else { return };
         let Ok(value) = serde_json::to_value(event) else { return };
-        slog::info!(self.logger, ""; Fields(value));
+        slog::info!(logger, ""; Fields(value));
     }
 
     /// Writes a request's line if there is room for it.
     pub(crate) fn request(&self, now: Duration, failed: bool, line: impl FnOnce() -> Event) {
+        if self.logger.is_none() {
+            return;
+        }
         let (at, room) = self.room.get();
         let passed = now.saturating_sub(at).as_secs_f64();
         let room = (room + passed * REQUEST_LINES).min(REQUEST_BURST);
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -28,11 +28,14 @@
     /// settings file, in place of the one that the environment names
     #[argh(option)]
     settings: Option<std::path::PathBuf>,
+    /// write no log lines, to measure what they cost
+    #[argh(switch)]
+    no_log: bool,
 }
 
 fn main() -> ExitCode {
     let options: Options = argh::from_env();
-    match run::run(options.settings) {
+    match run::run(options.settings, !options.no_log) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("poplarhollow-edge: {}", wire::chain(&error));
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Counters and histograms, in Prometheus' text format.
 
+use std::time::Duration;
+
 use fleet::{Host, OrderOutcome};
+use peer::Stats;
 use prometheus::{
     Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
 };
@@ -16,7 +19,9 @@
     orders: IntCounterVec,
     seconds: HistogramVec,
     state: GaugeVec,
+    ages: GaugeVec,
     active: Gauge,
+    traffic: IntCounterVec,
 }
 
 fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
@@ -38,6 +43,9 @@
         let opts = Opts::new("poplarhollow_state", "What the host believes");
         let state = GaugeVec::new(opts, &["name"]).expect("a valid name");
         registry.register(Box::new(state.clone())).expect("a new name");
+        let opts = Opts::new("poplarhollow_belief_age_seconds", "Age of what the host believes");
+        let ages = GaugeVec::new(opts, &["belief"]).expect("a valid name");
+        registry.register(Box::new(ages.clone())).expect("a new name");
         let active = Gauge::new("poplarhollow_requests_active", "Requests in progress")
             .expect("a valid name");
         registry.register(Box::new(active.clone())).expect("a new name");
@@ -60,8 +68,15 @@
                 "Orders to targets by kind and answer",
                 &["kind", "outcome"],
             ),
+            traffic: counter(
+                &registry,
+                "poplarhollow_peer_bytes_total",
+                "Bytes of messages between hosts",
+                &["way"],
+            ),
             seconds,
             state,
+            ages,
             active,
             registry,
         }
@@ -91,8 +106,17 @@
     }
 
     /// Writes all metrics.
-    pub(crate) fn text(&self, host: &Host, active: usize) -> String {
+    pub(crate) fn text(&self, now: Duration, host: &Host, active: usize, peers: &Stats) -> String {
         self.active.set(active as f64);
+        self.ages.reset();
+        for (belief, age) in host.belief_ages(now) {
+            self.ages.with_label_values(&[&belief]).set(age.as_secs_f64());
+        }
+        self.traffic.reset();
+        for (way, rows) in [("sent", peers.all_sent()), ("received", peers.all_received())] {
+            let bytes = rows.iter().map(|it| it.bytes).sum();
+            self.traffic.with_label_values(&[way]).inc_by(bytes);
+        }
         let gauges = [
             ("ready", f64::from(u8::from(host.is_ready()))),
             ("leader", host.leader().map_or(0.0, f64::from)),
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -43,7 +43,7 @@
 const FLUSH: Duration = Duration::from_millis(200);
 
 /// Runs the host until it is told to end.
-pub(crate) fn run(path: Option<PathBuf>) -> Result<(), EdgeError> {
+pub(crate) fn run(path: Option<PathBuf>, logs: bool) -> Result<(), EdgeError> {
     let path = match path {
         Some(path) => path,
         None => match std::env::var_os(SETTINGS_VARIABLE) {
@@ -53,7 +53,7 @@
     };
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
-    runtime.block_on(local.run_until(serve(path)))
+    runtime.block_on(local.run_until(serve(path, logs)))
 }
 
 fn read_settings(path: &Path) -> Result<Settings, EdgeError> {
@@ -84,12 +84,12 @@
     since.as_millis() as u64
 }
 
-async fn serve(path: PathBuf) -> Result<(), EdgeError> {
+async fn serve(path: PathBuf, logs: bool) -> Result<(), EdgeError> {
     let mut term = signal(SignalKind::terminate())?;
     let mut hup = signal(SignalKind::hangup())?;
     let settings = read_settings(&path)?;
     let (sender, inputs) = unbounded_channel();
-    let edge = start(settings, &sender).await?;
+    let edge = start(settings, &sender, logs).await?;
     listen_all(&edge).await?;
     tokio::task::spawn_local(feed(edge.clone(), inputs));
     tokio::task::spawn_local(tick(edge.clone()));
@@ -103,8 +103,12 @@
     Ok(())
 }
 
-async fn start(settings: Settings, sender: &UnboundedSender<Input>) -> Result<Rc<Edge>, EdgeError> {
-    let log = Log::start(&settings.name);
+async fn start(
+    settings: Settings,
+    sender: &UnboundedSender<Input>,
+    logs: bool,
+) -> Result<Rc<Edge>, EdgeError> {
+    let log = Log::start(&settings.name, logs);
     let run = run_number();
     let (disk, recovered) = match &settings.data_dir {
         Some(dir) => {
@@ -192,6 +196,23 @@
     }
 }
 
+fn stopped(edge: &Edge) -> Event {
+    let stats = edge.hub.stats();
+    let total = |rows: Vec<peer::KindCount>| {
+        rows.iter().fold((0, 0), |sum, it| (sum.0 + it.frames, sum.1 + it.bytes))
+    };
+    let (sent, sent_bytes) = total(stats.all_sent());
+    let (received, received_bytes) = total(stats.all_received());
+    Event::Stopped {
+        cut: edge.active.get() as u64,
+        up_ms: edge.now().as_millis() as u64,
+        sent,
+        sent_bytes,
+        received,
+        received_bytes,
+    }
+}
+
 /// Ends once no caller is served any more, or the grace time is nearly over.
 async fn stop(edge: &Rc<Edge>) {
     edge.stopping.set(true);
@@ -207,6 +228,6 @@
     };
     let _ = timeout(limit, ending).await;
     edge.hub.flush(FLUSH).await;
-    edge.log.event(&Event::Stopped { cut: edge.active.get() as u64 });
+    edge.log.event(&stopped(edge));
     edge.log.end();
 }
--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -43,12 +43,20 @@
     dir: TempDir,
     children: BTreeMap<u8, Child>,
     started: BTreeSet<u8>,
+    /// Whether the next hosts' standard output is a pipe that nobody reads.
+    pub unread: bool,
 }
 
 impl Cluster {
     pub fn start(net: u8, hosts: u8) -> Cluster {
         let dir = TempDir::new().expect("a folder can be made");
-        let mut cluster = Cluster { net, dir, children: BTreeMap::new(), started: BTreeSet::new() };
+        let mut cluster = Cluster {
+            net,
+            dir,
+            children: BTreeMap::new(),
+            started: BTreeSet::new(),
+            unread: false,
+        };
         for host in (1..=hosts).rev() {
             cluster.run(host);
         }
@@ -83,7 +91,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_poplarhollow-edge"))
             .arg("--settings")
             .arg(path)
-            .stdout(Stdio::null())
+            .stdout(if self.unread { Stdio::piped() } else { Stdio::null() })
             .stderr(Stdio::inherit())
             .spawn()
             .expect("the program starts");
@@ -182,6 +190,20 @@
     Ok(Answer { status: parts.status, headers: parts.headers, body })
 }
 
+/// What a stand-in target says of itself.
+pub fn card(number: u8, service: &str, addr: String) -> TargetCard {
+    TargetCard {
+        id: format!("i-{number}"),
+        born: 1,
+        sequence: 0,
+        service: service.to_owned(),
+        addr,
+        domain: "z1".to_owned(),
+        slots: 4,
+        state: TargetState::Ready,
+    }
+}
+
 /// What a stand-in has seen.
 #[derive(Default)]
 struct Seen {
@@ -192,6 +214,22 @@
     fences: BTreeSet<u64>,
 }
 
+/// Sends a target's heartbeats to the hosts' control addresses in turn.
+pub async fn report(
+    mut card: TargetCard,
+    control: Vec<SocketAddr>,
+    held: impl Fn() -> Vec<(String, u64)>,
+) {
+    loop {
+        card.sequence += 1;
+        let (path, body) = stand_in::beat(&card, &held());
+        let at = control[card.sequence as usize % control.len()];
+        let _ =
+            timeout(Duration::from_millis(500), call(at, Method::POST, &path, &[], &body)).await;
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// A stand-in target of the machines' kind: it holds adapters, counts orders, and
 /// answers streams of five events.
 #[derive(Clone)]
@@ -208,20 +246,15 @@
     pub async fn start(net: u8, number: u8, service: &str, control: Vec<SocketAddr>) -> Target {
         let addr = format!("{}:8080", ip(net, 100 + number));
         let listener = TcpListener::bind(&addr).await.expect("the address is free");
-        let card = TargetCard {
-            id: format!("i-{number}"),
-            born: 1,
-            sequence: 0,
-            service: service.to_owned(),
-            addr,
-            domain: "z1".to_owned(),
-            slots: 4,
-            state: TargetState::Ready,
-        };
+        let card = card(number, service, addr);
         let seen = Seen { held: BTreeMap::from([("m".to_owned(), 1)]), ..Seen::default() };
         let target = Target { card, seen: Arc::new(Mutex::new(seen)) };
         tokio::spawn(target.clone().serve(listener));
-        tokio::spawn(target.clone().report(control));
+        let seen = target.seen.clone();
+        tokio::spawn(report(target.card.clone(), control, move || {
+            let seen = seen.lock().expect("no holder panics");
+            seen.held.iter().map(|(name, version)| (name.clone(), *version)).collect()
+        }));
         target
     }
 
@@ -235,21 +268,6 @@
         self.seen.lock().expect("no holder panics").fences.len()
     }
 
-    async fn report(mut self, control: Vec<SocketAddr>) {
-        loop {
-            self.card.sequence += 1;
-            let held: Vec<(String, u64)> = {
-                let seen = self.seen.lock().expect("no holder panics");
-                seen.held.iter().map(|(name, version)| (name.clone(), *version)).collect()
-            };
-            let (path, body) = stand_in::beat(&self.card, &held);
-            let at = control[self.card.sequence as usize % control.len()];
-            let _ = timeout(Duration::from_millis(500), call(at, Method::POST, &path, &[], &body))
-                .await;
-            sleep(Duration::from_millis(100)).await;
-        }
-    }
-
     async fn serve(self, listener: TcpListener) {
         loop {
             let Ok((stream, _)) = listener.accept().await else { continue };
@@ -344,11 +362,13 @@
         route("stream", "/stream/", "streaming", "models"),
         route("once", "/once/", "unsafe", "app"),
         route("read", "/read/", "safe", "app"),
+        route("odd", "/odd/", "safe", "odd"),
+        route("flow", "/flow/", "streaming", "odd"),
     ];
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{{"name":"models","healthPath":"/h","engine":
         {{"slots":4,"kvCapacity":9000,"models":[{{"name":"m","weightsMb":100,"loadS":1,"adapters":9,"adapterMb":1}}],
-        "weightsMb":110,"adapterSlots":2,"loadsPerS":4}}}},{{"name":"app","healthPath":"/h"}}],
+        "weightsMb":110,"adapterSlots":2,"loadsPerS":4}}}},{{"name":"app","healthPath":"/h"}},{{"name":"odd","healthPath":"/h"}}],
         "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
         routes.join(",")
     )
--- a/edge/tests/sessions.rs
+++ b/edge/tests/sessions.rs
@@ -131,3 +131,27 @@
     assert!(cluster.term(4).await, "it ends by itself, with success");
     assert!(!names(&leaving).await, "callers are not sent there any more");
 }
+
+/// Whoever reads the logs has stopped: the pipe is full, lines are left out, and
+/// requests are served as before.
+#[tokio::test]
+async fn a_reader_of_the_logs_that_stops_blocks_nothing() {
+    let (mut cluster, _models, _app) = begin(5, 3).await;
+    cluster.kill(3);
+    cluster.unread = true;
+    cluster.run(3);
+    cluster.ready(3).await;
+    // Each refused configuration makes a line of about 300 bytes: twice what a pipe
+    // holds.
+    for number in 0..600 {
+        let addr = cluster.addr(3, CONTROL);
+        let path = platform::config::REPLACE_PATH;
+        let body = document(9).replacen(r#""service":"app""#, r#""service":"nobody""#, 1);
+        let answer = call(addr, Method::POST, path, &[], &body).await;
+        assert!(answer.is_ok_and(|it| it.status == StatusCode::BAD_REQUEST), "{number}");
+    }
+    for number in 0..20 {
+        let attempt = format!("r{number}");
+        served(&cluster, 3, "/read/x", &[("attempt-id", &attempt)]).await;
+    }
+}
