--- a/state/replog/src/io.rs
+++ b/state/replog/src/io.rs
@@ -48,9 +48,6 @@
     SetHosts(Vec<HostId>),
     /// Names a host that is said to lead, to be asked first.
     Hint(HostId),
-    /// Whether this host should stand for election before the others, where it
-    /// costs time if another one leads.
-    Prefer(bool),
     /// Replaces the founders; without effect once there is a group.
     SetFounders(Vec<HostId>),
     /// All writes up to the ticket are on disk.
--- a/state/replog/src/replica.rs
+++ b/state/replog/src/replica.rs
@@ -21,10 +21,6 @@
 
 /// Share of the entries kept in memory after a snapshot for hosts that lag.
 const KEEP_SHARE: u64 = 4;
-/// Most of an election time that a preferred host waits beyond one before it
-/// stands for election, and the least that the others do.
-const PREFERRED_JITTER: f64 = 0.15;
-const OTHERS_JITTER: f64 = 0.4;
 /// Messages to an observer that may be lost before its leader counts as silent.
 const MISSED_ROUNDS: u32 = 3;
 
@@ -50,8 +46,6 @@
     pub(crate) hellos: usize,
     /// A host that is said to lead.
     pub(crate) hint: Option<HostId>,
-    /// Whether this host stands for election before the others; unknown at first.
-    preferred: Option<bool>,
     pub(crate) queue: Queue,
     /// The snapshot that is arriving.
     pub(crate) incoming: Option<Incoming>,
@@ -118,7 +112,6 @@
             hello_at: now,
             hellos: 0,
             hint: None,
-            preferred: None,
             incoming: None,
             answered: (0, 0),
             fresh: BTreeMap::new(),
@@ -145,7 +138,6 @@
             Input::SetVoters(hosts) => self.set_voters(hosts),
             Input::SetHosts(hosts) => self.settings.hosts = hosts,
             Input::Hint(host) => self.hint = Some(host),
-            Input::Prefer(preferred) => self.prefer(preferred),
             Input::SetFounders(hosts) => self.settings.founders = hosts,
             Input::Synced(ticket) => self.synced(ticket),
             Input::SyncFailed(reason) => self.sync_failed(reason),
@@ -355,21 +347,10 @@
 
     pub(crate) fn set_deadline(&mut self) {
         let election = self.settings.election;
-        let draw = self.rng.random::<f64>();
-        let share = match self.preferred {
-            None => draw,
-            Some(true) => draw * PREFERRED_JITTER,
-            Some(false) => OTHERS_JITTER + draw * (1.0 - OTHERS_JITTER),
-        };
+        let share = self.rng.random::<f64>();
         self.deadline = self.now + election + election.mul_f64(share);
     }
 
-    fn prefer(&mut self, preferred: bool) {
-        if self.preferred.replace(preferred) != Some(preferred) {
-            self.set_deadline();
-        }
-    }
-
     /// Enters a later term without a vote.
     pub(crate) fn enter_term(&mut self, term: Term) {
         if term <= self.hard.term {
--- a/state/replog/tests/steps.rs
+++ b/state/replog/tests/steps.rs
@@ -168,25 +168,3 @@
     let Output::Send { to: 2, msg } = out else { return false };
     matches!(&msg.body, LogBody::Append { entries, .. } if !entries.is_empty())
 }
-
-/// Where another leader costs time, the host that led before stands first.
-#[test]
-fn a_preferred_host_stands_for_election_before_the_others() {
-    let stands_at = |preferred: bool, seed: u64| {
-        let settings = Settings { seed, ..settings() };
-        let (mut replica, _) = Replica::new(Duration::ZERO, settings, Some(recovered(&[1])));
-        step(&mut replica, Duration::ZERO, Input::Prefer(preferred));
-        let mut now = Duration::ZERO;
-        loop {
-            now += ELECTION / 100;
-            let out = step(&mut replica, now, Input::Tick);
-            let asks = |o: &Output| matches!(o, Output::Send { msg, .. } if matches!(msg.body, LogBody::PreVote { .. }));
-            if out.iter().any(asks) {
-                return now;
-            }
-        }
-    };
-    let latest = (0..50).map(|seed| stands_at(true, seed)).max();
-    let soonest = (0..50).map(|seed| stands_at(false, seed)).min();
-    assert!(latest < soonest, "{latest:?} and {soonest:?}");
-}
