--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -32,7 +32,10 @@
     partial: BytesMut,
     /// The last event that was passed on.
     last: Option<u64>,
-    passed: bool,
+    /// When that was.
+    passed: Option<Duration>,
+    /// The longest pause between two of them.
+    pause: Duration,
 }
 
 impl Events {
@@ -48,12 +51,18 @@
                 continue;
             }
             self.last = number.or(self.last);
-            self.passed = true;
             out.extend_from_slice(&event);
         }
         (self.partial.len() <= MAX_EVENT_BYTES).then(|| out.freeze())
     }
 
+    /// Notes that events are passed on.
+    fn pass(&mut self, now: Duration) {
+        let pause = self.passed.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        self.pause = self.pause.max(pause);
+        self.passed = Some(now);
+    }
+
     /// Forgets an event that was broken off.
     fn cut(&mut self) {
         self.partial.clear();
@@ -126,6 +135,9 @@
             Ended::Whole => {
                 source.placed.end(Outcome::Answered(source.delay));
                 job.edge.client.keep(source.connection, &source.headers);
+                if events.pause > job.ask.route.pause && !job.ask.route.pause.is_zero() {
+                    job.note("longest pause", &format!("{} ms", events.pause.as_millis()));
+                }
                 job.done("served", 200);
                 return;
             }
@@ -223,6 +235,7 @@
         if whole.is_empty() {
             continue;
         }
+        events.pass(job.edge.now());
         tokio::select! {
             sent = sender.send(Ok(whole)) => {
                 if sent.is_err() {
