--- a/coordination/fleet/src/turns.rs
+++ b/coordination/fleet/src/turns.rs
@@ -3,23 +3,16 @@
 //! While a target reads prompts, the streams that it runs pause. So prompts that
 //! many hosts send at the same moment make all its streams late, though there
 //! would be time to read them one after the other. One host gives out the turns
-//! of each target: one prompt after the other at the pace at which the target reads
-//! them, the most urgent first, and those that can still be on time before those
-//! that can't. The first event of a prompt comes some time after it was read, so
-//! that its arrival would be too late a sign to send the next one.
+//! of each target: so many tokens at a time as are read well within the longest
+//! pause, the most urgent first, and those that can still be on time before
+//! those that can't.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use wire::{HostId, TurnAsk};
 
-/// Part of a target's speed in reading at which prompts are sent to it; the rest is
-/// for the steps between them.
-const PACE_SHARE: f64 = 0.85;
-/// How far ahead a turn is given: its word and the prompt are on their way meanwhile.
-const LEAD: Duration = Duration::from_millis(20);
-/// Part of the longest pause in which those prompts could be read that were sent and
-/// have no event yet. It takes effect where a target reads slower than is known.
-const PAUSE_SHARE: f64 = 0.9;
+/// Part of the longest pause that reading prompts may take.
+const PAUSE_SHARE: f64 = 0.65;
 /// Tokens at a time before a target's speed is known.
 const FIRST_TOKENS: f64 = 2500.0;
 /// Least tokens at a time.
@@ -61,8 +54,6 @@
     reading: BTreeMap<TurnKey, Reading>,
     asking: BTreeMap<TurnKey, Asking>,
     speed: Speed,
-    /// When the target has read what was sent to it, as far as known.
-    read_at: Duration,
 }
 
 /// A target's speed in reading prompts: the slope of the time to the first event
@@ -107,20 +98,10 @@
 }
 
 impl Queue {
-    /// Whether a prompt may be sent now beside those that are read.
-    fn has_room(&self, now: Duration, ask: &TurnAsk, usual: Option<f64>) -> bool {
-        let under_way: u32 = self.reading.values().map(|it| it.tokens).sum();
-        let all = f64::from(under_way + ask.tokens);
-        let Some(speed) = self.speed.get().or(usual) else { return all <= FIRST_TOKENS };
-        let most = speed * f64::from(ask.pause_ms) * PAUSE_SHARE;
-        now + LEAD >= self.read_at && all <= most.max(LEAST_TOKENS)
-    }
-
-    /// Notes that a prompt is sent.
-    fn pace(&mut self, now: Duration, tokens: u32, usual: Option<f64>) {
-        let Some(speed) = self.speed.get().or(usual) else { return };
-        let ms = f64::from(tokens) / (speed * PACE_SHARE);
-        self.read_at = self.read_at.max(now) + Duration::from_secs_f64(ms / 1000.0);
+    fn tokens_at_once(&self, pause: Duration) -> f64 {
+        let Some(speed) = self.speed.get() else { return FIRST_TOKENS };
+        let tokens = speed * pause.as_secs_f64() * 1000.0 * PAUSE_SHARE;
+        tokens.max(LEAST_TOKENS)
     }
 
     /// The request that goes next: hopeful ones first, then by rank, then the
@@ -134,24 +115,23 @@
         self.asking.iter().map(rank).min().map(|(.., key)| key)
     }
 
-    /// Gives out turns. `usual` is the speed of other targets, for one whose own
-    /// isn't known yet.
-    fn grant(&mut self, now: Duration, usual: Option<f64>) -> Vec<TurnKey> {
+    fn grant(&mut self, now: Duration) -> Vec<TurnKey> {
         let mut granted = Vec::new();
         while let Some(key) = self.next(now) {
             let ask = &self.asking[&key].ask;
-            if !self.reading.is_empty() && !self.has_room(now, ask, usual) {
+            let pause = Duration::from_millis(u64::from(ask.pause_ms));
+            let under_way: u32 = self.reading.values().map(|it| it.tokens).sum();
+            let room = self.tokens_at_once(pause) - f64::from(under_way);
+            if !self.reading.is_empty() && f64::from(ask.tokens) > room {
                 break;
             }
-            let tokens = ask.tokens;
             let alone = self.reading.is_empty();
             for other in self.reading.values_mut() {
                 other.alone = false;
             }
-            let reading = Reading { tokens, since: now, alone };
+            let reading = Reading { tokens: ask.tokens, since: now, alone };
             self.reading.insert(key, reading);
             self.asking.remove(&key);
-            self.pace(now, tokens, usual);
             granted.push(key);
         }
         granted
@@ -182,19 +162,7 @@
             heard: now,
         });
         asking.heard = now;
-        self.grant(now, &ask.target)
-    }
-
-    fn grant(&mut self, now: Duration, target: &str) -> Vec<TurnKey> {
-        let usual = self.usual_speed();
-        self.queues.get_mut(target).map_or_else(Vec::new, |it| it.grant(now, usual))
-    }
-
-    /// The middle one of the speeds that are known.
-    fn usual_speed(&self) -> Option<f64> {
-        let mut speeds: Vec<f64> = self.queues.values().filter_map(|it| it.speed.get()).collect();
-        speeds.sort_by(f64::total_cmp);
-        speeds.get(speeds.len() / 2).copied()
+        queue.grant(now)
     }
 
     /// Takes in that a prompt was read (`read`), or that its request no longer
@@ -213,18 +181,17 @@
         if read && reading.alone {
             queue.speed.add(f64::from(reading.tokens), took);
         }
-        self.grant(now, target)
+        queue.grant(now)
     }
 
     /// Forgets what nobody spoke of for too long. Returns the requests whose turn
     /// it is, with their targets.
     pub fn tick(&mut self, now: Duration) -> Vec<(HostId, u64)> {
         let mut granted = Vec::new();
-        let usual = self.usual_speed();
         for queue in self.queues.values_mut() {
             queue.reading.retain(|_, it| now < it.since + LONGEST_READ);
             queue.asking.retain(|_, it| now < it.heard + SILENT_ASK);
-            granted.extend(queue.grant(now, usual));
+            granted.extend(queue.grant(now));
         }
         granted
     }
