Keep what was ordered on the account; spare weak hosts

Ruled out: processor time of the hosts in the mean (0.013 of 0.12 cores); two holders (fences grow, one host each). Changes: a report with a higher number of orders settles the order without an answer. A host with less than half the processor time of another one in its failure domain holds no orders while that one can (limits.cpuQuota). A holder's feed goes out every 50 ms for each 16 hosts, 0.25 s at most, and hosts that wait for an adapter are told at once and alone. Requests are woken by news of their adapter or of a target.

--- a/coordination/fleet/src/follow.rs
+++ b/coordination/fleet/src/follow.rs
@@ -30,7 +30,6 @@
         for change in &feed.changes {
             self.apply_change(now, &feed.topic, change);
         }
-        self.out.push(Output::Wake);
     }
 
     pub(crate) fn apply_change(&mut self, now: Duration, topic: &Topic, change: &FeedChange) {
@@ -46,7 +45,9 @@
             }
             FeedChange::Barred(request) => self.bar(*request),
             FeedChange::Target(number, card) => {
-                self.note_target(card);
+                if self.note_target(card) {
+                    self.out.push(Output::Wake);
+                }
                 if let Some(target) = self.targets.get_mut(&card.id) {
                     target.number = Some(*number);
                 }
@@ -54,6 +55,9 @@
             FeedChange::Placed(place) => {
                 if let Some(target) = self.targets.numbered(domain, place.target) {
                     target.adapters.insert(place.adapter.clone(), place.version);
+                    if self.requests.is_waited_for(&place.adapter) {
+                        self.out.push(Output::Wake);
+                    }
                 }
             }
             FeedChange::Removed(place) => {
--- a/coordination/fleet/src/hold.rs
+++ b/coordination/fleet/src/hold.rs
@@ -12,8 +12,8 @@
 
 use desired::{Command, Holder};
 use wire::{
-    Board, DomainId, FeedChange, Fence, FleetMsg, HostId, HostStatus, Renewal, TargetCard,
-    TargetState, Topic, encode,
+    Board, DomainId, FeedChange, Fence, FleetMsg, HostId, HostStatus, Placement, Renewal,
+    TargetCard, TargetState, Topic, encode,
 };
 
 use crate::{
@@ -37,6 +37,11 @@
 /// for more, so that a holder's bytes stay bounded.
 const BOARD: Duration = Duration::from_millis(250);
 const BOARD_HOSTS: u32 = 12;
+/// Time between two messages of a holder's feed for each [`FEED_HOSTS`] hosts, and at
+/// most. Hosts that wait for an adapter are told at once.
+const FEED: Duration = Duration::from_millis(50);
+const FEED_HOSTS: u32 = 16;
+const LONGEST_FEED: Duration = Duration::from_millis(250);
 /// Boards after which a holder that is not heard counts as away.
 const SILENT_BOARDS: u32 = 5;
 /// Time between two looks at the targets of other failure domains.
@@ -57,6 +62,8 @@
     /// When it was last said that it begins.
     begun: Option<Duration>,
     boarded: Duration,
+    /// When the feed was last sent.
+    flushed: Duration,
     looked: Duration,
     /// Whether orders could be given at the last look.
     ordering: bool,
@@ -125,6 +132,7 @@
             from: now + wait,
             begun: None,
             boarded: now,
+            flushed: Duration::ZERO,
             looked: Duration::ZERO,
             ordering: false,
         };
@@ -166,18 +174,13 @@
         }
         self.renewing = Some(now);
         let own = self.settings.host;
-        match self.leader {
-            Some(leader) if leader == own => {
-                if self.answers_renewal(now, own) {
-                    self.renewed = Some(now);
-                }
-            }
-            Some(leader) => {
-                let sent_ms = now.as_millis() as u64;
-                let renewal = Renewal { run: self.run, ready: self.is_ready(), sent_ms };
-                self.send(leader, FleetMsg::Renew(renewal));
-            }
-            None => {}
+        let Some(leader) = self.leader else { return };
+        if leader != own {
+            let sent_ms = now.as_millis() as u64;
+            let renewal = Renewal { run: self.run, ready: self.is_ready(), sent_ms };
+            self.send(leader, FleetMsg::Renew(renewal));
+        } else if self.answers_renewal(now, own) {
+            self.renewed = Some(now);
         }
     }
 
@@ -356,16 +359,36 @@
     }
 
     pub(crate) fn carry_steps(&mut self) {
-        for holding in self.holding.values_mut() {
+        let mut words = Vec::new();
+        for (domain, holding) in &mut self.holding {
             for step in holding.loads.take_steps() {
                 match step {
                     Step::Order(order) => self.out.push(Output::Order(order)),
                     Step::Ask { target, addr } => self.out.push(Output::Ask { target, addr }),
                     Step::Tell(change) => holding.feed.push(change),
+                    Step::TellNow(hosts, place) => words.push((domain.clone(), hosts, place)),
                     Step::Log(event) => self.out.push(Output::Log(event)),
                 }
             }
         }
+        for (domain, hosts, place) in words {
+            for host in hosts {
+                if host == self.settings.host {
+                    self.arrived(&domain, &place);
+                } else {
+                    let (domain, place) = (domain.clone(), place.clone());
+                    self.send(host, FleetMsg::Arrived { domain, place });
+                }
+            }
+        }
+    }
+
+    /// Takes in that an adapter that is waited for is there, ahead of the feed.
+    pub(crate) fn arrived(&mut self, domain: &str, place: &Placement) {
+        if let Some(target) = self.targets.numbered(domain, place.target) {
+            target.adapters.insert(place.adapter.clone(), place.version);
+            self.out.push(Output::Wake);
+        }
     }
 
     /// Sends what waits in the feeds of this host to all hosts.
@@ -374,8 +397,12 @@
         if let Some(leading) = &mut self.leading {
             feeds.extend(leading.feed.flush());
         }
+        let span = FEED * (self.hosts.all().len() as u32 / FEED_HOSTS);
         for holding in self.holding.values_mut() {
-            feeds.extend(holding.feed.flush());
+            if now >= holding.flushed + span.min(LONGEST_FEED) {
+                holding.flushed = now;
+                feeds.extend(holding.feed.flush());
+            }
         }
         for feed in feeds {
             for change in &feed.changes {
@@ -388,7 +415,6 @@
                     self.heard.entry(domain.clone()).or_default().position.last = last;
                 }
             }
-            self.out.push(Output::Wake);
             for host in self.hosts.heard(now) {
                 self.send(host, FleetMsg::Feed(feed.clone()));
             }
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -27,6 +27,9 @@
 const VOTERS: Duration = Duration::from_millis(500);
 /// Time between two looks at the holders.
 const HOLDERS: Duration = Duration::from_millis(100);
+/// A host with less than this part of the processor time of another one in its
+/// failure domain holds no orders while that one can.
+const WEAK: u32 = 2;
 /// Time between two tries to name a failure domain's holder.
 const NAME_AGAIN: Duration = Duration::from_millis(1000);
 /// How long a first founder waits for enough voters before it takes changes.
@@ -191,7 +194,8 @@
     }
 
     /// The best host to hold a failure domain: one there that takes callers and
-    /// has the fewest other duties.
+    /// has the fewest other duties, unless it is much weaker than others. Its feed
+    /// goes to all hosts, which is more than a weak one can send.
     fn best_holder(
         &self,
         now: Duration,
@@ -199,8 +203,11 @@
         not: Option<HostId>,
     ) -> Option<(HostId, Incarnation)> {
         let held = |host| self.desired.holders.values().filter(|it| it.host == host).count();
+        let cards = self.hosts.cards();
+        let there = cards.iter().filter(|it| it.domain == domain);
+        let most = there.map(|it| it.power).max().unwrap_or(0);
         let mut best = None;
-        for card in self.hosts.cards() {
+        for card in cards {
             if !self.hosts.is_heard(now, card.host) || self.has_left(&card) {
                 continue;
             }
@@ -209,8 +216,9 @@
             }
             let leads = card.host == self.settings.host;
             let draw = digest(&(card.host, domain));
-            let rank =
-                (!card.ready, card.domain != domain, held(card.host), card.disk, leads, draw);
+            let weak = card.power < most / WEAK;
+            let far = card.domain != domain;
+            let rank = (!card.ready, far, weak, held(card.host), card.disk, leads, draw);
             if best.as_ref().is_none_or(|(least, _, _)| rank < *least) {
                 best = Some((rank, card.host, card.run));
             }
--- a/coordination/fleet/src/loads.rs
+++ b/coordination/fleet/src/loads.rs
@@ -64,6 +64,8 @@
     },
     /// Tell all hosts.
     Tell(FeedChange),
+    /// Tell these hosts at once that an adapter is there that they wait for.
+    TellNow(Vec<HostId>, Placement),
     /// Write a log line.
     Log(Event),
 }
@@ -340,6 +342,8 @@
         if place.sent.is_none() && now >= place.rest {
             // Reports lag, so that a lower number than the one known is old.
             place.sequence = place.sequence.max(Some(report.sequence));
+            // A number above the expected one means that it was carried out.
+            place.unsure = place.unsure.take().filter(|it| Some(it.expect) >= place.sequence);
         }
         let number = place.number;
         let open = place.held.values().any(|it| it.stage != Stage::Ready);
@@ -350,8 +354,12 @@
             self.steps.push(Step::Tell(FeedChange::Removed(placement(number, &name, version))));
         }
         for (name, version) in came {
-            self.wants.remove(&name);
-            self.steps.push(Step::Tell(FeedChange::Placed(placement(number, &name, version))));
+            let place = placement(number, &name, version);
+            if let Some(want) = self.wants.remove(&name) {
+                let hosts = want.hosts.into_keys().collect();
+                self.steps.push(Step::TellNow(hosts, place.clone()));
+            }
+            self.steps.push(Step::Tell(FeedChange::Placed(place)));
         }
     }
 
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -88,6 +88,7 @@
             run,
             domain: settings.domain.clone(),
             disk: disk.is_some(),
+            power: settings.power,
             ready: false,
         };
         let (replica, outputs) = Replica::new(now, log_settings(&settings, seed), disk);
@@ -333,6 +334,7 @@
                 self.tell_turns(granted, self.turns.backlog(&target));
             }
             FleetMsg::Feed(feed) => self.follow(now, from, &feed),
+            FleetMsg::Arrived { domain, place } => self.arrived(&domain, &place),
             FleetMsg::Resync(topic) => self.send_table(from, &topic),
             FleetMsg::Seen(card) => self.know_target(now, &card),
             FleetMsg::Alive(card) => self.alive(now, &card),
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -106,6 +106,11 @@
         !self.asked.is_empty()
     }
 
+    /// Whether requests wait for an adapter.
+    pub(crate) fn is_waited_for(&self, adapter: &str) -> bool {
+        self.waiting.contains_key(adapter)
+    }
+
     /// Takes how often each adapter was asked for since the last time.
     pub(crate) fn take_asked(&mut self) -> Vec<(AdapterPrint, u16)> {
         std::mem::take(&mut self.asked).into_iter().collect()
--- a/coordination/fleet/src/settings.rs
+++ b/coordination/fleet/src/settings.rs
@@ -52,6 +52,8 @@
     pub first_start: bool,
     /// The folder of the replicated state, if the host has a disk.
     pub data_dir: Option<PathBuf>,
+    /// Its processor time in thousandths of a core.
+    pub power: u32,
     /// Hosts with a disk that may be lost at once.
     pub tolerated: usize,
     /// Time between a target's heartbeats.
--- a/coordination/fleet/tests/holders.rs
+++ b/coordination/fleet/tests/holders.rs
@@ -96,6 +96,21 @@
     }
 }
 
+/// Pattern: 90 hosts of which most are weak: those that held orders sent their feed to
+/// all others and fell seconds behind. Strong ones hold them while they can.
+#[test]
+fn weak_hosts_hold_nothing_while_strong_ones_can() {
+    for (power, holders) in [(1000, 4..=6), (600, 4..=6), (300, 1..=3)] {
+        let mut world = World::with_power(1, 3, 3, &[1, 2, 3], power);
+        world.run(ms(5000));
+        let host = world.machines[&6].host.as_ref().expect("it runs");
+        for domain in ["d0", "d1", "d2"] {
+            let holder = host.holder(domain).expect("a holder");
+            assert!(holders.contains(&holder), "{power}: {holder} holds {domain}");
+        }
+    }
+}
+
 /// A holder that is lost for good gives way to another; only its failure domain
 /// waits.
 #[test]
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -25,6 +25,8 @@
     pub domain: DomainId,
     /// Whether it has a disk for the replicated state.
     pub disk: bool,
+    /// Its processor time in thousandths of a core.
+    pub power: u32,
     /// Whether it takes callers.
     pub ready: bool,
 }
@@ -217,6 +219,13 @@
     Board(Board),
     /// Changes, from the leader or a holder.
     Feed(Feed),
+    /// An adapter is there that the receiver waits for, ahead of the holder's feed.
+    Arrived {
+        /// The failure domain.
+        domain: DomainId,
+        /// Where it is.
+        place: Placement,
+    },
     /// Asks the writer of a feed for the whole table.
     Resync(Topic),
     /// A target said something new, to all hosts.
