A soak of real processes under faults from outside

Five hosts, four stand-in targets behind a loopback proxy, six callers and an operator. Checked from outside: a call that may run once ran once at most, a refusal never ran, a success is the whole answer, no older configuration than an acknowledged one is read, what was acknowledged is there at the end, requests are served at the end, places are not overfilled, fences grow, two holders are a lease time apart. Not covered: the time of day, full or failing disks, links between hosts.

--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -7,7 +7,7 @@
     net::SocketAddr,
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -105,6 +105,19 @@
         child.wait().expect("it was killed");
     }
 
+    /// Sends a signal to a host's process.
+    pub fn signal(&self, host: u8, signal: &str) {
+        let Some(child) = self.children.get(&host) else { return };
+        let pid = child.id().to_string();
+        Command::new("kill").args([signal, &pid]).status().expect("kill runs");
+    }
+
+    /// Kills a host's process and loses its disk.
+    pub fn wipe(&mut self, host: u8) {
+        self.kill(host);
+        let _ = std::fs::remove_dir_all(self.dir.path().join(format!("data{host}")));
+    }
+
     /// Tells a host's process to end, and waits until it has.
     pub async fn term(&mut self, host: u8) -> bool {
         let Some(mut child) = self.children.remove(&host) else { return false };
@@ -212,6 +225,10 @@
     /// Requests that it ran, by their tries.
     runs: Vec<String>,
     fences: BTreeSet<u64>,
+    /// The orders, with their holders and fencing numbers.
+    orders: Vec<(Instant, String, u64)>,
+    /// The most adapters that it held.
+    most: usize,
 }
 
 /// Sends a target's heartbeats to the hosts' control addresses in turn.
@@ -244,9 +261,21 @@
 impl Target {
     /// Starts a target that reports to the hosts' control addresses in turn.
     pub async fn start(net: u8, number: u8, service: &str, control: Vec<SocketAddr>) -> Target {
+        let addr = format!("{}:8080", ip(net, 100 + number));
+        Target::start_behind(net, number, service, control, addr).await
+    }
+
+    /// The same with another address to be reached at.
+    pub async fn start_behind(
+        net: u8,
+        number: u8,
+        service: &str,
+        control: Vec<SocketAddr>,
+        shown: String,
+    ) -> Target {
         let addr = format!("{}:8080", ip(net, 100 + number));
         let listener = TcpListener::bind(&addr).await.expect("the address is free");
-        let card = card(number, service, addr);
+        let card = card(number, service, shown);
         let seen = Seen { held: BTreeMap::from([("m".to_owned(), 1)]), ..Seen::default() };
         let target = Target { card, seen: Arc::new(Mutex::new(seen)) };
         tokio::spawn(target.clone().serve(listener));
@@ -263,6 +292,16 @@
         self.seen.lock().expect("no holder panics").runs.clone()
     }
 
+    /// The orders that reached it, with their holders and fencing numbers.
+    pub fn orders(&self) -> Vec<(Instant, String, u64)> {
+        self.seen.lock().expect("no holder panics").orders.clone()
+    }
+
+    /// The most adapters that it held.
+    pub fn most(&self) -> usize {
+        self.seen.lock().expect("no holder panics").most
+    }
+
     /// Fencing numbers of the orders that it took.
     pub fn fences(&self) -> usize {
         self.seen.lock().expect("no holder panics").fences.len()
@@ -328,6 +367,7 @@
 impl Seen {
     fn order(&mut self, body: &[u8]) -> u16 {
         let Ok(order) = stand_in::read_order(body) else { return 400 };
+        self.orders.push((Instant::now(), order.holder.clone(), order.fence));
         if order.expect != Some(self.sequence) {
             return 409;
         }
@@ -335,6 +375,8 @@
         self.sequence += 1;
         if order.load {
             self.held.insert(order.name, 1);
+            let adapters = self.held.keys().filter(|it| it.contains('/')).count();
+            self.most = self.most.max(adapters);
             return 202;
         }
         self.held.remove(&order.name);
