Part what a holder tells from what it decides; a stated hash

- Requests that wait name the failure domain in which they ask, so that a host that holds two does not order an adapter in both.
- Digests use SipHash-1-3 by name (the same values as before), since hosts of two builds have to agree on them.

--- a/coordination/fleet/src/hold.rs
+++ b/coordination/fleet/src/hold.rs
@@ -11,17 +11,13 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use desired::{Command, Holder};
-use wire::{
-    Board, DomainId, FeedChange, Fence, FleetMsg, HostId, HostStatus, Placement, Renewal,
-    TargetCard, TargetState, Topic, encode,
-};
+use wire::{DomainId, Fence, FleetMsg, HostId, Renewal, TargetCard, Topic, encode};
 
 use crate::{
     Event, Host,
     elsewhere::Elsewhere,
     feed::{FeedWriter, Position},
-    io::Output,
-    loads::{Loads, LoadsSettings, Step},
+    loads::{Loads, LoadsSettings},
     machine::SILENT_BEATS,
 };
 
@@ -33,23 +29,10 @@
 const RENEW: Duration = Duration::from_millis(250);
 /// The same of a host that holds nothing.
 const RENEW_AT_REST: Duration = Duration::from_millis(1000);
-/// Time between two boards for up to [`BOARD_HOSTS`] hosts; longer in proportion
-/// for more, so that a holder's bytes stay bounded.
-const BOARD: Duration = Duration::from_millis(250);
-const BOARD_HOSTS: u32 = 12;
-/// Time between two messages of a holder's feed for each [`FEED_HOSTS`] hosts, and at
-/// most. Hosts that wait for an adapter are told at once.
-const FEED: Duration = Duration::from_millis(50);
-const FEED_HOSTS: u32 = 16;
-const LONGEST_FEED: Duration = Duration::from_millis(250);
-/// Boards after which a holder that is not heard counts as away.
-const SILENT_BOARDS: u32 = 5;
 /// Time between two looks at the targets of other failure domains.
 const LOOK: Duration = Duration::from_millis(250);
 /// Time between two tries to say that a holder begins.
 const BEGIN_AGAIN: Duration = Duration::from_millis(1000);
-/// Time between two requests for a whole table.
-const RESYNC_AGAIN: Duration = Duration::from_millis(100);
 
 /// What a holder keeps of its failure domain.
 #[derive(Debug)]
@@ -61,32 +44,14 @@
     from: Duration,
     /// When it was last said that it begins.
     begun: Option<Duration>,
-    boarded: Duration,
+    pub(crate) boarded: Duration,
     /// When the feed was last sent.
-    flushed: Duration,
+    pub(crate) flushed: Duration,
     looked: Duration,
     /// Whether orders could be given at the last look.
     ordering: bool,
 }
 
-impl Heard {
-    /// When the holder's last board came.
-    pub(crate) fn board_at(&self) -> Option<Duration> {
-        self.board
-    }
-}
-
-/// What a host heard of a failure domain's holder.
-#[derive(Debug, Default, Clone, Copy)]
-pub(crate) struct Heard {
-    pub(crate) position: Position,
-    /// When its last board came.
-    board: Option<Duration>,
-    /// Whether it could give orders then.
-    orders: bool,
-    resynced: Option<Duration>,
-}
-
 impl Host {
     /// Returns the holder of a failure domain.
     pub fn holder(&self, domain: &str) -> Option<HostId> {
@@ -160,7 +125,7 @@
     }
 
     /// The fencing number under which orders may be given now.
-    fn order_fence(&self, now: Duration, domain: &str) -> Option<Fence> {
+    pub(crate) fn order_fence(&self, now: Duration, domain: &str) -> Option<Fence> {
         let holding = self.holding.get(domain)?;
         let lapses = self.renewed? + self.settings.bounds.lease * HOLD_LEASES;
         (!self.stopping && now >= holding.from && now < lapses).then_some(holding.fence)
@@ -261,198 +226,6 @@
         }
     }
 
-    fn board_span(hosts: usize) -> Duration {
-        BOARD * (hosts as u32).div_ceil(BOARD_HOSTS).max(1)
-    }
-
-    fn send_board(&mut self, now: Duration, domain: &str) {
-        let heard = self.hosts.heard(now);
-        let orders = self.order_fence(now, domain).is_some();
-        let Some(holding) = self.holding.get_mut(domain) else { return };
-        if now < holding.boarded + Self::board_span(heard.len()) {
-            return;
-        }
-        holding.boarded = now;
-        let board = Board {
-            domain: domain.to_owned(),
-            orders,
-            epoch: holding.feed.epoch,
-            last: holding.feed.last,
-            loads: holding.loads.running(),
-            hosts: heard.len() as u16,
-        };
-        self.take_board(now, &board);
-        for host in heard {
-            self.send(host, FleetMsg::Board(board.clone()));
-        }
-    }
-
-    /// Takes in a holder's board.
-    pub(crate) fn board(&mut self, now: Duration, from: HostId, board: &Board) {
-        let known = self.heard.entry(board.domain.clone()).or_default();
-        let (epoch, last) = (known.position.epoch, known.position.last);
-        if board.epoch == epoch {
-            self.take_board(now, board);
-        }
-        if board.epoch > epoch || (board.epoch == epoch && board.last > last) {
-            self.resync(now, from, Topic::Targets(board.domain.clone()));
-        }
-    }
-
-    fn take_board(&mut self, now: Duration, board: &Board) {
-        let known = self.heard.entry(board.domain.clone()).or_default();
-        known.board = Some(now);
-        known.orders = board.orders;
-        self.requests.set_hosts(board.hosts);
-        self.targets.take_loads(board);
-    }
-
-    /// Whether a failure domain's targets get orders now, as far as known.
-    pub(crate) fn gets_orders(&self, now: Duration, domain: &str) -> bool {
-        if self.holding.contains_key(domain) {
-            return self.order_fence(now, domain).is_some();
-        }
-        let silence = Self::board_span(self.hosts.all().len()) * SILENT_BOARDS;
-        let Some(known) = self.heard.get(domain) else { return false };
-        known.orders && known.board.is_some_and(|at| now < at + silence)
-    }
-
-    /// Whether any targets get orders now, as far as known.
-    pub fn any_orders(&self, now: Duration) -> bool {
-        self.desired.holders.keys().any(|domain| self.gets_orders(now, domain))
-    }
-
-    /// Asks a feed's writer for the whole table.
-    pub(crate) fn resync(&mut self, now: Duration, writer: HostId, topic: Topic) {
-        let asked = match &topic {
-            Topic::Hosts => &mut self.resynced,
-            Topic::Targets(domain) => &mut self.heard.entry(domain.clone()).or_default().resynced,
-        };
-        if asked.is_some_and(|at| now < at + RESYNC_AGAIN) {
-            return;
-        }
-        *asked = Some(now);
-        self.send(writer, FleetMsg::Resync(topic));
-    }
-
-    /// Asks the holders for their tables that this host doesn't follow yet.
-    fn ask_tables(&mut self, now: Duration) {
-        let mut missing = Vec::new();
-        for (domain, holder) in &self.desired.holders {
-            let followed = self.heard.get(domain).map(|it| it.position.epoch);
-            if followed < Some((holder.fence, holder.run)) && holder.host != self.settings.host {
-                missing.push((domain.clone(), holder.host));
-            }
-        }
-        for (domain, host) in missing {
-            let asked = self.heard.entry(domain.clone()).or_default().resynced;
-            if asked.is_none_or(|at| now >= at + RESYNC_AGAIN * 4) {
-                self.resync(now, host, Topic::Targets(domain));
-            }
-        }
-    }
-
-    /// The table of a failure domain's targets.
-    pub(crate) fn targets_table(&self, domain: &str) -> Option<wire::Feed> {
-        let holding = self.holding.get(domain)?;
-        Some(holding.feed.table(holding.loads.table()))
-    }
-
-    pub(crate) fn carry_steps(&mut self) {
-        let mut words = Vec::new();
-        for (domain, holding) in &mut self.holding {
-            for step in holding.loads.take_steps() {
-                match step {
-                    Step::Order(order) => self.out.push(Output::Order(order)),
-                    Step::Ask { target, addr } => self.out.push(Output::Ask { target, addr }),
-                    Step::Tell(change) => holding.feed.push(change),
-                    Step::TellNow(hosts, place) => words.push((domain.clone(), hosts, place)),
-                    Step::Log(event) => self.out.push(Output::Log(event)),
-                }
-            }
-        }
-        for (domain, hosts, place) in words {
-            for host in hosts {
-                if host == self.settings.host {
-                    self.arrived(&domain, &place);
-                } else {
-                    let (domain, place) = (domain.clone(), place.clone());
-                    self.send(host, FleetMsg::Arrived { domain, place });
-                }
-            }
-        }
-    }
-
-    /// Takes in that an adapter that is waited for is there, ahead of the feed.
-    pub(crate) fn arrived(&mut self, domain: &str, place: &Placement) {
-        if let Some(target) = self.targets.numbered(domain, place.target) {
-            target.adapters.insert(place.adapter.clone(), place.version);
-            self.out.push(Output::Wake);
-        }
-    }
-
-    /// Sends what waits in the feeds of this host to all hosts.
-    pub(crate) fn flush_feeds(&mut self, now: Duration) {
-        let mut feeds = Vec::new();
-        if let Some(leading) = &mut self.leading {
-            feeds.extend(leading.feed.flush());
-        }
-        let span = FEED * (self.hosts.all().len() as u32 / FEED_HOSTS);
-        for holding in self.holding.values_mut() {
-            if now >= holding.flushed + span.min(LONGEST_FEED) {
-                holding.flushed = now;
-                feeds.extend(holding.feed.flush());
-            }
-        }
-        for feed in feeds {
-            for change in &feed.changes {
-                self.apply_change(now, &feed.topic, change);
-            }
-            let last = feed.last;
-            match &feed.topic {
-                Topic::Hosts => self.position.last = last,
-                Topic::Targets(domain) => {
-                    self.heard.entry(domain.clone()).or_default().position.last = last;
-                }
-            }
-            for host in self.hosts.heard(now) {
-                self.send(host, FleetMsg::Feed(feed.clone()));
-            }
-        }
-    }
-
-    /// Takes in a host's work at the targets of a failure domain.
-    pub(crate) fn status_of(&mut self, now: Duration, from: HostId, status: &HostStatus) {
-        if let Some(holding) = self.holding.get_mut(&status.domain) {
-            holding.loads.status(now, from, status);
-        }
-    }
-
-    /// Tells each holder what this host does at its targets: after `active`, or
-    /// after `at_rest` while there is nothing new.
-    pub(crate) fn report(&mut self, now: Duration, active: Duration, at_rest: Duration) {
-        let busy = self.requests.is_active() || self.targets.iter().any(|it| it.own() > 0);
-        let span = if busy { active } else { at_rest };
-        if now < self.reported + span {
-            return;
-        }
-        self.reported = now;
-        let asked = self.requests.take_asked();
-        let own = self.settings.host;
-        let holders: Vec<(DomainId, HostId)> =
-            self.desired.holders.iter().map(|(domain, it)| (domain.clone(), it.host)).collect();
-        for (domain, holder) in holders {
-            let running = self.targets.running(&domain);
-            let backlogs = self.backlogs(&domain);
-            let status = HostStatus { domain, running, asked: asked.clone(), backlogs };
-            if holder == own {
-                self.status_of(now, own, &status);
-            } else {
-                self.send(holder, FleetMsg::Status(status));
-            }
-        }
-    }
-
     /// Takes in what a target is, if this host holds its failure domain.
     pub(crate) fn hold_target(&mut self, now: Duration, card: &TargetCard) -> bool {
         let Some(holding) = self.holding.get_mut(&card.domain) else { return false };
@@ -460,16 +233,17 @@
         true
     }
 
-    /// Takes in that requests of another host wait for an adapter.
+    /// Takes in that requests of a host wait for an adapter.
     pub(crate) fn wanted(
         &mut self,
         now: Duration,
         from: HostId,
+        domain: &str,
         service: &str,
         adapter: &str,
         waiting: u16,
     ) {
-        for holding in self.holding.values_mut() {
+        if let Some(holding) = self.holding.get_mut(domain) {
             holding.loads.want(now, from, service, adapter, waiting);
         }
         self.tick_loads(now);
@@ -480,8 +254,3 @@
         self.holding.values_mut().map(|it| &mut it.loads).find(|it| it.has(target))
     }
 }
-
-/// A target that has been silent, as its holder tells it.
-pub(crate) fn silent(number: u16, card: TargetCard) -> FeedChange {
-    FeedChange::Target(number, TargetCard { state: TargetState::Silent, ..card })
-}
--- a/coordination/fleet/src/hosts.rs
+++ b/coordination/fleet/src/hosts.rs
@@ -50,10 +50,9 @@
 
     /// Takes in a card. Returns whether it is new.
     pub(crate) fn merge(&mut self, card: &HostCard) -> bool {
-        if card.host == self.own || self.known.len() >= MAX_HOSTS {
-            return false;
-        }
-        if self.known.get(&card.host).is_some_and(|it| it.card == *card) {
+        let known = self.known.get(&card.host);
+        let room = known.is_some() || self.known.len() < MAX_HOSTS;
+        if card.host == self.own || !room || known.is_some_and(|it| it.card == *card) {
             return false;
         }
         let heard = self.known.get(&card.host).map_or(Duration::ZERO, |it| it.heard);
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! failure domain its adapters' places. Pure: inputs and the present time go in, outputs come out.
 
 mod beats;
+mod board;
 mod budget;
 mod choose;
 mod config;
--- a/coordination/fleet/src/loads.rs
+++ b/coordination/fleet/src/loads.rs
@@ -14,9 +14,9 @@
 
 use crate::{
     Engine, Event,
+    board::silent,
     demand::Demand,
     elsewhere::Elsewhere,
-    hold::silent,
     io::{Order, OrderOutcome, Report},
     place::{Held, Place, Sent, Stage},
     targets::adapter_print,
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -10,8 +10,9 @@
 
 use crate::{
     Config, Event, Routes, Settings, Targets, Turns,
+    board::Heard,
     feed::Position,
-    hold::{Heard, Holding},
+    hold::Holding,
     hosts::Hosts,
     io::{Input, Output, Tag},
     lead::Leading,
@@ -177,7 +178,7 @@
         add("config".to_owned(), self.configured_at);
         add("renewal".to_owned(), self.renewed);
         for (domain, heard) in &self.heard {
-            add(format!("holder of {domain}"), heard.board_at());
+            add(format!("holder of {domain}"), heard.board);
         }
         ages
     }
@@ -338,8 +339,8 @@
             FleetMsg::Resync(topic) => self.send_table(from, &topic),
             FleetMsg::Seen(card) => self.know_target(now, &card),
             FleetMsg::Alive(card) => self.alive(now, &card),
-            FleetMsg::Want { service, adapter, waiting } => {
-                self.wanted(now, from, &service, &adapter, waiting);
+            FleetMsg::Want { domain, service, adapter, waiting } => {
+                self.wanted(now, from, &domain, &service, &adapter, waiting);
             }
             FleetMsg::Crashed { request, target } => self.strike(now, request, &target),
             FleetMsg::Propose { tag, command } => {
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -283,11 +283,11 @@
         waiting: u16,
     ) {
         let own = self.settings.host;
-        if let Some(holding) = self.holding.get_mut(domain) {
-            holding.loads.want(now, own, &service, &adapter, waiting);
-            self.tick_loads(now);
+        if self.holding.contains_key(domain) {
+            self.wanted(now, own, domain, &service, &adapter, waiting);
         } else if let Some(holder) = self.holder(domain) {
-            self.send(holder, FleetMsg::Want { service, adapter, waiting });
+            let domain = domain.to_owned();
+            self.send(holder, FleetMsg::Want { domain, service, adapter, waiting });
         }
     }
 }
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -2,10 +2,11 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    hash::{DefaultHasher, Hash, Hasher},
+    hash::{Hash, Hasher},
     time::Duration,
 };
 
+use siphasher::sip::SipHasher13;
 use wire::{AdapterPrint, Board, Running, TargetCard, TargetNumber, TargetState};
 
 /// Weight of the newest answer in what is remembered of a target.
@@ -17,9 +18,9 @@
 /// Targets that ended and are remembered, so that late heartbeats are known.
 const REMEMBERED: usize = 4096;
 
-/// Returns a digest that is the same on all hosts that run the same program.
+/// Returns a digest that is the same on all hosts: SipHash-1-3 with a key of zeros.
 pub fn digest(value: &impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
+    let mut hasher = SipHasher13::new();
     value.hash(&mut hasher);
     hasher.finish()
 }
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -234,6 +234,8 @@
     Alive(TargetCard),
     /// Requests wait for an adapter, to a holder.
     Want {
+        /// The failure domain that it is asked for in.
+        domain: DomainId,
         /// The service.
         service: String,
         /// `model` or `model/adapter`.
