--- a/coordination/fleet/src/hold.rs
+++ b/coordination/fleet/src/hold.rs
@@ -4,8 +4,8 @@
 //!
 //! The leader names holders in the log. A holder gives orders for
 //! [`HOLD_LEASES`] lease times after it sent the last renewal that a leader with a
-//! quorum answered. The leader names another host after twice nothing: that time
-//! has passed since its last answer, or since it began to lead; and the new one
+//! quorum answered. The leader names another host only once that time has passed
+//! since its last answer to the holder, or since it began to lead. The new holder
 //! waits one lease time more.
 
 use std::{collections::BTreeMap, time::Duration};
