--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -105,6 +105,15 @@
         child.wait().expect("it was killed");
     }
 
+    /// Fails if a host has ended by itself: another process would answer at its
+    /// address.
+    pub fn assert_running(&mut self) {
+        for (host, child) in &mut self.children {
+            let ended = child.try_wait().expect("it can be waited for");
+            assert!(ended.is_none(), "host {host} has ended by itself: {ended:?}");
+        }
+    }
+
     /// Sends a signal to a host's process.
     pub fn signal(&self, host: u8, signal: &str) {
         let Some(child) = self.children.get(&host) else { return };
--- a/edge/tests/soak.rs
+++ b/edge/tests/soak.rs
@@ -155,6 +155,7 @@
 ) {
     let end = Instant::now() + span;
     while Instant::now() < end {
+        cluster.assert_running();
         let host = rng.random_range(1..=HOSTS);
         let way = &ways[rng.random_range(0..ways.len())];
         let rest = Duration::from_millis(rng.random_range(200..2500));
