Call one piece where two stood; less work in each step

- Commands go to the leader in one place (hand_in); whether a run has left is asked in one place; what an order brings about is noted by one function for accepted, held and unanswered orders; an adapter's arrival is taken in by one function, by the feed or ahead of it; sizes of a service by failure domain, connecting to a target, totals of traffic, and the time to come back are one piece each.
- Work moved off every step: the list of all hosts was copied at each step to count it, cards of all hosts before a look was due, loads of all targets before a status was due.

--- a/coordination/fleet/src/board.rs
+++ b/coordination/fleet/src/board.rs
@@ -3,10 +3,7 @@
 
 use std::time::Duration;
 
-use wire::{
-    Board, DomainId, FeedChange, FleetMsg, HostId, HostStatus, Placement, TargetCard, TargetState,
-    Topic,
-};
+use wire::{Board, DomainId, FleetMsg, HostId, HostStatus, Placement, Topic};
 
 use crate::{Host, feed::Position, io::Output, loads::Step};
 
@@ -19,6 +16,10 @@
 const FEED: Duration = Duration::from_millis(50);
 const FEED_HOSTS: u32 = 16;
 const LONGEST_FEED: Duration = Duration::from_millis(250);
+/// Time between two statuses while something changes.
+const STATUS: Duration = Duration::from_millis(250);
+/// The same while nothing does.
+const STATUS_AT_REST: Duration = Duration::from_millis(1000);
 /// Boards after which a holder that is not heard counts as away.
 const SILENT_BOARDS: u32 = 5;
 /// Time between two requests for a whole table.
@@ -26,7 +27,7 @@
 
 /// What a host heard of a failure domain's holder.
 #[derive(Debug, Default, Clone, Copy)]
-pub(crate) struct Heard {
+pub(crate) struct Followed {
     pub(crate) position: Position,
     /// When its last board came.
     pub(crate) board: Option<Duration>,
@@ -64,7 +65,7 @@
 
     /// Takes in a holder's board.
     pub(crate) fn board(&mut self, now: Duration, from: HostId, board: &Board) {
-        let known = self.heard.entry(board.domain.clone()).or_default();
+        let known = self.followed.entry(board.domain.clone()).or_default();
         let (epoch, last) = (known.position.epoch, known.position.last);
         if board.epoch == epoch {
             self.take_board(now, board);
@@ -75,7 +76,7 @@
     }
 
     fn take_board(&mut self, now: Duration, board: &Board) {
-        let known = self.heard.entry(board.domain.clone()).or_default();
+        let known = self.followed.entry(board.domain.clone()).or_default();
         known.board = Some(now);
         known.orders = board.orders;
         self.requests.set_hosts(board.hosts);
@@ -87,8 +88,8 @@
         if self.holding.contains_key(domain) {
             return self.order_fence(now, domain).is_some();
         }
-        let silence = Self::board_span(self.hosts.all().len()) * SILENT_BOARDS;
-        let Some(known) = self.heard.get(domain) else { return false };
+        let silence = Self::board_span(self.hosts.len()) * SILENT_BOARDS;
+        let Some(known) = self.followed.get(domain) else { return false };
         known.orders && known.board.is_some_and(|at| now < at + silence)
     }
 
@@ -101,7 +102,9 @@
     pub(crate) fn resync(&mut self, now: Duration, writer: HostId, topic: Topic) {
         let asked = match &topic {
             Topic::Hosts => &mut self.resynced,
-            Topic::Targets(domain) => &mut self.heard.entry(domain.clone()).or_default().resynced,
+            Topic::Targets(domain) => {
+                &mut self.followed.entry(domain.clone()).or_default().resynced
+            }
         };
         if asked.is_some_and(|at| now < at + RESYNC_AGAIN) {
             return;
@@ -114,13 +117,13 @@
     pub(crate) fn ask_tables(&mut self, now: Duration) {
         let mut missing = Vec::new();
         for (domain, holder) in &self.desired.holders {
-            let followed = self.heard.get(domain).map(|it| it.position.epoch);
-            if followed < Some((holder.fence, holder.run)) && holder.host != self.settings.host {
+            let position = self.followed.get(domain).map(|it| it.position.epoch);
+            if position < Some((holder.fence, holder.run)) && holder.host != self.settings.host {
                 missing.push((domain.clone(), holder.host));
             }
         }
         for (domain, host) in missing {
-            let asked = self.heard.entry(domain.clone()).or_default().resynced;
+            let asked = self.followed.entry(domain.clone()).or_default().resynced;
             if asked.is_none_or(|at| now >= at + RESYNC_AGAIN * 4) {
                 self.resync(now, host, Topic::Targets(domain));
             }
@@ -158,10 +161,11 @@
         }
     }
 
-    /// Takes in that an adapter that is waited for is there, ahead of the feed.
+    /// Takes in that an adapter is at a target, by the feed or ahead of it.
     pub(crate) fn arrived(&mut self, domain: &str, place: &Placement) {
-        if let Some(target) = self.targets.numbered(domain, place.target) {
-            target.adapters.insert(place.adapter.clone(), place.version);
+        let Some(target) = self.targets.numbered(domain, place.target) else { return };
+        target.adapters.insert(place.adapter.clone(), place.version);
+        if self.requests.is_waited_for(&place.adapter) {
             self.out.push(Output::Wake);
         }
     }
@@ -172,7 +176,7 @@
         if let Some(leading) = &mut self.leading {
             feeds.extend(leading.feed.flush());
         }
-        let span = FEED * (self.hosts.all().len() as u32 / FEED_HOSTS);
+        let span = FEED * (self.hosts.len() as u32 / FEED_HOSTS);
         for holding in self.holding.values_mut() {
             if now >= holding.flushed + span.min(LONGEST_FEED) {
                 holding.flushed = now;
@@ -187,7 +191,7 @@
             match &feed.topic {
                 Topic::Hosts => self.position.last = last,
                 Topic::Targets(domain) => {
-                    self.heard.entry(domain.clone()).or_default().position.last = last;
+                    self.followed.entry(domain.clone()).or_default().position.last = last;
                 }
             }
             for host in self.hosts.heard(now) {
@@ -203,12 +207,13 @@
         }
     }
 
-    /// Tells each holder what this host does at its targets: after `active`, or
-    /// after `at_rest` while there is nothing new.
-    pub(crate) fn report(&mut self, now: Duration, active: Duration, at_rest: Duration) {
+    /// Tells each holder what this host does at its targets.
+    pub(crate) fn report(&mut self, now: Duration) {
+        if now < self.reported + STATUS {
+            return;
+        }
         let busy = self.requests.is_active() || self.targets.iter().any(|it| it.own() > 0);
-        let span = if busy { active } else { at_rest };
-        if now < self.reported + span {
+        if !busy && now < self.reported + STATUS_AT_REST {
             return;
         }
         self.reported = now;
@@ -228,8 +233,3 @@
         }
     }
 }
-
-/// A target that has been silent, as its holder tells it.
-pub(crate) fn silent(number: u16, card: TargetCard) -> FeedChange {
-    FeedChange::Target(number, TargetCard { state: TargetState::Silent, ..card })
-}
--- a/coordination/fleet/src/follow.rs
+++ b/coordination/fleet/src/follow.rs
@@ -10,7 +10,9 @@
     pub(crate) fn follow(&mut self, now: Duration, from: HostId, feed: &wire::Feed) {
         let position = match &feed.topic {
             Topic::Hosts => &mut self.position,
-            Topic::Targets(domain) => &mut self.heard.entry(domain.clone()).or_default().position,
+            Topic::Targets(domain) => {
+                &mut self.followed.entry(domain.clone()).or_default().position
+            }
         };
         let before = position.epoch;
         match position.take(feed) {
@@ -52,14 +54,7 @@
                     target.number = Some(*number);
                 }
             }
-            FeedChange::Placed(place) => {
-                if let Some(target) = self.targets.numbered(domain, place.target) {
-                    target.adapters.insert(place.adapter.clone(), place.version);
-                    if self.requests.is_waited_for(&place.adapter) {
-                        self.out.push(Output::Wake);
-                    }
-                }
-            }
+            FeedChange::Placed(place) => self.arrived(domain, place),
             FeedChange::Removed(place) => {
                 if let Some(target) = self.targets.numbered(domain, place.target) {
                     target.adapters.remove(&place.adapter);
--- a/coordination/fleet/src/hold.rs
+++ b/coordination/fleet/src/hold.rs
@@ -11,7 +11,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use desired::{Command, Holder};
-use wire::{DomainId, Fence, FleetMsg, HostId, Renewal, TargetCard, Topic, encode};
+use wire::{DomainId, Fence, FleetMsg, HostId, Renewal, TargetCard, Topic};
 
 use crate::{
     Event, Host,
@@ -77,10 +77,8 @@
     }
 
     fn begin_to_hold(&mut self, now: Duration, domain: DomainId, holder: Holder) {
-        let wait = match holder.waits {
-            true => self.settings.bounds.lease + HOLDER_MARGIN,
-            false => Duration::ZERO,
-        };
+        let wait =
+            if holder.waits { self.settings.bounds.lease + HOLDER_MARGIN } else { Duration::ZERO };
         let epoch = (holder.fence, self.run);
         let mut loads = Loads::new(LoadsSettings {
             domain: domain.clone(),
@@ -102,7 +100,7 @@
             ordering: false,
         };
         self.targets.clear_feed(&domain);
-        self.heard.entry(domain.clone()).or_default().position = Position { epoch, last: 0 };
+        self.followed.entry(domain.clone()).or_default().position = Position { epoch, last: 0 };
         self.holding.insert(domain, holding);
         self.configure_loads();
     }
@@ -178,14 +176,15 @@
     }
 
     fn look_elsewhere(&mut self, now: Duration, domain: &str) {
-        let domains = self.domains().len();
         let Some(holding) = self.holding.get_mut(domain) else { return };
         if now < holding.looked + LOOK {
             return;
         }
         holding.looked = now;
-        let elsewhere = Elsewhere::new(domain, &self.targets, domains);
-        holding.loads.set_elsewhere(elsewhere);
+        let elsewhere = Elsewhere::new(domain, &self.targets, self.domains().len());
+        if let Some(holding) = self.holding.get_mut(domain) {
+            holding.loads.set_elsewhere(elsewhere);
+        }
     }
 
     fn note_ordering(&mut self, now: Duration, domain: &str) {
@@ -215,15 +214,7 @@
         let command = Command::Begin { domain: domain.to_owned(), fence: holding.fence };
         // Operators' calls are numbered from one.
         let tag = u64::MAX - holding.fence;
-        let own = self.settings.host;
-        match self.leader {
-            Some(leader) if leader == own => self.propose(now, own, tag, command),
-            Some(leader) => {
-                let command = encode(&command).into();
-                self.send(leader, FleetMsg::Propose { tag, command });
-            }
-            None => {}
-        }
+        self.hand_in(now, tag, command);
     }
 
     /// Takes in what a target is, if this host holds its failure domain.
--- a/coordination/fleet/src/homes.rs
+++ b/coordination/fleet/src/homes.rs
@@ -23,7 +23,8 @@
 /// What it costs to fetch an adapter that the target has no copy of, against its
 /// share of the load.
 const FETCH_COST: f64 = 0.35;
-/// What it costs to leave an adapter's usual order of homes, a step.
+/// What it costs to go a step down in an adapter's usual order of homes, which
+/// depends on nothing but its name and the targets'.
 const HOME_COST: f64 = 0.25;
 /// What it costs to go beyond the slack, for each mean load.
 const OVER_COST: f64 = 4.0;
@@ -207,7 +208,7 @@
             let share = survey.shares.get(&place.number).copied().unwrap_or(0.0);
             let over = ((share + own) / (mean + own).max(0.1) - HOME_SLACK).max(0.0);
             let fetch = if place.has_copy(name) { 0.0 } else { FETCH_COST };
-            let step = home_rank(name, &place.card.id) * count;
+            let step = unit(&(name, place.card.id.as_str())) * count;
             let backlog = survey.backlogs.get(&place.number).copied().unwrap_or(0);
             let backlog = BACKLOG_COST * f64::from(backlog) / BACKLOG_TOKENS;
             let cost = OVER_COST * over + fetch + HOME_COST * step + backlog;
@@ -259,8 +260,7 @@
         let mut survey = self.survey();
         let domain = self.settings.domain.clone();
         for service in self.engines.keys().cloned().collect::<Vec<_>>() {
-            let own = self.places.values().filter(|it| it.card.service == service).count();
-            let sizes = self.elsewhere.sizes(&service, &domain, own);
+            let sizes = self.sizes(&service);
             let count = sizes.values().sum::<usize>().max(1);
             let share = total / COPY_SLACK / count as f64;
             for name in self.hot(&service, share) {
@@ -269,8 +269,8 @@
                 let here = survey.copies.get(&print).copied().unwrap_or(0);
                 let all = here + self.elsewhere.copies(print);
                 let mine = copies_of(&name, wanted, &sizes, &domain);
-                let wanted = all > 0 && all < wanted.min(count) && here < mine.min(own);
-                if wanted && !survey.loading.contains(&print) {
+                let lacks = all > 0 && all < wanted.min(count) && here < mine.min(sizes[&domain]);
+                if lacks && !survey.loading.contains(&print) {
                     self.place(now, fence, &mut survey, &service, &name, 0);
                 }
             }
@@ -311,9 +311,3 @@
         }
     }
 }
-
-/// A number from 0 to 1 that tells how far a target stands in an adapter's order
-/// of homes. It depends on nothing but the two names.
-fn home_rank(name: &str, target: &str) -> f64 {
-    unit(&(name, target))
-}
--- a/coordination/fleet/src/hosts.rs
+++ b/coordination/fleet/src/hosts.rs
@@ -79,6 +79,11 @@
         self.known.keys().copied().filter(|&it| it != self.own).collect()
     }
 
+    /// Hosts that are known, this one included.
+    pub(crate) fn len(&self) -> usize {
+        self.known.len()
+    }
+
     pub(crate) fn all(&self) -> Vec<HostId> {
         self.known.keys().copied().collect()
     }
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -175,22 +175,23 @@
         };
         let leading = self.leading.as_ref()?;
         let card = self.hosts.card(holder.host);
-        let card = card.filter(|it| self.hosts.is_heard(now, it.host) && !self.has_left(it));
+        let there =
+            |it: &&HostCard| self.hosts.is_heard(now, it.host) && !self.has_left(it.host, it.run);
+        let card = card.filter(there);
         if let Some(card) = card {
             // A later run of the same host is the same holder.
             return (card.run != holder.run).then_some((card.host, card.run));
         }
         let last = leading.answered.get(&holder.host).copied().unwrap_or(leading.since);
         let lapsed = last + self.settings.bounds.lease * HOLD_LEASES + HOLDER_MARGIN;
-        let own = holder.host == self.settings.host && self.stopping;
-        let left = own || leading.left.contains(&(holder.host, holder.run));
+        let left = self.has_left(holder.host, holder.run);
         (left || now >= lapsed).then(|| self.best_holder(now, domain, Some(holder.host)))?
     }
 
-    fn has_left(&self, card: &HostCard) -> bool {
-        let own = card.host == self.settings.host && self.stopping;
+    fn has_left(&self, host: HostId, run: Incarnation) -> bool {
+        let own = host == self.settings.host && self.stopping;
         let leading = self.leading.as_ref();
-        own || leading.is_some_and(|it| it.left.contains(&(card.host, card.run)))
+        own || leading.is_some_and(|it| it.left.contains(&(host, run)))
     }
 
     /// The best host to hold a failure domain: one there that takes callers and
@@ -208,7 +209,7 @@
         let most = there.map(|it| it.power).max().unwrap_or(0);
         let mut best = None;
         for card in cards {
-            if !self.hosts.is_heard(now, card.host) || self.has_left(&card) {
+            if !self.hosts.is_heard(now, card.host) || self.has_left(card.host, card.run) {
                 continue;
             }
             if Some(card.host) == not {
--- a/coordination/fleet/src/loads.rs
+++ b/coordination/fleet/src/loads.rs
@@ -14,12 +14,10 @@
 
 use crate::{
     Engine, Event,
-    board::silent,
     demand::Demand,
     elsewhere::Elsewhere,
     io::{Order, OrderOutcome, Report},
-    place::{Held, Place, Sent, Stage},
-    targets::adapter_print,
+    place::{Place, Sent, Stage},
 };
 
 /// How old a report may be when it arrives, with a margin for its way.
@@ -144,6 +142,12 @@
         self.elsewhere = elsewhere;
     }
 
+    /// Targets of a service, by failure domain.
+    pub(crate) fn sizes(&self, service: &str) -> BTreeMap<DomainId, usize> {
+        let own = self.places.values().filter(|it| it.card.service == service).count();
+        self.elsewhere.sizes(service, &self.settings.domain, own)
+    }
+
     /// Whether a target is in the account.
     pub(crate) fn has(&self, id: &str) -> bool {
         self.places.contains_key(id)
@@ -300,8 +304,9 @@
     /// Takes a target for silent.
     fn lose(&mut self, id: &str) {
         let Some(place) = self.places.remove(id) else { return };
+        let card = TargetCard { state: TargetState::Silent, ..place.card };
         self.steps.push(Step::Log(Event::TargetSilent { target: id.to_owned() }));
-        self.steps.push(Step::Tell(silent(place.number, place.card)));
+        self.steps.push(Step::Tell(FeedChange::Target(place.number, card)));
     }
 
     fn ask(&mut self, now: Duration) {
@@ -385,18 +390,12 @@
         let Some(place) = self.places.get_mut(id) else { return };
         match outcome {
             OrderOutcome::Accepted => {
-                place.accept(now, &order);
+                place.note(now, &order);
+                place.sequence = place.sequence.map(|it| it + 1);
                 place.ask_at = Some(now + FIRST_ASK);
             }
             OrderOutcome::Done if order.load => {
-                let held = Held {
-                    version: order.version,
-                    stage: Stage::Loading,
-                    since: now,
-                    used: now,
-                    print: adapter_print(&name),
-                };
-                place.held.insert(name, held);
+                place.note(now, &order);
                 place.sequence = None;
                 place.ask_at = Some(now);
             }
@@ -417,9 +416,7 @@
                 // It may have been carried out, or be carried out late: it keeps its
                 // place. The next order expects the same number: if it is accepted,
                 // this one never is; otherwise a report tells.
-                let expect = place.sequence;
-                place.accept(now, &order);
-                place.sequence = expect;
+                place.note(now, &order);
                 place.ask_at = Some(now + DOUBT_REST);
                 place.unsure = Some(order);
             }
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Config, Event, Routes, Settings, Targets, Turns,
-    board::Heard,
+    board::Followed,
     feed::Position,
     hold::Holding,
     hosts::Hosts,
@@ -22,10 +22,6 @@
     strikes::Barred,
 };
 
-/// Time between two statuses while something changes.
-const STATUS: Duration = Duration::from_millis(250);
-/// The same while nothing does.
-const STATUS_AT_REST: Duration = Duration::from_millis(1000);
 /// Heartbeats of a target after which it counts as gone.
 pub(crate) const SILENT_BEATS: u32 = 4;
 
@@ -45,7 +41,7 @@
     /// Where this host stands in the leader's feed.
     pub(crate) position: Position,
     /// What it heard of the failure domains' holders.
-    pub(crate) heard: BTreeMap<DomainId, Heard>,
+    pub(crate) followed: BTreeMap<DomainId, Followed>,
     /// The failure domains that it holds.
     pub(crate) holding: BTreeMap<DomainId, Holding>,
     /// When the last renewal was sent that a leader answered.
@@ -103,7 +99,7 @@
             routes: Arc::default(),
             targets: Targets::default(),
             position: Position::default(),
-            heard: BTreeMap::new(),
+            followed: BTreeMap::new(),
             holding: BTreeMap::new(),
             renewed: None,
             renewing: None,
@@ -177,8 +173,8 @@
         add("leader".to_owned(), self.led_since);
         add("config".to_owned(), self.configured_at);
         add("renewal".to_owned(), self.renewed);
-        for (domain, heard) in &self.heard {
-            add(format!("holder of {domain}"), heard.board);
+        for (domain, followed) in &self.followed {
+            add(format!("holder of {domain}"), followed.board);
         }
         ages
     }
@@ -252,7 +248,7 @@
         self.confirm();
         self.join(now);
         self.renew(now);
-        self.report(now, STATUS, STATUS_AT_REST);
+        self.report(now);
         self.tick_lead(now);
         self.tick_holding(now);
         self.tick_requests(now);
@@ -286,19 +282,26 @@
         let own = self.settings.host;
         for question in self.desk.due(now) {
             match question {
-                Question::Propose(tag, command) if leader == own => {
-                    self.propose(now, own, tag, command);
-                }
-                Question::Propose(tag, command) => {
-                    let command = encode(&command).into();
-                    self.send(leader, FleetMsg::Propose { tag, command });
-                }
+                Question::Propose(tag, command) => self.hand_in(now, tag, command),
                 Question::Confirm(tag) if leader == own => self.confirm_read(now, own, tag),
                 Question::Confirm(tag) => self.send(leader, FleetMsg::Confirm { tag }),
             }
         }
     }
 
+    /// Hands a command to the leader, if one is known.
+    pub(crate) fn hand_in(&mut self, now: Duration, tag: Tag, command: Command) {
+        let own = self.settings.host;
+        match self.leader {
+            Some(leader) if leader == own => self.propose(now, own, tag, command),
+            Some(leader) => {
+                let command = encode(&command).into();
+                self.send(leader, FleetMsg::Propose { tag, command });
+            }
+            None => {}
+        }
+    }
+
     pub(crate) fn confirmed_read(&mut self, tag: Tag, index: Index) {
         self.desk.confirmed(tag, index);
     }
--- a/coordination/fleet/src/place.rs
+++ b/coordination/fleet/src/place.rs
@@ -183,9 +183,8 @@
         }
     }
 
-    /// Notes an accepted order.
-    pub(crate) fn accept(&mut self, now: Duration, order: &Order) {
-        self.sequence = self.sequence.map(|it| it + 1);
+    /// Notes what an order brings about that was, or may be, carried out.
+    pub(crate) fn note(&mut self, now: Duration, order: &Order) {
         let name = order.name();
         if order.load {
             let used = now;
--- a/coordination/fleet/src/renew.rs
+++ b/coordination/fleet/src/renew.rs
@@ -142,8 +142,8 @@
         if self.since.is_none_or(|at| now < at + SETTLING) {
             return equal;
         }
-        let own = self.places.values().filter(|it| it.card.service == service).count();
-        let sizes = self.elsewhere.sizes(service, &self.settings.domain, own);
-        own as f64 / sizes.values().sum::<usize>().max(1) as f64
+        let sizes = self.sizes(service);
+        let all = sizes.values().sum::<usize>().max(1);
+        sizes[&self.settings.domain] as f64 / all as f64
     }
 }
--- a/coordination/fleet/src/replicated.rs
+++ b/coordination/fleet/src/replicated.rs
@@ -78,31 +78,21 @@
                 return self.log(Event::Alarm { what });
             }
         };
-        let version = match &command {
-            Command::Version { adapter, version } => Some((adapter.clone(), *version)),
-            _ => None,
-        };
-        let domain = match &command {
-            Command::Hold { domain, .. } => Some(domain.clone()),
-            _ => None,
-        };
-        match self.desired.apply(entry.index, command) {
-            Applied::Config => self.configured(now, entry.index),
-            Applied::Version => {
-                let (adapter, version) = version.expect("a version was applied");
+        match (self.desired.apply(entry.index, command.clone()), command) {
+            (Applied::Config, _) => self.configured(now, entry.index),
+            (Applied::Version, Command::Version { adapter, version }) => {
                 self.named.insert(adapter.clone(), now);
                 self.log(Event::Version { adapter, version });
                 self.out.push(Output::Wake);
             }
-            Applied::Holder => {
-                let domain = domain.expect("a holder was applied");
+            (Applied::Holder, Command::Hold { domain, .. }) => {
                 if let Some(it) = self.desired.holders.get(&domain) {
                     let (holder, fence, waits) = (it.host, it.fence, it.waits);
                     self.log(Event::Holder { domain, holder, fence, waits });
                 }
                 self.follow_holders(now);
             }
-            Applied::Nothing => {}
+            (Applied::Version | Applied::Holder | Applied::Nothing, _) => {}
         }
         self.configure_loads();
     }
--- a/edge/src/answer.rs
+++ b/edge/src/answer.rs
@@ -81,8 +81,10 @@
     json(status, serde_json::json!({ "error": why }).to_string())
 }
 
-/// The promise that a request has not run, with the time to come back.
-pub(crate) fn not_run(after: Duration) -> Answer {
+/// The promise that a request has not run, with the time to come back: `least`, and
+/// a part of `spread` at random, so that callers don't return at once.
+pub(crate) fn not_run(least: Duration, spread: Duration) -> Answer {
+    let after = least + spread.mul_f64(rand::random());
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
     let text = format!("{:.2}", after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&text) {
--- a/edge/src/client.rs
+++ b/edge/src/client.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
-    io::ErrorKind,
+    io::{self, ErrorKind},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -106,15 +106,13 @@
 
     /// Whether nobody listens at an address, as after a crash.
     pub(crate) async fn is_deserted(&self, addr: &str) -> bool {
-        let Ok(addr) = addr.parse::<SocketAddr>() else { return false };
-        let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
-        matches!(opened, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+        let opened = connect(addr).await;
+        matches!(opened, Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
     }
 
     /// Opens a connection to a target's run.
     pub(crate) async fn open(&self, target: &str, addr: &str) -> Option<Connection> {
-        let addr: SocketAddr = addr.parse().ok()?;
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await.ok()?.ok()?;
+        let stream = connect(addr).await?.ok()?;
         stream.set_nodelay(true).ok()?;
         peer::watch_silence(&stream).ok()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
@@ -144,6 +142,12 @@
     }
 }
 
+/// Connects to an address; none if nothing was heard in time.
+async fn connect(addr: &str) -> Option<io::Result<TcpStream>> {
+    let addr: SocketAddr = addr.parse().ok()?;
+    timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await.ok()
+}
+
 /// Whether a target closes its connection after an answer.
 fn closes(headers: &HeaderMap) -> bool {
     let value = headers.get(http::header::CONNECTION);
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -74,8 +74,7 @@
     let (route, service) = match routed {
         Ok(routed) => routed,
         Err(NoRoute::Unknown) => {
-            let after = COME_BACK + COME_BACK_SPREAD.mul_f64(rand::random());
-            return own(edge, &parts, "no_config", not_run(after));
+            return own(edge, &parts, "no_config", not_run(COME_BACK, COME_BACK_SPREAD));
         }
         Err(NoRoute::None) => {
             return own(edge, &parts, "no_route", plain(StatusCode::NOT_FOUND));
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -113,8 +113,9 @@
             self.ages.with_label_values(&[&belief]).set(age.as_secs_f64());
         }
         self.traffic.reset();
-        for (way, rows) in [("sent", peers.all_sent()), ("received", peers.all_received())] {
-            let bytes = rows.iter().map(|it| it.bytes).sum();
+        for (way, (_, bytes)) in
+            [("sent", peers.total_sent()), ("received", peers.total_received())]
+        {
             self.traffic.with_label_values(&[way]).inc_by(bytes);
         }
         let gauges = [
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -335,9 +335,11 @@
         Sent::Again
     }
 
-    /// The digest by which the request is known if it comes again.
+    /// The digest by which the request is known if it comes again: its path, its
+    /// caller and its body.
     fn print(&self) -> RequestPrint {
-        print(&self.parts, &self.body)
+        let path = self.parts.uri.path_and_query().map(|it| it.as_str());
+        digest(&(path, self.parts.extensions.get::<Caller>(), &self.body[..]))
     }
 
     /// Finds out whether a target that broke off without an event has crashed: then
@@ -400,7 +402,7 @@
         } else {
             let ordered = self.edge.host.borrow().any_orders(self.edge.now());
             let least = if ordered { COME_BACK } else { COME_BACK_UNORDERED };
-            not_run(least + COME_BACK_SPREAD.mul_f64(rand::random::<f64>()))
+            not_run(least, COME_BACK_SPREAD)
         };
         self.done(why, answer.status().as_u16());
         answer
@@ -447,13 +449,6 @@
     }
 }
 
-/// The digest by which a request is known if it comes again: its path, its caller
-/// and its body.
-fn print(parts: &Parts, body: &[u8]) -> RequestPrint {
-    let path = parts.uri.path_and_query().map(|it| it.as_str());
-    digest(&(path, parts.extensions.get::<Caller>(), body))
-}
-
 /// Serves a request.
 pub(crate) async fn relay(mut job: Job) -> Answer {
     if job.is_barred() {
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -198,11 +198,8 @@
 
 fn stopped(edge: &Edge) -> Event {
     let stats = edge.hub.stats();
-    let total = |rows: Vec<peer::KindCount>| {
-        rows.iter().fold((0, 0), |sum, it| (sum.0 + it.frames, sum.1 + it.bytes))
-    };
-    let (sent, sent_bytes) = total(stats.all_sent());
-    let (received, received_bytes) = total(stats.all_received());
+    let (sent, sent_bytes) = stats.total_sent();
+    let (received, received_bytes) = stats.total_received();
     Event::Stopped {
         cut: edge.active.get() as u64,
         up_ms: edge.now().as_millis() as u64,
--- a/transport/peer/src/stats.rs
+++ b/transport/peer/src/stats.rs
@@ -142,12 +142,27 @@
         list(&self.received)
     }
 
+    /// Returns the frames and bytes of all kinds that were sent.
+    pub fn total_sent(&self) -> (u64, u64) {
+        total(&self.sent)
+    }
+
+    /// Returns the same of what was received and accepted.
+    pub fn total_received(&self) -> (u64, u64) {
+        total(&self.received)
+    }
+
     /// Returns how many frames were dropped for a reason.
     pub fn dropped(&self, why: Dropped) -> u64 {
         self.dropped[why as usize].load(Relaxed)
     }
 }
 
+fn total(counts: &[Count]) -> (u64, u64) {
+    let frames = counts.iter().map(|it| it.frames.load(Relaxed)).sum();
+    (frames, counts.iter().map(|it| it.bytes.load(Relaxed)).sum())
+}
+
 fn list(counts: &[Count]) -> Vec<KindCount> {
     let mut rows = Vec::with_capacity(counts.len());
     for (kind, count) in KINDS.iter().zip(counts) {
