Log which attempt crashed a target, and what its digest is made of

Change: crashed lines hold the attempt's id, the caller's address, the path and a hash of the body; explain shows them with the quarantine of the digest. They count in the budget of request lines.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -108,12 +108,15 @@
     }
 }
 
-/// Writes the events that may have affected the request: those of its targets and adapters, changes
-/// of leaders and order leases, adapters without a target, silent hosts and failed disks, and starts,
+/// Writes the events that may have affected the request: those of its targets and adapters, crashes
+/// and the quarantine of the same request, changes of leaders and order leases, adapters without a target, silent hosts and failed disks, and starts,
 /// stops and configurations of the host that handled it.
 fn write_context(request: &Line, lines: &[Line], report: &mut String) {
     let duration = request.fields.get("took_ms").and_then(Value::as_f64).unwrap_or(0.0) / 1000.0;
     let words: BTreeSet<&str> = request.text("steps").split([' ', ';']).collect();
+    let crashed =
+        lines.iter().filter(|it| it.event == "crashed" && it.text("id") == request.text("id"));
+    let digests: BTreeSet<&str> = crashed.map(|it| it.text("request")).collect();
     let mut shown = BTreeSet::new();
     for line in lines {
         if line.at < request.at - duration - LOOKBACK_S || line.at > request.at + 1.0 {
@@ -121,6 +124,7 @@
         }
         let relevant = match line.event.as_str() {
             "target" | "target_silent" => words.contains(line.text("target")),
+            "crashed" | "barred" => digests.contains(line.text("request")),
             "ordered" => words.contains(line.text("adapter")),
             "leader" | "holder" | "unplaced" | "host_silent" | "disk_failed" => true,
             "stopping" | "started" | "config" => line.host == request.host,
--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -206,8 +206,16 @@
     },
     /// A request was lost together with the target that ran it.
     Crashed {
+        /// Identifier of the lost attempt.
+        id: String,
         /// Hash of the request's path, caller and body.
         request: String,
+        /// Address that the request came from.
+        caller: String,
+        /// Path of the request, with its query.
+        path: String,
+        /// Hash of the request's body.
+        body: String,
         /// Name of the target.
         target: String,
     },
--- a/coordination/fleet/src/quarantine.rs
+++ b/coordination/fleet/src/quarantine.rs
@@ -87,7 +87,6 @@
         request: RequestHash,
         target: &str,
     ) -> Vec<Output> {
-        self.log(Event::Crashed { request: format!("{request:x}"), target: target.to_owned() });
         match self.leader {
             Some(leader) if leader != self.settings.host => {
                 let target = target.to_owned();
--- a/edge/src/listen.rs
+++ b/edge/src/listen.rs
@@ -23,6 +23,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) struct Caller(IpAddr);
 
+impl std::fmt::Display for Caller {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// Limits of a listener's connections.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ConnectionLimits {
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -266,6 +266,11 @@
         host.has_quarantined() && host.is_quarantined(self.request_hash())
     }
 
+    /// Returns the path with the query.
+    fn path(&self) -> &str {
+        self.parts.uri.path_and_query().map_or("/", |it| it.as_str())
+    }
+
     fn request(
         &self,
         reservation: &ReservationGuard,
@@ -280,8 +285,7 @@
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.parts.method.clone();
-        let path = self.parts.uri.path_and_query().map_or("/", |it| it.as_str());
-        *request.uri_mut() = path.parse().unwrap_or_default();
+        *request.uri_mut() = self.path().parse().unwrap_or_default();
         *request.headers_mut() = forward_headers(&self.parts.headers, &system);
         request
     }
@@ -367,8 +371,7 @@
     /// Returns the hash that identifies the request if it is repeated: of its path, its caller and
     /// its body.
     fn request_hash(&self) -> RequestHash {
-        let path = self.parts.uri.path_and_query().map(|it| it.as_str());
-        stable_hash(&(path, self.parts.extensions.get::<Caller>(), &self.body[..]))
+        stable_hash(&(self.path(), self.parts.extensions.get::<Caller>(), &self.body[..]))
     }
 
     /// Checks whether a target that broke off before any data of its answer arrived has crashed. If
@@ -377,8 +380,22 @@
         let (edge, request) = (self.edge.clone(), self.request_hash());
         let (target, addr) =
             (reservation.reservation.target.clone(), reservation.reservation.addr.clone());
+        let crashed = Event::Crashed {
+            id: self.head.attempt.clone(),
+            request: format!("{request:x}"),
+            caller: self
+                .parts
+                .extensions
+                .get::<Caller>()
+                .map(ToString::to_string)
+                .unwrap_or_default(),
+            path: self.path().to_owned(),
+            body: format!("{:x}", stable_hash(&&self.body[..])),
+            target: target.clone(),
+        };
         tokio::task::spawn_local(async move {
             if edge.client.refuses_connections(&addr).await {
+                edge.log.request(edge.now(), true, || crashed);
                 let outputs = edge.host.borrow_mut().report_crash(edge.now(), request, &target);
                 edge.carry_out(outputs);
             }
