--- a/edge/tests/answers.rs
+++ b/edge/tests/answers.rs
@@ -12,7 +12,10 @@
     time::Duration,
 };
 
-use common::{CONTROL, Cluster, ENTRY, call, document, ip, send_heartbeats, target_record, until};
+use common::{
+    CONTROL, Cluster, ENTRY, ReceivedRequest, call, document, ip, read_request, send_heartbeats,
+    signed_head as head, target_record, until,
+};
 use http::Method;
 use platform::stand_in;
 use tokio::{
@@ -21,13 +24,6 @@
     time::sleep,
 };
 
-/// The fields of a request that the stand-in target uses.
-struct ReceivedRequest {
-    path: String,
-    attempt: String,
-    last_event: u64,
-}
-
 /// What the stand-in does on one connection after an answer.
 #[derive(PartialEq)]
 enum AfterAnswer {
@@ -74,46 +70,6 @@
     }
 }
 
-/// Reads the next request; none if the connection is closed.
-async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<ReceivedRequest> {
-    loop {
-        let text = String::from_utf8_lossy(bytes).into_owned();
-        if let Some(end) = text.find("\r\n\r\n") {
-            let field = |name: &str| -> Option<String> {
-                let lines = text[..end].lines().map(str::to_ascii_lowercase);
-                let mut values =
-                    lines.filter_map(|it| it.strip_prefix(&format!("{name}: ")).map(str::to_owned));
-                values.next()
-            };
-            let length = field("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
-            if bytes.len() >= end + 4 + length {
-                let path = text.split(' ').nth(1).unwrap_or_default().to_owned();
-                let attempt = field(stand_in::ATTEMPT.as_str()).unwrap_or_default();
-                let last_event = field(stand_in::LAST_EVENT.as_str())
-                    .and_then(|it| it.parse().ok())
-                    .unwrap_or(0);
-                bytes.drain(..end + 4 + length);
-                return Some(ReceivedRequest { path, attempt, last_event });
-            }
-        }
-        let mut chunk = [0; 4096];
-        match stream.read(&mut chunk).await {
-            Ok(count) if count > 0 => bytes.extend_from_slice(&chunk[..count]),
-            _ => return None,
-        }
-    }
-}
-
-/// Returns the head of a target's signed answer to an attempt.
-fn head(status: &str, attempt: &str, more: &str) -> String {
-    let attempt = attempt.parse().expect("a header's value");
-    let mut head = format!("HTTP/1.1 {status}\r\n");
-    for (name, value) in &stand_in::signed(&attempt) {
-        head += &format!("{name}: {}\r\n", value.to_str().expect("it is text"));
-    }
-    format!("{head}{more}\r\n")
-}
-
 /// Removes the signature, the line that ends in `.1`, from an answer.
 fn unsigned(answer: &str) -> String {
     let lines = answer.split("\r\n").filter(|line| !line.ends_with(".1"));
--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -20,6 +20,7 @@
 use sessions::checkout::octet;
 use tempfile::TempDir;
 use tokio::{
+    io::AsyncReadExt,
     net::{TcpListener, TcpStream},
     time::{sleep, timeout},
 };
@@ -408,6 +409,53 @@
     response
 }
 
+/// The fields of a request that the stand-in target uses.
+pub struct ReceivedRequest {
+    pub path: String,
+    pub attempt: String,
+    pub last_event: u64,
+}
+
+/// Reads the next request; none if the connection is closed.
+pub async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<ReceivedRequest> {
+    loop {
+        let text = String::from_utf8_lossy(bytes).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let field = |name: &str| -> Option<String> {
+                let lines = text[..end].lines().map(str::to_ascii_lowercase);
+                let mut values =
+                    lines.filter_map(|it| it.strip_prefix(&format!("{name}: ")).map(str::to_owned));
+                values.next()
+            };
+            let length = field("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+            if bytes.len() >= end + 4 + length {
+                let path = text.split(' ').nth(1).unwrap_or_default().to_owned();
+                let attempt = field(stand_in::ATTEMPT.as_str()).unwrap_or_default();
+                let last_event = field(stand_in::LAST_EVENT.as_str())
+                    .and_then(|it| it.parse().ok())
+                    .unwrap_or(0);
+                bytes.drain(..end + 4 + length);
+                return Some(ReceivedRequest { path, attempt, last_event });
+            }
+        }
+        let mut chunk = [0; 4096];
+        match stream.read(&mut chunk).await {
+            Ok(count) if count > 0 => bytes.extend_from_slice(&chunk[..count]),
+            _ => return None,
+        }
+    }
+}
+
+/// Returns the head of a target's signed answer to an attempt.
+pub fn signed_head(status: &str, attempt: &str, more: &str) -> String {
+    let attempt = attempt.parse().expect("a header's value");
+    let mut head = format!("HTTP/1.1 {status}\r\n");
+    for (name, value) in &stand_in::signed(&attempt) {
+        head += &format!("{name}: {}\r\n", value.to_str().expect("it is text"));
+    }
+    format!("{head}{more}\r\n")
+}
+
 /// Returns a configuration with a streaming route, an unsafe and a safe one, and two routes to the
 /// service `odd`.
 pub fn document(version: u64) -> String {
