Know a repeated request by its content, not by the address it comes from

Callers saw every bookings target end every three seconds, and 502 or 503 meanwhile. Cause: the digest by which hosts count a request's crashes held the IP address that it came from. A caller's repeats come from several addresses at any host; each address crashed two targets (one attempt) and had a count of its own. Change: the digest is of method, host, path and body.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -208,7 +208,7 @@
     Crashed {
         /// Identifier of the lost attempt.
         id: String,
-        /// Hash of the request's path, caller and body.
+        /// Hash of the request's method, host, path and body.
         request: String,
         /// Address that the request came from.
         caller: String,
@@ -221,7 +221,7 @@
     },
     /// A request was quarantined: it crashed too many targets and is not sent again.
     Barred {
-        /// Hash of the request's path, caller and body.
+        /// Hash of the request's method, host, path and body.
         request: String,
     },
     /// Request lines were dropped by the rate limit since the last line of a request.
--- a/coordination/fleet/src/quarantine.rs
+++ b/coordination/fleet/src/quarantine.rs
@@ -1,6 +1,6 @@
 //! Quarantine of requests that crash the targets that run them.
 //!
-//! Such a request is repeated with the same path, caller and body at any host. A host that loses a
+//! Such a request is repeated with the same method, host, path and body at any host. A host that loses a
 //! request together with its target reports this to the leader. After crashes of
 //! [`QUARANTINE_CRASHES`] different targets the leader quarantines the request, and no host sends it
 //! again.
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use fleet::{Choice, Event, Outcome, RequestKind, TargetQuery, stable_hash};
-use http::{Request, Response, StatusCode, request::Parts};
+use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::request::{
@@ -368,10 +368,11 @@
         SendOutcome::Retry
     }
 
-    /// Returns the hash that identifies the request if it is repeated: of its path, its caller and
-    /// its body.
+    /// Returns the hash that identifies the request if it is repeated: of its method, host, path
+    /// and body. A caller may repeat it from another address.
     fn request_hash(&self) -> RequestHash {
-        stable_hash(&(self.path(), self.parts.extensions.get::<Caller>(), &self.body[..]))
+        let host = self.parts.headers.get(header::HOST).map(HeaderValue::as_bytes);
+        stable_hash(&(self.parts.method.as_str(), host, self.path(), &self.body[..]))
     }
 
     /// Checks whether a target that broke off before any data of its answer arrived has crashed. If
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -11,7 +11,7 @@
 /// A short hash of an adapter's name, used in counts. Zero stands for no adapter.
 pub type AdapterHash = u32;
 
-/// A hash of a request's path, caller and body.
+/// A hash of a request's method, host, path and body.
 pub type RequestHash = u64;
 
 /// The replicated record of a host.
