--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -116,7 +116,11 @@
     let words: BTreeSet<&str> = request.text("steps").split([' ', ';']).collect();
     let crashed =
         lines.iter().filter(|it| it.event == "crashed" && it.text("id") == request.text("id"));
-    let digests: BTreeSet<&str> = crashed.map(|it| it.text("request")).collect();
+    let listed = crashed.filter_map(|it| it.fields.get("suspects"));
+    // A list is written as text that contains a JSON array.
+    let suspects: Vec<String> =
+        listed.map(|it| it.as_str().map_or(it.to_string(), str::to_owned)).collect();
+    let is_suspect = |name: &str| suspects.iter().any(|it| it.contains(&format!("\"{name}\"")));
     let mut shown = BTreeSet::new();
     for line in lines {
         if line.at < request.at - duration - LOOKBACK_S || line.at > request.at + 1.0 {
@@ -124,7 +128,8 @@
         }
         let relevant = match line.event.as_str() {
             "target" | "target_silent" => words.contains(line.text("target")),
-            "crashed" | "barred" => digests.contains(line.text("request")),
+            "crashed" => line.text("id") == request.text("id"),
+            "barred" | "cleared" | "trial" => is_suspect(line.text("suspect")),
             "ordered" => words.contains(line.text("adapter")),
             "leader" | "holder" | "unplaced" | "host_silent" | "disk_failed" => true,
             "stopping" | "started" | "config" => line.host == request.host,
--- a/cli/tests/explain.rs
+++ b/cli/tests/explain.rs
@@ -23,10 +23,10 @@
 /// The crashes of the explained attempt, the quarantine of its content, and neither those of
 /// another request.
 const CRASH_LOG: &str = r#"
-{"ts":"2026-01-02T03:04:05.1Z","host":"edge-a","event":"crashed","id":"9c41","request":"7d2a","caller":"10.0.0.7","path":"/r/1","body":"5e","target":"i-1"}
-{"ts":"2026-01-02T03:04:05.1Z","host":"edge-a","event":"crashed","id":"b00c","request":"8034","caller":"10.0.0.8","path":"/r/2","body":"5e","target":"i-1"}
-{"ts":"2026-01-02T03:04:05.2Z","host":"edge-b","event":"barred","request":"7d2a"}
-{"ts":"2026-01-02T03:04:05.3Z","host":"edge-b","event":"barred","request":"8034"}
+{"ts":"2026-01-02T03:04:05.1Z","host":"edge-a","event":"crashed","id":"9c41","suspects":"[\"request:7d2a\"]","caller":"10.0.0.7","path":"/r/1","body":"5e","target":"i-1"}
+{"ts":"2026-01-02T03:04:05.1Z","host":"edge-a","event":"crashed","id":"b00c","suspects":"[\"request:8034\"]","caller":"10.0.0.8","path":"/r/2","body":"5e","target":"i-1"}
+{"ts":"2026-01-02T03:04:05.2Z","host":"edge-b","event":"barred","suspect":"request:7d2a","crashes":2,"failed_trials":0}
+{"ts":"2026-01-02T03:04:05.3Z","host":"edge-b","event":"barred","suspect":"request:8034","crashes":2,"failed_trials":0}
 {"ts":"2026-01-02T03:04:05.4Z","host":"edge-a","event":"request","id":"9c41","route":"r-1","outcome":"unanswered","status":502,"took_ms":400,"steps":"0 sent i-1; 390 lost i-1;"}
 "#;
 
--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -208,8 +208,8 @@
     Crashed {
         /// Identifier of the lost attempt.
         id: String,
-        /// Hash of the request's method, host, path and body.
-        request: String,
+        /// What it had in it that may be the cause.
+        suspects: Vec<String>,
         /// Address that the request came from.
         caller: String,
         /// Path of the request, with its query.
@@ -219,10 +219,25 @@
         /// Name of the target.
         target: String,
     },
-    /// A request was quarantined: it crashed too many targets and is not sent again.
+    /// Requests with a suspect need trials: targets crashed that had such requests, and none ran
+    /// without a crash.
     Barred {
-        /// Hash of the request's method, host, path and body.
-        request: String,
+        /// The suspect.
+        suspect: String,
+        /// Number of crashed targets.
+        crashes: u16,
+        /// Number of trials that crashed their target.
+        failed_trials: u16,
+    },
+    /// The leader granted this host a trial of a suspect.
+    Trial {
+        /// The suspect.
+        suspect: String,
+    },
+    /// A suspect was cleared: a request with it ran without a crash.
+    Cleared {
+        /// The suspect.
+        suspect: String,
     },
     /// Request lines were dropped by the rate limit since the last line of a request.
     LeftOut {
--- a/coordination/fleet/src/follow.rs
+++ b/coordination/fleet/src/follow.rs
@@ -18,11 +18,10 @@
         match position.advance(feed) {
             FeedAction::Ignore => return,
             FeedAction::Resync => return self.resync(now, from, feed.topic.clone()),
-            FeedAction::Replace => {
-                if let Topic::Targets(domain) = &feed.topic {
-                    self.targets.clear_feed(domain);
-                }
-            }
+            FeedAction::Replace => match &feed.topic {
+                Topic::Targets(domain) => self.targets.clear_feed(domain),
+                Topic::Hosts => self.reset_suspects(&feed.changes),
+            },
             FeedAction::Append => {}
         }
         if before != feed.epoch {
@@ -45,7 +44,8 @@
                     self.update_log_hosts(now);
                 }
             }
-            FeedChange::Quarantined(request) => self.quarantine(*request),
+            FeedChange::Suspected(record) => self.merge_suspect(now, record),
+            FeedChange::Cleared(suspect) => self.clear_suspect(suspect),
             FeedChange::Target(number, record) => {
                 if self.merge_target(record) {
                     self.out.push(Output::RetryWaiting);
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -18,7 +18,6 @@
     holder::{HOLD_LEASES, HOLDER_MARGIN},
     io::Tag,
     operator::PendingRead,
-    quarantine::CrashCounts,
     replicated::ELECTION_TIMEOUT,
     targets::stable_hash,
 };
@@ -49,7 +48,6 @@
     renewal_granted: BTreeMap<HostId, Duration>,
     /// Incarnations that announced their end and send no more orders.
     ended: BTreeSet<(HostId, Incarnation)>,
-    pub(crate) crash_counts: CrashCounts,
     proposals: BTreeMap<(HostId, Tag), Command>,
     pending_reads: Vec<PendingRead>,
 }
@@ -77,7 +75,6 @@
             holder_proposed: BTreeMap::new(),
             renewal_granted: BTreeMap::new(),
             ended: BTreeSet::new(),
-            crash_counts: CrashCounts::default(),
             proposals: BTreeMap::new(),
             pending_reads: Vec::new(),
         };
@@ -266,10 +263,10 @@
         self.step_log(now, LogInput::SetVoters(voters));
     }
 
-    /// Full table of the feed of hosts: all hosts and the quarantined requests.
+    /// Full table of the feed of hosts: all hosts and the suspects whose requests need trials.
     fn hosts_table(&self) -> Vec<FeedChange> {
         let records = self.hosts.records().into_iter().map(FeedChange::Host);
-        records.chain(self.quarantined.changes()).collect()
+        records.chain(self.quarantine.changes()).collect()
     }
 
     /// Sends the full table of a topic to a host, if this host writes its feed.
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -33,6 +33,7 @@
 mod routes;
 mod row;
 mod settings;
+mod suspects;
 mod targets;
 
 pub use crate::{
@@ -45,6 +46,7 @@
     other_domains::OtherDomains,
     placement::{PlacementSettings, PlacementStep, PlacementTable},
     prefill::PrefillScheduler,
+    quarantine::Admission,
     request::{Choice, NoRoute, Outcome, Reservation, TargetQuery},
     routes::Routes,
     settings::{Bounds, Settings},
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -48,8 +48,7 @@
     pub(crate) renewed_at: Option<Duration>,
     /// When the last renewal was sent.
     pub(crate) renewal_sent: Option<Duration>,
-    /// Requests that crashed too many targets.
-    pub(crate) quarantined: Quarantine,
+    pub(crate) quarantine: Quarantine,
     pub(crate) requests: Requests,
     pub(crate) leading: Option<Leading>,
     pub(crate) operator_calls: OperatorCalls,
@@ -103,7 +102,7 @@
             held_domains: BTreeMap::new(),
             renewed_at: None,
             renewal_sent: None,
-            quarantined: Quarantine::default(),
+            quarantine: Quarantine::default(),
             requests: Requests::default(),
             leading: None,
             operator_calls: OperatorCalls::default(),
@@ -253,6 +252,7 @@
         self.tick_leading(now);
         self.tick_holding(now);
         self.tick_requests(now);
+        self.tick_quarantine(now);
         let granted = self.prefill.tick(now);
         self.send_permits(granted, 0);
         self.log_prompts(now);
@@ -350,7 +350,14 @@
             FleetMsg::AdapterDemand { domain, service, adapter, waiting } => {
                 self.handle_demand(now, from, &domain, &service, &adapter, waiting);
             }
-            FleetMsg::Crashed { request, target } => self.count_crash(now, request, &target),
+            FleetMsg::Crashed { crash, suspects, trials } => {
+                self.handle_crash(now, from, crash, &suspects, &trials);
+            }
+            FleetMsg::CrashCounted { crash } => self.crash_counted(crash),
+            FleetMsg::Sound { suspects } => self.publish_cleared(&suspects),
+            FleetMsg::TrialRequest { suspects } => self.handle_trial_request(now, from, &suspects),
+            FleetMsg::TrialGranted { suspects } => self.trial_granted(now, &suspects),
+            FleetMsg::TrialEnded { suspects } => self.trial_ended(from, &suspects),
             FleetMsg::Propose { tag, command } => {
                 if let Ok(command) = decode::<Command>(&command) {
                     self.propose(now, from, tag, command);
--- a/coordination/fleet/src/quarantine.rs
+++ b/coordination/fleet/src/quarantine.rs
@@ -1,114 +1,500 @@
 //! Quarantine of requests that crash the targets that run them.
 //!
-//! Such a request is repeated with the same method, host, path and body at any host. A host that loses a
-//! request together with its target reports this to the leader. After crashes of
-//! [`QUARANTINE_CRASHES`] different targets the leader quarantines the request, and no host sends it
-//! again.
+//! A host that loses requests together with their target reports to the leader what they had in
+//! them, the suspects. Each host keeps what it saw for a while and sends it to later leaders too.
+//! The leader counts different targets for each suspect and publishes those with two or more. From
+//! then on one request with such a suspect is sent at a time, at one host: a trial, which the leader
+//! grants. A request that runs without a crash clears its suspects everywhere; after a failed trial
+//! requests with the suspect are refused until the next trial is due. The replicated log keeps
+//! suspects with failed trials, so that they outlive all processes.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
-use wire::{FeedChange, FleetMsg, RequestHash};
+use desired::Command;
+use replog::Input as LogInput;
+use wire::{CrashId, FeedChange, FleetMsg, HostId, Suspect, SuspectRecord, encode};
 
-use crate::{Event, Host, io::Output};
-
-/// Number of crashed targets at which a request is quarantined.
-const QUARANTINE_CRASHES: usize = 3;
-/// Time that a request's crashes count after the latest one; targets also end for other reasons.
-const CRASH_TTL: Duration = Duration::from_secs(60);
-/// Maximum number of requests with crash counts, and of quarantined requests.
-const MAX_REQUESTS: usize = 1024;
+use crate::{
+    Event, Host,
+    io::Output,
+    stable_hash,
+    suspects::{CRASH_TTL, Grant, Hold, Suspects, TRIAL_CRASHES, TRIAL_TIMEOUT},
+};
 
-/// The targets that each request crashed, as counted by the leader, and the time of the latest
-/// crash.
-#[derive(Debug, Default)]
-pub(crate) struct CrashCounts {
-    crashed: BTreeMap<RequestHash, (BTreeSet<String>, Duration)>,
-}
+/// Time after which a report without an acknowledgement is sent again.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Number of reports to the leader without an acknowledgement after which one goes to all hosts.
+const LEADER_REPORTS: u32 = 2;
+/// Time after which a trial is asked for again.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(200);
+/// How long a granted trial may wait for a request of this host; then it goes back to the leader.
+const GRANT_TTL: Duration = Duration::from_millis(500);
+/// Time after a request ran without a crash during which its contents are not suspected here.
+const SOUND_TTL: Duration = Duration::from_millis(1000);
+/// Maximum number of contents whose last run without a crash is kept.
+const MAX_SOUND: usize = 4096;
+/// Maximum number of crashes that this host reports to later leaders.
+const MAX_REPORTS: usize = 256;
+/// Time between two proposals of what the log lacks.
+const PROPOSE_INTERVAL: Duration = Duration::from_millis(500);
 
-impl CrashCounts {
-    /// Counts a crash. Returns whether the request has crashed [`QUARANTINE_CRASHES`] targets.
-    fn add(&mut self, now: Duration, request: RequestHash, target: &str) -> bool {
-        self.crashed.retain(|_, (_, at)| now < *at + CRASH_TTL);
-        if self.crashed.len() >= MAX_REQUESTS && !self.crashed.contains_key(&request) {
-            let oldest = self.crashed.iter().min_by_key(|(_, (_, at))| *at);
-            if let Some((&oldest, _)) = oldest {
-                self.crashed.remove(&oldest);
-            }
-        }
-        let (targets, at) = self.crashed.entry(request).or_default();
-        targets.insert(target.to_owned());
-        *at = now;
-        targets.len() >= QUARANTINE_CRASHES
-    }
+/// A crash that this host saw.
+#[derive(Debug)]
+struct Report {
+    crash: CrashId,
+    suspects: Vec<Suspect>,
+    trials: Vec<Suspect>,
+    at: Duration,
+    sent: Duration,
+    /// Number of times that it was sent to the present leader.
+    sends: u32,
+    acknowledged: bool,
 }
 
-/// The quarantined requests, the oldest first.
+/// What this host knows of requests that crash targets.
 #[derive(Debug, Default)]
 pub(crate) struct Quarantine {
-    requests: Vec<RequestHash>,
+    suspects: Suspects,
+    reports: Vec<Report>,
+    /// Trials that the leader granted and no request has taken yet.
+    granted: BTreeMap<Suspect, Duration>,
+    /// Trials under way at this host, and since when.
+    running: BTreeMap<Suspect, Duration>,
+    /// When trials were last asked for.
+    asked: BTreeMap<Suspect, Duration>,
+    /// When a request with these contents last ran without a crash.
+    sound: HashMap<Suspect, Duration>,
+    /// On the leader: suspects whose release has to be in the log.
+    releases: BTreeSet<Suspect>,
+    proposed: Duration,
+}
+
+/// Whether a request may be sent, as far as its contents are suspected of crashing targets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admission {
+    /// It may be sent.
+    Free,
+    /// It may be sent once, as the trial of these suspects.
+    Trial(Vec<Suspect>),
+    /// It has to wait for a trial or for its suspects to be cleared.
+    Wait,
+    /// It is refused; the next trial is due after this time.
+    Refused(Duration),
 }
 
 impl Quarantine {
-    pub(crate) fn insert(&mut self, request: RequestHash) -> bool {
-        if self.requests.contains(&request) {
-            return false;
+    /// Forgets what was reported or granted for a suspect.
+    fn forget(&mut self, suspect: &Suspect) {
+        self.granted.remove(suspect);
+        self.running.remove(suspect);
+        self.asked.remove(suspect);
+        for report in &mut self.reports {
+            report.suspects.retain(|it| it != suspect);
+            report.trials.retain(|it| it != suspect);
         }
-        if self.requests.len() >= MAX_REQUESTS {
-            self.requests.remove(0);
-        }
-        self.requests.push(request);
-        true
     }
 
-    /// Feed changes that contain all quarantined requests.
+    /// Feed changes that contain all suspects whose requests need trials.
     pub(crate) fn changes(&self) -> impl Iterator<Item = FeedChange> {
-        self.requests.iter().map(|&it| FeedChange::Quarantined(it))
+        self.suspects.records().map(FeedChange::Suspected)
     }
 }
 
 impl Host {
-    /// Whether any request is quarantined.
-    pub fn has_quarantined(&self) -> bool {
-        !self.quarantined.requests.is_empty()
+    /// Decides whether a request with these contents may be sent now. Asks for a trial if it needs
+    /// one.
+    pub fn admit(&mut self, now: Duration, contents: &[Suspect]) -> (Admission, Vec<Output>) {
+        if self.quarantine.suspects.is_empty() {
+            return (Admission::Free, Vec::new());
+        }
+        let mut tried = Vec::new();
+        let mut due = None;
+        for suspect in contents {
+            match self.quarantine.suspects.hold(now, suspect) {
+                Hold::Free => {}
+                Hold::Trial => tried.push(*suspect),
+                Hold::Until(at) => due = due.max(Some(at)),
+            }
+        }
+        if let Some(due) = due {
+            return (Admission::Refused(due - now), Vec::new());
+        }
+        if tried.is_empty() {
+            return (Admission::Free, Vec::new());
+        }
+        let Quarantine { granted, running, .. } = &mut self.quarantine;
+        if tried.iter().all(|it| granted.contains_key(it)) {
+            for suspect in &tried {
+                granted.remove(suspect);
+                running.insert(*suspect, now);
+            }
+            return (Admission::Trial(tried), Vec::new());
+        }
+        running.retain(|_, at| now < *at + TRIAL_TIMEOUT);
+        if tried.iter().any(|it| running.contains_key(it)) {
+            return (Admission::Wait, Vec::new());
+        }
+        self.ask_for_trial(now, tried);
+        (Admission::Wait, self.finish(now))
+    }
+
+    /// Whether any suspect is known.
+    pub fn has_suspects(&self) -> bool {
+        !self.quarantine.suspects.is_empty()
+    }
+
+    /// Whether a request with these contents must not be sent without a trial.
+    pub fn needs_trial(&self, now: Duration, contents: &[Suspect]) -> bool {
+        let suspects = &self.quarantine.suspects;
+        !suspects.is_empty() && contents.iter().any(|it| suspects.hold(now, it) != Hold::Free)
+    }
+
+    fn ask_for_trial(&mut self, now: Duration, suspects: Vec<Suspect>) {
+        let asked = &mut self.quarantine.asked;
+        if suspects.iter().all(|it| asked.get(it).is_some_and(|at| now < *at + TRIAL_INTERVAL)) {
+            return;
+        }
+        asked.extend(suspects.iter().map(|it| (*it, now)));
+        let Some(leader) = self.leader else { return };
+        if leader == self.settings.host {
+            self.handle_trial_request(now, leader, &suspects);
+        } else {
+            self.send(leader, FleetMsg::TrialRequest { suspects });
+        }
+    }
+
+    pub(crate) fn handle_trial_request(
+        &mut self,
+        now: Duration,
+        from: HostId,
+        suspects: &[Suspect],
+    ) {
+        if self.leading.is_none() {
+            return;
+        }
+        match self.quarantine.suspects.grant(now, suspects, from) {
+            Grant::NotYet => {}
+            Grant::Granted if from == self.settings.host => self.trial_granted(now, suspects),
+            Grant::Granted => {
+                self.send(from, FleetMsg::TrialGranted { suspects: suspects.to_vec() });
+            }
+            Grant::Cleared => {
+                for &suspect in suspects {
+                    self.publish(FeedChange::Cleared(suspect));
+                }
+            }
+        }
+    }
+
+    pub(crate) fn trial_granted(&mut self, now: Duration, suspects: &[Suspect]) {
+        let running = &self.quarantine.running;
+        if suspects.iter().any(|it| running.contains_key(it)) {
+            return;
+        }
+        for &suspect in suspects {
+            self.quarantine.granted.insert(suspect, now);
+            self.log(Event::Trial { suspect: suspect.to_string() });
+        }
+        self.out.push(Output::RetryWaiting);
+    }
+
+    /// Ends a trial that neither crashed its target nor ran without a crash.
+    pub fn end_trial(&mut self, now: Duration, suspects: &[Suspect]) -> Vec<Output> {
+        self.give_back(suspects);
+        self.out.push(Output::RetryWaiting);
+        self.finish(now)
+    }
+
+    fn give_back(&mut self, suspects: &[Suspect]) {
+        for suspect in suspects {
+            self.quarantine.running.remove(suspect);
+        }
+        match self.leader {
+            Some(leader) if leader != self.settings.host => {
+                self.send(leader, FleetMsg::TrialEnded { suspects: suspects.to_vec() });
+            }
+            _ => self.trial_ended(self.settings.host, suspects),
+        }
     }
 
-    /// Whether a request is quarantined and must not be sent.
-    pub fn is_quarantined(&self, request: RequestHash) -> bool {
-        self.quarantined.requests.contains(&request)
+    pub(crate) fn trial_ended(&mut self, from: HostId, suspects: &[Suspect]) {
+        for suspect in suspects {
+            self.quarantine.suspects.end_trial(suspect, from);
+        }
     }
 
-    /// Reports to the leader that a request crashed the target that ran it.
+    /// Reports that a target crashed which this host's requests with the contents `suspects` had
+    /// not begun to answer; `started_at` is its start time in milliseconds since the epoch.
+    /// `trials` are those that were on trial.
     pub fn report_crash(
         &mut self,
         now: Duration,
-        request: RequestHash,
         target: &str,
+        started_at: u64,
+        mut suspects: Vec<Suspect>,
+        trials: Vec<Suspect>,
     ) -> Vec<Output> {
+        let sound = &self.quarantine.sound;
+        suspects.retain(|it| sound.get(it).is_none_or(|at| now >= *at + SOUND_TTL));
+        suspects.sort_unstable();
+        suspects.dedup();
+        if suspects.is_empty() {
+            return Vec::new();
+        }
+        for suspect in &trials {
+            self.quarantine.running.remove(suspect);
+        }
+        let crash = stable_hash(&(target, started_at));
+        self.count_crash(now, crash, &suspects, &trials);
+        let reports = &mut self.quarantine.reports;
+        if reports.len() >= MAX_REPORTS {
+            reports.remove(0);
+        }
+        let sent = now.saturating_sub(REPORT_INTERVAL);
+        let report =
+            Report { crash, suspects, trials, at: now, sent, sends: 0, acknowledged: false };
+        reports.push(report);
+        self.send_reports(now);
+        self.finish(now)
+    }
+
+    /// Sends the reports that no leader has acknowledged.
+    fn send_reports(&mut self, now: Duration) {
+        let own = self.settings.host;
+        let leader = self.leader;
+        let mut messages = Vec::new();
+        for report in &mut self.quarantine.reports {
+            if report.acknowledged || now < report.sent + REPORT_INTERVAL {
+                continue;
+            }
+            if leader == Some(own) {
+                report.acknowledged = true;
+                continue;
+            }
+            report.sent = now;
+            report.sends += 1;
+            let msg = FleetMsg::Crashed {
+                crash: report.crash,
+                suspects: report.suspects.clone(),
+                trials: report.trials.clone(),
+            };
+            let to_all =
+                report.sends == LEADER_REPORTS + 1 || (leader.is_none() && report.sends == 1);
+            messages.push((msg, to_all));
+        }
+        for (msg, to_all) in messages {
+            let to = if to_all { self.hosts.others() } else { leader.into_iter().collect() };
+            for host in to {
+                self.send(host, msg.clone());
+            }
+        }
+    }
+
+    /// Sends what this host saw to a new leader, whose counts may lack it.
+    pub(crate) fn leader_changed(&mut self) {
+        for report in &mut self.quarantine.reports {
+            report.acknowledged = false;
+            report.sends = 0;
+            report.sent = Duration::ZERO;
+        }
+        self.quarantine.asked.clear();
+        self.quarantine.granted.clear();
+    }
+
+    pub(crate) fn handle_crash(
+        &mut self,
+        now: Duration,
+        from: HostId,
+        crash: CrashId,
+        suspects: &[Suspect],
+        trials: &[Suspect],
+    ) {
+        self.count_crash(now, crash, suspects, trials);
+        if self.leading.is_some() {
+            self.send(from, FleetMsg::CrashCounted { crash });
+        }
+    }
+
+    pub(crate) fn crash_counted(&mut self, crash: CrashId) {
+        for report in self.quarantine.reports.iter_mut().filter(|it| it.crash == crash) {
+            report.acknowledged = true;
+            report.trials.clear();
+        }
+    }
+
+    /// Counts a crash, and publishes the suspects that need trials if this host leads.
+    fn count_crash(
+        &mut self,
+        now: Duration,
+        crash: CrashId,
+        suspects: &[Suspect],
+        trials: &[Suspect],
+    ) {
+        let table = &mut self.quarantine.suspects;
+        let mut records: Vec<SuspectRecord> = Vec::new();
+        for &suspect in suspects {
+            records.extend(table.add_crash(now, suspect, crash));
+        }
+        records.extend(table.fail_trials(now, trials, crash));
+        for record in records {
+            self.log_suspect(&record);
+            self.quarantine.releases.remove(&record.suspect);
+            self.publish(FeedChange::Suspected(record));
+        }
+    }
+
+    fn publish(&mut self, change: FeedChange) {
+        if let Some(leading) = &mut self.leading {
+            leading.feed.push(change);
+        }
+    }
+
+    fn log_suspect(&mut self, record: &SuspectRecord) {
+        self.log(Event::Barred {
+            suspect: record.suspect.to_string(),
+            crashes: record.crashes,
+            failed_trials: record.failed_trials,
+        });
+    }
+
+    /// Takes over what the leader or the log tells of a suspect.
+    pub(crate) fn merge_suspect(&mut self, now: Duration, record: &SuspectRecord) {
+        if self.quarantine.suspects.merge(now, record) {
+            self.log_suspect(record);
+        }
+    }
+
+    /// Reports that a request with these contents ran without a crash.
+    pub fn report_sound(&mut self, now: Duration, contents: &[Suspect]) -> Vec<Output> {
+        let quarantine = &mut self.quarantine;
+        if quarantine.sound.len() >= MAX_SOUND {
+            quarantine.sound.retain(|_, at| now < *at + SOUND_TTL);
+        }
+        if quarantine.sound.len() < MAX_SOUND {
+            quarantine.sound.extend(contents.iter().map(|it| (*it, now)));
+        }
+        if quarantine.suspects.is_empty() {
+            return Vec::new();
+        }
+        let mut cleared = Vec::new();
+        for suspect in contents {
+            if self.quarantine.suspects.contains(suspect) {
+                cleared.push(*suspect);
+            }
+        }
+        if cleared.is_empty() {
+            return Vec::new();
+        }
         match self.leader {
             Some(leader) if leader != self.settings.host => {
-                let target = target.to_owned();
-                self.send(leader, FleetMsg::Crashed { request, target });
+                self.send(leader, FleetMsg::Sound { suspects: cleared.clone() });
             }
-            _ => self.count_crash(now, request, target),
+            _ => self.publish_cleared(&cleared),
+        }
+        for suspect in &cleared {
+            self.clear_suspect(suspect);
         }
         self.finish(now)
     }
 
-    /// Counts a crash if this host leads, and publishes the quarantine of the request if it is due.
-    pub(crate) fn count_crash(&mut self, now: Duration, request: RequestHash, target: &str) {
-        let Some(leading) = &mut self.leading else { return };
-        if leading.crash_counts.add(now, request, target) {
-            leading.feed.push(FeedChange::Quarantined(request));
+    /// Publishes that suspects are cleared, if this host leads.
+    pub(crate) fn publish_cleared(&mut self, suspects: &[Suspect]) {
+        if self.leading.is_none() {
+            return;
+        }
+        for suspect in suspects {
+            self.clear_suspect(suspect);
+            self.publish(FeedChange::Cleared(*suspect));
+            self.quarantine.releases.insert(*suspect);
+        }
+    }
+
+    pub(crate) fn clear_suspect(&mut self, suspect: &Suspect) {
+        self.quarantine.forget(suspect);
+        if self.quarantine.suspects.clear(suspect) {
+            self.log(Event::Cleared { suspect: suspect.to_string() });
+            self.out.push(Output::RetryWaiting);
         }
     }
 
-    /// Quarantines a request on this host.
-    pub(crate) fn quarantine(&mut self, request: RequestHash) {
-        if self.quarantined.insert(request) {
-            self.log(Event::Barred { request: format!("{request:x}") });
+    /// Forgets the suspects that a full table of the leader lacks, but for those in the log and
+    /// those that this host has reported.
+    pub(crate) fn reset_suspects(&mut self, table: &[FeedChange]) {
+        let mut kept: BTreeSet<Suspect> = self.desired.quarantined.keys().copied().collect();
+        for change in table {
+            if let FeedChange::Suspected(record) = change {
+                kept.insert(record.suspect);
+            }
+        }
+        let Quarantine { suspects, reports, .. } = &mut self.quarantine;
+        let reported: BTreeSet<Suspect> =
+            reports.iter().flat_map(|it| it.suspects.iter().copied()).collect();
+        suspects.retain(|it| kept.contains(it) || reported.contains(it));
+    }
+
+    /// Takes over the suspects in the log.
+    pub(crate) fn apply_quarantined(&mut self, now: Duration) {
+        let quarantined = &self.desired.quarantined;
+        let records: Vec<SuspectRecord> = quarantined
+            .iter()
+            .map(|(&suspect, it)| SuspectRecord {
+                suspect,
+                crashes: TRIAL_CRASHES,
+                failed_trials: it.failed_trials,
+            })
+            .collect();
+        for record in records {
+            self.merge_suspect(now, &record);
+        }
+    }
+
+    pub(crate) fn tick_quarantine(&mut self, now: Duration) {
+        let quarantine = &mut self.quarantine;
+        if quarantine.suspects.is_empty() && quarantine.reports.is_empty() {
+            return;
+        }
+        quarantine.suspects.expire(now);
+        let unused = |at: &Duration| now >= *at + GRANT_TTL;
+        let expired: Vec<Suspect> = quarantine
+            .granted
+            .iter()
+            .filter(|(_, at)| unused(at))
+            .map(|(&suspect, _)| suspect)
+            .collect();
+        quarantine.granted.retain(|_, at| !unused(at));
+        if !expired.is_empty() {
+            self.give_back(&expired);
+        }
+        let quarantine = &mut self.quarantine;
+        quarantine.reports.retain(|it| now < it.at + CRASH_TTL && !it.suspects.is_empty());
+        self.send_reports(now);
+        self.propose_quarantine(now);
+    }
+
+    /// Lets the log keep the suspects with failed trials, and drop those that were cleared.
+    fn propose_quarantine(&mut self, now: Duration) {
+        if self.leading.is_none() || now < self.quarantine.proposed + PROPOSE_INTERVAL {
+            return;
+        }
+        let mut commands = Vec::new();
+        for record in self.quarantine.suspects.records().filter(|it| it.failed_trials > 0) {
+            let SuspectRecord { suspect, failed_trials, .. } = record;
+            commands.push(Command::Quarantine { suspect, failed_trials });
+        }
+        let quarantined = &self.desired.quarantined;
+        self.quarantine.releases.retain(|it| quarantined.contains_key(it));
+        let releases = self.quarantine.releases.iter();
+        commands.extend(releases.map(|&suspect| Command::Release { suspect }));
+        commands.retain(|it| !self.desired.is_redundant(it));
+        if commands.is_empty() {
+            return;
+        }
+        self.quarantine.proposed = now;
+        for command in commands {
+            self.step_log(now, LogInput::Propose(encode(&command).into()));
         }
     }
 }
--- a/coordination/fleet/src/replicated.rs
+++ b/coordination/fleet/src/replicated.rs
@@ -55,6 +55,7 @@
                 LogOutput::Leader { leader, term } => {
                     self.leader = leader;
                     self.leader_since = Some(now);
+                    self.leader_changed();
                     self.log(Event::Leader { leader, term });
                     self.operator_calls.resend_all();
                     self.join_sent = None;
@@ -92,6 +93,7 @@
                 }
                 self.apply_holders(now);
             }
+            (Applied::Quarantine, _) => self.apply_quarantined(now),
             (Applied::Version | Applied::Holder | Applied::Unchanged, _) => {}
         }
         self.configure_placement();
@@ -101,7 +103,7 @@
         if snapshot.state.is_empty() {
             return;
         }
-        match decode_state::<Desired>(&snapshot.state) {
+        match Desired::decode(&snapshot.state) {
             Ok(desired) => {
                 let newer = desired.number() > self.desired.number();
                 for (adapter, version) in &desired.versions {
@@ -111,6 +113,7 @@
                 }
                 self.desired = desired;
                 self.apply_holders(now);
+                self.apply_quarantined(now);
                 if newer {
                     self.config_applied(now, snapshot.index);
                 }
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -61,6 +61,8 @@
     pub target: String,
     /// IP address and port of the target.
     pub addr: String,
+    /// Start time of the target, in milliseconds since the epoch.
+    pub started_at: u64,
     adapter: AdapterHash,
 }
 
@@ -152,7 +154,8 @@
                 let Some(target) = self.targets.get_mut(&id) else { return Choice::None };
                 *target.running.entry(hash).or_default() += 1;
                 let addr = target.record.addr.clone();
-                Choice::Send(Reservation { target: id, addr, adapter: hash })
+                let started_at = target.record.started_at;
+                Choice::Send(Reservation { target: id, addr, started_at, adapter: hash })
             }
             Pick::NoAdapter => Choice::Wait,
             Pick::Full => Choice::Full,
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -7,13 +7,13 @@
 };
 
 use fleet::{
-    Bounds, Config, Engine, Host, Input, Limits, Model, Order, OrderOutcome, Output, Reply, Report,
-    RequestKind, Route, Service, Settings, Tag, TargetQuery,
+    Admission, Bounds, Config, Engine, Host, Input, Limits, Model, Order, OrderOutcome, Output,
+    Reply, Report, RequestKind, Route, Service, Settings, Tag, TargetQuery,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use replog::{HardState, Op, Recovered, Write};
-use wire::{HostId, PeerMsg, TargetRecord, TargetState};
+use wire::{HostId, PeerMsg, Suspect, TargetRecord, TargetState};
 
 const TICK: Duration = Duration::from_millis(50);
 
@@ -365,13 +365,30 @@
         self.apply_outputs(host, outputs);
     }
 
-    /// Lets a host report that a request crashed a target.
-    pub fn crashed(&mut self, host: HostId, request: u64, target: &str) {
+    /// Lets a host call one of its methods, and carries out the outputs.
+    pub fn call<T>(
+        &mut self,
+        host: HostId,
+        call: impl FnOnce(&mut Host, Duration) -> (T, Vec<Output>),
+    ) -> T {
         let now = self.now;
         let machine = self.machines.get_mut(&host).expect("the host exists");
-        let Some(state) = &mut machine.host else { return };
-        let outputs = state.report_crash(now, request, target);
+        let state = machine.host.as_mut().expect("the host runs");
+        let (result, outputs) = call(state, now);
         self.apply_outputs(host, outputs);
+        result
+    }
+
+    /// Lets a host report that the first process of a target crashed with requests in it.
+    pub fn crashed(&mut self, host: HostId, suspects: &[Suspect], target: &str) {
+        self.call(host, |state, now| {
+            ((), state.report_crash(now, target, 1, suspects.to_vec(), Vec::new()))
+        });
+    }
+
+    /// Returns whether a host sends a request with these contents.
+    pub fn admit(&mut self, host: HostId, contents: &[Suspect]) -> Admission {
+        self.call(host, |state, now| state.admit(now, contents))
     }
 
     /// Returns the time, target and sending host of all orders, in order of time.
--- a/coordination/fleet/tests/hosts.rs
+++ b/coordination/fleet/tests/hosts.rs
@@ -275,30 +275,3 @@
         assert_eq!(count(host), 60, "host {host}, the leader is {leader}");
     }
 }
-
-/// A request that crashes three targets is quarantined on all hosts soon after, also on hosts that
-/// join later and under a later leader.
-#[test]
-fn a_request_that_crashes_targets_is_quarantined() {
-    let mut world = World::new(6, 3, 3, &[1, 2, 3]);
-    world.run(ms(5000));
-    let quarantined = |world: &World| {
-        let hosts = world.running().into_iter();
-        let host = |it| world.machines[&it].host.as_ref().expect("it runs");
-        hosts.filter(|&it| host(it).is_quarantined(77)).count()
-    };
-    for (host, target) in [(4, "t1"), (5, "t2"), (5, "t2"), (6, "t1")] {
-        world.crashed(host, 77, target);
-        world.run(ms(500));
-    }
-    assert_eq!(quarantined(&world), 0, "two targets are not enough");
-    world.crashed(6, 77, "t3");
-    world.run(ms(1000));
-    assert_eq!(quarantined(&world), 6);
-    let leader = world.leader().expect("a leader");
-    world.kill(leader);
-    world.run(ms(4000));
-    world.add(20, false);
-    world.run(ms(2000));
-    assert_eq!(quarantined(&world), 6, "five hosts and the new one");
-}
--- /dev/null
+++ b/coordination/fleet/tests/quarantine.rs
@@ -0,0 +1,254 @@
+//! What the hosts together know of requests that crash targets, and what they do meanwhile.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{World, ms};
+use fleet::Admission;
+use wire::{HostId, Suspect};
+
+const CAUSE: Suspect = Suspect::Request(77);
+const SOUND: Suspect = Suspect::Request(78);
+
+/// Time until each host knows of a crash, and suspects that are in use would be cleared.
+const SPREAD: Duration = Duration::from_millis(500);
+
+/// Three hosts with a disk and three without, which have elected a leader.
+fn world(seed: u64) -> World {
+    let mut world = World::new(seed, 3, 3, &[1, 2, 3]);
+    world.run(ms(5000));
+    world
+}
+
+/// Lets a host ask for a trial, and returns whether it gets it.
+fn get_trial(world: &mut World, host: HostId, contents: &[Suspect]) -> bool {
+    for _ in 0..4 {
+        if matches!(world.admit(host, contents), Admission::Trial(_)) {
+            return true;
+        }
+        world.run(ms(100));
+    }
+    false
+}
+
+/// Lets a host try a suspect at a target, which crashes.
+fn fail_trial(world: &mut World, host: HostId, suspect: Suspect, target: &str) {
+    assert!(get_trial(world, host, &[suspect]), "host {host} gets no trial");
+    world.call(host, |state, now| {
+        ((), state.report_crash(now, target, 1, vec![suspect], vec![suspect]))
+    });
+    world.run(SPREAD);
+}
+
+/// Returns the hosts that send requests with a suspect without a trial.
+fn senders(world: &mut World, suspect: Suspect) -> Vec<HostId> {
+    let mut hosts = world.running();
+    hosts.retain(|&host| {
+        world.call(host, |state, now| (!state.needs_trial(now, &[suspect]), Vec::new()))
+    });
+    hosts
+}
+
+/// Returns the hosts that refuse requests with a suspect at once.
+fn refusers(world: &mut World, suspect: Suspect) -> Vec<HostId> {
+    let mut hosts = world.running();
+    hosts.retain(|&host| matches!(world.admit(host, &[suspect]), Admission::Refused(_)));
+    hosts
+}
+
+/// Guards against a request that crashes targets at one host after the other, also at hosts that
+/// join later and under a later leader.
+#[test]
+fn a_request_that_crashes_targets_is_quarantined() {
+    let mut world = world(6);
+    for (host, target) in [(4, "t1"), (5, "t1")] {
+        world.crashed(host, &[CAUSE], target);
+        world.run(SPREAD);
+    }
+    assert_eq!(senders(&mut world, CAUSE).len(), 6, "one target may crash for another cause");
+    world.crashed(6, &[CAUSE], "t2");
+    world.run(SPREAD);
+    assert_eq!(senders(&mut world, CAUSE), []);
+    fail_trial(&mut world, 5, CAUSE, "t3");
+    assert_eq!(refusers(&mut world, CAUSE).len(), 6);
+    let leader = world.leader().expect("a leader");
+    world.kill(leader);
+    world.run(ms(3000));
+    world.add(20, false);
+    world.run(ms(1000));
+    assert_eq!(refusers(&mut world, CAUSE).len(), 6, "five hosts and the new one");
+}
+
+/// Guards against crashes that were reported to a leader and lost with it before two of them met.
+#[test]
+fn the_next_leader_counts_earlier_crashes() {
+    let mut world = world(3);
+    let leader = world.leader().expect("a leader");
+    world.crashed(4, &[CAUSE], "t1");
+    world.run(SPREAD);
+    world.kill(leader);
+    world.run(ms(100));
+    world.crashed(5, &[CAUSE], "t2");
+    world.run(ms(4000));
+    assert_eq!(senders(&mut world, CAUSE), []);
+}
+
+/// Guards against hosts without a leader that each lose targets to the same request: they tell each
+/// other directly.
+#[test]
+fn hosts_without_a_leader_tell_each_other() {
+    let mut world = world(4);
+    for host in [1, 2, 3] {
+        world.kill(host);
+    }
+    world.run(ms(3000));
+    world.crashed(4, &[CAUSE], "t1");
+    world.crashed(5, &[CAUSE], "t2");
+    world.run(ms(2000));
+    assert_eq!(senders(&mut world, CAUSE), []);
+}
+
+/// Guards against reports of a host that was cut off and are lost with the cut.
+#[test]
+fn a_host_that_was_cut_off_reports_its_crashes_later() {
+    let mut world = world(5);
+    world.cut.insert(6);
+    world.crashed(6, &[CAUSE], "t1");
+    world.run(ms(4000));
+    world.crashed(5, &[CAUSE], "t2");
+    world.run(SPREAD);
+    assert_eq!(senders(&mut world, CAUSE).len(), 6, "nobody knows of both");
+    world.cut.clear();
+    world.run(ms(4000));
+    assert_eq!(senders(&mut world, CAUSE), []);
+}
+
+/// Guards against reports that a link loses.
+#[test]
+fn reports_are_repeated_until_they_are_counted() {
+    let mut world = world(13);
+    world.loss = 0.8;
+    world.crashed(4, &[CAUSE], "t1");
+    world.crashed(5, &[CAUSE], "t2");
+    world.run(ms(100));
+    world.loss = 0.0;
+    world.run(ms(2000));
+    assert_eq!(senders(&mut world, CAUSE), []);
+}
+
+/// Guards against a quarantine that ends because all processes restart, with a snapshot of the log
+/// between.
+#[test]
+fn a_quarantine_outlives_all_processes() {
+    let mut world = world(7);
+    world.crashed(4, &[CAUSE], "t1");
+    world.crashed(5, &[CAUSE], "t2");
+    world.run(SPREAD);
+    fail_trial(&mut world, 6, CAUSE, "t3");
+    world.run(ms(2000));
+    for host in 1..=6 {
+        world.kill(host);
+    }
+    for host in 1..=6 {
+        world.start(host);
+    }
+    world.run(ms(5000));
+    let leader = world.leader().expect("a leader");
+    for host in world.running() {
+        assert!(
+            matches!(world.admit(host, &[CAUSE]), Admission::Refused(_)),
+            "host {host}, the leader is {leader}"
+        );
+    }
+}
+
+/// Guards against a target that keeps its name when it starts again, and counts as one crash however
+/// often it ends.
+#[test]
+fn each_start_of_a_target_counts() {
+    let mut world = world(8);
+    for started_at in [1, 2] {
+        world.call(4, |state, now| {
+            ((), state.report_crash(now, "t1", started_at, vec![CAUSE], Vec::new()))
+        });
+    }
+    world.run(SPREAD);
+    assert_eq!(senders(&mut world, CAUSE), []);
+}
+
+/// Guards against many trials at once of what may crash targets.
+#[test]
+fn a_suspect_is_tried_at_one_host_at_a_time() {
+    let mut world = world(9);
+    world.crashed(4, &[CAUSE], "t1");
+    world.crashed(5, &[CAUSE], "t2");
+    world.run(SPREAD);
+    assert!(get_trial(&mut world, 6, &[CAUSE]));
+    for host in [1, 2, 4, 5, 6] {
+        assert!(!get_trial(&mut world, host, &[CAUSE]), "host {host}");
+    }
+    world.run(ms(1000));
+    world.call(6, |state, now| ((), state.end_trial(now, &[CAUSE])));
+    world.run(ms(100));
+    assert!(get_trial(&mut world, 4, &[CAUSE]), "the trial showed nothing, another may follow");
+    world.kill(4);
+    world.run(ms(11_000));
+    assert!(get_trial(&mut world, 5, &[CAUSE]), "the host that tried it is lost");
+}
+
+/// Guards against sound requests that stay refused because they were at targets that crashed for
+/// another cause.
+#[test]
+fn a_request_that_runs_clears_its_contents_everywhere() {
+    let mut world = world(10);
+    for (host, target) in [(4, "t1"), (5, "t2"), (6, "t3")] {
+        world.crashed(host, &[CAUSE, SOUND], target);
+    }
+    world.run(SPREAD);
+    assert_eq!(senders(&mut world, SOUND), []);
+    assert!(get_trial(&mut world, 6, &[SOUND]));
+    world.call(6, |state, now| ((), state.report_sound(now, &[SOUND])));
+    world.run(ms(100));
+    assert_eq!(senders(&mut world, SOUND).len(), 6);
+    assert_eq!(senders(&mut world, CAUSE), []);
+}
+
+/// Guards against a quarantine without end: the next trial is due after a while, later after each
+/// one that fails.
+#[test]
+fn a_quarantined_request_is_tried_again_later() {
+    let mut world = world(11);
+    world.crashed(4, &[CAUSE], "t1");
+    world.crashed(5, &[CAUSE], "t2");
+    world.run(SPREAD);
+    fail_trial(&mut world, 6, CAUSE, "t3");
+    world.run(ms(6000));
+    fail_trial(&mut world, 5, CAUSE, "t4");
+    world.run(ms(6000));
+    assert!(!get_trial(&mut world, 4, &[CAUSE]), "the second one failed");
+    world.run(ms(30_000));
+    assert!(get_trial(&mut world, 4, &[CAUSE]));
+    world.call(4, |state, now| ((), state.report_sound(now, &[CAUSE])));
+    world.run(ms(1000));
+    assert_eq!(senders(&mut world, CAUSE).len(), 6);
+    let leader = world.leader().expect("a leader");
+    world.kill(leader);
+    world.run(ms(4000));
+    assert_eq!(senders(&mut world, CAUSE).len(), 5, "the log has dropped it too");
+}
+
+/// Guards against a full table that forgets the request in quarantine for others that were lost once.
+#[test]
+fn a_full_table_keeps_the_quarantine() {
+    let mut world = world(12);
+    world.crashed(4, &[CAUSE], "t1");
+    world.crashed(5, &[CAUSE], "t2");
+    world.run(SPREAD);
+    fail_trial(&mut world, 6, CAUSE, "t3");
+    let others: Vec<Suspect> = (1000..4000).map(Suspect::Request).collect();
+    world.crashed(4, &others, "t4");
+    world.crashed(5, &others, "t5");
+    world.run(SPREAD);
+    assert_eq!(refusers(&mut world, CAUSE).len(), 6);
+}
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     client::{Client, Connection, SendError, collect},
+    crash::CrashChecks,
     disk::DiskQueue,
     log::Log,
     metrics::Metrics,
@@ -46,6 +47,7 @@
     pub(crate) pending_calls: RefCell<HashMap<Tag, oneshot::Sender<Reply>>>,
     pub(crate) next_tag: Cell<Tag>,
     pub(crate) permits: crate::permit::PermitTable,
+    pub(crate) crash_checks: CrashChecks,
     pub(crate) log: Log,
     pub(crate) metrics: Metrics,
     /// Callers' requests in progress.
@@ -81,6 +83,7 @@
             pending_calls: RefCell::default(),
             next_tag: Cell::new(1),
             permits: Default::default(),
+            crash_checks: CrashChecks::default(),
             log,
             metrics: Metrics::new(),
             active: Cell::new(0),
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod client;
 mod control;
+mod crash;
 mod disk;
 mod edge;
 mod error;
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -1,10 +1,10 @@
 //! Relays one caller's request: reserves a target, sends the request, retries within the limits,
 //! and forwards the answer.
 
-use std::{fmt::Write as _, rc::Rc, time::Duration};
+use std::{cell::OnceCell, fmt::Write as _, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use fleet::{Choice, Event, Outcome, RequestKind, TargetQuery, stable_hash};
+use fleet::{Admission, Choice, Event, Outcome, RequestKind, TargetQuery, stable_hash};
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -13,11 +13,12 @@
     matches_attempt,
 };
 use tokio::time::{sleep, timeout};
-use wire::RequestHash;
+use wire::Suspect;
 
 use crate::{
     answer::{Answer, AnswerBody, empty, not_run},
     client::{Connection, SendError, collect},
+    crash::{self, LostRequest, TrialGuard},
     edge::Edge,
     front::ActiveRequest,
     listen::Caller,
@@ -53,6 +54,8 @@
 /// Replaces [`RETRY_DELAY`] while no holder is active: first a leader must be elected and the
 /// lease of the previous holder must expire.
 const RETRY_DELAY_NO_HOLDER: Duration = Duration::from_millis(3500);
+/// Maximum `Retry-After` for a request that is refused because its contents may crash targets.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(60);
 
 /// A caller's request that is being relayed.
 pub(crate) struct Job {
@@ -69,6 +72,13 @@
     /// Sends that a target may have started to run.
     sends: u32,
     may_have_run: bool,
+    /// What other requests may have in common with it that may crash targets.
+    contents: OnceCell<Vec<Suspect>>,
+    trial: Option<TrialGuard>,
+    /// Whether a target has begun to answer it.
+    begun: bool,
+    /// Time to the next trial of its suspects, if it is refused for them.
+    trial_due: Option<Duration>,
     /// A target's error answer, forwarded if no further send succeeds.
     fallback: Option<Answer>,
     /// The decisions so far, for the log line.
@@ -86,6 +96,8 @@
     NoTarget,
     /// The request's deadline has passed.
     DeadlinePassed,
+    /// Its contents are suspected of crashing targets; the next trial is due after this time.
+    Quarantined(Duration),
 }
 
 /// How a send ended.
@@ -122,6 +134,10 @@
             deadline,
             sends: 0,
             may_have_run: false,
+            contents: OnceCell::new(),
+            trial: None,
+            begun: false,
+            trial_due: None,
             fallback: None,
             steps: String::new(),
         }
@@ -168,6 +184,7 @@
         let max_wait =
             left.mul_f64(RESERVE_WAIT_SHARE).min(self.objective().mul_f64(RESERVE_WAIT_OBJECTIVES));
         let mut waiting = None;
+        let mut awaits_trial = false;
         loop {
             let now = edge.now();
             if now >= self.deadline {
@@ -175,7 +192,14 @@
             }
             let mut wake = std::pin::pin!(edge.wake.notified());
             wake.as_mut().enable();
-            let choice = edge.host.borrow_mut().choose(now, &self.query, rand::random());
+            let choice = if self.admit(now)? {
+                edge.host.borrow_mut().choose(now, &self.query, rand::random())
+            } else {
+                if !std::mem::replace(&mut awaits_trial, true) {
+                    self.add_step("waits", "for a trial");
+                }
+                Choice::Full
+            };
             let (until, interval, why) = match choice {
                 Choice::Send(reservation) => {
                     edge.metrics.observe_part("wait", now.saturating_sub(started).as_secs_f64());
@@ -251,7 +275,7 @@
         if target_may_have_run && !self.kind().is_idempotent() {
             return false;
         }
-        if self.sends >= self.query.route.attempts || self.is_quarantined() {
+        if self.sends >= self.query.route.attempts {
             return false;
         }
         if self.deadline < now + self.objective().mul_f64(MIN_RETRY_OBJECTIVES) {
@@ -260,10 +284,49 @@
         self.edge.host.borrow_mut().try_retry(now, &self.query.service)
     }
 
-    /// Whether the request is quarantined because it crashed too many targets.
-    fn is_quarantined(&self) -> bool {
+    /// Whether the request may be sent now, as far as its contents may crash targets. Otherwise it
+    /// waits for a trial.
+    fn admit(&mut self, now: Duration) -> Result<bool, NoReservation> {
+        if self.trial.is_some() || !self.edge.host.borrow().has_suspects() {
+            return Ok(true);
+        }
+        let (admission, outputs) = self.edge.host.borrow_mut().admit(now, self.contents());
+        self.edge.carry_out(outputs);
+        match admission {
+            Admission::Free => Ok(true),
+            Admission::Trial(suspects) => {
+                self.add_step("tries", &join(&suspects));
+                self.trial = Some(TrialGuard::new(&self.edge, suspects));
+                Ok(true)
+            }
+            Admission::Wait => Ok(false),
+            Admission::Refused(due) => Err(NoReservation::Quarantined(due)),
+        }
+    }
+
+    /// Whether the request has become suspected since it was admitted.
+    fn needs_trial(&self) -> bool {
         let host = self.edge.host.borrow();
-        host.has_quarantined() && host.is_quarantined(self.request_hash())
+        self.trial.is_none()
+            && host.has_suspects()
+            && host.needs_trial(self.edge.now(), self.contents())
+    }
+
+    /// Records that a target began to answer the request, so that nothing in it crashes targets.
+    pub(crate) fn record_begun(&mut self) {
+        if std::mem::replace(&mut self.begun, true) {
+            return;
+        }
+        self.trial = self.trial.take().and_then(|it| {
+            it.finish();
+            None
+        });
+        if !self.edge.host.borrow().has_suspects() {
+            return;
+        }
+        let now = self.edge.now();
+        let outputs = self.edge.host.borrow_mut().report_sound(now, self.contents());
+        self.edge.carry_out(outputs);
     }
 
     /// Returns the path with the query.
@@ -310,6 +373,11 @@
     ) -> SendOutcome {
         let edge = self.edge.clone();
         let id = reservation.target().to_owned();
+        if self.needs_trial() {
+            self.add_step("held back from", &id);
+            reservation.end(Outcome::Left);
+            return SendOutcome::Retry;
+        }
         let reused = if self.kind().is_idempotent() { edge.client.reuse(&id) } else { None };
         let mut connection = match reused {
             Some(connection) => connection,
@@ -368,39 +436,33 @@
         SendOutcome::Retry
     }
 
-    /// Returns the hash that identifies the request if it is repeated: of its method, host, path
-    /// and body. A caller may repeat it from another address.
-    fn request_hash(&self) -> RequestHash {
-        let host = self.parts.headers.get(header::HOST).map(HeaderValue::as_bytes);
-        stable_hash(&(self.parts.method.as_str(), host, self.path(), &self.body[..]))
+    /// Returns what identifies the request if it is repeated: a hash of its method, host, path and
+    /// body. A caller may repeat it from another address.
+    fn contents(&self) -> &[Suspect] {
+        self.contents.get_or_init(|| {
+            let host = self.parts.headers.get(header::HOST).map(HeaderValue::as_bytes);
+            let whole =
+                stable_hash(&(self.parts.method.as_str(), host, self.path(), &self.body[..]));
+            vec![Suspect::Request(whole)]
+        })
     }
 
-    /// Checks whether a target that broke off before any data of its answer arrived has crashed. If
-    /// so, the request may be the cause, and the crash is counted against it.
-    pub(crate) fn check_crash(&self, reservation: &ReservationGuard) {
-        let (edge, request) = (self.edge.clone(), self.request_hash());
-        let (target, addr) =
-            (reservation.reservation.target.clone(), reservation.reservation.addr.clone());
-        let crashed = Event::Crashed {
+    /// Checks whether a target that broke off before it began to answer has crashed. If so, the
+    /// request may be the cause, and the crash is counted against it.
+    pub(crate) fn check_crash(&mut self, reservation: &ReservationGuard) {
+        if self.begun {
+            return;
+        }
+        let caller = self.parts.extensions.get::<Caller>();
+        let lost = LostRequest {
             id: self.head.attempt.clone(),
-            request: format!("{request:x}"),
-            caller: self
-                .parts
-                .extensions
-                .get::<Caller>()
-                .map(ToString::to_string)
-                .unwrap_or_default(),
+            caller: caller.map(ToString::to_string).unwrap_or_default(),
             path: self.path().to_owned(),
-            body: format!("{:x}", stable_hash(&&self.body[..])),
-            target: target.clone(),
+            body_hash: stable_hash(&&self.body[..]),
+            contents: self.contents().to_vec(),
+            trial: self.trial.take(),
         };
-        tokio::task::spawn_local(async move {
-            if edge.client.refuses_connections(&addr).await {
-                edge.log.request(edge.now(), true, || crashed);
-                let outputs = edge.host.borrow_mut().report_crash(edge.now(), request, &target);
-                edge.carry_out(outputs);
-            }
-        });
+        crash::check(&self.edge, &reservation.reservation, lost);
     }
 
     /// Records a send without a usable answer, and returns whether the request may be sent again.
@@ -453,6 +515,8 @@
                 status
             };
             empty(status)
+        } else if let Some(due) = self.trial_due.take() {
+            not_run(due.min(MAX_RETRY_DELAY), RETRY_DELAY_SPREAD)
         } else {
             let has_holder = self.edge.host.borrow().has_active_holder(self.edge.now());
             let min_delay = if has_holder { RETRY_DELAY } else { RETRY_DELAY_NO_HOLDER };
@@ -475,12 +539,14 @@
         let body = timeout(left, collect(body)).await.ok().flatten();
         let signed = is_signed(&parts.headers);
         let Some(body) = body.filter(|_| signed || !parts.status.is_success()) else {
+            self.check_crash(&reservation);
             return match self.fail_send(reservation, "broken", StatusCode::BAD_GATEWAY) {
                 SendOutcome::Final(status) => Some(self.fail(status, "broken")),
                 SendOutcome::Retry | SendOutcome::Head(_) => None,
             };
         };
         self.edge.client.keep(connection, &parts.headers);
+        self.record_begun();
         let failed = parts.status.is_server_error();
         let target = reservation.target().to_owned();
         reservation.end(if failed { Outcome::Failed } else { Outcome::Answered(delay) });
@@ -501,9 +567,6 @@
 
 /// Relays a request and returns the answer for its caller.
 pub(crate) async fn relay(mut job: Job) -> Answer {
-    if job.is_quarantined() {
-        return job.fail(StatusCode::SERVICE_UNAVAILABLE, "barred");
-    }
     loop {
         let reservation = match job.reserve_with_permit().await {
             Ok(reservation) => reservation,
@@ -514,6 +577,10 @@
             Err(NoReservation::NoTarget) => {
                 return job.fail(StatusCode::SERVICE_UNAVAILABLE, "no_target");
             }
+            Err(NoReservation::Quarantined(due)) => {
+                job.trial_due = Some(due);
+                return job.fail(StatusCode::SERVICE_UNAVAILABLE, "barred");
+            }
             Err(NoReservation::DeadlinePassed) => {
                 return job.fail(StatusCode::GATEWAY_TIMEOUT, "late");
             }
@@ -539,3 +606,8 @@
         }
     }
 }
+
+fn join(suspects: &[Suspect]) -> String {
+    let texts: Vec<String> = suspects.iter().map(Suspect::to_string).collect();
+    texts.join(" ")
+}
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -105,7 +105,7 @@
     *answer.headers_mut() = answer_headers(&parts.headers);
     job.edge.metrics.observe_part("first", delay.as_secs_f64());
     let source =
-        Source { body, headers: parts.headers, connection, reservation, delay, started: false };
+        Source { body, headers: parts.headers, connection, reservation, delay, begun: false };
     let events = EventBuffer { last_event: job.head.last_event, ..EventBuffer::default() };
     tokio::task::spawn_local(forward_events(job, source, events, sender));
     answer
@@ -119,8 +119,8 @@
     reservation: ReservationGuard,
     /// Time until the head of its answer arrived.
     delay: Duration,
-    /// Whether any data has arrived from it.
-    started: bool,
+    /// Whether a complete event has arrived from it.
+    begun: bool,
 }
 
 /// Why reading from a source ended.
@@ -139,7 +139,7 @@
     sender: Sender<Chunk>,
 ) {
     loop {
-        match forward_source(&job, &mut source, &mut events, &sender).await {
+        match forward_source(&mut job, &mut source, &mut events, &sender).await {
             StreamEnd::Complete => {
                 source.reservation.end(Outcome::Answered(source.delay));
                 job.edge.client.keep(source.connection, &source.headers);
@@ -168,7 +168,7 @@
             StreamEnd::Broken => {}
         }
         drop(source.connection);
-        if !source.started {
+        if !source.begun {
             job.check_crash(&source.reservation);
         }
         let retry = matches!(
@@ -218,14 +218,14 @@
             connection,
             reservation,
             delay,
-            started: false,
+            begun: false,
         });
     }
 }
 
 /// Forwards the events of one source until it ends.
 async fn forward_source(
-    job: &Job,
+    job: &mut Job,
     source: &mut Source,
     events: &mut EventBuffer,
     sender: &Sender<Chunk>,
@@ -247,11 +247,12 @@
             },
         };
         source.reservation.prompt_prefilled();
-        source.started = true;
         let Some(complete) = events.push(&bytes) else { return StreamEnd::Broken };
         if complete.is_empty() {
             continue;
         }
+        source.begun = true;
+        job.record_begun();
         events.record_forwarded(job.edge.now());
         tokio::select! {
             sent = sender.send(Ok(complete)) => {
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -14,6 +14,35 @@
 /// A hash of a request's method, host, path and body.
 pub type RequestHash = u64;
 
+/// A hash of the name and the start time of a target that crashed.
+pub type CrashId = u64;
+
+/// Something that several requests can have in common and that may crash the targets that run them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Suspect {
+    /// The whole content of a request.
+    Request(RequestHash),
+}
+
+impl std::fmt::Display for Suspect {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Suspect::Request(hash) => write!(f, "request:{hash:x}"),
+        }
+    }
+}
+
+/// What the hosts together know of a suspect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectRecord {
+    /// The suspect.
+    pub suspect: Suspect,
+    /// Number of targets that crashed while they had requests with it.
+    pub crashes: u16,
+    /// Number of trials that crashed their target.
+    pub failed_trials: u16,
+}
+
 /// The replicated record of a host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostRecord {
@@ -87,8 +116,10 @@
     Placed(Placement),
     /// Requests for an adapter may no longer go to a target.
     Removed(Placement),
-    /// A request is quarantined: it crashed targets and is not sent again.
-    Quarantined(RequestHash),
+    /// A suspect is new, or more is known of it.
+    Suspected(SuspectRecord),
+    /// A suspect is cleared: a request with it ran without a crash.
+    Cleared(Suspect),
 }
 
 /// Identifies a feed among those of its topic; later feeds are higher. Consists of the writer's
@@ -247,12 +278,39 @@
         /// The number of waiting requests.
         waiting: u16,
     },
-    /// Reports to the leader that a request crashed the target that ran it.
+    /// Reports to the leader, or to all hosts without one, that a target crashed.
     Crashed {
-        /// The request's hash.
-        request: RequestHash,
-        /// The target's name.
-        target: String,
+        /// The crash.
+        crash: CrashId,
+        /// What the sender's requests at the target had in them that it had not begun to answer.
+        suspects: Vec<Suspect>,
+        /// Those of the suspects that were on trial at the target.
+        trials: Vec<Suspect>,
+    },
+    /// Answers [`FleetMsg::Crashed`]: the leader has counted the crash.
+    CrashCounted {
+        /// The crash.
+        crash: CrashId,
+    },
+    /// Reports to the leader that requests with these suspects ran without a crash.
+    Sound {
+        /// The suspects.
+        suspects: Vec<Suspect>,
+    },
+    /// Asks the leader for a trial: the right to send one request with these suspects.
+    TrialRequest {
+        /// The suspects.
+        suspects: Vec<Suspect>,
+    },
+    /// Answers [`FleetMsg::TrialRequest`] when the trial is granted.
+    TrialGranted {
+        /// The suspects.
+        suspects: Vec<Suspect>,
+    },
+    /// Ends a trial that showed nothing.
+    TrialEnded {
+        /// The suspects.
+        suspects: Vec<Suspect>,
     },
     /// Proposes a command to the leader. The sender learns that the command is in force when it
     /// applies the log entry.
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -20,9 +20,9 @@
     },
     error::{ErrorInfo, ErrorKind, Fault, Ran, Retry, error_chain},
     fleet::{
-        AdapterHash, DomainLoads, Epoch, Feed, FeedChange, FleetMsg, HostRecord, HostStatus,
-        Placement, PrefillRequest, Renewal, RequestHash, Running, TargetNumber, TargetRecord,
-        TargetState, Topic,
+        AdapterHash, CrashId, DomainLoads, Epoch, Feed, FeedChange, FleetMsg, HostRecord,
+        HostStatus, Placement, PrefillRequest, Renewal, RequestHash, Running, Suspect,
+        SuspectRecord, TargetNumber, TargetRecord, TargetState, Topic,
     },
     id::{
         AdapterId, CallerId, DiskId, DomainId, Fence, Fingerprint, GroupId, HostId, Incarnation,
--- a/state/desired/src/lib.rs
+++ b/state/desired/src/lib.rs
@@ -9,7 +9,10 @@
 use bytes::Bytes;
 use flate2::{Compression, read::DeflateDecoder, read::DeflateEncoder};
 use serde::{Deserialize, Serialize};
-use wire::{DomainId, Fence, HostId, Incarnation, Index};
+use wire::{DecodeError, DomainId, Fence, HostId, Incarnation, Index, Suspect, decode_state};
+
+/// Maximum number of quarantined suspects; the one that was quarantined first is dropped first.
+pub const MAX_QUARANTINED: usize = 1024;
 
 /// A change of the desired state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,6 +48,27 @@
         /// The fencing number of the holder's orders.
         fence: Fence,
     },
+    /// Quarantines a suspect: requests with it are refused but for trials.
+    Quarantine {
+        /// The suspect.
+        suspect: Suspect,
+        /// Number of trials that crashed their target.
+        failed_trials: u16,
+    },
+    /// Ends the quarantine of a suspect.
+    Release {
+        /// The suspect.
+        suspect: Suspect,
+    },
+}
+
+/// A suspect's entry in the desired state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quarantined {
+    /// Number of trials that crashed their target.
+    pub failed_trials: u16,
+    /// Log index of the command that set it.
+    pub index: Index,
 }
 
 /// The host that may send orders to the targets of a failure domain.
@@ -96,6 +120,8 @@
     Version,
     /// A failure domain has a new holder or fencing number.
     Holder,
+    /// A suspect was quarantined.
+    Quarantine,
     /// Nothing changed: the same or a higher number or version is in force, or the command only
     /// marks a holder as begun.
     Unchanged,
@@ -110,9 +136,34 @@
     pub versions: BTreeMap<String, u64>,
     /// The holder of each failure domain.
     pub holders: BTreeMap<DomainId, Holder>,
+    /// The quarantined suspects.
+    pub quarantined: BTreeMap<Suspect, Quarantined>,
+}
+
+/// The desired state as it was stored before it had quarantined suspects.
+#[derive(Deserialize)]
+struct WithoutQuarantine {
+    config: Option<Document>,
+    versions: BTreeMap<String, u64>,
+    holders: BTreeMap<DomainId, Holder>,
 }
 
 impl Desired {
+    /// Decodes a stored state, also one of a release without quarantined suspects.
+    ///
+    /// # Errors
+    ///
+    /// If the bytes are neither.
+    pub fn decode(bytes: &[u8]) -> Result<Desired, DecodeError> {
+        let error = match decode_state(bytes) {
+            Ok(desired) => return Ok(desired),
+            Err(error) => error,
+        };
+        let Ok(former) = decode_state::<WithoutQuarantine>(bytes) else { return Err(error) };
+        let WithoutQuarantine { config, versions, holders } = former;
+        Ok(Desired { config, versions, holders, quarantined: BTreeMap::new() })
+    }
+
     /// Applies the command at log index `index`.
     pub fn apply(&mut self, index: Index, command: Command) -> Applied {
         match command {
@@ -132,6 +183,13 @@
                 }
                 Applied::Unchanged
             }
+            Command::Quarantine { suspect, failed_trials } => {
+                self.quarantine(index, suspect, failed_trials)
+            }
+            Command::Release { suspect } => {
+                self.quarantined.remove(&suspect);
+                Applied::Unchanged
+            }
         }
     }
 
@@ -144,6 +202,11 @@
             Command::StartOrders { domain, fence } => {
                 !self.holders.get(domain).is_some_and(|it| it.fence == *fence && it.must_wait)
             }
+            Command::Quarantine { suspect, failed_trials } => {
+                let known = self.quarantined.get(suspect);
+                known.is_some_and(|it| it.failed_trials >= *failed_trials)
+            }
+            Command::Release { suspect } => !self.quarantined.contains_key(suspect),
         }
     }
 
@@ -152,6 +215,21 @@
         self.config.as_ref().map(|it| it.number)
     }
 
+    fn quarantine(&mut self, index: Index, suspect: Suspect, failed_trials: u16) -> Applied {
+        let known = self.quarantined.get(&suspect);
+        if known.is_some_and(|it| it.failed_trials >= failed_trials) {
+            return Applied::Unchanged;
+        }
+        self.quarantined.insert(suspect, Quarantined { failed_trials, index });
+        if self.quarantined.len() > MAX_QUARANTINED {
+            let oldest = self.quarantined.iter().min_by_key(|(_, it)| it.index);
+            if let Some((&oldest, _)) = oldest {
+                self.quarantined.remove(&oldest);
+            }
+        }
+        Applied::Quarantine
+    }
+
     fn replace(&mut self, number: u64, body: Bytes) -> Applied {
         if self.number() >= Some(number) {
             return Applied::Unchanged;
--- a/state/desired/tests/desired.rs
+++ b/state/desired/tests/desired.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use desired::{Applied, Command, Desired};
-use wire::{HostId, Incarnation};
+use wire::{HostId, Incarnation, Suspect};
 
 fn replace(number: u64, body: &'static str) -> Command {
     Command::Replace { number, body: Bytes::from_static(body.as_bytes()) }
@@ -84,3 +84,31 @@
     assert_eq!(desired::unpack(&packed).as_deref(), Some(document.as_bytes()));
     assert_eq!(desired::unpack(b"{not packed"), None);
 }
+
+/// Guards against a stored state of an earlier release that can't be read any more: it ends before
+/// the quarantined suspects.
+#[test]
+fn a_state_without_quarantine_is_read() {
+    let mut state = Desired::default();
+    state.apply(1, replace(7, "seven"));
+    state.apply(4, hold(1, 10));
+    let bytes = wire::encode(&state);
+    let (former, empty_table) = bytes.split_at(bytes.len() - 1);
+    assert_eq!(empty_table, [0]);
+    assert_eq!(Desired::decode(former).expect("an earlier form"), state);
+    assert_eq!(Desired::decode(&bytes).expect("the present form"), state);
+    assert!(Desired::decode(&former[..former.len() - 1]).is_err());
+}
+
+#[test]
+fn a_quarantine_only_grows_until_its_release() {
+    let mut state = Desired::default();
+    let suspect = Suspect::Request(7);
+    let set = |failed_trials| Command::Quarantine { suspect, failed_trials };
+    assert_eq!(state.apply(1, set(2)), Applied::Quarantine);
+    assert!(state.is_redundant(&set(1)));
+    assert_eq!(state.apply(2, set(1)), Applied::Unchanged);
+    assert_eq!(state.quarantined[&suspect].failed_trials, 2);
+    state.apply(3, Command::Release { suspect });
+    assert!(state.quarantined.is_empty());
+}
