Stop requests with a prompt part that crashes targets, and clear sound parts

Callers lost requests of one kind: a part of their prompts crashed one target after the other, and sound requests beside them were lost with the targets. Change: the shared parts of a prompt (all but the last) are suspects too, by their ids.

--- a/coordination/fleet/src/quarantine.rs
+++ b/coordination/fleet/src/quarantine.rs
@@ -28,6 +28,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 /// Number of reports to the leader without an acknowledgement after which one goes to all hosts.
 const LEADER_REPORTS: u32 = 2;
+/// Time that a request with several suspects waits for others to clear all but one of them.
+const JOINT_TRIAL_WAIT: Duration = Duration::from_millis(600);
 /// Time after which a trial is asked for again.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a granted trial may wait for a request of this host; then it goes back to the leader.
@@ -104,9 +106,14 @@
 }
 
 impl Host {
-    /// Decides whether a request with these contents may be sent now. Asks for a trial if it needs
-    /// one.
-    pub fn admit(&mut self, now: Duration, contents: &[Suspect]) -> (Admission, Vec<Output>) {
+    /// Decides whether a request with these contents, which has waited for `waited`, may be sent now.
+    /// Asks for a trial if it needs one.
+    pub fn admit(
+        &mut self,
+        now: Duration,
+        contents: &[Suspect],
+        waited: Duration,
+    ) -> (Admission, Vec<Output>) {
         if self.quarantine.suspects.is_empty() {
             return (Admission::Free, Vec::new());
         }
@@ -125,6 +132,9 @@
         if tried.is_empty() {
             return (Admission::Free, Vec::new());
         }
+        if tried.len() > 1 && waited < JOINT_TRIAL_WAIT {
+            return (Admission::Wait, Vec::new());
+        }
         let Quarantine { granted, running, .. } = &mut self.quarantine;
         if tried.iter().all(|it| granted.contains_key(it)) {
             for suspect in &tried {
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -388,7 +388,7 @@
 
     /// Returns whether a host sends a request with these contents.
     pub fn admit(&mut self, host: HostId, contents: &[Suspect]) -> Admission {
-        self.call(host, |state, now| state.admit(now, contents))
+        self.call(host, |state, now| state.admit(now, contents, ms(1000)))
     }
 
     /// Returns the time, target and sending host of all orders, in order of time.
--- a/coordination/fleet/tests/quarantine.rs
+++ b/coordination/fleet/tests/quarantine.rs
@@ -252,3 +252,28 @@
     world.run(SPREAD);
     assert_eq!(refusers(&mut world, CAUSE).len(), 6);
 }
+
+/// Guards against a sound part that is blamed with the deadly one because a request with both was
+/// tried: requests with one of them go first.
+#[test]
+fn suspects_are_tried_apart_where_requests_allow_it() {
+    let mut world = world(14);
+    let (deadly, sound) = (Suspect::Part(1), Suspect::Part(2));
+    for (host, target) in [(4, "t1"), (5, "t2")] {
+        world.crashed(host, &[deadly, sound], target);
+    }
+    world.run(SPREAD);
+    let admit = |world: &mut World, host, contents: &[Suspect], waited| {
+        world.call(host, |state, now| state.admit(now, contents, waited))
+    };
+    for _ in 0..4 {
+        assert_eq!(admit(&mut world, 4, &[deadly, sound], ms(100)), Admission::Wait);
+        world.run(ms(20));
+    }
+    assert!(get_trial(&mut world, 5, &[sound]), "the other request asks for no trial");
+    world.call(5, |state, now| ((), state.report_sound(now, &[sound])));
+    world.run(ms(50));
+    fail_trial(&mut world, 4, deadly, "t3");
+    assert_eq!(senders(&mut world, sound).len(), 6);
+    assert_eq!(refusers(&mut world, deadly).len(), 6);
+}
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -192,7 +192,7 @@
             }
             let mut wake = std::pin::pin!(edge.wake.notified());
             wake.as_mut().enable();
-            let choice = if self.admit(now)? {
+            let choice = if self.admit(now, started)? {
                 edge.host.borrow_mut().choose(now, &self.query, rand::random())
             } else {
                 if !std::mem::replace(&mut awaits_trial, true) {
@@ -285,12 +285,13 @@
     }
 
     /// Whether the request may be sent now, as far as its contents may crash targets. Otherwise it
-    /// waits for a trial.
-    fn admit(&mut self, now: Duration) -> Result<bool, NoReservation> {
+    /// waits for a trial; `started` is when it began to wait.
+    fn admit(&mut self, now: Duration, started: Duration) -> Result<bool, NoReservation> {
         if self.trial.is_some() || !self.edge.host.borrow().has_suspects() {
             return Ok(true);
         }
-        let (admission, outputs) = self.edge.host.borrow_mut().admit(now, self.contents());
+        let waited = now.saturating_sub(started);
+        let (admission, outputs) = self.edge.host.borrow_mut().admit(now, self.contents(), waited);
         self.edge.carry_out(outputs);
         match admission {
             Admission::Free => Ok(true),
@@ -321,11 +322,13 @@
             it.finish();
             None
         });
-        if !self.edge.host.borrow().has_suspects() {
+        let now = self.edge.now();
+        let mut host = self.edge.host.borrow_mut();
+        if !host.has_suspects() && self.head.shared_parts.is_empty() {
             return;
         }
-        let now = self.edge.now();
-        let outputs = self.edge.host.borrow_mut().report_sound(now, self.contents());
+        let outputs = host.report_sound(now, self.contents());
+        drop(host);
         self.edge.carry_out(outputs);
     }
 
@@ -436,14 +439,16 @@
         SendOutcome::Retry
     }
 
-    /// Returns what identifies the request if it is repeated: a hash of its method, host, path and
-    /// body. A caller may repeat it from another address.
+    /// Returns what other requests may share with this one: the whole content, as a hash of its
+    /// method, host, path and body, since a caller may repeat it from another address, and the
+    /// parts of its prompt.
     fn contents(&self) -> &[Suspect] {
         self.contents.get_or_init(|| {
+            let parts = self.head.shared_parts.iter().copied().map(Suspect::Part);
             let host = self.parts.headers.get(header::HOST).map(HeaderValue::as_bytes);
             let whole =
                 stable_hash(&(self.parts.method.as_str(), host, self.path(), &self.body[..]));
-            vec![Suspect::Request(whole)]
+            std::iter::once(Suspect::Request(whole)).chain(parts).collect()
         })
     }
 
--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -414,6 +414,8 @@
     pub path: String,
     pub attempt: String,
     pub last_event: u64,
+    /// The parts of the prompt, as the caller listed them.
+    pub prompt: String,
 }
 
 /// Reads the next request; none if the connection is closed.
@@ -435,7 +437,8 @@
                     .and_then(|it| it.parse().ok())
                     .unwrap_or(0);
                 bytes.drain(..end + 4 + length);
-                return Some(ReceivedRequest { path, attempt, last_event });
+                let prompt = field(stand_in::PROMPT.as_str()).unwrap_or_default();
+                return Some(ReceivedRequest { path, attempt, last_event, prompt });
             }
         }
         let mut chunk = [0; 4096];
--- a/edge/tests/crashes.rs
+++ b/edge/tests/crashes.rs
@@ -24,15 +24,22 @@
     time::sleep,
 };
 
+/// Time from the head of an answer to the crash.
+const HEAD_TIME: Duration = Duration::from_millis(20);
 /// How long a crashed target is away.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 /// Targets that a request may crash before it is known as the cause.
-const CRASHES: usize = 3;
+const REQUEST_CRASHES: usize = 3;
+/// Targets that a part of prompts may crash before it is known as the cause.
+const PART_CRASHES: usize = 5;
 /// Sends that may follow.
 const MORE_SENDS: usize = 3;
 
-/// A target whose process ends when it runs a request for a path that ends in `crash`. It starts
-/// again at the same address under a new name.
+/// The prompt part with which a target crashes when it begins its answer.
+const DEADLY_PART: &str = "dead1:100";
+
+/// A target whose process ends when it runs a request for a path that ends in `crash`, or begins to
+/// answer a prompt with [`DEADLY_PART`]. It starts again at the same address under a new name.
 #[derive(Clone, Default)]
 struct FragileTarget {
     crashes: Arc<AtomicUsize>,
@@ -73,13 +80,23 @@
     async fn serve(self, mut stream: TcpStream) {
         let mut bytes = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut bytes).await {
-            let ReceivedRequest { path, attempt, .. } = &request;
-            if path.ends_with("crash") {
+            let ReceivedRequest { path, attempt, prompt, .. } = &request;
+            let is_deadly = prompt.split(',').any(|it| it == DEADLY_PART);
+            if is_deadly {
+                let head = signed_head("200 OK", attempt, "Content-Type: text/event-stream\r\n");
+                let _ = stream.write_all(head.as_bytes()).await;
+                sleep(HEAD_TIME).await;
+            }
+            if is_deadly || path.ends_with("crash") {
                 self.crashes.fetch_add(1, Ordering::SeqCst);
                 self.ended.notify_one();
                 std::future::pending::<()>().await;
             }
-            let answer = signed_head("200 OK", attempt, "Content-Length: 4\r\n") + "done";
+            let answer = if path.starts_with("/flow/") {
+                signed_head("200 OK", attempt, "Content-Length: 16\r\n") + "id: 1\ndata: ab\n\n"
+            } else {
+                signed_head("200 OK", attempt, "Content-Length: 4\r\n") + "done"
+            };
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
             }
@@ -88,52 +105,91 @@
 }
 
 /// Sends a request from one of a caller's addresses. Returns the status, or none without an answer.
-async fn call_from(source: IpAddr, entry: SocketAddr, path: &str, attempt: &str) -> Option<u16> {
+async fn call_from(
+    source: IpAddr,
+    entry: SocketAddr,
+    path: &str,
+    attempt: &str,
+    prompt: &str,
+) -> Option<u16> {
     let socket = TcpSocket::new_v4().ok()?;
     socket.bind(SocketAddr::new(source, 0)).ok()?;
     let mut stream = socket.connect(entry).await.ok()?;
     let request = format!(
         "GET {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: 3000\r\n\
-         Connection: close\r\n\r\n"
+         Prompt-Prefix: {prompt}\r\nConnection: close\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).await.ok()?;
     let mut answer = String::new();
-    stream.read_to_string(&mut answer).await.ok()?;
+    let _ = stream.read_to_string(&mut answer).await;
     answer.split(' ').nth(1)?.parse().ok()
 }
 
-/// Guards against a count of crashes for each address of a caller: the same request came from
-/// several addresses at several hosts, and each address could crash targets anew.
-#[tokio::test]
-async fn a_crashing_request_from_several_addresses_is_stopped() {
-    let net = 13;
+/// Starts four hosts and three targets of a service.
+async fn start(net: u8, service: &'static str) -> (Cluster, Vec<FragileTarget>) {
     let cluster = Cluster::start(net, 4);
     cluster.configure(1, &document(3)).await;
     let control: Vec<_> = (1..=4).map(|host| cluster.addr(host, CONTROL)).collect();
     let targets: Vec<FragileTarget> = (1..=3).map(|_| FragileTarget::default()).collect();
     for (number, target) in targets.iter().enumerate() {
-        target.start(net, number as u8 + 1, "app", control.clone());
+        target.start(net, number as u8 + 1, service, control.clone());
     }
     for host in 1..=4 {
         cluster.wait_ready(host).await;
     }
+    (cluster, targets)
+}
+
+/// Waits until each host serves a sound request.
+async fn until_served(cluster: &Cluster, path: &str, prompt: &str) {
+    for host in 1..=4 {
+        until(async || {
+            let headers =
+                [("attempt-id", "sound"), ("deadline-ms", "3000"), ("prompt-prefix", prompt)];
+            let answer = call(cluster.addr(host, ENTRY), Method::GET, path, &headers, "").await;
+            answer.is_ok_and(|it| it.status.is_success() && it.body.is_some())
+        })
+        .await;
+    }
+}
+
+fn count_crashes(targets: &[FragileTarget]) -> usize {
+    targets.iter().map(|it| it.crashes.load(Ordering::SeqCst)).sum()
+}
+
+/// Guards against a count of crashes for each address of a caller: the same request came from
+/// several addresses at several hosts, and each address could crash targets anew.
+#[tokio::test]
+async fn a_crashing_request_from_several_addresses_is_stopped() {
+    let (cluster, targets) = start(13, "app").await;
     for round in 0..10u8 {
-        for host in 1..=4 {
-            until(async || {
-                let sound = [("attempt-id", "sound"), ("deadline-ms", "3000")];
-                let entry = cluster.addr(host, ENTRY);
-                let answer = call(entry, Method::GET, "/read/sound", &sound, "").await;
-                answer.is_ok_and(|it| it.status.is_success())
-            })
-            .await;
-        }
-        let source = ip(net, 200 + round).parse().expect("an address");
+        until_served(&cluster, "/read/sound", "").await;
+        let source = ip(13, 200 + round).parse().expect("an address");
         let entry = cluster.addr(1 + round % 4, ENTRY);
-        call_from(source, entry, "/read/crash", &format!("r{round}")).await;
+        call_from(source, entry, "/read/crash", &format!("r{round}"), "").await;
         // The hosts exchange what they saw.
         sleep(RESTART_DELAY * 2).await;
     }
-    let crashes: usize = targets.iter().map(|it| it.crashes.load(Ordering::SeqCst)).sum();
-    assert!(crashes >= CRASHES, "only {crashes} crashes");
-    assert!(crashes <= CRASHES + MORE_SENDS, "{crashes} crashes");
+    let crashes = count_crashes(&targets);
+    assert!(crashes >= 2, "only {crashes} crashes");
+    assert!(crashes <= REQUEST_CRASHES + MORE_SENDS, "{crashes} crashes");
+}
+
+/// Guards against requests that have nothing but one part of their prompts in common and crash one
+/// target after the other, and against sound requests with the same other parts that are refused.
+#[tokio::test]
+async fn a_prompt_part_that_crashes_targets_is_stopped() {
+    let (cluster, targets) = start(14, "odd").await;
+    for round in 0..10u8 {
+        until_served(&cluster, "/flow/sound", "c0:50,5e:20,77:9").await;
+        let source = ip(14, 200 + round).parse().expect("an address");
+        let entry = cluster.addr(1 + round % 4, ENTRY);
+        let prompt = format!("c0:50,{DEADLY_PART},5e:20,{round:x}aa:9");
+        call_from(source, entry, &format!("/flow/{round}"), &format!("r{round}"), &prompt).await;
+        sleep(RESTART_DELAY * 2).await;
+    }
+    until_served(&cluster, "/flow/sound", "c0:50,5e:20,77:9").await;
+    let crashes = count_crashes(&targets);
+    assert!(crashes >= 2, "only {crashes} crashes");
+    assert!(crashes <= PART_CRASHES + MORE_SENDS, "{crashes} crashes");
 }
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -14,6 +14,9 @@
 /// A hash of a request's method, host, path and body.
 pub type RequestHash = u64;
 
+/// The id of a part of prompts, or a hash of an id that is not a number.
+pub type PartId = u64;
+
 /// A hash of the name and the start time of a target that crashed.
 pub type CrashId = u64;
 
@@ -22,12 +25,15 @@
 pub enum Suspect {
     /// The whole content of a request.
     Request(RequestHash),
+    /// A part that prompts share.
+    Part(PartId),
 }
 
 impl std::fmt::Display for Suspect {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Suspect::Request(hash) => write!(f, "request:{hash:x}"),
+            Suspect::Part(id) => write!(f, "part:{id:x}"),
         }
     }
 }
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -21,7 +21,7 @@
     error::{ErrorInfo, ErrorKind, Fault, Ran, Retry, error_chain},
     fleet::{
         AdapterHash, CrashId, DomainLoads, Epoch, Feed, FeedChange, FleetMsg, HostRecord,
-        HostStatus, Placement, PrefillRequest, Renewal, RequestHash, Running, Suspect,
+        HostStatus, PartId, Placement, PrefillRequest, Renewal, RequestHash, Running, Suspect,
         SuspectRecord, TargetNumber, TargetRecord, TargetState, Topic,
     },
     id::{
