Bound answers whose heads, bodies or events never end

Cause: each whole body may have 16 MiB, so a dozen at once exceed the 160 MB of the smallest machine; the body of a refusal was read without a time limit before the request went on; an event of up to 1 MiB was searched from its beginning with each read. Change: all bodies that are being received share 32 MiB; a refusal's body has 100 ms and 16 KiB or its connection is closed; a head has 64 KiB, an event 256 KiB, and is searched once. Test: endless_answers_are_cut_off failed before (274,300 KB at 16 bodies without end; 160 MB allowed), passes now. Answers with neither length nor chunks, ended by the connection with or without a word of it, are forwarded (only_complete_matching_answers_are_forwarded, line `bare`), and a stream that ends inside an event was broken off before already (a_truncated_stream_is_resumed).

--- a/edge/src/client.rs
+++ b/edge/src/client.rs
@@ -1,7 +1,7 @@
 //! HTTP connections to targets, with a pool of idle ones.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     io::{self, ErrorKind},
     net::SocketAddr,
@@ -9,9 +9,9 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
@@ -27,8 +27,16 @@
 const DEFAULT_IDLE_REUSE: Duration = Duration::from_millis(400);
 /// Maximum number of idle connections kept for one target.
 const MAX_IDLE_PER_TARGET: usize = 32;
+/// Maximum size of an answer's head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum body size of an answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Maximum size of the bodies that are being received together, in bytes: a part of the smallest
+/// machine's memory.
+const MAX_RECEIVED_BYTES: usize = 32 * 1024 * 1024;
+/// Limits of the body of an answer that is read only to keep its connection.
+const MAX_IGNORED_BYTES: usize = 16 * 1024;
+const IGNORED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// A connection to a target. Dropping it closes it; [`Client::keep`] puts it into the pool.
 pub(crate) struct Connection {
@@ -64,6 +72,37 @@
 #[derive(Clone, Default)]
 pub(crate) struct Client {
     idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
+    /// Size of the bodies that are being received, in bytes.
+    received: Rc<Cell<usize>>,
+}
+
+/// A body that is being received, as a part of [`MAX_RECEIVED_BYTES`].
+struct PartialBody<'a> {
+    /// Size of all such bodies.
+    total: &'a Cell<usize>,
+    bytes: BytesMut,
+    /// The part of `total` that is this body's.
+    counted: usize,
+}
+
+impl PartialBody<'_> {
+    /// Adds bytes. Returns whether the body and all bodies together stay within their limits.
+    fn push(&mut self, data: &[u8], limit: usize) -> bool {
+        let total = self.total.get() + data.len();
+        if self.counted + data.len() > limit || total > MAX_RECEIVED_BYTES {
+            return false;
+        }
+        self.total.set(total);
+        self.counted += data.len();
+        self.bytes.extend_from_slice(data);
+        true
+    }
+}
+
+impl Drop for PartialBody<'_> {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.counted);
+    }
 }
 
 impl Client {
@@ -116,7 +155,9 @@
         let stream = connect(addr).await?.ok()?;
         stream.set_nodelay(true).ok()?;
         peer::detect_dead_peer(&stream).ok()?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
         let task = tokio::task::spawn_local(async move {
             // An error also reaches the request, through the future of `send`.
             let _ = connection.await;
@@ -126,6 +167,31 @@
     }
 }
 
+impl Client {
+    /// Reads a complete body; none if it is truncated or longer than [`MAX_ANSWER_BYTES`], or if
+    /// all bodies together exceed [`MAX_RECEIVED_BYTES`].
+    pub(crate) async fn collect(&self, body: Incoming) -> Option<Bytes> {
+        self.collect_up_to(body, MAX_ANSWER_BYTES).await
+    }
+
+    /// Reads a short body that nobody needs. Returns whether it was complete.
+    pub(crate) async fn skip(&self, body: Incoming) -> bool {
+        let skipping = self.collect_up_to(body, MAX_IGNORED_BYTES);
+        timeout(IGNORED_BODY_TIMEOUT, skipping).await.is_ok_and(|it| it.is_some())
+    }
+
+    async fn collect_up_to(&self, mut body: Incoming, limit: usize) -> Option<Bytes> {
+        let mut partial = PartialBody { total: &self.received, bytes: BytesMut::new(), counted: 0 };
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.ok()?.into_data() else { continue };
+            if !partial.push(&data, limit) {
+                return None;
+            }
+        }
+        Some(std::mem::take(&mut partial.bytes).freeze())
+    }
+}
+
 impl Connection {
     /// Sends a request and waits for the head of its answer.
     pub(crate) async fn send(
@@ -154,8 +220,3 @@
     let value = headers.get(http::header::CONNECTION);
     value.is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"))
 }
-
-/// Reads a complete body; none if it is truncated or longer than `MAX_ANSWER_BYTES`.
-pub(crate) async fn collect(body: Incoming) -> Option<Bytes> {
-    Some(Limited::new(body, MAX_ANSWER_BYTES).collect().await.ok()?.to_bytes())
-}
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -17,7 +17,7 @@
 use wire::HostId;
 
 use crate::{
-    client::{Client, Connection, SendError, collect},
+    client::{Client, Connection, SendError},
     crash::CrashChecks,
     disk::DiskQueue,
     log::Log,
@@ -212,7 +212,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<(StatusCode, HeaderMap, Option<Bytes>), SendError> {
         let (parts, body) = open.send(request).await?.into_parts();
-        let body = collect(body).await;
+        let body = self.client.collect(body).await;
         if body.is_some() {
             self.client.keep(open, &parts.headers);
         }
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     answer::{Answer, AnswerBody, empty, not_run},
-    client::{Connection, SendError, collect},
+    client::{Connection, SendError},
     crash::{self, LostRequest, TrialGuard},
     edge::Edge,
     front::ActiveRequest,
@@ -494,7 +494,7 @@
         let status = response.status().as_u16();
         self.add_step("refused", &format!("{status} {}", reservation.target()));
         let headers = response.headers().clone();
-        if collect(response.into_body()).await.is_some() {
+        if self.edge.client.skip(response.into_body()).await {
             self.edge.client.keep(connection, &headers);
         }
         self.query.tried.insert(reservation.target().to_owned());
@@ -541,7 +541,7 @@
     ) -> Option<Answer> {
         let (parts, body) = response.into_parts();
         let left = self.deadline.saturating_sub(self.edge.now());
-        let body = timeout(left, collect(body)).await.ok().flatten();
+        let body = timeout(left, self.edge.client.collect(body)).await.ok().flatten();
         let signed = is_signed(&parts.headers);
         let Some(body) = body.filter(|_| signed || !parts.status.is_success()) else {
             self.check_crash(&reservation);
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -22,14 +22,18 @@
 
 /// Chunks queued for a slow caller. While the queue is full, the target's connection is not read.
 const QUEUED_CHUNKS: usize = 16;
+/// Maximum number of bytes that end an event.
+const MAX_EVENT_END: usize = 3;
 /// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// Splits a target's bytes into complete events and skips those that were forwarded before.
 #[derive(Debug, Default)]
 pub(crate) struct EventBuffer {
     /// The beginning of an event whose end has not arrived.
     partial: BytesMut,
+    /// Number of its bytes in which no event ends.
+    searched: usize,
     /// Id of the last event that was forwarded.
     last_event: Option<u64>,
     /// When events were last forwarded, by `Edge::now`.
@@ -44,8 +48,9 @@
     fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         self.partial.extend_from_slice(bytes);
         let mut out = BytesMut::new();
-        while let Some(end) = event_end(&self.partial) {
+        while let Some(end) = event_end(&self.partial, self.searched) {
             let event = self.partial.split_to(end);
+            self.searched = 0;
             let id = event_id(&event);
             if id.is_some() && id <= self.last_event {
                 continue;
@@ -53,6 +58,7 @@
             self.last_event = id.or(self.last_event);
             out.extend_from_slice(&event);
         }
+        self.searched = self.partial.len().saturating_sub(MAX_EVENT_END - 1);
         (self.partial.len() <= MAX_EVENT_BYTES).then(|| out.freeze())
     }
 
@@ -66,12 +72,14 @@
     /// Discards an incomplete event, after its source broke off.
     fn discard_partial(&mut self) {
         self.partial.clear();
+        self.searched = 0;
     }
 }
 
-/// Returns the length of the first event, with the empty line that ends it.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    for (at, pair) in bytes.windows(2).enumerate() {
+/// Returns the length of the first event, with the empty line that ends it; the line does not begin
+/// before `from`.
+fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    for (at, pair) in bytes.windows(2).enumerate().skip(from) {
         if pair == b"\n\n" {
             return Some(at + 2);
         }
--- a/edge/tests/answers.rs
+++ b/edge/tests/answers.rs
@@ -24,6 +24,11 @@
     time::sleep,
 };
 
+/// Bytes that a stand-in sends at a time when it sends without end.
+const FILLER_BYTES: usize = 16 * 1024;
+/// Memory of the smallest machine that the program is made for, in kilobytes.
+const MACHINE_KB: u64 = 160 * 1024;
+
 /// What the stand-in does on one connection after an answer.
 #[derive(PartialEq)]
 enum AfterAnswer {
@@ -31,6 +36,8 @@
     Close,
     /// Send nothing more until the other side closes the connection.
     Wait,
+    /// Send the same bytes again and again until the other side closes the connection.
+    Repeat(&'static str),
 }
 
 /// A target whose answers are raw bytes, chosen by the path of the request.
@@ -60,6 +67,12 @@
             if stream.write_all(answer.as_bytes()).await.is_err() || then == AfterAnswer::Close {
                 return;
             }
+            if let AfterAnswer::Repeat(part) = &then {
+                let filler = part.repeat(FILLER_BYTES / part.len());
+                while stream.write_all(filler.as_bytes()).await.is_ok() {}
+                self.abandoned.fetch_add(1, Ordering::SeqCst);
+                return;
+            }
             if then == AfterAnswer::Wait {
                 let mut rest = [0; 64];
                 while stream.read(&mut rest).await.is_ok_and(|count| count > 0) {}
@@ -108,12 +121,22 @@
         "unframed" => {
             (head("200 OK", &request.attempt, "Connection: close\r\n") + &own, AfterAnswer::Close)
         }
+        // Neither a length nor a word of the close that ends it.
+        "bare" => (head("200 OK", &request.attempt, "") + &own, AfterAnswer::Close),
         "failed" => (
             head("500 Failed", &request.attempt, "Content-Length: 4\r\n") + "oops",
             AfterAnswer::Keep,
         ),
         "nothing" => (String::new(), AfterAnswer::Close),
         "events" => (stream(request, events(request.last_event + 1..=5)), AfterAnswer::Close),
+        "endless-headers" => ("HTTP/1.1 200 OK\r\n".to_owned(), AfterAnswer::Repeat("x: y\r\n")),
+        "endless-header" => ("HTTP/1.1 200 OK\r\nx: ".to_owned(), AfterAnswer::Repeat("y")),
+        "endless-body" => (head("200 OK", &request.attempt, ""), AfterAnswer::Repeat("y")),
+        "endless-refusal" => {
+            let answer = head("503 Full", &request.attempt, "Not-Executed: 1\r\n");
+            (answer, AfterAnswer::Repeat("y"))
+        }
+        "endless-event" => (stream(request, "data: ".to_owned()), AfterAnswer::Repeat("y")),
         "half" if request.last_event == 0 => {
             (stream(request, events(1..=2) + "id: 3\ndata: pie"), AfterAnswer::Close)
         }
@@ -158,7 +181,7 @@
     let mut seen = String::new();
     for what in [
         "whole", "cut", "unsigned", "foreign", "garbage", "extra", "whole", "encoded", "unframed",
-        "failed", "nothing", "whole",
+        "bare", "failed", "nothing", "whole",
     ] {
         let attempt = format!("a-{what}");
         let headers = [("attempt-id", attempt.as_str()), ("deadline-ms", "3000")];
@@ -208,3 +231,42 @@
     drop(stream);
     until(async || target.abandoned.load(Ordering::SeqCst) == 1).await;
 }
+
+/// Guards against targets whose heads, bodies or events never end: requests that wait for ever, and
+/// hosts that run out of memory.
+#[tokio::test]
+async fn endless_answers_are_cut_off() {
+    let (cluster, target) = start_cluster(10).await;
+    let entry = cluster.addr(1, ENTRY);
+    let mut cut = 0;
+    for path in [
+        "/odd/endless-headers",
+        "/odd/endless-header",
+        "/odd/endless-body",
+        "/odd/endless-refusal",
+        "/flow/endless-event",
+    ] {
+        let mut calls = Vec::new();
+        for number in 0..16 {
+            calls.push(tokio::spawn(async move {
+                let attempt = format!("e-{number}");
+                let headers = [("attempt-id", attempt.as_str()), ("deadline-ms", "4000")];
+                call(entry, Method::POST, path, &headers, "{}").await
+            }));
+        }
+        for answer in calls {
+            let answer = answer.await.expect("the call ends");
+            let whole = answer.is_ok_and(|it| it.status.is_success() && it.body.is_some());
+            assert!(!whole, "{path}: an answer without end counts as complete");
+        }
+        until(async || target.abandoned.load(Ordering::SeqCst) > cut).await;
+        cut = target.abandoned.load(Ordering::SeqCst);
+        let peak = cluster.peak_memory_kb(1);
+        assert!(peak < MACHINE_KB, "{path}: {peak} KB");
+    }
+    until(async || {
+        let answer = call(entry, Method::POST, "/odd/whole", &[("attempt-id", "w")], "{}").await;
+        answer.is_ok_and(|it| it.status.is_success())
+    })
+    .await;
+}
--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -123,6 +123,15 @@
         Command::new("kill").args([signal, &pid]).status().expect("kill runs");
     }
 
+    /// Returns the most memory that a host's process has had, in kilobytes.
+    pub fn peak_memory_kb(&self, host: u8) -> u64 {
+        let path = format!("/proc/{}/status", self.children[&host].id());
+        let status = std::fs::read_to_string(path).expect("it runs");
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+        let number = line.and_then(|it| it.split_whitespace().next());
+        number.and_then(|it| it.parse().ok()).expect("a number of kilobytes")
+    }
+
     /// Kills a host's process and removes its data folder.
     pub fn lose_disk(&mut self, host: u8) {
         self.kill(host);
