Let a host that missed a change of the leader's feed notice it

Change: the leader's answer to a renewal, at least each second, tells the feed's position; a host that still lacks at the next answer what was there at the one before asks for the table. Test: a_host_that_missed_a_message_learns_of_the_suspect failed before (host 6 never learnt), passes now.

--- a/coordination/fleet/src/exchange.rs
+++ b/coordination/fleet/src/exchange.rs
@@ -99,6 +99,16 @@
         self.desired.holders.keys().any(|domain| self.is_holder_active(now, domain))
     }
 
+    /// Requests the full table of the leader's feed if changes are missing here that were in it when
+    /// the leader answered the renewal before this one; those since may still be on their way.
+    pub(crate) fn check_position(&mut self, now: Duration, leader: HostId, position: Position) {
+        let missing = self.renewed_position > self.position;
+        self.renewed_position = position;
+        if missing {
+            self.resync(now, leader, Topic::Hosts);
+        }
+    }
+
     /// Requests the full table from the writer of a feed.
     pub(crate) fn resync(&mut self, now: Duration, writer: HostId, topic: Topic) {
         let sent = match &topic {
--- a/coordination/fleet/src/feed.rs
+++ b/coordination/fleet/src/feed.rs
@@ -41,7 +41,7 @@
 }
 
 /// A follower's position in a feed.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Position {
     pub(crate) epoch: Epoch,
     pub(crate) last: u64,
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -107,8 +107,11 @@
         if self.leading.is_none() {
             return;
         }
-        if self.grant_renewal(now, from) {
-            self.send(from, FleetMsg::Renewed { sent_ms: renewal.sent_ms });
+        if self.grant_renewal(now, from)
+            && let Some(leading) = &self.leading
+        {
+            let (epoch, last) = (leading.feed.epoch, leading.feed.last);
+            self.send(from, FleetMsg::Renewed { sent_ms: renewal.sent_ms, epoch, last });
         }
         let Some(record) = self.hosts.record(from) else { return };
         if record.ready == renewal.ready && record.incarnation == renewal.incarnation {
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -40,6 +40,8 @@
     pub(crate) targets: Targets,
     /// Position in the leader's feed.
     pub(crate) position: Position,
+    /// Position of the leader's feed when it last answered a renewal.
+    pub(crate) renewed_position: Position,
     /// Local view of the holder of each failure domain.
     pub(crate) holder_views: BTreeMap<DomainId, HolderView>,
     /// The failure domains whose order lease this host holds.
@@ -98,6 +100,7 @@
             routes: Arc::default(),
             targets: Targets::default(),
             position: Position::default(),
+            renewed_position: Position::default(),
             holder_views: BTreeMap::new(),
             held_domains: BTreeMap::new(),
             renewed_at: None,
@@ -329,7 +332,10 @@
                 self.handle_roster(now, leader, founder, &records);
             }
             FleetMsg::Renew(renewal) => self.handle_renewal(now, from, &renewal),
-            FleetMsg::Renewed { sent_ms } => self.handle_renewed(sent_ms),
+            FleetMsg::Renewed { sent_ms, epoch, last } => {
+                self.handle_renewed(sent_ms);
+                self.check_position(now, from, Position { epoch, last });
+            }
             FleetMsg::Status(status) => self.handle_status(now, from, &status),
             FleetMsg::DomainLoads(loads) => self.handle_domain_loads(now, from, &loads),
             FleetMsg::PrefillRequest(request) => self.handle_prefill_request(now, from, &request),
--- a/coordination/fleet/tests/quarantine.rs
+++ b/coordination/fleet/tests/quarantine.rs
@@ -277,3 +277,18 @@
     assert_eq!(senders(&mut world, sound).len(), 6);
     assert_eq!(refusers(&mut world, deadly).len(), 6);
 }
+
+/// Guards against a host that missed the leader's message about a suspect, while nothing else
+/// changes that would show it the gap.
+#[test]
+fn a_host_that_missed_a_message_learns_of_the_suspect() {
+    let mut world = world(15);
+    world.cut.insert(6);
+    world.crashed(4, &[CAUSE], "t1");
+    world.crashed(5, &[CAUSE], "t2");
+    world.run(ms(1500));
+    world.cut.clear();
+    assert_eq!(senders(&mut world, CAUSE), [6]);
+    world.run(ms(2500));
+    assert_eq!(senders(&mut world, CAUSE), []);
+}
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -253,6 +253,10 @@
     Renewed {
         /// The renewal's `sent_ms`.
         sent_ms: u64,
+        /// The epoch of the leader's feed.
+        epoch: Epoch,
+        /// The number of the feed's last change.
+        last: u64,
     },
     /// A host's report to a holder.
     Status(HostStatus),
