Count crashes and begins for each run of a stream, also a resumed one

A part may come to crash targets while streams with it are under way. Those that are resumed and crash the next target were not counted, since their answer had begun once, and a resumed run that begins did not clear newer suspects. Change: a request's run at each target counts by itself.

--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -75,8 +75,6 @@
     /// What other requests may have in common with it that may crash targets.
     contents: OnceCell<Vec<Suspect>>,
     trial: Option<TrialGuard>,
-    /// Whether a target has begun to answer it.
-    begun: bool,
     /// Time to the next trial of its suspects, if it is refused for them.
     trial_due: Option<Duration>,
     /// A target's error answer, forwarded if no further send succeeds.
@@ -136,7 +134,6 @@
             may_have_run: false,
             contents: OnceCell::new(),
             trial: None,
-            begun: false,
             trial_due: None,
             fallback: None,
             steps: String::new(),
@@ -315,13 +312,9 @@
 
     /// Records that a target began to answer the request, so that nothing in it crashes targets.
     pub(crate) fn record_begun(&mut self) {
-        if std::mem::replace(&mut self.begun, true) {
-            return;
+        if let Some(trial) = self.trial.take() {
+            trial.finish();
         }
-        self.trial = self.trial.take().and_then(|it| {
-            it.finish();
-            None
-        });
         let now = self.edge.now();
         let mut host = self.edge.host.borrow_mut();
         if !host.has_suspects() && self.head.shared_parts.is_empty() {
@@ -455,9 +448,6 @@
     /// Checks whether a target that broke off before it began to answer has crashed. If so, the
     /// request may be the cause, and the crash is counted against it.
     pub(crate) fn check_crash(&mut self, reservation: &ReservationGuard) {
-        if self.begun {
-            return;
-        }
         let caller = self.parts.extensions.get::<Caller>();
         let lost = LostRequest {
             id: self.head.attempt.clone(),
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -259,8 +259,9 @@
         if complete.is_empty() {
             continue;
         }
-        source.begun = true;
-        job.record_begun();
+        if !std::mem::replace(&mut source.begun, true) {
+            job.record_begun();
+        }
         events.record_forwarded(job.edge.now());
         tokio::select! {
             sent = sender.send(Ok(complete)) => {
