--- /dev/null
+++ b/coordination/fleet/src/crash_reports.rs
@@ -0,0 +1,129 @@
+//! Reports of crashes that this host saw: they are repeated until a leader has counted them, and sent
+//! to later leaders too.
+
+use std::time::Duration;
+
+use wire::{CrashId, FleetMsg, HostId, Suspect};
+
+use crate::{Host, io::Output, quarantine::SOUND_TTL, stable_hash};
+
+/// Time after which a report without an acknowledgement is sent again.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Number of reports to the leader without an acknowledgement after which one goes to all hosts.
+const LEADER_REPORTS: u32 = 2;
+/// Maximum number of crashes that this host reports to later leaders.
+const MAX_REPORTS: usize = 256;
+
+/// A crash that this host saw.
+#[derive(Debug)]
+pub(crate) struct CrashReport {
+    crash: CrashId,
+    pub(crate) suspects: Vec<Suspect>,
+    pub(crate) trials: Vec<Suspect>,
+    pub(crate) at: Duration,
+    sent: Duration,
+    /// Number of times that it was sent to the present leader.
+    sends: u32,
+    acknowledged: bool,
+}
+
+impl Host {
+    /// Reports that a target crashed which this host's requests with the contents `suspects` had
+    /// not begun to answer; `started_at` is its start time in milliseconds since the epoch.
+    /// `trials` are those that were on trial.
+    pub fn report_crash(
+        &mut self,
+        now: Duration,
+        target: &str,
+        started_at: u64,
+        mut suspects: Vec<Suspect>,
+        trials: Vec<Suspect>,
+    ) -> Vec<Output> {
+        let sound = &self.quarantine.sound;
+        suspects.retain(|it| sound.get(it).is_none_or(|at| now >= *at + SOUND_TTL));
+        suspects.sort_unstable();
+        suspects.dedup();
+        if suspects.is_empty() {
+            return Vec::new();
+        }
+        for suspect in &trials {
+            self.quarantine.running.remove(suspect);
+        }
+        let crash = stable_hash(&(target, started_at));
+        self.count_crash(now, crash, &suspects, &trials);
+        let reports = &mut self.quarantine.reports;
+        if reports.len() >= MAX_REPORTS {
+            reports.remove(0);
+        }
+        let sent = now.saturating_sub(REPORT_INTERVAL);
+        let report =
+            CrashReport { crash, suspects, trials, at: now, sent, sends: 0, acknowledged: false };
+        reports.push(report);
+        self.send_reports(now);
+        self.finish(now)
+    }
+
+    /// Sends the reports that no leader has acknowledged.
+    pub(crate) fn send_reports(&mut self, now: Duration) {
+        let own = self.settings.host;
+        let leader = self.leader;
+        let mut messages = Vec::new();
+        for report in &mut self.quarantine.reports {
+            if report.acknowledged || now < report.sent + REPORT_INTERVAL {
+                continue;
+            }
+            if leader == Some(own) {
+                report.acknowledged = true;
+                continue;
+            }
+            report.sent = now;
+            report.sends += 1;
+            let msg = FleetMsg::Crashed {
+                crash: report.crash,
+                suspects: report.suspects.clone(),
+                trials: report.trials.clone(),
+            };
+            let to_all =
+                report.sends == LEADER_REPORTS + 1 || (leader.is_none() && report.sends == 1);
+            messages.push((msg, to_all));
+        }
+        for (msg, to_all) in messages {
+            let to = if to_all { self.hosts.others() } else { leader.into_iter().collect() };
+            for host in to {
+                self.send(host, msg.clone());
+            }
+        }
+    }
+
+    /// Sends what this host saw to a new leader, whose counts may lack it.
+    pub(crate) fn leader_changed(&mut self) {
+        for report in &mut self.quarantine.reports {
+            report.acknowledged = false;
+            report.sends = 0;
+            report.sent = Duration::ZERO;
+        }
+        self.quarantine.asked.clear();
+        self.quarantine.granted.clear();
+    }
+
+    pub(crate) fn handle_crash(
+        &mut self,
+        now: Duration,
+        from: HostId,
+        crash: CrashId,
+        suspects: &[Suspect],
+        trials: &[Suspect],
+    ) {
+        self.count_crash(now, crash, suspects, trials);
+        if self.leading.is_some() {
+            self.send(from, FleetMsg::CrashCounted { crash });
+        }
+    }
+
+    pub(crate) fn crash_counted(&mut self, crash: CrashId) {
+        for report in self.quarantine.reports.iter_mut().filter(|it| it.crash == crash) {
+            report.acknowledged = true;
+            report.trials.clear();
+        }
+    }
+}
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod choose;
 mod config;
+mod crash_reports;
 mod event;
 mod exchange;
 mod feed;
--- a/coordination/fleet/src/quarantine.rs
+++ b/coordination/fleet/src/quarantine.rs
@@ -19,15 +19,11 @@
 
 use crate::{
     Event, Host,
+    crash_reports::CrashReport,
     io::Output,
-    stable_hash,
     suspects::{CRASH_TTL, Grant, Hold, Suspects, TRIAL_CRASHES, TRIAL_TIMEOUT},
 };
 
-/// Time after which a report without an acknowledgement is sent again.
-const REPORT_INTERVAL: Duration = Duration::from_millis(300);
-/// Number of reports to the leader without an acknowledgement after which one goes to all hosts.
-const LEADER_REPORTS: u32 = 2;
 /// Time that a request with several suspects waits for others to clear all but one of them.
 const JOINT_TRIAL_WAIT: Duration = Duration::from_millis(600);
 /// Time after which a trial is asked for again.
@@ -35,40 +31,25 @@
 /// How long a granted trial may wait for a request of this host; then it goes back to the leader.
 const GRANT_TTL: Duration = Duration::from_millis(500);
 /// Time after a request ran without a crash during which its contents are not suspected here.
-const SOUND_TTL: Duration = Duration::from_millis(1000);
+pub(crate) const SOUND_TTL: Duration = Duration::from_millis(1000);
 /// Maximum number of contents whose last run without a crash is kept.
 const MAX_SOUND: usize = 4096;
-/// Maximum number of crashes that this host reports to later leaders.
-const MAX_REPORTS: usize = 256;
 /// Time between two proposals of what the log lacks.
 const PROPOSE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A crash that this host saw.
-#[derive(Debug)]
-struct Report {
-    crash: CrashId,
-    suspects: Vec<Suspect>,
-    trials: Vec<Suspect>,
-    at: Duration,
-    sent: Duration,
-    /// Number of times that it was sent to the present leader.
-    sends: u32,
-    acknowledged: bool,
-}
-
 /// What this host knows of requests that crash targets.
 #[derive(Debug, Default)]
 pub(crate) struct Quarantine {
-    suspects: Suspects,
-    reports: Vec<Report>,
+    pub(crate) suspects: Suspects,
+    pub(crate) reports: Vec<CrashReport>,
     /// Trials that the leader granted and no request has taken yet.
-    granted: BTreeMap<Suspect, Duration>,
+    pub(crate) granted: BTreeMap<Suspect, Duration>,
     /// Trials under way at this host, and since when.
-    running: BTreeMap<Suspect, Duration>,
+    pub(crate) running: BTreeMap<Suspect, Duration>,
     /// When trials were last asked for.
-    asked: BTreeMap<Suspect, Duration>,
+    pub(crate) asked: BTreeMap<Suspect, Duration>,
     /// When a request with these contents last ran without a crash.
-    sound: HashMap<Suspect, Duration>,
+    pub(crate) sound: HashMap<Suspect, Duration>,
     /// On the leader: suspects whose release has to be in the log.
     releases: BTreeSet<Suspect>,
     proposed: Duration,
@@ -236,107 +217,8 @@
         }
     }
 
-    /// Reports that a target crashed which this host's requests with the contents `suspects` had
-    /// not begun to answer; `started_at` is its start time in milliseconds since the epoch.
-    /// `trials` are those that were on trial.
-    pub fn report_crash(
-        &mut self,
-        now: Duration,
-        target: &str,
-        started_at: u64,
-        mut suspects: Vec<Suspect>,
-        trials: Vec<Suspect>,
-    ) -> Vec<Output> {
-        let sound = &self.quarantine.sound;
-        suspects.retain(|it| sound.get(it).is_none_or(|at| now >= *at + SOUND_TTL));
-        suspects.sort_unstable();
-        suspects.dedup();
-        if suspects.is_empty() {
-            return Vec::new();
-        }
-        for suspect in &trials {
-            self.quarantine.running.remove(suspect);
-        }
-        let crash = stable_hash(&(target, started_at));
-        self.count_crash(now, crash, &suspects, &trials);
-        let reports = &mut self.quarantine.reports;
-        if reports.len() >= MAX_REPORTS {
-            reports.remove(0);
-        }
-        let sent = now.saturating_sub(REPORT_INTERVAL);
-        let report =
-            Report { crash, suspects, trials, at: now, sent, sends: 0, acknowledged: false };
-        reports.push(report);
-        self.send_reports(now);
-        self.finish(now)
-    }
-
-    /// Sends the reports that no leader has acknowledged.
-    fn send_reports(&mut self, now: Duration) {
-        let own = self.settings.host;
-        let leader = self.leader;
-        let mut messages = Vec::new();
-        for report in &mut self.quarantine.reports {
-            if report.acknowledged || now < report.sent + REPORT_INTERVAL {
-                continue;
-            }
-            if leader == Some(own) {
-                report.acknowledged = true;
-                continue;
-            }
-            report.sent = now;
-            report.sends += 1;
-            let msg = FleetMsg::Crashed {
-                crash: report.crash,
-                suspects: report.suspects.clone(),
-                trials: report.trials.clone(),
-            };
-            let to_all =
-                report.sends == LEADER_REPORTS + 1 || (leader.is_none() && report.sends == 1);
-            messages.push((msg, to_all));
-        }
-        for (msg, to_all) in messages {
-            let to = if to_all { self.hosts.others() } else { leader.into_iter().collect() };
-            for host in to {
-                self.send(host, msg.clone());
-            }
-        }
-    }
-
-    /// Sends what this host saw to a new leader, whose counts may lack it.
-    pub(crate) fn leader_changed(&mut self) {
-        for report in &mut self.quarantine.reports {
-            report.acknowledged = false;
-            report.sends = 0;
-            report.sent = Duration::ZERO;
-        }
-        self.quarantine.asked.clear();
-        self.quarantine.granted.clear();
-    }
-
-    pub(crate) fn handle_crash(
-        &mut self,
-        now: Duration,
-        from: HostId,
-        crash: CrashId,
-        suspects: &[Suspect],
-        trials: &[Suspect],
-    ) {
-        self.count_crash(now, crash, suspects, trials);
-        if self.leading.is_some() {
-            self.send(from, FleetMsg::CrashCounted { crash });
-        }
-    }
-
-    pub(crate) fn crash_counted(&mut self, crash: CrashId) {
-        for report in self.quarantine.reports.iter_mut().filter(|it| it.crash == crash) {
-            report.acknowledged = true;
-            report.trials.clear();
-        }
-    }
-
     /// Counts a crash, and publishes the suspects that need trials if this host leads.
-    fn count_crash(
+    pub(crate) fn count_crash(
         &mut self,
         now: Duration,
         crash: CrashId,
--- a/edge/src/crash.rs
+++ b/edge/src/crash.rs
@@ -1,12 +1,18 @@
-//! Requests that are lost together with their targets: finds out whether the target crashed, and
-//! reports what may be the cause.
+//! Requests that may crash their targets: whether they may be sent, and what is reported when one is
+//! lost with its target.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use fleet::{Event, Reservation};
+use fleet::{Admission, Event, Reservation, stable_hash};
+use http::{HeaderValue, header};
 use wire::Suspect;
 
-use crate::edge::Edge;
+use crate::{
+    edge::Edge,
+    listen::Caller,
+    relay::Job,
+    reservation::{NoReservation, ReservationGuard},
+};
 
 /// The right to send one request with these suspects. Dropping it ends the trial without a result.
 pub(crate) struct TrialGuard {
@@ -90,3 +96,86 @@
     let outputs = edge.host.borrow_mut().report_crash(now, target, started_at, suspects, trials);
     edge.carry_out(outputs);
 }
+
+impl Job {
+    /// Whether the request may be sent now, as far as its contents may crash targets. Otherwise it
+    /// waits for a trial; `started` is when it began to wait.
+    pub(crate) fn admit(
+        &mut self,
+        now: Duration,
+        started: Duration,
+    ) -> Result<bool, NoReservation> {
+        if self.trial.is_some() || !self.edge.host.borrow().has_suspects() {
+            return Ok(true);
+        }
+        let waited = now.saturating_sub(started);
+        let (admission, outputs) = self.edge.host.borrow_mut().admit(now, self.contents(), waited);
+        self.edge.carry_out(outputs);
+        match admission {
+            Admission::Free => Ok(true),
+            Admission::Trial(suspects) => {
+                self.add_step("tries", &join(&suspects));
+                self.trial = Some(TrialGuard::new(&self.edge, suspects));
+                Ok(true)
+            }
+            Admission::Wait => Ok(false),
+            Admission::Refused(due) => Err(NoReservation::Quarantined(due)),
+        }
+    }
+
+    /// Whether the request has become suspected since it was admitted.
+    pub(crate) fn needs_trial(&self) -> bool {
+        let host = self.edge.host.borrow();
+        self.trial.is_none()
+            && host.has_suspects()
+            && host.needs_trial(self.edge.now(), self.contents())
+    }
+
+    /// Records that a target began to answer the request, so that nothing in it crashes targets.
+    pub(crate) fn record_begun(&mut self) {
+        if let Some(trial) = self.trial.take() {
+            trial.finish();
+        }
+        let now = self.edge.now();
+        let mut host = self.edge.host.borrow_mut();
+        if !host.has_suspects() && self.head.shared_parts.is_empty() {
+            return;
+        }
+        let outputs = host.report_sound(now, self.contents());
+        drop(host);
+        self.edge.carry_out(outputs);
+    }
+
+    /// Returns what other requests may share with this one: the whole content, as a hash of its
+    /// method, host, path and body, since a caller may repeat it from another address, and the
+    /// parts of its prompt.
+    fn contents(&self) -> &[Suspect] {
+        self.contents.get_or_init(|| {
+            let parts = self.head.shared_parts.iter().copied().map(Suspect::Part);
+            let host = self.parts.headers.get(header::HOST).map(HeaderValue::as_bytes);
+            let whole =
+                stable_hash(&(self.parts.method.as_str(), host, self.path(), &self.body[..]));
+            std::iter::once(Suspect::Request(whole)).chain(parts).collect()
+        })
+    }
+
+    /// Checks whether a target that broke off before it began to answer has crashed. If so, the
+    /// request may be the cause, and the crash is counted against it.
+    pub(crate) fn check_crash(&mut self, reservation: &ReservationGuard) {
+        let caller = self.parts.extensions.get::<Caller>();
+        let lost = LostRequest {
+            id: self.head.attempt.clone(),
+            caller: caller.map(ToString::to_string).unwrap_or_default(),
+            path: self.path().to_owned(),
+            body_hash: stable_hash(&&self.body[..]),
+            contents: self.contents().to_vec(),
+            trial: self.trial.take(),
+        };
+        check(&self.edge, &reservation.reservation, lost);
+    }
+}
+
+fn join(suspects: &[Suspect]) -> String {
+    let texts: Vec<String> = suspects.iter().map(Suspect::to_string).collect();
+    texts.join(" ")
+}
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -4,42 +4,27 @@
 use std::{cell::OnceCell, fmt::Write as _, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use fleet::{Admission, Choice, Event, Outcome, RequestKind, TargetQuery, stable_hash};
-use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
+use fleet::{Event, Outcome, RequestKind, TargetQuery};
+use http::{Request, Response, StatusCode, request::Parts};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::request::{
     RequestHead, SystemHeaders, answer_headers, forward_headers, is_encoded, is_not_run, is_signed,
     matches_attempt,
 };
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use wire::Suspect;
 
 use crate::{
     answer::{Answer, AnswerBody, empty, not_run},
     client::{Connection, SendError},
-    crash::{self, LostRequest, TrialGuard},
+    crash::TrialGuard,
     edge::Edge,
     front::ActiveRequest,
-    listen::Caller,
-    permit::{self, NoPermit},
-    reservation::{AdapterWait, ReservationGuard},
+    reservation::{NoReservation, ReservationGuard},
     stream,
 };
 
-/// Share of a request's time left that it may wait for its adapter or for a free target.
-const RESERVE_WAIT_SHARE: f64 = 0.4;
-/// Limit of the same wait, in latency objectives.
-const RESERVE_WAIT_OBJECTIVES: f64 = 2.5;
-/// How long a request waits while no target of its service accepts requests.
-const NO_TARGET_WAIT: Duration = Duration::from_millis(400);
-/// Time between two attempts to reserve while all targets are full.
-const FULL_RETRY_INTERVAL: Duration = Duration::from_millis(30);
-/// Time between two attempts to reserve while the adapter is being loaded or no target
-/// accepts requests; `Edge::wake` triggers further ones.
-const LOAD_RETRY_INTERVAL: Duration = Duration::from_millis(300);
-/// How often a request may move to another target while it waits for a prefill permit.
-const MAX_MOVES: u32 = 2;
 /// Time limit for the answer to a repeatable request, in latency objectives, after which it is
 /// sent to another target.
 const ANSWER_TIMEOUT_OBJECTIVES: f64 = 1.5;
@@ -62,9 +47,9 @@
     pub(crate) edge: Rc<Edge>,
     active: Option<ActiveRequest>,
     pub(crate) query: TargetQuery,
-    parts: Parts,
+    pub(crate) parts: Parts,
     pub(crate) head: RequestHead,
-    body: Bytes,
+    pub(crate) body: Bytes,
     /// When the request arrived, by [`Edge::now`].
     pub(crate) arrived: Duration,
     /// Latest time for the final answer.
@@ -73,8 +58,8 @@
     sends: u32,
     may_have_run: bool,
     /// What other requests may have in common with it that may crash targets.
-    contents: OnceCell<Vec<Suspect>>,
-    trial: Option<TrialGuard>,
+    pub(crate) contents: OnceCell<Vec<Suspect>>,
+    pub(crate) trial: Option<TrialGuard>,
     /// Time to the next trial of its suspects, if it is refused for them.
     trial_due: Option<Duration>,
     /// A target's error answer, forwarded if no further send succeeds.
@@ -83,21 +68,6 @@
     steps: String,
 }
 
-/// Why a request got no reservation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum NoReservation {
-    /// Its adapter was not loaded, or all targets stayed full, within the time limit.
-    Busy,
-    /// Its prefill permit was not granted in time.
-    NoPermit,
-    /// No target of the service accepts requests.
-    NoTarget,
-    /// The request's deadline has passed.
-    DeadlinePassed,
-    /// Its contents are suspected of crashing targets; the next trial is due after this time.
-    Quarantined(Duration),
-}
-
 /// How a send ended.
 pub(crate) enum SendOutcome {
     /// The head of an answer to this request arrived; the duration is the time it took.
@@ -169,102 +139,10 @@
         self.active = None;
     }
 
-    fn objective(&self) -> Duration {
+    pub(crate) fn objective(&self) -> Duration {
         self.query.route.latency_objective
     }
 
-    /// Reserves a target, and waits for one within the limits if necessary.
-    pub(crate) async fn reserve(&mut self) -> Result<ReservationGuard, NoReservation> {
-        let edge = self.edge.clone();
-        let started = edge.now();
-        let left = self.deadline.saturating_sub(started);
-        let max_wait =
-            left.mul_f64(RESERVE_WAIT_SHARE).min(self.objective().mul_f64(RESERVE_WAIT_OBJECTIVES));
-        let mut waiting = None;
-        let mut awaits_trial = false;
-        loop {
-            let now = edge.now();
-            if now >= self.deadline {
-                return Err(NoReservation::DeadlinePassed);
-            }
-            let mut wake = std::pin::pin!(edge.wake.notified());
-            wake.as_mut().enable();
-            let choice = if self.admit(now, started)? {
-                edge.host.borrow_mut().choose(now, &self.query, rand::random())
-            } else {
-                if !std::mem::replace(&mut awaits_trial, true) {
-                    self.add_step("waits", "for a trial");
-                }
-                Choice::Full
-            };
-            let (until, interval, why) = match choice {
-                Choice::Send(reservation) => {
-                    edge.metrics.observe_part("wait", now.saturating_sub(started).as_secs_f64());
-                    return Ok(ReservationGuard {
-                        edge: edge.clone(),
-                        reservation,
-                        permit: None,
-                        ended: false,
-                    });
-                }
-                Choice::Wait => (started + max_wait, LOAD_RETRY_INTERVAL, NoReservation::Busy),
-                Choice::Full => (started + max_wait, FULL_RETRY_INTERVAL, NoReservation::Busy),
-                Choice::None => {
-                    (started + NO_TARGET_WAIT, LOAD_RETRY_INTERVAL, NoReservation::NoTarget)
-                }
-            };
-            if now >= until || (why == NoReservation::NoTarget && !self.query.tried.is_empty()) {
-                return Err(why);
-            }
-            if waiting.is_none() && choice == Choice::Wait {
-                let adapter = self.query.adapter.clone().unwrap_or_default();
-                self.add_step("waits", &adapter);
-                edge.host.borrow_mut().wait_for(&self.query);
-                waiting = Some(AdapterWait(edge.clone(), self.query.clone()));
-                let outputs = edge.host.borrow_mut().send_demands(now);
-                edge.carry_out(outputs);
-            }
-            let remaining = until.min(self.deadline).saturating_sub(now).min(interval);
-            tokio::select! {
-                () = wake => {}
-                () = sleep(remaining) => {}
-            }
-        }
-    }
-
-    /// Reserves a target and, for a prompt, acquires a prefill permit there. If the target leaves
-    /// or loses the adapter during the wait for the permit, another one is reserved.
-    pub(crate) async fn reserve_with_permit(&mut self) -> Result<ReservationGuard, NoReservation> {
-        let mut moves = 0;
-        loop {
-            let mut reservation = self.reserve().await?;
-            if !self.kind().is_stream() || self.query.adapter.is_none() {
-                return Ok(reservation);
-            }
-            let Some(tokens) = self.head.prompt_tokens else { return Ok(reservation) };
-            self.add_step("placed", reservation.target());
-            let target = reservation.target().to_owned();
-            match permit::acquire(self, target, tokens, moves < MAX_MOVES).await {
-                Ok(permit) => reservation.permit = permit,
-                Err(NoPermit::BetterElsewhere) => {
-                    self.add_step("moves from", reservation.target());
-                    reservation.finish(Outcome::Left);
-                    moves += 1;
-                    continue;
-                }
-                Err(NoPermit::TimedOut) => {
-                    reservation.finish(Outcome::Left);
-                    return Err(NoReservation::NoPermit);
-                }
-            }
-            if self.edge.host.borrow().is_usable(reservation.target(), &self.query) {
-                return Ok(reservation);
-            }
-            self.add_step("gone", reservation.target());
-            reservation.finish(Outcome::Left);
-        }
-    }
-
     /// Whether the request may be sent again; if so, takes one send from the retry budget.
     /// `target_may_have_run` tells whether the last target may have run the request.
     pub(crate) fn may_retry(&mut self, target_may_have_run: bool) -> bool {
@@ -281,52 +159,8 @@
         self.edge.host.borrow_mut().try_retry(now, &self.query.service)
     }
 
-    /// Whether the request may be sent now, as far as its contents may crash targets. Otherwise it
-    /// waits for a trial; `started` is when it began to wait.
-    fn admit(&mut self, now: Duration, started: Duration) -> Result<bool, NoReservation> {
-        if self.trial.is_some() || !self.edge.host.borrow().has_suspects() {
-            return Ok(true);
-        }
-        let waited = now.saturating_sub(started);
-        let (admission, outputs) = self.edge.host.borrow_mut().admit(now, self.contents(), waited);
-        self.edge.carry_out(outputs);
-        match admission {
-            Admission::Free => Ok(true),
-            Admission::Trial(suspects) => {
-                self.add_step("tries", &join(&suspects));
-                self.trial = Some(TrialGuard::new(&self.edge, suspects));
-                Ok(true)
-            }
-            Admission::Wait => Ok(false),
-            Admission::Refused(due) => Err(NoReservation::Quarantined(due)),
-        }
-    }
-
-    /// Whether the request has become suspected since it was admitted.
-    fn needs_trial(&self) -> bool {
-        let host = self.edge.host.borrow();
-        self.trial.is_none()
-            && host.has_suspects()
-            && host.needs_trial(self.edge.now(), self.contents())
-    }
-
-    /// Records that a target began to answer the request, so that nothing in it crashes targets.
-    pub(crate) fn record_begun(&mut self) {
-        if let Some(trial) = self.trial.take() {
-            trial.finish();
-        }
-        let now = self.edge.now();
-        let mut host = self.edge.host.borrow_mut();
-        if !host.has_suspects() && self.head.shared_parts.is_empty() {
-            return;
-        }
-        let outputs = host.report_sound(now, self.contents());
-        drop(host);
-        self.edge.carry_out(outputs);
-    }
-
     /// Returns the path with the query.
-    fn path(&self) -> &str {
+    pub(crate) fn path(&self) -> &str {
         self.parts.uri.path_and_query().map_or("/", |it| it.as_str())
     }
 
@@ -432,34 +266,6 @@
         SendOutcome::Retry
     }
 
-    /// Returns what other requests may share with this one: the whole content, as a hash of its
-    /// method, host, path and body, since a caller may repeat it from another address, and the
-    /// parts of its prompt.
-    fn contents(&self) -> &[Suspect] {
-        self.contents.get_or_init(|| {
-            let parts = self.head.shared_parts.iter().copied().map(Suspect::Part);
-            let host = self.parts.headers.get(header::HOST).map(HeaderValue::as_bytes);
-            let whole =
-                stable_hash(&(self.parts.method.as_str(), host, self.path(), &self.body[..]));
-            std::iter::once(Suspect::Request(whole)).chain(parts).collect()
-        })
-    }
-
-    /// Checks whether a target that broke off before it began to answer has crashed. If so, the
-    /// request may be the cause, and the crash is counted against it.
-    pub(crate) fn check_crash(&mut self, reservation: &ReservationGuard) {
-        let caller = self.parts.extensions.get::<Caller>();
-        let lost = LostRequest {
-            id: self.head.attempt.clone(),
-            caller: caller.map(ToString::to_string).unwrap_or_default(),
-            path: self.path().to_owned(),
-            body_hash: stable_hash(&&self.body[..]),
-            contents: self.contents().to_vec(),
-            trial: self.trial.take(),
-        };
-        crash::check(&self.edge, &reservation.reservation, lost);
-    }
-
     /// Records a send without a usable answer, and returns whether the request may be sent again.
     pub(crate) fn fail_send(
         &mut self,
@@ -601,8 +407,3 @@
         }
     }
 }
-
-fn join(suspects: &[Suspect]) -> String {
-    let texts: Vec<String> = suspects.iter().map(Suspect::to_string).collect();
-    texts.join(" ")
-}
--- a/edge/src/reservation.rs
+++ b/edge/src/reservation.rs
@@ -1,10 +1,43 @@
-//! A request's reservation at a target, and its wait for an adapter.
+//! A request's reservation at a target, and its wait for an adapter or a free target.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
-use fleet::{Outcome, Reservation, TargetQuery};
+use fleet::{Choice, Outcome, Reservation, TargetQuery};
+use tokio::time::sleep;
 
-use crate::{edge::Edge, permit::Permit};
+use crate::{
+    edge::Edge,
+    permit::{self, NoPermit, Permit},
+    relay::Job,
+};
+
+/// Share of a request's time left that it may wait for its adapter or for a free target.
+const RESERVE_WAIT_SHARE: f64 = 0.4;
+/// Limit of the same wait, in latency objectives.
+const RESERVE_WAIT_OBJECTIVES: f64 = 2.5;
+/// How long a request waits while no target of its service accepts requests.
+const NO_TARGET_WAIT: Duration = Duration::from_millis(400);
+/// Time between two attempts to reserve while all targets are full.
+const FULL_RETRY_INTERVAL: Duration = Duration::from_millis(30);
+/// Time between two attempts to reserve while the adapter is being loaded or no target
+/// accepts requests; `Edge::wake` triggers further ones.
+const LOAD_RETRY_INTERVAL: Duration = Duration::from_millis(300);
+/// How often a request may move to another target while it waits for a prefill permit.
+const MAX_MOVES: u32 = 2;
+/// Why a request got no reservation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NoReservation {
+    /// Its adapter was not loaded, or all targets stayed full, within the time limit.
+    Busy,
+    /// Its prefill permit was not granted in time.
+    NoPermit,
+    /// No target of the service accepts requests.
+    NoTarget,
+    /// The request's deadline has passed.
+    DeadlinePassed,
+    /// Its contents are suspected of crashing targets; the next trial is due after this time.
+    Quarantined(Duration),
+}
 
 /// A request's reserved slot at a target. Dropping it releases the slot with the outcome `Left`.
 pub(crate) struct ReservationGuard {
@@ -66,3 +99,97 @@
         self.0.host.borrow_mut().wait_ended(&self.1);
     }
 }
+
+impl Job {
+    /// Reserves a target, and waits for one within the limits if necessary.
+    pub(crate) async fn reserve(&mut self) -> Result<ReservationGuard, NoReservation> {
+        let edge = self.edge.clone();
+        let started = edge.now();
+        let left = self.deadline.saturating_sub(started);
+        let max_wait =
+            left.mul_f64(RESERVE_WAIT_SHARE).min(self.objective().mul_f64(RESERVE_WAIT_OBJECTIVES));
+        let mut waiting = None;
+        let mut awaits_trial = false;
+        loop {
+            let now = edge.now();
+            if now >= self.deadline {
+                return Err(NoReservation::DeadlinePassed);
+            }
+            let mut wake = std::pin::pin!(edge.wake.notified());
+            wake.as_mut().enable();
+            let choice = if self.admit(now, started)? {
+                edge.host.borrow_mut().choose(now, &self.query, rand::random())
+            } else {
+                if !std::mem::replace(&mut awaits_trial, true) {
+                    self.add_step("waits", "for a trial");
+                }
+                Choice::Full
+            };
+            let (until, interval, why) = match choice {
+                Choice::Send(reservation) => {
+                    edge.metrics.observe_part("wait", now.saturating_sub(started).as_secs_f64());
+                    return Ok(ReservationGuard {
+                        edge: edge.clone(),
+                        reservation,
+                        permit: None,
+                        ended: false,
+                    });
+                }
+                Choice::Wait => (started + max_wait, LOAD_RETRY_INTERVAL, NoReservation::Busy),
+                Choice::Full => (started + max_wait, FULL_RETRY_INTERVAL, NoReservation::Busy),
+                Choice::None => {
+                    (started + NO_TARGET_WAIT, LOAD_RETRY_INTERVAL, NoReservation::NoTarget)
+                }
+            };
+            if now >= until || (why == NoReservation::NoTarget && !self.query.tried.is_empty()) {
+                return Err(why);
+            }
+            if waiting.is_none() && choice == Choice::Wait {
+                let adapter = self.query.adapter.clone().unwrap_or_default();
+                self.add_step("waits", &adapter);
+                edge.host.borrow_mut().wait_for(&self.query);
+                waiting = Some(AdapterWait(edge.clone(), self.query.clone()));
+                let outputs = edge.host.borrow_mut().send_demands(now);
+                edge.carry_out(outputs);
+            }
+            let remaining = until.min(self.deadline).saturating_sub(now).min(interval);
+            tokio::select! {
+                () = wake => {}
+                () = sleep(remaining) => {}
+            }
+        }
+    }
+
+    /// Reserves a target and, for a prompt, acquires a prefill permit there. If the target leaves
+    /// or loses the adapter during the wait for the permit, another one is reserved.
+    pub(crate) async fn reserve_with_permit(&mut self) -> Result<ReservationGuard, NoReservation> {
+        let mut moves = 0;
+        loop {
+            let mut reservation = self.reserve().await?;
+            if !self.kind().is_stream() || self.query.adapter.is_none() {
+                return Ok(reservation);
+            }
+            let Some(tokens) = self.head.prompt_tokens else { return Ok(reservation) };
+            self.add_step("placed", reservation.target());
+            let target = reservation.target().to_owned();
+            match permit::acquire(self, target, tokens, moves < MAX_MOVES).await {
+                Ok(permit) => reservation.permit = permit,
+                Err(NoPermit::BetterElsewhere) => {
+                    self.add_step("moves from", reservation.target());
+                    reservation.finish(Outcome::Left);
+                    moves += 1;
+                    continue;
+                }
+                Err(NoPermit::TimedOut) => {
+                    reservation.finish(Outcome::Left);
+                    return Err(NoReservation::NoPermit);
+                }
+            }
+            if self.edge.host.borrow().is_usable(reservation.target(), &self.query) {
+                return Ok(reservation);
+            }
+            self.add_step("gone", reservation.target());
+            reservation.finish(Outcome::Left);
+        }
+    }
+}
