Take a stream that ends before its first event for broken off

An answer may come with neither a length nor chunks and end with its connection. A target that crashes after the head of such a stream then looks like one that has nothing to say: the caller got an empty stream as complete, and the crash was not counted. Cause: a stream without a partial event at its end counted as complete. Test: a_prompt_part_that_crashes_targets_is_stopped.

--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use fleet::{Outcome, RequestKind};
-use http::{HeaderMap, Response};
+use http::{HeaderMap, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use platform::request::{answer_headers, is_signed};
@@ -231,6 +231,18 @@
     }
 }
 
+/// Whether a stream that ended between two events is complete. Without a length or chunks a crash of
+/// the target may look like the end; if there was no event, only a resumed stream may be complete.
+async fn is_complete(job: &Job, source: &Source, events: &EventBuffer) -> bool {
+    let is_framed = source.headers.contains_key(header::CONTENT_LENGTH)
+        || source.headers.contains_key(header::TRANSFER_ENCODING);
+    if source.begun || is_framed {
+        return true;
+    }
+    let addr = &source.reservation.reservation.addr;
+    events.last_event.is_some() && !job.edge.client.refuses_connections(addr).await
+}
+
 /// Forwards the events of one source until it ends.
 async fn forward_source(
     job: &mut Job,
@@ -247,7 +259,9 @@
             () = &mut deadline => return StreamEnd::DeadlinePassed,
         };
         let bytes = match frame {
-            None if events.partial.is_empty() => return StreamEnd::Complete,
+            None if events.partial.is_empty() && is_complete(job, source, events).await => {
+                return StreamEnd::Complete;
+            }
             None | Some(Err(_)) => return StreamEnd::Broken,
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(bytes) => bytes,
