--- a/coordination/fleet/src/suspects.rs
+++ b/coordination/fleet/src/suspects.rs
@@ -13,8 +13,8 @@
 pub(crate) const CRASH_TTL: Duration = Duration::from_secs(60);
 /// Time for requests under way to clear a new suspect before others need a trial.
 const CLEARING_TIME: Duration = Duration::from_millis(200);
-/// Time to the next trial after each failed one, in seconds. A request may reach three targets after
-/// it is known, so that these last for a day of any length that is played.
+/// Time to the next trial after each failed one, in seconds; after the last entry it stays the same.
+/// Few trials may follow once the cause is known, however long it is sent.
 const TRIAL_DELAYS_S: [u64; 5] = [5, 30, 180, 1080, 3600];
 /// Time limit of a trial, in case that its host is lost.
 pub(crate) const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
