Read the limit that targets name, and log it with the sends to them

An answer's limit is decoded, a change of it is logged, and so is what this host sends to each target with a limit, every 2 s. No request takes another way for it.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -2,7 +2,7 @@
 //! requests.
 
 use serde::Serialize;
-use wire::{DomainId, HostId, Index, Term, Topic};
+use wire::{DomainId, HostId, Index, MilliRate, Term, Topic};
 
 use crate::OrderOutcome;
 
@@ -114,6 +114,23 @@
         /// Name of the target.
         target: String,
     },
+    /// A target named another request limit than before, or none any more.
+    Limit {
+        /// Name of the target.
+        target: String,
+        /// The limit in thousandths of a request per second; `None` without one.
+        milli_rate: Option<MilliRate>,
+    },
+    /// Requests that this host sent to a target with a limit since the last such line, at most 2 s
+    /// before.
+    LimitedSends {
+        /// Name of the target.
+        target: String,
+        /// The limit in thousandths of a request per second.
+        milli_rate: MilliRate,
+        /// Number of requests.
+        sends: u32,
+    },
     /// An order to a target has ended.
     Ordered {
         /// Name of the target.
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 mod hosts;
 mod io;
 mod lead;
+mod limits;
 mod machine;
 mod members;
 mod models;
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -67,6 +67,7 @@
     pub(crate) configured_at: Option<Duration>,
     pub(crate) prefill: PrefillScheduler,
     pub(crate) prompts_logged: Duration,
+    pub(crate) sends_logged: Duration,
     /// The leader according to another host.
     pub(crate) leader_hint: Option<HostId>,
     pub(crate) out: Vec<Output>,
@@ -119,6 +120,7 @@
             configured_at: None,
             prefill: PrefillScheduler::default(),
             prompts_logged: now,
+            sends_logged: now,
             leader_hint: None,
             out: Vec::new(),
             settings,
@@ -259,6 +261,7 @@
         let granted = self.prefill.tick(now);
         self.send_permits(granted, 0);
         self.log_prompts(now);
+        self.log_limited_sends(now);
     }
 
     /// Checks whether the state has caught up with a leader's, and announces a change of readiness.
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -7,7 +7,7 @@
 };
 
 use siphasher::sip::SipHasher13;
-use wire::{AdapterHash, DomainLoads, Running, TargetNumber, TargetRecord, TargetState};
+use wire::{AdapterHash, DomainLoads, MilliRate, Running, TargetNumber, TargetRecord, TargetState};
 
 /// Weight of the newest answer in the moving averages of a target's health.
 const NEWEST_WEIGHT: f64 = 0.15;
@@ -86,6 +86,10 @@
     pub adapters: HashMap<String, u64>,
     /// Failures and delays of its answers to this host.
     pub health: Health,
+    /// The request limit that it named last; `None` if it names none.
+    pub limit: Option<MilliRate>,
+    /// Requests that this host sent there since the last log line about sends.
+    pub(crate) sends: u32,
 }
 
 impl Target {
@@ -98,6 +102,8 @@
             backlog: 0,
             adapters: HashMap::new(),
             health: Health::default(),
+            limit: None,
+            sends: 0,
         }
     }
 
@@ -136,6 +142,10 @@
         self.by_id.values()
     }
 
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> {
+        self.by_id.values_mut()
+    }
+
     /// Returns the ready targets of a service.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Target> {
         let matches = move |it: &&Target| {
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use platform::request::{
     RequestHead, SystemHeaders, answer_headers, forward_headers, is_encoded, is_not_run, is_signed,
-    matches_attempt,
+    matches_attempt, named_limit, names_no_attempt,
 };
 use tokio::time::timeout;
 use wire::Suspect;
@@ -220,6 +220,7 @@
         let started = edge.now();
         let request = self.request(&reservation, last_event);
         self.sends += 1;
+        edge.host.borrow_mut().record_send(&reservation.reservation);
         let time_limit = self.answer_timeout();
         let answer = timeout(time_limit, connection.send(request)).await;
         let response = match answer {
@@ -237,6 +238,7 @@
         };
         let delay = edge.now().saturating_sub(started);
         let status = response.status().as_u16();
+        self.record_limit(&reservation, &response);
         if is_not_run(status, response.headers()) {
             return self.handle_refusal(reservation, connection, response).await;
         }
@@ -248,6 +250,28 @@
         SendOutcome::Head(Box::new((response, connection, reservation, delay)))
     }
 
+    /// Records the request limit that a target names in its answer. Answers to other requests, and
+    /// those that may come from another target, do not count.
+    fn record_limit(&self, reservation: &ReservationGuard, response: &Response<Incoming>) {
+        let headers = response.headers();
+        let is_own = matches_attempt(headers, &self.head.attempt)
+            || (names_no_attempt(headers) && is_not_run(response.status().as_u16(), headers));
+        if response.status() == StatusCode::MISDIRECTED_REQUEST || !is_own {
+            return;
+        }
+        let edge = &self.edge;
+        let rate = match named_limit(headers) {
+            Ok(rate) => rate,
+            Err(error) => {
+                let what = format!("answer of {}: {error}", reservation.target());
+                return edge.log.event(&Event::Alarm { what });
+            }
+        };
+        let reservation = &reservation.reservation;
+        let outputs = edge.host.borrow_mut().record_limit(edge.now(), reservation, rate);
+        edge.carry_out(outputs);
+    }
+
     /// Sends a request over a new connection after it could not be sent on a pooled one.
     async fn resend(
         &mut self,
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -11,6 +11,9 @@
 /// A short hash of an adapter's name, used in counts. Zero stands for no adapter.
 pub type AdapterHash = u32;
 
+/// Requests per second, in thousandths.
+pub type MilliRate = u32;
+
 /// A hash of a request's method, host, path and body.
 pub type RequestHash = u64;
 
