Keep the limit that a target names, over all hosts together

Cause: nothing read the limit; sends, placement and orders went on as before. Change: a host that hears a limit keeps it at once and reports it to the holder of the target's failure domain, which publishes it in its feed. Each request to such a target needs a place, which only the holder grants: it has a lease, so no two of them grant at a time, and a new one begins with none. Places expire after 0.5 s and are checked right before the send, so retries, resumed streams, trials and requests that waited as the news came need one too. A higher limit, or its end, counts only from an answer to a request with a place. Of a target of which no answer is known a host has one request at a time. Adapters of a limited target get copies elsewhere; requests that will not get a place in time are refused at once with the time to one. Weighed: equal parts of the limit at each host (a limit of 1.4 leaves ten hosts one request in 7 s each, and bursts of one each already exceed it), places from the prefill scheduler (two of them while lists of hosts differ).

--- a/coordination/fleet/src/choose.rs
+++ b/coordination/fleet/src/choose.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use crate::{Engine, Target, Targets};
+use crate::{Engine, Target, Targets, limits::Access};
 
 /// Factor of a target's failure rate in its cost.
 const FAILURE_COST: f64 = 6.0;
@@ -10,6 +10,8 @@
 const REMOTE_COST: f64 = 1.1;
 /// Tokens of prefill backlog that cost as much as one request in progress.
 const TOKENS_PER_REQUEST: f64 = 250.0;
+/// Factor by which each second until the next place raises the cost of a target with a request limit.
+const WAIT_COST: f64 = 10.0;
 /// Minimum delay in the cost, in milliseconds; shorter delays count as equal.
 const DELAY_FLOOR_MS: f64 = 5.0;
 
@@ -30,6 +32,8 @@
     pub domain: &'a str,
     /// Targets that the request was sent to before; they are excluded.
     pub tried: &'a BTreeSet<String>,
+    /// Whether the request can no longer be on time, and its priority.
+    pub rank: (bool, u8),
 }
 
 /// Result of the choice of a target.
@@ -39,16 +43,31 @@
     Target(String),
     /// No target holds the adapter in a version that may run the request.
     NoAdapter,
-    /// All targets that could run the request are full.
+    /// All targets that could run the request are full, or need a place that this host lacks.
     Full,
     /// The service has no ready target that was not tried.
     None,
 }
 
+/// The choice for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Picked {
+    /// The chosen target, or why there is none.
+    pub pick: Pick,
+    /// A target with a request limit that would have been chosen, had this host a place there.
+    pub lacks_place: Option<String>,
+}
+
 /// Chooses the target with the lowest cost: targets with the newest version first, then targets
 /// that are not avoided. `draw` is a random number that breaks ties.
-pub fn pick(now: Duration, targets: &Targets, requirements: &Requirements<'_>, draw: u64) -> Pick {
-    let mut best: Option<(bool, f64, &Target)> = None;
+pub fn pick(
+    now: Duration,
+    targets: &Targets,
+    requirements: &Requirements<'_>,
+    draw: u64,
+) -> Picked {
+    let mut best = Best::default();
+    let mut limited = Best::default();
     let (mut any, mut held, mut newest) = (false, false, false);
     for target in targets.ready(requirements.service) {
         if requirements.tried.contains(&target.record.id) {
@@ -60,24 +79,52 @@
             Some(version) => version >= requirements.newest,
         };
         held = true;
-        if is_full(target, requirements) || (newest && !is_newest) {
+        let access = target.limit.access(now, target.own(), requirements.rank);
+        let full = access == Access::Full || is_full(target, requirements);
+        if full || (newest && !is_newest) {
             continue;
         }
         if is_newest && !newest {
             newest = true;
-            best = None;
+            best = Best::default();
+            limited = Best::default();
         }
-        let avoided = target.health.avoid_until > now;
-        let cost = cost(target, requirements, draw);
-        if best.is_none_or(|(other, least, _)| (avoided, cost) < (other, least)) {
-            best = Some((avoided, cost, target));
+        let cost = (target.health.avoid_until > now, cost(target, requirements, draw));
+        match access {
+            Access::NeedsPlace => {
+                let wait = target.limit.expected_wait(now).as_secs_f64();
+                limited.offer((cost.0, cost.1 * (1.0 + WAIT_COST * wait)), target);
+            }
+            Access::Open | Access::Full => best.offer(cost, target),
         }
     }
-    match best {
-        Some((_, _, target)) => Pick::Target(target.record.id.clone()),
+    let lacks_place = match (limited.0, best.0) {
+        (Some((cost, target)), Some((other, _))) => (cost < other).then_some(target),
+        (limited, None) => limited.map(|(_, target)| target),
+        (None, _) => None,
+    };
+    let lacks_place = lacks_place.map(|it| it.record.id.clone());
+    let pick = match best.0 {
+        Some((_, target)) => Pick::Target(target.record.id.clone()),
         None if held => Pick::Full,
         None if any => Pick::NoAdapter,
         None => Pick::None,
+    };
+    Picked { pick, lacks_place }
+}
+
+/// Whether a target is avoided, and its cost.
+type Cost = (bool, f64);
+
+/// The target with the lowest cost so far.
+#[derive(Default)]
+struct Best<'a>(Option<(Cost, &'a Target)>);
+
+impl<'a> Best<'a> {
+    fn offer(&mut self, cost: Cost, target: &'a Target) {
+        if self.0.is_none_or(|(least, _)| cost < least) {
+            self.0 = Some((cost, target));
+        }
     }
 }
 
--- a/coordination/fleet/src/follow.rs
+++ b/coordination/fleet/src/follow.rs
@@ -54,6 +54,12 @@
                     target.number = Some(*number);
                 }
             }
+            FeedChange::Limit(number, limit) => {
+                if let Some(target) = self.targets.by_number(domain, *number) {
+                    let id = target.record.id.clone();
+                    self.limit_published(now, &id, *limit);
+                }
+            }
             FeedChange::Placed(placement) => self.apply_placement(domain, placement),
             FeedChange::Removed(placement) => {
                 if let Some(target) = self.targets.by_number(domain, placement.target) {
--- a/coordination/fleet/src/holder.rs
+++ b/coordination/fleet/src/holder.rs
@@ -17,11 +17,12 @@
 use wire::{DomainId, Fence, FleetMsg, HostId, Renewal, TargetRecord, Topic};
 
 use crate::{
-    Event, Host,
+    Event, Host, Target,
     feed::{FeedWriter, Position},
     machine::MISSED_HEARTBEATS,
     other_domains::OtherDomains,
     placement::{PlacementSettings, PlacementTable},
+    places::PlaceScheduler,
 };
 
 /// Lease times for which a holder may send orders after its last answered renewal was sent.
@@ -42,7 +43,8 @@
 pub(crate) struct HeldDomain {
     pub(crate) placement: PlacementTable,
     pub(crate) feed: FeedWriter,
-    fence: Fence,
+    pub(crate) places: PlaceScheduler,
+    pub(crate) fence: Fence,
     /// No orders are sent before this time.
     orders_from: Duration,
     /// When [`Command::StartOrders`] was last proposed.
@@ -97,10 +99,13 @@
         });
         for target in self.targets.iter().filter(|it| it.record.domain == domain) {
             placement.update_target(now, &target.record);
+            let Target { record, limit, .. } = target;
+            placement.recall_limit(now, &record.id, record.started_at, limit.limit);
         }
         let held = HeldDomain {
             placement,
             feed: FeedWriter::new(Topic::Targets(domain.clone()), epoch),
+            places: PlaceScheduler::default(),
             fence: holder.fence,
             orders_from: now + wait,
             begin_proposed: None,
@@ -181,6 +186,7 @@
             self.log_ordering(now, &domain);
             self.propose_begin(now, &domain);
             self.send_domain_loads(now, &domain);
+            self.tick_places(now, &domain);
         }
         self.tick_placement(now);
         self.request_tables(now);
@@ -234,6 +240,10 @@
     pub(crate) fn update_held_target(&mut self, now: Duration, record: &TargetRecord) -> bool {
         let Some(held) = self.held_domains.get_mut(&record.domain) else { return false };
         held.placement.update_target(now, record);
+        if let Some(target) = self.targets.get(&record.id) {
+            let started_at = target.record.started_at;
+            held.placement.recall_limit(now, &record.id, started_at, target.limit.limit);
+        }
         true
     }
 
--- a/coordination/fleet/src/homes.rs
+++ b/coordination/fleet/src/homes.rs
@@ -31,6 +31,8 @@
 /// Cost of a prefill backlog of [`BACKLOG_UNIT_TOKENS`], which a target prefills in half a second.
 const BACKLOG_COST: f64 = 1.0;
 const BACKLOG_UNIT_TOKENS: f64 = 10_000.0;
+/// Cost of a target that names a request limit: it gets an adapter only if no other can take it.
+const LIMITED_COST: f64 = 1000.0;
 /// Factor by which an adapter gets more copies than its share of all requests times the number of
 /// targets, as a reserve for bursts.
 const COPY_SLACK: f64 = 1.6;
@@ -60,13 +62,14 @@
 
 impl PlacementTable {
     /// Scans the whole table once.
-    pub(crate) fn survey(&self) -> Survey {
+    pub(crate) fn survey(&self, now: Duration) -> Survey {
         let backlogs = self.running().into_iter().map(|(number, _, tokens)| (number, tokens));
         let mut survey = Survey { backlogs: backlogs.collect(), ..Survey::default() };
         let ready = || self.rows.values().filter(|it| it.record.state == TargetState::Ready);
         for row in ready() {
+            let counts = self.counts_copies(now, row);
             for held in row.held.values() {
-                if held.stage != Stage::Unloading {
+                if held.stage != Stage::Unloading && counts {
                     *survey.copies.entry(held.hash).or_default() += 1;
                 }
                 if held.stage == Stage::Loading {
@@ -83,7 +86,8 @@
             let mut share = 0.0;
             for held in row.held.values() {
                 if held.stage != Stage::Unloading {
-                    let copies = survey.copies[&held.hash] + self.other_domains.copies(held.hash);
+                    let copies = survey.copies.get(&held.hash).copied().unwrap_or(0);
+                    let copies = (copies + self.other_domains.copies(held.hash)).max(1);
                     share += self.rates.rate(held.hash) / copies as f64;
                 }
             }
@@ -108,7 +112,7 @@
         self.log_unplaced(now);
         // Adapters with the most waiting requests go first, then the oldest demands.
         pending.sort_by_key(|(waiting, since, ..)| (std::cmp::Reverse(*waiting), *since));
-        let mut survey = self.survey();
+        let mut survey = self.survey(now);
         for (_, _, service, name) in pending {
             let hash = adapter_hash(&name);
             if survey.loading.contains(&hash) || survey.copies.contains_key(&hash) {
@@ -134,7 +138,7 @@
             return;
         }
         self.unplaced_logged = now;
-        let survey = self.survey();
+        let survey = self.survey(now);
         let (mut busy, mut transit, mut in_use, mut open) = (0, 0, 0, 0);
         for row in self.rows.values() {
             let Some(engine) = self.engines.get(&row.record.service) else { continue };
@@ -217,7 +221,8 @@
             let rank = unit_hash(&(name, row.record.id.as_str())) * count;
             let backlog = survey.backlogs.get(&row.number).copied().unwrap_or(0);
             let backlog = BACKLOG_COST * f64::from(backlog) / BACKLOG_UNIT_TOKENS;
-            let cost = EXCESS_COST * excess + store_load + HOME_COST * rank + backlog;
+            let limited = if row.is_limited(now) { LIMITED_COST } else { 0.0 };
+            let cost = EXCESS_COST * excess + store_load + HOME_COST * rank + backlog + limited;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, &row.record.id));
             }
@@ -263,7 +268,7 @@
         if total <= 0.0 {
             return;
         }
-        let mut survey = self.survey();
+        let mut survey = self.survey(now);
         let domain = self.settings.domain.clone();
         for service in self.engines.keys().cloned().collect::<Vec<_>>() {
             let sizes = self.target_counts(&service);
@@ -305,7 +310,7 @@
     pub(crate) fn rehome(&mut self, now: Duration, id: &str) {
         let Some(row) = self.rows.get(id) else { return };
         let service = row.record.service.clone();
-        let survey = self.survey();
+        let survey = self.survey(now);
         let mut names = Vec::new();
         for (name, held) in &row.held {
             let absent = !survey.copies.contains_key(&held.hash);
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 mod other_domains;
 mod permits;
 mod placement;
+mod places;
 mod prefill;
 mod quarantine;
 mod rates;
@@ -34,19 +35,22 @@
 mod request;
 mod routes;
 mod row;
+mod row_limits;
 mod settings;
 mod suspects;
 mod targets;
 
 pub use crate::{
     budget::RetryBudget,
-    choose::{Pick, Requirements, pick},
+    choose::{Pick, Picked, Requirements, pick},
     config::{Config, ConfigError, Engine, Limits, Model, RequestKind, Route, Service},
     event::Event,
     io::{Input, Order, OrderOutcome, Output, Reply, Report, Tag},
+    limits::LimitView,
     machine::Host,
     other_domains::OtherDomains,
     placement::{PlacementSettings, PlacementStep, PlacementTable},
+    places::{LimitInForce, PlaceScheduler},
     prefill::PrefillScheduler,
     quarantine::Admission,
     request::{Choice, NoRoute, Outcome, Reservation, TargetQuery},
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -261,7 +261,7 @@
         let granted = self.prefill.tick(now);
         self.send_permits(granted, 0);
         self.log_prompts(now);
-        self.log_limited_sends(now);
+        self.tick_limits(now);
     }
 
     /// Checks whether the state has caught up with a leader's, and announces a change of readiness.
@@ -341,6 +341,14 @@
             }
             FleetMsg::Status(status) => self.handle_status(now, from, &status),
             FleetMsg::DomainLoads(loads) => self.handle_domain_loads(now, from, &loads),
+            FleetMsg::LimitNamed { target, started_at, limit, change } => {
+                self.handle_limit_named(now, &target, started_at, limit, change);
+            }
+            FleetMsg::PlaceRequest(request) => self.handle_place_request(now, from, &request),
+            FleetMsg::PlaceReply(reply) => self.handle_place_reply(now, &reply),
+            FleetMsg::PlacesUnused { target, started_at, places } => {
+                self.handle_unused_places(&target, started_at, places);
+            }
             FleetMsg::PrefillRequest(request) => self.handle_prefill_request(now, from, &request),
             FleetMsg::PrefillReply { permit_id, granted, backlog } => {
                 self.out.push(Output::PrefillReply { permit_id, granted, backlog });
--- a/coordination/fleet/src/models.rs
+++ b/coordination/fleet/src/models.rs
@@ -79,7 +79,7 @@
                     .is_some_and(|it| it.order.load && it.order.name() == name)
         };
         if !self.rows.values().any(is_updated) {
-            let mut survey = self.survey();
+            let mut survey = self.survey(now);
             self.place_adapter(now, fence, &mut survey, &service, name, newest);
         }
     }
@@ -102,7 +102,7 @@
         if empty.is_empty() {
             return;
         }
-        let mut copies = self.survey().copies;
+        let mut copies = self.survey(now).copies;
         for engine in self.engines.values() {
             for model in &engine.models {
                 let hash = adapter_hash(&model.name);
--- a/coordination/fleet/src/permits.rs
+++ b/coordination/fleet/src/permits.rs
@@ -101,7 +101,7 @@
         if let Some(known) = self.targets.get_mut(target) {
             known.backlog = backlog;
         }
-        match self.pick_target(now, query, 0) {
+        match self.pick_target(now, query, 0).pick {
             Pick::Target(id) => id != target,
             Pick::NoAdapter | Pick::Full | Pick::None => false,
         }
--- a/coordination/fleet/src/placement.rs
+++ b/coordination/fleet/src/placement.rs
@@ -166,6 +166,7 @@
                 }
             }
         }
+        changes.extend(self.limits_table());
         changes
     }
 
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -9,7 +9,11 @@
 use wire::{AdapterHash, DomainId, FleetMsg, TargetState};
 
 use crate::{
-    Host, Pick, Requirements, RetryBudget, Route, io::Output, other_domains::domain_order, pick,
+    Host, Pick, Picked, Requirements, RetryBudget, Route,
+    io::Output,
+    limits::{Place, Rank},
+    other_domains::domain_order,
+    pick,
     targets::adapter_hash,
 };
 
@@ -39,6 +43,8 @@
     pub adapter: Option<String>,
     /// The targets that it was sent to before.
     pub tried: BTreeSet<String>,
+    /// When it arrived at this host.
+    pub arrived: Duration,
 }
 
 /// Where a request is sent next.
@@ -50,6 +56,16 @@
     Wait,
     /// Nowhere yet: all targets that could run it are full.
     Full,
+    /// Nowhere yet: the targets that could run it have request limits, and this host has no place
+    /// there.
+    Limited {
+        /// A target where the request could wait for a place.
+        target: String,
+        /// Time to the next place there; `None` while the answer to a request for one is awaited.
+        due: Option<Duration>,
+        /// Whether its adapter may be loaded at a target without a limit.
+        elsewhere: bool,
+    },
     /// Nowhere: the service has no ready target that was not tried.
     None,
 }
@@ -64,6 +80,8 @@
     /// Start time of the target, in milliseconds since the epoch.
     pub started_at: u64,
     adapter: AdapterHash,
+    /// The place that it takes up; `None` at a target without a request limit.
+    pub(crate) place: Option<Place>,
 }
 
 /// How a request ended at a target.
@@ -147,24 +165,47 @@
     }
 
     /// Chooses the target of a request and makes a reservation there.
-    pub fn choose(&mut self, now: Duration, query: &TargetQuery, draw: u64) -> Choice {
-        match self.pick_target(now, query, draw) {
-            Pick::Target(id) => {
-                let hash = query.adapter.as_deref().map_or(0, adapter_hash);
-                let Some(target) = self.targets.get_mut(&id) else { return Choice::None };
-                *target.running.entry(hash).or_default() += 1;
-                let addr = target.record.addr.clone();
-                let started_at = target.record.started_at;
-                Choice::Send(Reservation { target: id, addr, started_at, adapter: hash })
-            }
-            Pick::NoAdapter => Choice::Wait,
-            Pick::Full => Choice::Full,
-            Pick::None => Choice::None,
+    pub fn choose(
+        &mut self,
+        now: Duration,
+        query: &TargetQuery,
+        draw: u64,
+    ) -> (Choice, Vec<Output>) {
+        let Picked { pick, lacks_place } = self.pick_target(now, query, draw);
+        let rank = Host::rank(now, query);
+        if let Some(target) = &lacks_place {
+            self.ask_for_place(now, target, rank);
         }
+        let choice = match (pick, lacks_place) {
+            (Pick::Target(id), _) => self.reserve(now, query, id, rank),
+            (Pick::Full, Some(target)) => self.limited(now, query, target),
+            (Pick::Full, None) => Choice::Full,
+            (Pick::NoAdapter, _) => Choice::Wait,
+            (Pick::None, _) => Choice::None,
+        };
+        let outputs = if self.out.is_empty() { Vec::new() } else { self.finish(now) };
+        (choice, outputs)
+    }
+
+    fn reserve(&mut self, now: Duration, query: &TargetQuery, id: String, rank: Rank) -> Choice {
+        let hash = query.adapter.as_deref().map_or(0, adapter_hash);
+        let Some(target) = self.targets.get_mut(&id) else { return Choice::None };
+        *target.running.entry(hash).or_default() += 1;
+        let addr = target.record.addr.clone();
+        let started_at = target.record.started_at;
+        let place = target.limit.take_place(now, rank);
+        Choice::Send(Reservation { target: id, addr, started_at, adapter: hash, place })
+    }
+
+    fn limited(&self, now: Duration, query: &TargetQuery, target: String) -> Choice {
+        let mut others = self.targets.ready(&query.service);
+        let elsewhere = query.adapter.is_some() && others.any(|it| !it.limit.is_limited());
+        let due = self.place_due(now, &target);
+        Choice::Limited { target, due, elsewhere }
     }
 
     /// Chooses the target of a request without a reservation.
-    pub(crate) fn pick_target(&self, now: Duration, query: &TargetQuery, draw: u64) -> Pick {
+    pub(crate) fn pick_target(&self, now: Duration, query: &TargetQuery, draw: u64) -> Picked {
         let services = self.config.as_ref().map(|it| &it.services);
         let service = services.and_then(|it| it.get(&query.service));
         let engine = service.and_then(|it| it.engine.as_ref());
@@ -178,6 +219,7 @@
             engine,
             domain: &self.settings.domain,
             tried: &query.tried,
+            rank: Host::rank(now, query),
         };
         pick(now, &self.targets, &requirements, draw)
     }
@@ -266,10 +308,15 @@
     }
 
     /// Returns the home failure domain of an adapter: the first in its order whose targets receive
-    /// orders now, else the first. `None` if the service has no ready target.
+    /// orders now, else the first. Targets with a request limit count only if all have one. `None`
+    /// if the service has no ready target.
     fn home_domain(&self, now: Duration, service: &str, adapter: &str) -> Option<DomainId> {
         let mut sizes: BTreeMap<DomainId, usize> = BTreeMap::new();
+        let all_limited = self.targets.ready(service).all(|it| it.limit.is_limited());
         for target in self.targets.ready(service) {
+            if target.limit.is_limited() && !all_limited {
+                continue;
+            }
             *sizes.entry(target.record.domain.clone()).or_default() += 1;
         }
         let order = domain_order(adapter, &sizes);
--- a/coordination/fleet/src/row.rs
+++ b/coordination/fleet/src/row.rs
@@ -10,6 +10,7 @@
 use crate::{
     Engine,
     io::{Order, Report},
+    row_limits::RowLimit,
     targets::adapter_hash,
 };
 
@@ -86,6 +87,8 @@
     pub(crate) backoff_until: Duration,
     /// Time of the last heartbeat or report.
     pub(crate) last_heard: Duration,
+    /// The request limit that it names.
+    pub(crate) limit: RowLimit,
 }
 
 impl TargetRow {
@@ -104,6 +107,7 @@
             requested_at: None,
             backoff_until: Duration::ZERO,
             last_heard: now,
+            limit: RowLimit::default(),
         }
     }
 
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -7,7 +7,11 @@
 };
 
 use siphasher::sip::SipHasher13;
-use wire::{AdapterHash, DomainLoads, MilliRate, Running, TargetNumber, TargetRecord, TargetState};
+use wire::{
+    AdapterHash, DomainLoads, RequestLimit, Running, TargetNumber, TargetRecord, TargetState,
+};
+
+use crate::LimitView;
 
 /// Weight of the newest answer in the moving averages of a target's health.
 const NEWEST_WEIGHT: f64 = 0.15;
@@ -16,7 +20,7 @@
 const MIN_AVOIDED: Duration = Duration::from_millis(250);
 /// Maximum time for which a target is avoided.
 const MAX_AVOIDED: Duration = Duration::from_secs(4);
-/// Maximum number of ended targets that are kept, so that their late heartbeats are ignored.
+/// Maximum number of ended targets, and of silent ones with a limit, that are kept.
 const MAX_ENDED: usize = 4096;
 
 /// Returns a hash that is the same on all hosts: SipHash-1-3 with an all-zero key.
@@ -86,10 +90,8 @@
     pub adapters: HashMap<String, u64>,
     /// Failures and delays of its answers to this host.
     pub health: Health,
-    /// The request limit that it named last; `None` if it names none.
-    pub limit: Option<MilliRate>,
-    /// Requests that this host sent there since the last log line about sends.
-    pub(crate) sends: u32,
+    /// The limit of requests that it names.
+    pub limit: LimitView,
 }
 
 impl Target {
@@ -102,8 +104,7 @@
             backlog: 0,
             adapters: HashMap::new(),
             health: Health::default(),
-            limit: None,
-            sends: 0,
+            limit: LimitView::default(),
         }
     }
 
@@ -124,6 +125,8 @@
     by_id: BTreeMap<String, Target>,
     /// Start time of each ended target, by name.
     ended: BTreeMap<String, u64>,
+    /// Start time and request limit of targets that named one and are silent, by name.
+    silent_limits: BTreeMap<String, (u64, RequestLimit)>,
 }
 
 impl Targets {
@@ -173,7 +176,13 @@
             if !self.claim_addr(record) {
                 return false;
             }
-            self.by_id.insert(record.id.clone(), Target::new(record.clone()));
+            let mut target = Target::new(record.clone());
+            if let Some((started_at, limit)) = self.silent_limits.remove(&record.id)
+                && started_at == record.started_at
+            {
+                target.limit = LimitView::known(limit);
+            }
+            self.by_id.insert(record.id.clone(), target);
             return true;
         };
         if record.started_at < known.record.started_at {
@@ -186,7 +195,7 @@
         if record.state == TargetState::Silent {
             let silent = record.sequence >= known.record.sequence;
             if silent {
-                self.by_id.remove(&record.id);
+                self.silence(&record.id);
             }
             return silent;
         }
@@ -210,6 +219,18 @@
         changed
     }
 
+    /// Removes a target that is silent; its limit holds if the same process comes back.
+    fn silence(&mut self, id: &str) {
+        let Some(target) = self.by_id.remove(id) else { return };
+        if target.limit.is_limited() {
+            let limit = (target.record.started_at, target.limit.limit);
+            self.silent_limits.insert(id.to_owned(), limit);
+        }
+        while self.silent_limits.len() > MAX_ENDED {
+            self.silent_limits.pop_first();
+        }
+    }
+
     /// Ends the target that is known at the address of a new one. Returns false, and changes
     /// nothing, if the known one started later.
     fn claim_addr(&mut self, record: &TargetRecord) -> bool {
@@ -238,6 +259,7 @@
             target.number = None;
             target.others = 0;
             target.adapters.clear();
+            target.limit.clear_published();
         }
     }
 
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use replog::{HardState, Op, Recovered, Write};
-use wire::{HostId, PeerMsg, Suspect, TargetRecord, TargetState};
+use wire::{FleetMsg, HostId, PeerMsg, Suspect, TargetRecord, TargetState};
 
 const TICK: Duration = Duration::from_millis(50);
 
@@ -59,6 +59,8 @@
     pub seeds: Vec<HostId>,
     /// Probability that a message is lost.
     pub loss: f64,
+    /// Messages sent about request limits and places.
+    pub place_messages: u64,
     cpu_millis: u32,
     rng: ChaCha8Rng,
     scheduled: BTreeMap<(Duration, u64), Scheduled>,
@@ -117,6 +119,17 @@
     Config { number: 1, routes: Vec::new(), services, limits }
 }
 
+fn is_about_places(msg: &PeerMsg) -> bool {
+    let PeerMsg::Fleet(msg) = msg else { return false };
+    matches!(
+        **msg,
+        FleetMsg::PlaceRequest(_)
+            | FleetMsg::PlaceReply(_)
+            | FleetMsg::PlacesUnused { .. }
+            | FleetMsg::LimitNamed { .. }
+    )
+}
+
 fn apply(disk: &mut Recovered, op: &Op) {
     match op {
         Op::Hard(hard) => disk.hard = hard.clone(),
@@ -154,6 +167,7 @@
             targets: BTreeMap::new(),
             seeds: seeds.to_vec(),
             loss: 0.0,
+            place_messages: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             scheduled: BTreeMap::new(),
             seq: 0,
@@ -309,6 +323,7 @@
             let incarnation = machine.incarnation;
             match output {
                 Output::Send { to, msg } => {
+                    self.place_messages += u64::from(is_about_places(&msg));
                     if self.rng.random_bool(self.loss) {
                         continue;
                     }
@@ -442,7 +457,7 @@
     }
 }
 
-fn query(adapter: &str) -> TargetQuery {
+pub fn query(adapter: &str) -> TargetQuery {
     let route = Route {
         name: "r".to_owned(),
         host: "a.example".to_owned(),
@@ -460,6 +475,7 @@
         service: "s".to_owned(),
         adapter: Some(adapter.to_owned()),
         tried: BTreeSet::new(),
+        arrived: Duration::ZERO,
     }
 }
 
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -90,8 +90,13 @@
     };
     let left = head.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let deadline = arrived + left.min(route.timeout);
-    let query =
-        TargetQuery { route, service, adapter: head.adapter.clone(), tried: Default::default() };
+    let query = TargetQuery {
+        route,
+        service,
+        adapter: head.adapter.clone(),
+        tried: Default::default(),
+        arrived,
+    };
     relay(Job::new(edge, active, query, parts, head, body, arrived, deadline)).await
 }
 
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -39,7 +39,8 @@
 /// Replaces [`RETRY_DELAY`] while no holder is active: first a leader must be elected and the
 /// lease of the previous holder must expire.
 const RETRY_DELAY_NO_HOLDER: Duration = Duration::from_millis(3500);
-/// Maximum `Retry-After` for a request that is refused because its contents may crash targets.
+/// Maximum `Retry-After` for a request that is refused because its contents may crash targets, or
+/// because the targets name request limits.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(60);
 
 /// A caller's request that is being relayed.
@@ -60,8 +61,9 @@
     /// What other requests may have in common with it that may crash targets.
     pub(crate) contents: OnceCell<Vec<Suspect>>,
     pub(crate) trial: Option<TrialGuard>,
-    /// Time to the next trial of its suspects, if it is refused for them.
-    trial_due: Option<Duration>,
+    /// Time to the next trial of its suspects, or to the next place at a target with a request
+    /// limit, if it is refused for these.
+    retry_due: Option<Duration>,
     /// A target's error answer, forwarded if no further send succeeds.
     fallback: Option<Answer>,
     /// The decisions so far, for the log line.
@@ -104,7 +106,7 @@
             may_have_run: false,
             contents: OnceCell::new(),
             trial: None,
-            trial_due: None,
+            retry_due: None,
             fallback: None,
             steps: String::new(),
         }
@@ -216,6 +218,11 @@
                 None => return self.handle_unreached(reservation),
             },
         };
+        if !edge.host.borrow().may_send(edge.now(), &reservation.reservation) {
+            self.add_step("no place at", &id);
+            reservation.end(Outcome::Left);
+            return SendOutcome::Retry;
+        }
         self.add_step("sent", &id);
         let started = edge.now();
         let request = self.request(&reservation, last_event);
@@ -340,7 +347,7 @@
                 status
             };
             empty(status)
-        } else if let Some(due) = self.trial_due.take() {
+        } else if let Some(due) = self.retry_due.take() {
             not_run(due.min(MAX_RETRY_DELAY), RETRY_DELAY_SPREAD)
         } else {
             let has_holder = self.edge.host.borrow().has_active_holder(self.edge.now());
@@ -402,8 +409,12 @@
             Err(NoReservation::NoTarget) => {
                 return job.fail(StatusCode::SERVICE_UNAVAILABLE, "no_target");
             }
+            Err(NoReservation::Limited(due)) => {
+                job.retry_due = Some(due.max(RETRY_DELAY));
+                return job.fail(StatusCode::SERVICE_UNAVAILABLE, "limited");
+            }
             Err(NoReservation::Quarantined(due)) => {
-                job.trial_due = Some(due);
+                job.retry_due = Some(due);
                 return job.fail(StatusCode::SERVICE_UNAVAILABLE, "barred");
             }
             Err(NoReservation::DeadlinePassed) => {
--- a/edge/src/reservation.rs
+++ b/edge/src/reservation.rs
@@ -22,6 +22,9 @@
 /// Time between two attempts to reserve while the adapter is being loaded or no target
 /// accepts requests; `Edge::wake` triggers further ones.
 const LOAD_RETRY_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two attempts to reserve while this host has no place at a target with a request
+/// limit; `Edge::wake` triggers further ones.
+const PLACE_RETRY_INTERVAL: Duration = Duration::from_millis(160);
 /// How often a request may move to another target while it waits for a prefill permit.
 const MAX_MOVES: u32 = 2;
 /// Why a request got no reservation.
@@ -35,6 +38,8 @@
     NoTarget,
     /// The request's deadline has passed.
     DeadlinePassed,
+    /// The targets that could run it take no more requests; the next place is due after this time.
+    Limited(Duration),
     /// Its contents are suspected of crashing targets; the next trial is due after this time.
     Quarantined(Duration),
 }
@@ -100,6 +105,27 @@
     }
 }
 
+/// A request that waits for a place at a target with a request limit, until this is dropped.
+struct PlaceWait {
+    edge: Rc<Edge>,
+    target: String,
+    /// Whether the estimate of its wait was found short enough.
+    in_time: bool,
+}
+
+impl PlaceWait {
+    fn start(edge: &Rc<Edge>, target: String) -> PlaceWait {
+        edge.host.borrow_mut().wait_for_place(&target);
+        PlaceWait { edge: edge.clone(), target, in_time: false }
+    }
+}
+
+impl Drop for PlaceWait {
+    fn drop(&mut self) {
+        self.edge.host.borrow_mut().place_wait_ended(&self.target);
+    }
+}
+
 impl Job {
     /// Reserves a target, and waits for one within the limits if necessary.
     pub(crate) async fn reserve(&mut self) -> Result<ReservationGuard, NoReservation> {
@@ -110,6 +136,7 @@
             left.mul_f64(RESERVE_WAIT_SHARE).min(self.objective().mul_f64(RESERVE_WAIT_OBJECTIVES));
         let mut waiting = None;
         let mut awaits_trial = false;
+        let mut place_wait: Option<PlaceWait> = None;
         loop {
             let now = edge.now();
             if now >= self.deadline {
@@ -118,13 +145,16 @@
             let mut wake = std::pin::pin!(edge.wake.notified());
             wake.as_mut().enable();
             let choice = if self.admit(now, started)? {
-                edge.host.borrow_mut().choose(now, &self.query, rand::random())
+                let chosen = edge.host.borrow_mut().choose(now, &self.query, rand::random());
+                edge.carry_out(chosen.1);
+                chosen.0
             } else {
                 if !std::mem::replace(&mut awaits_trial, true) {
                     self.add_step("waits", "for a trial");
                 }
                 Choice::Full
             };
+            let mut load = choice == Choice::Wait;
             let (until, interval, why) = match choice {
                 Choice::Send(reservation) => {
                     edge.metrics.observe_part("wait", now.saturating_sub(started).as_secs_f64());
@@ -137,6 +167,22 @@
                 }
                 Choice::Wait => (started + max_wait, LOAD_RETRY_INTERVAL, NoReservation::Busy),
                 Choice::Full => (started + max_wait, FULL_RETRY_INTERVAL, NoReservation::Busy),
+                Choice::Limited { target, due, elsewhere } => {
+                    let until = started + max_wait;
+                    if place_wait.as_ref().is_none_or(|it| it.target != target) {
+                        self.add_step("waits for a place at", &target);
+                        place_wait = Some(PlaceWait::start(&edge, target));
+                    }
+                    if let (Some(due), Some(wait)) = (due, &mut place_wait)
+                        && !elsewhere
+                        && !std::mem::replace(&mut wait.in_time, true)
+                        && now + due > until
+                    {
+                        return Err(NoReservation::Limited(due));
+                    }
+                    load = elsewhere;
+                    (until, PLACE_RETRY_INTERVAL, NoReservation::Limited(due.unwrap_or_default()))
+                }
                 Choice::None => {
                     (started + NO_TARGET_WAIT, LOAD_RETRY_INTERVAL, NoReservation::NoTarget)
                 }
@@ -144,7 +190,7 @@
             if now >= until || (why == NoReservation::NoTarget && !self.query.tried.is_empty()) {
                 return Err(why);
             }
-            if waiting.is_none() && choice == Choice::Wait {
+            if waiting.is_none() && load {
                 let adapter = self.query.adapter.clone().unwrap_or_default();
                 self.add_step("waits", &adapter);
                 edge.host.borrow_mut().wait_for(&self.query);
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -14,6 +14,18 @@
 /// Requests per second, in thousandths.
 pub type MilliRate = u32;
 
+/// What is known of the limit of requests that a target takes from all hosts together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RequestLimit {
+    /// No answer of the target is known.
+    #[default]
+    Unknown,
+    /// The target names no limit.
+    Unlimited,
+    /// The target takes so many requests.
+    Rate(MilliRate),
+}
+
 /// A hash of a request's method, host, path and body.
 pub type RequestHash = u64;
 
@@ -125,6 +137,8 @@
     Placed(Placement),
     /// Requests for an adapter may no longer go to a target.
     Removed(Placement),
+    /// A target names another request limit, or none any more.
+    Limit(TargetNumber, RequestLimit),
     /// A suspect is new, or more is known of it.
     Suspected(SuspectRecord),
     /// A suspect is cleared: a request with it ran without a crash.
@@ -236,6 +250,48 @@
     pub pause_ms: u32,
 }
 
+/// A host's request for places, each the right to send one request to a target with a limit, to the
+/// holder of the target's failure domain.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlaceRequest {
+    /// The target's name.
+    pub target: String,
+    /// The target's start time, in milliseconds since the Unix epoch.
+    pub started_at: u64,
+    /// The limit that the host knows.
+    pub milli_rate: MilliRate,
+    /// The number of places that the host can use at once.
+    pub count: u16,
+    /// The number of requests that wait for a place at the host.
+    pub waiting: u16,
+    /// Whether the most urgent of them can no longer be on time.
+    pub late: bool,
+    /// The priority of the most urgent of them; zero is served first.
+    pub priority: u8,
+    /// When the request was sent, in milliseconds of the sender's clock.
+    pub sent_ms: u64,
+}
+
+/// Answers [`PlaceRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlaceReply {
+    /// The target's name.
+    pub target: String,
+    /// The target's start time.
+    pub started_at: u64,
+    /// The `sent_ms` of the answered request.
+    pub sent_ms: u64,
+    /// The time from the request's arrival to this answer, in milliseconds.
+    pub held_ms: u32,
+    /// The number of granted places; zero if the host has to wait.
+    pub places: u16,
+    /// Number of the limit's last change, over all holders. An answer to a request with the place is
+    /// newer than this change.
+    pub change: u64,
+    /// The time until a further request would get a place, in milliseconds.
+    pub due_ms: u32,
+}
+
 /// A message between hosts that send callers' requests to the targets directly.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetMsg {
@@ -345,6 +401,30 @@
         /// The log index to apply before the read.
         index: Index,
     },
+    /// Reports to a holder which limit a target named in an answer.
+    LimitNamed {
+        /// The target's name.
+        target: String,
+        /// The target's start time.
+        started_at: u64,
+        /// The limit, or that the target names none.
+        limit: RequestLimit,
+        /// [`PlaceReply::change`] of the place that the answered request had.
+        change: Option<u64>,
+    },
+    /// Requests places at a target with a limit.
+    PlaceRequest(PlaceRequest),
+    /// Answers [`FleetMsg::PlaceRequest`].
+    PlaceReply(PlaceReply),
+    /// Gives back places that no request of the sender took.
+    PlacesUnused {
+        /// The target's name.
+        target: String,
+        /// The target's start time.
+        started_at: u64,
+        /// The number of places.
+        places: u16,
+    },
     /// Requests a prefill permit from the host that schedules the target's permits.
     PrefillRequest(PrefillRequest),
     /// Answers [`FleetMsg::PrefillRequest`].
@@ -382,6 +462,8 @@
                 | FleetMsg::Renewed { .. }
                 | FleetMsg::Status(_)
                 | FleetMsg::DomainLoads(_)
+                | FleetMsg::PlaceRequest(_)
+                | FleetMsg::PlaceReply(_)
                 | FleetMsg::PrefillRequest(_)
                 | FleetMsg::PrefillReply { .. }
                 | FleetMsg::PrefillEnded { .. }
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -21,8 +21,9 @@
     error::{ErrorInfo, ErrorKind, Fault, Ran, Retry, error_chain},
     fleet::{
         AdapterHash, CrashId, DomainLoads, Epoch, Feed, FeedChange, FleetMsg, HostRecord,
-        HostStatus, MilliRate, PartId, Placement, PrefillRequest, Renewal, RequestHash, Running,
-        Suspect, SuspectRecord, TargetNumber, TargetRecord, TargetState, Topic,
+        HostStatus, MilliRate, PartId, PlaceReply, PlaceRequest, Placement, PrefillRequest,
+        Renewal, RequestHash, RequestLimit, Running, Suspect, SuspectRecord, TargetNumber,
+        TargetRecord, TargetState, Topic,
     },
     id::{
         AdapterId, CallerId, DiskId, DomainId, Fence, Fingerprint, GroupId, HostId, Incarnation,
