Log the software version of targets, and what a request takes up

The logs name targets, not their software versions, so a joined stream could not be told from a resumed one. Heartbeats' version is decoded into the target's record; nothing acts on it.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -106,6 +106,8 @@
         service: String,
         /// IP address and port of the target.
         addr: String,
+        /// Version of the target's software.
+        software: String,
         /// State of the target in lower case.
         state: String,
     },
--- a/coordination/fleet/src/heartbeats.rs
+++ b/coordination/fleet/src/heartbeats.rs
@@ -65,6 +65,7 @@
                 target: record.id.clone(),
                 service: record.service.clone(),
                 addr: record.addr.clone(),
+                software: record.software.clone(),
                 state: format!("{:?}", record.state).to_lowercase(),
             });
         }
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -488,6 +488,7 @@
         addr: format!("{id}:1"),
         domain: "d1".to_owned(),
         slots: 4,
+        software: "v1".to_owned(),
         state,
     }
 }
--- a/coordination/fleet/tests/placement.rs
+++ b/coordination/fleet/tests/placement.rs
@@ -113,6 +113,7 @@
         addr: format!("{id}:1"),
         domain: "d".to_owned(),
         slots: 64,
+        software: "v1".to_owned(),
         state: TargetState::Ready,
     }
 }
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -399,6 +399,9 @@
 
 /// Relays a request and returns the answer for its caller.
 pub(crate) async fn relay(mut job: Job) -> Answer {
+    if let (Some(first), Some(event)) = (job.head.first_attempt.clone(), job.head.last_event) {
+        job.add_step("takes up", &format!("{first} after {event}"));
+    }
     loop {
         let reservation = match job.reserve_with_permit().await {
             Ok(reservation) => reservation,
--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -233,6 +233,7 @@
         addr,
         domain: "z1".to_owned(),
         slots: 4,
+        software: "v1".to_owned(),
         state: TargetState::Ready,
     }
 }
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -111,6 +111,8 @@
     pub domain: DomainId,
     /// The most requests that the target runs at a time.
     pub slots: u32,
+    /// The version of the target's software, not of its models; empty if it names none.
+    pub software: String,
     /// Whether the target accepts requests.
     pub state: TargetState,
 }
