Let an answer go on at the software version that began it only

Cause: after its target had broken off, the rest of a stream was asked of the next best target, whatever its software. Change: the version that brought an answer's first event binds the rest of it. A request that waits for its adapter there asks for a copy at a target of that version, also where others hold one. An answer of a process that has replaced the reserved one under its name counts as lost. an_answer_goes_on_at_its_software_version_only failed before.

--- a/coordination/fleet/src/choose.rs
+++ b/coordination/fleet/src/choose.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
+use wire::SoftwareHash;
+
 use crate::{Engine, Target, Targets, limits::Access};
 
 /// Factor of a target's failure rate in its cost.
@@ -28,6 +30,8 @@
     pub newest: u64,
     /// The service's engine, if it runs models.
     pub engine: Option<&'a Engine>,
+    /// The software version that must run it; `None` if any may.
+    pub software: Option<SoftwareHash>,
     /// This host's failure domain, whose targets are preferred.
     pub domain: &'a str,
     /// Targets that the request was sent to before; they are excluded.
@@ -45,7 +49,7 @@
     NoAdapter,
     /// All targets that could run the request are full, or need a place that this host lacks.
     Full,
-    /// The service has no ready target that was not tried.
+    /// The service has no ready target of the software version that was not tried.
     None,
 }
 
@@ -70,7 +74,9 @@
     let mut limited = Best::default();
     let (mut any, mut held, mut newest) = (false, false, false);
     for target in targets.ready(requirements.service) {
-        if requirements.tried.contains(&target.record.id) {
+        if requirements.tried.contains(&target.record.id)
+            || requirements.software.is_some_and(|it| it != target.software)
+        {
             continue;
         }
         any = true;
--- a/coordination/fleet/src/holder.rs
+++ b/coordination/fleet/src/holder.rs
@@ -21,7 +21,7 @@
     feed::{FeedWriter, Position},
     machine::MISSED_HEARTBEATS,
     other_domains::OtherDomains,
-    placement::{PlacementSettings, PlacementTable},
+    placement::{Demand, PlacementSettings, PlacementTable},
     places::PlaceScheduler,
 };
 
@@ -254,11 +254,11 @@
         from: HostId,
         domain: &str,
         service: &str,
-        adapter: &str,
+        demand: Demand,
         waiting: u16,
     ) {
         if let Some(held) = self.held_domains.get_mut(domain) {
-            held.placement.record_demand(now, from, service, adapter, waiting);
+            held.placement.record_demand(now, from, service, demand, waiting);
         }
         self.tick_placement(now);
     }
--- a/coordination/fleet/src/homes.rs
+++ b/coordination/fleet/src/homes.rs
@@ -11,7 +11,7 @@
 use crate::{
     Engine, Event, PlacementStep, PlacementTable,
     other_domains::{copies_of, unit_hash},
-    placement::AdapterDemand,
+    placement::{AdapterDemand, Demand},
     row::{Stage, TargetRow},
     targets::adapter_hash,
 };
@@ -102,9 +102,9 @@
             demand.hosts.retain(|_, (_, at)| now < *at + DEMAND_TTL);
             !demand.hosts.is_empty()
         });
-        for (name, demand) in &self.demands {
+        for (wanted, demand) in &self.demands {
             let waiting: u32 = demand.hosts.values().map(|(count, _)| u32::from(*count)).sum();
-            pending.push((waiting, demand.since, demand.service.clone(), name.clone()));
+            pending.push((waiting, demand.since, demand.service.clone(), wanted.clone()));
         }
         if pending.is_empty() {
             return;
@@ -113,18 +113,34 @@
         // Adapters with the most waiting requests go first, then the oldest demands.
         pending.sort_by_key(|(waiting, since, ..)| (std::cmp::Reverse(*waiting), *since));
         let mut survey = self.survey(now);
-        for (_, _, service, name) in pending {
-            let hash = adapter_hash(&name);
-            if survey.loading.contains(&hash) || survey.copies.contains_key(&hash) {
+        for (_, _, service, wanted) in pending {
+            if self.is_placed(now, &survey, &wanted) || !self.has_free(now, &service) {
                 continue;
             }
-            if !self.has_free(now, &service) {
-                continue;
-            }
-            self.place_adapter(now, fence, &mut survey, &service, &name, 0);
+            self.place_adapter(now, fence, &mut survey, &service, &wanted, 0);
         }
     }
 
+    /// Whether a wanted adapter is held or being loaded where it is wanted.
+    fn is_placed(&self, now: Duration, survey: &Survey, wanted: &Demand) -> bool {
+        let hash = adapter_hash(&wanted.adapter);
+        if wanted.software.is_none() {
+            return survey.loading.contains(&hash) || survey.copies.contains_key(&hash);
+        }
+        self.rows.values().any(|row| {
+            let ordered = row
+                .open_order
+                .as_ref()
+                .is_some_and(|it| it.order.load && it.order.name() == wanted.adapter);
+            let held = row.held.get(&wanted.adapter);
+            let held = held.is_some_and(|it| it.stage != Stage::Unloading);
+            row.record.state == TargetState::Ready
+                && wanted.suits(row)
+                && (ordered || held)
+                && self.counts_copies(now, row)
+        })
+    }
+
     /// Whether any target of a service can receive an order now.
     fn has_free(&self, now: Duration, service: &str) -> bool {
         self.rows.values().any(|it| it.is_free(now) && it.record.service == service)
@@ -168,12 +184,14 @@
         fence: Fence,
         survey: &mut Survey,
         service: &str,
-        name: &str,
+        wanted: &Demand,
         version: u64,
     ) -> bool {
-        let Some((model, adapter)) = name.split_once('/') else { return false };
+        let Some((model, adapter)) = wanted.adapter.split_once('/') else { return false };
         let Some(engine) = self.engines.get(service).cloned() else { return false };
-        let Some(id) = self.best_target(now, survey, service, &engine, name) else { return false };
+        let Some(id) = self.best_target(now, survey, service, &engine, wanted) else {
+            return false;
+        };
         let mut victim = None;
         {
             let row = &self.rows[&id];
@@ -200,8 +218,9 @@
         survey: &mut Survey,
         service: &str,
         engine: &Engine,
-        name: &str,
+        wanted: &Demand,
     ) -> Option<String> {
+        let name = wanted.adapter.as_str();
         let (model, _) = name.split_once('/')?;
         let own_rate = self.rates.rate(adapter_hash(name));
         let of_service = |it: &&TargetRow| it.record.service == service;
@@ -209,7 +228,7 @@
         let mean = survey.shares.values().sum::<f64>() / count;
         let mut best: Option<(f64, &str)> = None;
         for row in self.rows.values().filter(of_service) {
-            if !row.can_take(now, model, name) {
+            if !wanted.suits(row) || !row.can_take(now, model, name) {
                 continue;
             }
             if !row.has_room(engine) && self.victim_of(now, survey, row).is_none() {
@@ -249,7 +268,7 @@
             {
                 continue;
             }
-            if self.in_use.contains(&(row.number, held.hash)) || self.demands.contains_key(name) {
+            if self.in_use.contains(&(row.number, held.hash)) || self.is_wanted(name) {
                 continue;
             }
             let copies = survey.copies.get(&held.hash).copied().unwrap_or(1).max(1);
@@ -262,6 +281,12 @@
         best.map(|(_, _, name)| name.clone())
     }
 
+    /// Whether requests wait for an adapter.
+    fn is_wanted(&self, name: &str) -> bool {
+        let next = self.demands.range(Demand::anywhere(name)..).next();
+        next.is_some_and(|(demand, _)| demand.adapter == name)
+    }
+
     /// Places a further copy of adapters whose request rate exceeds the share of one copy.
     pub(crate) fn add_copies(&mut self, now: Duration, fence: Fence) {
         let total = self.rates.total();
@@ -283,7 +308,8 @@
                 let lacking =
                     all > 0 && all < wanted.min(count) && here < quota.min(sizes[&domain]);
                 if lacking && !survey.loading.contains(&hash) {
-                    self.place_adapter(now, fence, &mut survey, &service, &name, 0);
+                    let wanted = Demand::anywhere(&name);
+                    self.place_adapter(now, fence, &mut survey, &service, &wanted, 0);
                 }
             }
         }
@@ -320,7 +346,7 @@
         }
         for name in names {
             // Host 0: no host waits yet.
-            self.record_demand(now, 0, &service, &name, 1);
+            self.record_demand(now, 0, &service, Demand::anywhere(&name), 1);
         }
     }
 }
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -49,7 +49,7 @@
     limits::LimitView,
     machine::Host,
     other_domains::OtherDomains,
-    placement::{PlacementSettings, PlacementStep, PlacementTable},
+    placement::{Demand, PlacementSettings, PlacementStep, PlacementTable},
     places::{LimitInForce, PlaceScheduler},
     prefill::PrefillScheduler,
     quarantine::Admission,
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -17,6 +17,7 @@
     io::{Input, Output, Tag},
     lead::Leading,
     operator::{LeaderRequest, OperatorCalls},
+    placement::Demand,
     quarantine::Quarantine,
     replicated::log_settings,
     request::Requests,
@@ -364,8 +365,9 @@
             FleetMsg::Resync(topic) => self.send_table(from, &topic),
             FleetMsg::TargetEnding(record) => self.update_target(now, &record),
             FleetMsg::TargetAlive(record) => self.handle_alive(now, &record),
-            FleetMsg::AdapterDemand { domain, service, adapter, waiting } => {
-                self.handle_demand(now, from, &domain, &service, &adapter, waiting);
+            FleetMsg::AdapterDemand { domain, service, adapter, software, waiting } => {
+                let demand = Demand { adapter, software };
+                self.handle_demand(now, from, &domain, &service, demand, waiting);
             }
             FleetMsg::Crashed { crash, suspects, trials } => {
                 self.handle_crash(now, from, crash, &suspects, &trials);
--- a/coordination/fleet/src/models.rs
+++ b/coordination/fleet/src/models.rs
@@ -5,7 +5,7 @@
 use wire::{FeedChange, Fence, TargetState};
 
 use crate::{
-    Engine, PlacementStep, PlacementTable,
+    Demand, Engine, PlacementStep, PlacementTable,
     placement::placement,
     row::{HeldAdapter, Stage, TargetRow},
     targets::adapter_hash,
@@ -80,7 +80,8 @@
         };
         if !self.rows.values().any(is_updated) {
             let mut survey = self.survey(now);
-            self.place_adapter(now, fence, &mut survey, &service, name, newest);
+            let wanted = Demand::anywhere(name);
+            self.place_adapter(now, fence, &mut survey, &service, &wanted, newest);
         }
     }
 
--- a/coordination/fleet/src/placement.rs
+++ b/coordination/fleet/src/placement.rs
@@ -8,8 +8,8 @@
 };
 
 use wire::{
-    AdapterHash, DomainId, FeedChange, Fence, HostId, HostStatus, Placement, TargetNumber,
-    TargetRecord, TargetState,
+    AdapterHash, DomainId, FeedChange, Fence, HostId, HostStatus, Placement, SoftwareHash,
+    TargetNumber, TargetRecord, TargetState,
 };
 
 use crate::{
@@ -69,6 +69,27 @@
     Log(Event),
 }
 
+/// What requests wait for: an adapter, at a target of a software version if one is given.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Demand {
+    /// The adapter.
+    pub adapter: String,
+    /// The software version; `None` if any will do.
+    pub software: Option<SoftwareHash>,
+}
+
+impl Demand {
+    /// An adapter at a target of any software version.
+    pub fn anywhere(adapter: &str) -> Demand {
+        Demand { adapter: adapter.to_owned(), software: None }
+    }
+
+    /// Whether a target has the software version.
+    pub(crate) fn suits(&self, row: &TargetRow) -> bool {
+        self.software.is_none_or(|it| it == row.software)
+    }
+}
+
 /// Requests that wait for an adapter: the number of each host, and when it was last reported.
 #[derive(Debug)]
 pub(crate) struct AdapterDemand {
@@ -84,7 +105,7 @@
     pub(crate) rows: BTreeMap<String, TargetRow>,
     pub(crate) engines: BTreeMap<String, Engine>,
     pub(crate) versions: BTreeMap<String, u64>,
-    pub(crate) demands: BTreeMap<String, AdapterDemand>,
+    pub(crate) demands: BTreeMap<Demand, AdapterDemand>,
     pub(crate) rates: RequestRates,
     /// The last status of each host, and when it was received.
     statuses: BTreeMap<HostId, (Duration, HostStatus)>,
@@ -241,10 +262,10 @@
         now: Duration,
         host: HostId,
         service: &str,
-        name: &str,
+        demand: Demand,
         waiting: u16,
     ) {
-        let demand = self.demands.entry(name.to_owned()).or_insert_with(|| AdapterDemand {
+        let demand = self.demands.entry(demand).or_insert_with(|| AdapterDemand {
             service: service.to_owned(),
             hosts: BTreeMap::new(),
             since: now,
@@ -363,7 +384,7 @@
             row.unanswered =
                 row.unanswered.take().filter(|it| Some(it.expected_orders) >= row.sequence);
         }
-        let number = row.number;
+        let (number, software) = (row.number, row.software);
         let in_transit = row.held.values().any(|it| it.stage != Stage::Ready);
         if in_transit || row.sequence.is_none() {
             row.report_due = Some(now + REPORT_INTERVAL);
@@ -375,7 +396,9 @@
         }
         for (name, version) in added {
             let arrival = placement(number, &name, version);
-            if let Some(demand) = self.demands.remove(&name) {
+            for software in [None, Some(software)] {
+                let demand = Demand { adapter: name.clone(), software };
+                let Some(demand) = self.demands.remove(&demand) else { continue };
                 let hosts = demand.hosts.into_keys().collect();
                 self.steps.push(PlacementStep::NotifyWaiting(hosts, arrival.clone()));
             }
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -6,14 +6,15 @@
     time::Duration,
 };
 
-use wire::{AdapterHash, DomainId, FleetMsg, TargetState};
+use wire::{AdapterHash, DomainId, FleetMsg, SoftwareHash, TargetState};
 
 use crate::{
-    Host, Pick, Picked, Requirements, RetryBudget, Route,
+    Host, Pick, Picked, Requirements, RetryBudget, Route, Target,
     io::Output,
     limits::{Place, Rank},
     other_domains::domain_order,
     pick,
+    placement::Demand,
     targets::adapter_hash,
 };
 
@@ -45,6 +46,8 @@
     pub tried: BTreeSet<String>,
     /// When it arrived at this host.
     pub arrived: Duration,
+    /// The software version that began its stream; `None` for a request that may begin at any.
+    pub software: Option<SoftwareHash>,
 }
 
 /// Where a request is sent next.
@@ -79,6 +82,8 @@
     pub addr: String,
     /// Start time of the target, in milliseconds since the epoch.
     pub started_at: u64,
+    /// The target's software version.
+    pub software: SoftwareHash,
     adapter: AdapterHash,
     /// The place that it takes up; `None` at a target without a request limit.
     pub(crate) place: Option<Place>,
@@ -110,7 +115,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Requests {
     arrivals: BTreeMap<AdapterHash, u16>,
-    waiting: BTreeMap<String, WaitingRequests>,
+    /// By adapter, and by the software version that must run them, if any.
+    waiting: BTreeMap<(String, Option<SoftwareHash>), WaitingRequests>,
     budgets: BTreeMap<String, RetryBudget>,
     hosts: u16,
 }
@@ -129,7 +135,7 @@
 
     /// Whether requests wait for an adapter.
     pub(crate) fn is_waited_for(&self, adapter: &str) -> bool {
-        self.waiting.contains_key(adapter)
+        self.waiting.keys().any(|(name, _)| name == adapter)
     }
 
     /// Returns and clears the number of requests for each adapter since the last call.
@@ -192,9 +198,9 @@
         let Some(target) = self.targets.get_mut(&id) else { return Choice::None };
         *target.running.entry(hash).or_default() += 1;
         let addr = target.record.addr.clone();
-        let started_at = target.record.started_at;
+        let (started_at, software) = (target.record.started_at, target.software);
         let place = target.limit.take_place(now, rank);
-        Choice::Send(Reservation { target: id, addr, started_at, adapter: hash, place })
+        Choice::Send(Reservation { target: id, addr, started_at, software, adapter: hash, place })
     }
 
     fn limited(&self, now: Duration, query: &TargetQuery, target: String) -> Choice {
@@ -217,6 +223,7 @@
             min_version: version,
             newest,
             engine,
+            software: query.software,
             domain: &self.settings.domain,
             tried: &query.tried,
             rank: Host::rank(now, query),
@@ -225,12 +232,21 @@
     }
 
     /// Whether a target can still take a request that was assigned to it.
-    pub fn is_usable(&self, target: &str, query: &TargetQuery) -> bool {
-        let Some(target) = self.targets.get(target) else { return false };
+    pub fn is_usable(&self, reservation: &Reservation, query: &TargetQuery) -> bool {
+        let Some(target) = self.targets.get(&reservation.target) else { return false };
+        if target.record.started_at != reservation.started_at {
+            return false;
+        }
         let has = query.adapter.as_ref().is_none_or(|it| target.adapters.contains_key(it));
         has && target.record.state == TargetState::Ready
     }
 
+    /// Whether another process is known to run under the name of a reserved target.
+    pub fn is_replaced(&self, reservation: &Reservation) -> bool {
+        let target = self.targets.get(&reservation.target);
+        target.is_some_and(|it| it.record.started_at != reservation.started_at)
+    }
+
     /// Returns the lowest version that may run a request, and the newest one.
     fn versions(&self, now: Duration, adapter: &str) -> (u64, u64) {
         let newest = self.desired.versions.get(adapter).copied().unwrap_or(0);
@@ -269,8 +285,11 @@
     /// Records that a request begins to wait for its adapter.
     pub fn wait_for(&mut self, query: &TargetQuery) {
         let Some(adapter) = &query.adapter else { return };
-        let waiting = self.requests.waiting.entry(adapter.clone()).or_insert_with(|| {
-            WaitingRequests { service: query.service.clone(), count: 0, reported: None }
+        let key = (adapter.clone(), query.software);
+        let waiting = self.requests.waiting.entry(key).or_insert_with(|| WaitingRequests {
+            service: query.service.clone(),
+            count: 0,
+            reported: None,
         });
         waiting.count = waiting.count.saturating_add(1);
     }
@@ -278,10 +297,11 @@
     /// Records that a request no longer waits for its adapter.
     pub fn wait_ended(&mut self, query: &TargetQuery) {
         let Some(adapter) = &query.adapter else { return };
-        let Some(waiting) = self.requests.waiting.get_mut(adapter) else { return };
+        let key = (adapter.clone(), query.software);
+        let Some(waiting) = self.requests.waiting.get_mut(&key) else { return };
         waiting.count = waiting.count.saturating_sub(1);
         if waiting.count == 0 {
-            self.requests.waiting.remove(adapter);
+            self.requests.waiting.remove(&key);
         }
     }
 
@@ -293,16 +313,17 @@
 
     pub(crate) fn tick_requests(&mut self, now: Duration) {
         let mut due = Vec::new();
-        for (adapter, waiting) in &mut self.requests.waiting {
+        for ((adapter, software), waiting) in &mut self.requests.waiting {
             if waiting.reported.is_some_and(|at| now < at + DEMAND_INTERVAL) {
                 continue;
             }
             waiting.reported = Some(now);
-            due.push((waiting.service.clone(), adapter.clone(), waiting.count));
+            let demand = Demand { adapter: adapter.clone(), software: *software };
+            due.push((waiting.service.clone(), demand, waiting.count));
         }
-        for (service, adapter, waiting) in due {
-            if let Some(domain) = self.home_domain(now, &service, &adapter) {
-                self.send_demand(now, &domain, service, adapter, waiting);
+        for (service, demand, waiting) in due {
+            if let Some(domain) = self.home_domain(now, &service, &demand) {
+                self.send_demand(now, &domain, service, demand, waiting);
             }
         }
     }
@@ -310,16 +331,19 @@
     /// Returns the home failure domain of an adapter: the first in its order whose targets receive
     /// orders now, else the first. Targets with a request limit count only if all have one. `None`
     /// if the service has no ready target.
-    fn home_domain(&self, now: Duration, service: &str, adapter: &str) -> Option<DomainId> {
+    fn home_domain(&self, now: Duration, service: &str, demand: &Demand) -> Option<DomainId> {
         let mut sizes: BTreeMap<DomainId, usize> = BTreeMap::new();
-        let all_limited = self.targets.ready(service).all(|it| it.limit.is_limited());
-        for target in self.targets.ready(service) {
+        let is_suitable =
+            |it: &&Target| demand.software.is_none_or(|software| software == it.software);
+        let suitable = || self.targets.ready(service).filter(is_suitable);
+        let all_limited = suitable().all(|it| it.limit.is_limited());
+        for target in suitable() {
             if target.limit.is_limited() && !all_limited {
                 continue;
             }
             *sizes.entry(target.record.domain.clone()).or_default() += 1;
         }
-        let order = domain_order(adapter, &sizes);
+        let order = domain_order(&demand.adapter, &sizes);
         let reachable = order.iter().find(|it| self.is_holder_active(now, it));
         reachable.or(order.first()).cloned()
     }
@@ -329,15 +353,17 @@
         now: Duration,
         domain: &str,
         service: String,
-        adapter: String,
+        demand: Demand,
         waiting: u16,
     ) {
         let own = self.settings.host;
         if self.held_domains.contains_key(domain) {
-            self.handle_demand(now, own, domain, &service, &adapter, waiting);
+            self.handle_demand(now, own, domain, &service, demand, waiting);
         } else if let Some(holder) = self.holder(domain) {
             let domain = domain.to_owned();
-            self.send(holder, FleetMsg::AdapterDemand { domain, service, adapter, waiting });
+            let Demand { adapter, software } = demand;
+            let demand = FleetMsg::AdapterDemand { domain, service, adapter, software, waiting };
+            self.send(holder, demand);
         }
     }
 }
--- a/coordination/fleet/src/row.rs
+++ b/coordination/fleet/src/row.rs
@@ -5,13 +5,13 @@
     time::Duration,
 };
 
-use wire::{AdapterHash, TargetNumber, TargetRecord, TargetState};
+use wire::{AdapterHash, SoftwareHash, TargetNumber, TargetRecord, TargetState};
 
 use crate::{
     Engine,
     io::{Order, Report},
     row_limits::RowLimit,
-    targets::adapter_hash,
+    targets::{adapter_hash, stable_hash},
 };
 
 /// Usual upper bound of the time to the answer of an order.
@@ -64,6 +64,8 @@
 pub(crate) struct TargetRow {
     pub(crate) record: TargetRecord,
     pub(crate) number: TargetNumber,
+    /// Hash of its software version.
+    pub(crate) software: SoftwareHash,
     /// Number of orders that the target has accepted; `None` while a report must show it first.
     pub(crate) sequence: Option<u64>,
     /// The order that is not answered yet.
@@ -94,6 +96,7 @@
 impl TargetRow {
     pub(crate) fn new(now: Duration, record: TargetRecord, number: TargetNumber) -> TargetRow {
         TargetRow {
+            software: stable_hash(&record.software),
             record,
             number,
             sequence: None,
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -8,7 +8,8 @@
 
 use siphasher::sip::SipHasher13;
 use wire::{
-    AdapterHash, DomainLoads, RequestLimit, Running, TargetNumber, TargetRecord, TargetState,
+    AdapterHash, DomainLoads, RequestLimit, Running, SoftwareHash, TargetNumber, TargetRecord,
+    TargetState,
 };
 
 use crate::LimitView;
@@ -78,6 +79,8 @@
 pub struct Target {
     /// Its record, as it announced it last.
     pub record: TargetRecord,
+    /// Hash of its software version.
+    pub software: SoftwareHash,
     /// Its number in the feed of its failure domain; `None` while the feed has not named it.
     pub number: Option<TargetNumber>,
     /// Requests of this host in progress, by adapter; zero stands for no adapter.
@@ -97,6 +100,7 @@
 impl Target {
     fn new(record: TargetRecord) -> Target {
         Target {
+            software: stable_hash(&record.software),
             record,
             number: None,
             running: BTreeMap::new(),
@@ -215,6 +219,7 @@
         }
         let changed = TargetRecord { sequence: 0, ..next.clone() }
             != TargetRecord { sequence: 0, ..known.record.clone() };
+        known.software = stable_hash(&next.software);
         known.record = next;
         changed
     }
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -476,6 +476,7 @@
         adapter: Some(adapter.to_owned()),
         tried: BTreeSet::new(),
         arrived: Duration::ZERO,
+        software: None,
     }
 }
 
--- a/coordination/fleet/tests/placement.rs
+++ b/coordination/fleet/tests/placement.rs
@@ -6,7 +6,8 @@
 };
 
 use fleet::{
-    Engine, Model, Order, OrderOutcome, PlacementSettings, PlacementStep, PlacementTable, Report,
+    Demand, Engine, Model, Order, OrderOutcome, PlacementSettings, PlacementStep, PlacementTable,
+    Report,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -217,7 +218,8 @@
     }
 
     fn demand(&mut self, number: u32) {
-        self.table.record_demand(self.now, 1, "s", &format!("m/a{number}"), 1);
+        let demand = Demand::anywhere(&format!("m/a{number}"));
+        self.table.record_demand(self.now, 1, "s", demand, 1);
     }
 
     fn check(&self) {
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -96,6 +96,7 @@
         adapter: head.adapter.clone(),
         tried: Default::default(),
         arrived,
+        software: None,
     };
     relay(Job::new(edge, active, query, parts, head, body, arrived, deadline)).await
 }
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -246,6 +246,9 @@
         let delay = edge.now().saturating_sub(started);
         let status = response.status().as_u16();
         self.record_limit(&reservation, &response);
+        if edge.host.borrow().is_replaced(&reservation.reservation) {
+            return self.fail_send(reservation, "replaced", StatusCode::BAD_GATEWAY);
+        }
         if is_not_run(status, response.headers()) {
             return self.handle_refusal(reservation, connection, response).await;
         }
--- a/edge/src/reservation.rs
+++ b/edge/src/reservation.rs
@@ -231,7 +231,7 @@
                     return Err(NoReservation::NoPermit);
                 }
             }
-            if self.edge.host.borrow().is_usable(reservation.target(), &self.query) {
+            if self.edge.host.borrow().is_usable(&reservation.reservation, &self.query) {
                 return Ok(reservation);
             }
             self.add_step("gone", reservation.target());
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -275,6 +275,7 @@
         }
         if !std::mem::replace(&mut source.begun, true) {
             job.record_begun();
+            job.query.software = Some(source.reservation.reservation.software);
         }
         events.record_forwarded(job.edge.now());
         tokio::select! {
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -26,6 +26,9 @@
     Rate(MilliRate),
 }
 
+/// A hash of the name of a target's software version.
+pub type SoftwareHash = u64;
+
 /// A hash of a request's method, host, path and body.
 pub type RequestHash = u64;
 
@@ -346,6 +349,8 @@
         service: String,
         /// `model` or `model/adapter`.
         adapter: String,
+        /// The software version that must run the requests; none if any may.
+        software: Option<SoftwareHash>,
         /// The number of waiting requests.
         waiting: u16,
     },
