Let a stream that is taken up again go on at the version that began it only

Cause: the version that began it was known to nobody but the host of the first attempt. Change: the log holds a default version for each service. A stream that begins at another one is recorded at a majority of the voters before its first event goes out, under its attempt, which a take-up names; a host that takes it up asks the voters. Without a record at a majority of those that have missed none, the default version began it; where this cannot be told, the take-up is refused at once as not run. The default changes in three steps, so that hosts with an older view neither leave out a record that others miss nor assume a wrong default.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -2,7 +2,7 @@
 //! requests.
 
 use serde::Serialize;
-use wire::{DomainId, HostId, Index, MilliRate, Term, Topic};
+use wire::{DomainId, HostId, Index, MilliRate, SoftwareHash, Term, Topic};
 
 use crate::OrderOutcome;
 
@@ -258,6 +258,15 @@
         /// The suspect.
         suspect: String,
     },
+    /// A service has another default software version, or other streams of it are recorded.
+    DefaultSoftware {
+        /// The service.
+        service: String,
+        /// Hash of the version.
+        default: SoftwareHash,
+        /// Whether streams of this version are recorded too.
+        records_all: bool,
+    },
     /// Request lines were dropped by the rate limit since the last line of a request.
     LeftOut {
         /// Number of dropped lines.
--- a/coordination/fleet/src/holder.rs
+++ b/coordination/fleet/src/holder.rs
@@ -14,7 +14,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use desired::{Command, Holder};
-use wire::{DomainId, Fence, FleetMsg, HostId, Renewal, TargetRecord, Topic};
+use wire::{DomainId, Fence, FleetMsg, HostId, Index, Renewal, TargetRecord, Topic};
 
 use crate::{
     Event, Host, Target,
@@ -160,12 +160,15 @@
             self.send(leader, FleetMsg::Renew(renewal));
         } else if self.grant_renewal(now, own) {
             self.renewed_at = Some(now);
+            self.record_view(now, self.replica.status().commit);
         }
     }
 
     /// Handles a leader's answer to the renewal that was sent at `sent_ms`, in milliseconds.
-    pub(crate) fn handle_renewed(&mut self, sent_ms: u64) {
-        self.renewed_at = self.renewed_at.max(Some(Duration::from_millis(sent_ms)));
+    pub(crate) fn handle_renewed(&mut self, sent_ms: u64, commit: Index) {
+        let sent = Duration::from_millis(sent_ms);
+        self.renewed_at = self.renewed_at.max(Some(sent));
+        self.record_view(sent, commit);
     }
 
     /// Ticks all placement tables.
--- a/coordination/fleet/src/io.rs
+++ b/coordination/fleet/src/io.rs
@@ -6,7 +6,7 @@
 use desired::Command;
 use replog::Write;
 use serde::Serialize;
-use wire::{HostId, PeerMsg, TargetRecord};
+use wire::{HostId, PeerMsg, SoftwareHash, StreamHash, TargetRecord};
 
 use crate::{Event, Settings};
 
@@ -194,6 +194,18 @@
         /// Prefill backlog of the target in tokens; zero for a permit that a tick granted.
         backlog: u32,
     },
+    /// It is recorded which software version began a stream.
+    StreamRecorded {
+        /// The stream.
+        stream: StreamHash,
+    },
+    /// The software version that began a stream is known.
+    StreamSoftware {
+        /// The stream.
+        stream: StreamHash,
+        /// The version.
+        software: SoftwareHash,
+    },
     /// Requests that wait for a target should choose again.
     RetryWaiting,
     /// Write a log line.
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -19,6 +19,7 @@
     io::Tag,
     operator::PendingRead,
     replicated::ELECTION_TIMEOUT,
+    software::SoftwareWatch,
     targets::stable_hash,
 };
 
@@ -50,6 +51,7 @@
     ended: BTreeSet<(HostId, Incarnation)>,
     proposals: BTreeMap<(HostId, Tag), Command>,
     pending_reads: Vec<PendingRead>,
+    pub(crate) software: SoftwareWatch,
 }
 
 impl Host {
@@ -77,6 +79,7 @@
             ended: BTreeSet::new(),
             proposals: BTreeMap::new(),
             pending_reads: Vec::new(),
+            software: SoftwareWatch::default(),
         };
         for change in self.hosts_table() {
             leading.feed.push(change);
@@ -111,7 +114,8 @@
             && let Some(leading) = &self.leading
         {
             let (epoch, last) = (leading.feed.epoch, leading.feed.last);
-            self.send(from, FleetMsg::Renewed { sent_ms: renewal.sent_ms, epoch, last });
+            let commit = self.replica.status().commit;
+            self.send(from, FleetMsg::Renewed { sent_ms: renewal.sent_ms, epoch, last, commit });
         }
         let Some(record) = self.hosts.record(from) else { return };
         if record.ready == renewal.ready && record.incarnation == renewal.incarnation {
@@ -246,6 +250,7 @@
         }
         self.update_voters(now);
         self.assign_holders(now);
+        self.watch_software(now);
     }
 
     /// Number of voters needed to tolerate the loss of `tolerated` of them at once.
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -37,6 +37,8 @@
 mod row;
 mod row_limits;
 mod settings;
+mod software;
+mod stream_records;
 mod suspects;
 mod targets;
 
@@ -56,5 +58,6 @@
     request::{Choice, NoRoute, Outcome, Reservation, TargetQuery},
     routes::Routes,
     settings::{Bounds, Settings},
+    stream_records::stream_hash,
     targets::{Target, Targets, adapter_hash, stable_hash},
 };
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -21,6 +21,7 @@
     quarantine::Quarantine,
     replicated::log_settings,
     request::Requests,
+    stream_records::StreamRecords,
 };
 
 /// Number of missed heartbeats after which a target counts as lost.
@@ -52,6 +53,11 @@
     /// When the last renewal was sent.
     pub(crate) renewal_sent: Option<Duration>,
     pub(crate) quarantine: Quarantine,
+    pub(crate) records: StreamRecords,
+    /// When a leader confirmed all that this host had applied: the time of its answered renewal.
+    pub(crate) view_at: Option<Duration>,
+    /// When the host started.
+    pub(crate) started_at: Duration,
     pub(crate) requests: Requests,
     pub(crate) leading: Option<Leading>,
     pub(crate) operator_calls: OperatorCalls,
@@ -108,6 +114,9 @@
             renewed_at: None,
             renewal_sent: None,
             quarantine: Quarantine::default(),
+            records: StreamRecords::default(),
+            view_at: None,
+            started_at: now,
             requests: Requests::default(),
             leading: None,
             operator_calls: OperatorCalls::default(),
@@ -259,6 +268,7 @@
         self.tick_holding(now);
         self.tick_requests(now);
         self.tick_quarantine(now);
+        self.tick_records(now);
         let granted = self.prefill.tick(now);
         self.send_permits(granted, 0);
         self.log_prompts(now);
@@ -336,8 +346,8 @@
                 self.handle_roster(now, leader, founder, &records);
             }
             FleetMsg::Renew(renewal) => self.handle_renewal(now, from, &renewal),
-            FleetMsg::Renewed { sent_ms, epoch, last } => {
-                self.handle_renewed(sent_ms);
+            FleetMsg::Renewed { sent_ms, epoch, last, commit } => {
+                self.handle_renewed(sent_ms, commit);
                 self.check_position(now, from, Position { epoch, last });
             }
             FleetMsg::Status(status) => self.handle_status(now, from, &status),
@@ -345,6 +355,14 @@
             FleetMsg::LimitNamed { target, started_at, limit, change } => {
                 self.handle_limit_named(now, &target, started_at, limit, change);
             }
+            FleetMsg::RecordStream { stream, service, software } => {
+                self.handle_record(from, stream, service, software);
+            }
+            FleetMsg::StreamRecorded { stream } => self.handle_recorded(from, stream),
+            FleetMsg::FindStream { stream } => self.handle_search(now, from, stream),
+            FleetMsg::StreamFound { stream, software, is_complete } => {
+                self.handle_found(now, from, stream, software, is_complete);
+            }
             FleetMsg::PlaceRequest(request) => self.handle_place_request(now, from, &request),
             FleetMsg::PlaceReply(reply) => self.handle_place_reply(now, &reply),
             FleetMsg::PlacesUnused { target, started_at, places } => {
--- a/coordination/fleet/src/replicated.rs
+++ b/coordination/fleet/src/replicated.rs
@@ -86,6 +86,9 @@
                 self.log(Event::Version { adapter, version });
                 self.out.push(Output::RetryWaiting);
             }
+            (Applied::Software, Command::SetSoftware { service, .. }) => {
+                self.log_default_software(&service);
+            }
             (Applied::Holder, Command::AssignHolder { domain, .. }) => {
                 if let Some(it) = self.desired.holders.get(&domain) {
                     let (holder, fence, waits) = (it.host, it.fence, it.must_wait);
@@ -94,7 +97,7 @@
                 self.apply_holders(now);
             }
             (Applied::Quarantine, _) => self.apply_quarantined(now),
-            (Applied::Version | Applied::Holder | Applied::Unchanged, _) => {}
+            (Applied::Version | Applied::Holder | Applied::Software | Applied::Unchanged, _) => {}
         }
         self.configure_placement();
     }
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -22,6 +22,7 @@
     disk::DiskQueue,
     log::Log,
     metrics::Metrics,
+    software::StreamWaits,
 };
 
 /// Time limit for the answer to an order. Targets answer at once, and the answer to the next
@@ -48,6 +49,7 @@
     pub(crate) next_tag: Cell<Tag>,
     pub(crate) permits: crate::permit::PermitTable,
     pub(crate) crash_checks: CrashChecks,
+    pub(crate) streams: StreamWaits,
     pub(crate) log: Log,
     pub(crate) metrics: Metrics,
     /// Callers' requests in progress.
@@ -84,6 +86,7 @@
             next_tag: Cell::new(1),
             permits: Default::default(),
             crash_checks: CrashChecks::default(),
+            streams: StreamWaits::default(),
             log,
             metrics: Metrics::new(),
             active: Cell::new(0),
@@ -129,6 +132,10 @@
                 Output::PrefillReply { permit_id, granted, backlog } => {
                     self.permits.update(permit_id, granted, backlog);
                 }
+                Output::StreamRecorded { stream } => self.streams.recorded(stream),
+                Output::StreamSoftware { stream, software } => {
+                    self.streams.found(stream, software);
+                }
                 Output::RetryWaiting => self.wake.notify_waiters(),
                 Output::Log(event) => self.log.event(&event),
             }
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -16,6 +16,7 @@
 mod relay;
 mod reservation;
 mod run;
+mod software;
 mod stream;
 
 use std::process::ExitCode;
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -116,6 +116,11 @@
         self.query.route.kind
     }
 
+    /// Whether the answer is a stream that may go on at another target.
+    pub(crate) fn is_resumable(&self) -> bool {
+        self.kind() == RequestKind::Stream { resumable: true }
+    }
+
     /// Adds a decision to the request's log line.
     pub(crate) fn add_step(&mut self, what: &str, about: &str) {
         let at = self.edge.now().saturating_sub(self.arrived).as_millis();
@@ -402,8 +407,12 @@
 
 /// Relays a request and returns the answer for its caller.
 pub(crate) async fn relay(mut job: Job) -> Answer {
-    if let (Some(first), Some(event)) = (job.head.first_attempt.clone(), job.head.last_event) {
+    if let Some(event) = job.head.last_event.filter(|_| job.kind().is_stream()) {
+        let first = job.head.first_attempt.clone().unwrap_or_default();
         job.add_step("takes up", &format!("{first} after {event}"));
+        if !job.find_software().await {
+            return job.fail(StatusCode::SERVICE_UNAVAILABLE, "unknown_version");
+        }
     }
     loop {
         let reservation = match job.reserve_with_permit().await {
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use fleet::{Outcome, RequestKind};
+use fleet::Outcome;
 use http::{HeaderMap, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -137,6 +137,8 @@
     Broken,
     CallerLeft,
     DeadlinePassed,
+    /// It could not be recorded which software version began it.
+    Unrecorded,
 }
 
 /// Forwards a stream from one source after the other until it is complete or abandoned.
@@ -173,6 +175,12 @@
                 job.complete("late", 0);
                 return;
             }
+            StreamEnd::Unrecorded => {
+                source.reservation.end(Outcome::Left);
+                let _ = sender.try_send(Err(Truncated));
+                job.complete("unrecorded", 0);
+                return;
+            }
             StreamEnd::Broken => {}
         }
         drop(source.connection);
@@ -184,8 +192,7 @@
             SendOutcome::Retry
         );
         events.discard_partial();
-        let resumable = job.kind() == RequestKind::Stream { resumable: true };
-        let next = if retry && resumable {
+        let next = if retry && job.is_resumable() {
             tokio::select! {
                 next = resume(&mut job, events.last_event) => next,
                 () = sender.closed() => None,
@@ -275,7 +282,16 @@
         }
         if !std::mem::replace(&mut source.begun, true) {
             job.record_begun();
-            job.query.software = Some(source.reservation.reservation.software);
+            let software = source.reservation.reservation.software;
+            tokio::select! {
+                may_forward = job.bind_software(software) => {
+                    if !may_forward {
+                        return StreamEnd::Unrecorded;
+                    }
+                }
+                () = sender.closed() => return StreamEnd::CallerLeft,
+                () = &mut deadline => return StreamEnd::DeadlinePassed,
+            }
         }
         events.record_forwarded(job.edge.now());
         tokio::select! {
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -29,6 +29,10 @@
 /// A hash of the name of a target's software version.
 pub type SoftwareHash = u64;
 
+/// A hash of a service and the id of the attempt that brought a stream's first event, or of a service
+/// alone.
+pub type StreamHash = u64;
+
 /// A hash of a request's method, host, path and body.
 pub type RequestHash = u64;
 
@@ -321,6 +325,8 @@
         epoch: Epoch,
         /// The number of the feed's last change.
         last: u64,
+        /// The leader's commit index.
+        commit: Index,
     },
     /// A host's report to a holder.
     Status(HostStatus),
@@ -419,6 +425,34 @@
         /// [`PlaceReply::change`] of the place that the answered request had.
         change: Option<u64>,
     },
+    /// Asks a voter to record which software version began a stream.
+    RecordStream {
+        /// The stream.
+        stream: StreamHash,
+        /// Its service.
+        service: StreamHash,
+        /// The software version.
+        software: SoftwareHash,
+    },
+    /// Answers [`FleetMsg::RecordStream`]: the record is kept.
+    StreamRecorded {
+        /// The stream.
+        stream: StreamHash,
+    },
+    /// Asks a voter which software version began a stream.
+    FindStream {
+        /// The stream.
+        stream: StreamHash,
+    },
+    /// Answers [`FleetMsg::FindStream`].
+    StreamFound {
+        /// The stream.
+        stream: StreamHash,
+        /// The recorded software version; none without a record.
+        software: Option<SoftwareHash>,
+        /// Whether the voter has all records that it has confirmed in the life of a stream.
+        is_complete: bool,
+    },
     /// Requests places at a target with a limit.
     PlaceRequest(PlaceRequest),
     /// Answers [`FleetMsg::PlaceRequest`].
@@ -469,6 +503,10 @@
                 | FleetMsg::Renewed { .. }
                 | FleetMsg::Status(_)
                 | FleetMsg::DomainLoads(_)
+                | FleetMsg::RecordStream { .. }
+                | FleetMsg::StreamRecorded { .. }
+                | FleetMsg::FindStream { .. }
+                | FleetMsg::StreamFound { .. }
                 | FleetMsg::PlaceRequest(_)
                 | FleetMsg::PlaceReply(_)
                 | FleetMsg::PrefillRequest(_)
--- a/state/desired/src/lib.rs
+++ b/state/desired/src/lib.rs
@@ -9,7 +9,9 @@
 use bytes::Bytes;
 use flate2::{Compression, read::DeflateDecoder, read::DeflateEncoder};
 use serde::{Deserialize, Serialize};
-use wire::{DecodeError, DomainId, Fence, HostId, Incarnation, Index, Suspect, decode_state};
+use wire::{
+    DecodeError, DomainId, Fence, HostId, Incarnation, Index, SoftwareHash, Suspect, decode_state,
+};
 
 /// Maximum number of quarantined suspects; the one that was quarantined first is dropped first.
 pub const MAX_QUARANTINED: usize = 1024;
@@ -55,6 +57,13 @@
         /// Number of trials that crashed their target.
         failed_trials: u16,
     },
+    /// Sets the default software version of a service's targets.
+    SetSoftware {
+        /// The service.
+        service: String,
+        /// The version.
+        software: DefaultSoftware,
+    },
     /// Ends the quarantine of a suspect.
     Release {
         /// The suspect.
@@ -62,6 +71,15 @@
     },
 }
 
+/// The default software version of a service's targets: streams without a record began at it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DefaultSoftware {
+    /// The version.
+    pub default: SoftwareHash,
+    /// Whether streams of this version are recorded too.
+    pub records_all: bool,
+}
+
 /// A suspect's entry in the desired state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quarantined {
@@ -122,6 +140,8 @@
     Holder,
     /// A suspect was quarantined.
     Quarantine,
+    /// A service has another default software version, or other records.
+    Software,
     /// Nothing changed: the same or a higher number or version is in force, or the command only
     /// marks a holder as begun.
     Unchanged,
@@ -138,6 +158,17 @@
     pub holders: BTreeMap<DomainId, Holder>,
     /// The quarantined suspects.
     pub quarantined: BTreeMap<Suspect, Quarantined>,
+    /// The default software version of each service's targets.
+    pub software: BTreeMap<String, DefaultSoftware>,
+}
+
+/// The desired state as it was stored before it had software versions.
+#[derive(Deserialize)]
+struct WithoutSoftware {
+    config: Option<Document>,
+    versions: BTreeMap<String, u64>,
+    holders: BTreeMap<DomainId, Holder>,
+    quarantined: BTreeMap<Suspect, Quarantined>,
 }
 
 /// The desired state as it was stored before it had quarantined suspects.
@@ -149,7 +180,8 @@
 }
 
 impl Desired {
-    /// Decodes a stored state, also one of a release without quarantined suspects.
+    /// Decodes a stored state, also one of a release without quarantined suspects or software
+    /// versions.
     ///
     /// # Errors
     ///
@@ -159,9 +191,14 @@
             Ok(desired) => return Ok(desired),
             Err(error) => error,
         };
+        if let Ok(former) = decode_state::<WithoutSoftware>(bytes) {
+            let WithoutSoftware { config, versions, holders, quarantined } = former;
+            let software = BTreeMap::new();
+            return Ok(Desired { config, versions, holders, quarantined, software });
+        }
         let Ok(former) = decode_state::<WithoutQuarantine>(bytes) else { return Err(error) };
         let WithoutQuarantine { config, versions, holders } = former;
-        Ok(Desired { config, versions, holders, quarantined: BTreeMap::new() })
+        Ok(Desired { config, versions, holders, ..Desired::default() })
     }
 
     /// Applies the command at log index `index`.
@@ -186,6 +223,12 @@
             Command::Quarantine { suspect, failed_trials } => {
                 self.quarantine(index, suspect, failed_trials)
             }
+            Command::SetSoftware { service, software } => {
+                if self.software.insert(service, software) == Some(software) {
+                    return Applied::Unchanged;
+                }
+                Applied::Software
+            }
             Command::Release { suspect } => {
                 self.quarantined.remove(&suspect);
                 Applied::Unchanged
@@ -206,6 +249,9 @@
                 let known = self.quarantined.get(suspect);
                 known.is_some_and(|it| it.failed_trials >= *failed_trials)
             }
+            Command::SetSoftware { service, software } => {
+                self.software.get(service) == Some(software)
+            }
             Command::Release { suspect } => !self.quarantined.contains_key(suspect),
         }
     }
