Keep records of streams on the voters' disks

After all hosts had been killed at once, takers-up of streams were joined to another version, and with records in memory alone none of them went on (0 of 16). Cause: which version began a stream was known to processes only. One version being all that a host sees after its start proves nothing, since the older one may have just left. Change: voters sync a record before they confirm it, in two generations of files that are rotated after the life of a stream.

--- a/coordination/fleet/src/io.rs
+++ b/coordination/fleet/src/io.rs
@@ -96,6 +96,8 @@
     },
     /// The write with this ticket is on disk.
     Synced(u64),
+    /// The records of streams from the first of these tickets to the last are on disk.
+    RecordsSynced(u64, u64),
     /// A write failed for this reason; the data folder must be reopened.
     SyncFailed(String),
     /// The data folder was reopened; holds the recovered state.
@@ -165,6 +167,20 @@
     },
     /// Write to disk; answered by [`Input::Synced`] or [`Input::SyncFailed`].
     Write(Write),
+    /// Write a record of a stream to disk; answered by [`Input::RecordsSynced`] if that succeeds.
+    WriteRecord {
+        /// Number of the write.
+        ticket: u64,
+        /// Hashes of the stream and of the software version, and the same for its service.
+        records: [(StreamHash, SoftwareHash); 2],
+    },
+    /// Drop the older generation of the records of streams on disk.
+    RotateRecords,
+    /// Note on disk whether records of streams may be missing there.
+    MarkRecords {
+        /// Whether none is missing.
+        complete: bool,
+    },
     /// Reopen the data folder after this delay; answered by [`Input::Reopened`].
     Reopen(Duration),
     /// Send an order to a target; answered by [`Input::OrderEnded`].
--- a/coordination/fleet/src/stream_records.rs
+++ b/coordination/fleet/src/stream_records.rs
@@ -36,6 +36,9 @@
 /// Time after the first start of the system within which new voters have missed no records.
 const FOUNDING_TIME: Duration = Duration::from_secs(60);
 
+/// A stream, or a service, and a software version.
+type Record = (StreamHash, SoftwareHash);
+
 /// Returns the hash under which a stream is recorded, from its service and the id of the attempt
 /// that brought its first event.
 pub fn stream_hash(service: &str, attempt: &str) -> StreamHash {
@@ -56,6 +59,11 @@
     rotated_at: Duration,
     /// Records before this time may be missing; `None` while this host is no voter.
     complete_from: Option<Duration>,
+    /// Whether the disk has all records that this host confirmed as a voter.
+    kept_all: bool,
+    /// Records that are being written: by ticket, the host to confirm them to.
+    writing: BTreeMap<u64, (HostId, StreamHash)>,
+    last_ticket: u64,
 }
 
 impl Recorder {
@@ -113,6 +121,14 @@
 }
 
 impl Host {
+    /// Takes over the records that the disk kept; `None` if some may be missing.
+    pub fn restore_records(&mut self, now: Duration, records: Option<Vec<Record>>) {
+        let recorder = &mut self.records.recorder;
+        recorder.kept_all = records.is_some();
+        recorder.older = records.unwrap_or_default().into_iter().collect();
+        recorder.rotated_at = now;
+    }
+
     /// Returns the voters, and the number of them that must hold a record.
     fn record_voters(&self) -> (Vec<HostId>, usize) {
         let members = self.replica.status().members.members;
@@ -184,9 +200,26 @@
         if self.records.recorder.complete_from.is_none() {
             return;
         }
-        self.records.recorder.add(stream, software);
-        self.records.recorder.add(service, software);
-        self.confirm_record(from, stream);
+        let recorder = &mut self.records.recorder;
+        recorder.add(stream, software);
+        recorder.add(service, software);
+        recorder.last_ticket += 1;
+        let ticket = recorder.last_ticket;
+        recorder.writing.insert(ticket, (from, stream));
+        let records = [(stream, software), (service, software)];
+        self.out.push(Output::WriteRecord { ticket, records });
+    }
+
+    /// Confirms the records of these tickets to the hosts that asked for them. Earlier ones could not
+    /// be written; they are asked for again.
+    pub(crate) fn records_synced(&mut self, first: u64, last: u64) {
+        let writing = &mut self.records.recorder.writing;
+        let later = writing.split_off(&(last + 1));
+        let synced = writing.split_off(&first);
+        *writing = later;
+        for (to, stream) in synced.into_values() {
+            self.confirm_record(to, stream);
+        }
     }
 
     fn confirm_record(&mut self, to: HostId, stream: StreamHash) {
@@ -290,17 +323,7 @@
 
     /// Follows whether this host is a voter, and repeats what was not answered.
     pub(crate) fn tick_records(&mut self, now: Duration) {
-        let (voters, _) = self.record_voters();
-        let is_voter = voters.contains(&self.settings.host);
-        let missed_none = self.settings.first_start && now < self.started_at + FOUNDING_TIME;
-        let recorder = &mut self.records.recorder;
-        match (is_voter, recorder.complete_from) {
-            (true, None) if missed_none => recorder.complete_from = Some(now),
-            (true, None) => recorder.complete_from = Some(now + RECORD_TTL),
-            (false, Some(_)) if self.caught_up => recorder.complete_from = None,
-            _ => {}
-        }
-        recorder.rotate(now);
+        self.update_recorder(now);
         let due = |sent: Duration| now >= sent + RESEND_INTERVAL;
         let records: Vec<StreamHash> =
             self.records.pending.iter().filter(|(_, it)| due(it.sent)).map(|(&it, _)| it).collect();
@@ -319,6 +342,32 @@
         }
     }
 
+    /// Follows whether this host is a voter and which records it may have missed.
+    fn update_recorder(&mut self, now: Duration) {
+        let (voters, _) = self.record_voters();
+        let is_voter = voters.contains(&self.settings.host);
+        let missed_none = self.settings.first_start && now < self.started_at + FOUNDING_TIME;
+        let recorder = &mut self.records.recorder;
+        let kept_all = recorder.kept_all;
+        if is_voter && recorder.complete_from.is_none() {
+            let from = if missed_none || kept_all { now } else { now + RECORD_TTL };
+            recorder.complete_from = Some(from);
+        } else if !is_voter && self.caught_up {
+            recorder.complete_from = None;
+            recorder.kept_all = false;
+        }
+        let rotated = recorder.rotate(now);
+        recorder.kept_all |= recorder.is_complete(now);
+        recorder.kept_all &= recorder.complete_from.is_none_or(|at| now >= at);
+        let kept_now = recorder.kept_all;
+        if kept_now != kept_all {
+            self.out.push(Output::MarkRecords { complete: kept_now });
+        }
+        if rotated {
+            self.out.push(Output::RotateRecords);
+        }
+    }
+
     /// Whether this host's state contains all that was committed `age` ago.
     fn has_view(&self, now: Duration, age: Duration) -> bool {
         self.caught_up && self.view_at.is_some_and(|at| now < at + age)
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -44,6 +44,12 @@
     pub replies: BTreeMap<Tag, Reply>,
     /// Configurations that came into force on it, in order.
     pub configs: Vec<bytes::Bytes>,
+    /// Streams whose records were confirmed to it, and the versions of those that it asked for.
+    pub recorded: BTreeSet<u64>,
+    pub found: BTreeMap<u64, u64>,
+    /// Records on its disk, and whether it may lack some.
+    pub records: Vec<(u64, u64)>,
+    pub lacks_records: bool,
     writes: Vec<Write>,
 }
 
@@ -195,6 +201,10 @@
             orders: Vec::new(),
             replies: BTreeMap::new(),
             configs: Vec::new(),
+            recorded: BTreeSet::new(),
+            found: BTreeMap::new(),
+            records: Vec::new(),
+            lacks_records: true,
             writes: Vec::new(),
         };
         self.machines.insert(host, machine);
@@ -218,8 +228,12 @@
         let disk = machine.disk.is_some();
         let mut settings = settings(host, &self.seeds, self.first_start, disk);
         settings.cpu_millis = if disk { 1000 } else { self.cpu_millis };
-        let (state, outputs) =
+        let (mut state, outputs) =
             Host::new(self.now, settings, incarnation, machine.disk.clone(), seed);
+        let kept = (!machine.lacks_records).then(|| machine.records.clone());
+        state.restore_records(self.now, kept);
+        machine.recorded.clear();
+        machine.found.clear();
         machine.host = Some(state);
         machine.incarnation = incarnation;
         machine.writes.clear();
@@ -238,6 +252,8 @@
         let machine = self.machines.get_mut(&host).expect("the host exists");
         machine.host = None;
         machine.disk = Some(disk);
+        machine.records.clear();
+        machine.lacks_records = true;
     }
 
     fn schedule(&mut self, delay: Duration, event: Scheduled) {
@@ -335,6 +351,16 @@
                     machine.writes.push(write);
                     self.schedule(ms(2), Scheduled::Synced(host, incarnation, ticket));
                 }
+                Output::StreamRecorded { stream } => drop(machine.recorded.insert(stream)),
+                Output::StreamSoftware { stream, software } => {
+                    machine.found.insert(stream, software);
+                }
+                Output::WriteRecord { ticket, records } => {
+                    machine.records.extend(records);
+                    let input = Input::RecordsSynced(ticket, ticket);
+                    self.schedule(ms(3), Scheduled::Input(host, incarnation, Box::new(input)));
+                }
+                Output::MarkRecords { complete } => machine.lacks_records = !complete,
                 Output::Order(order) => {
                     machine.orders.push((now, order.clone()));
                     let outcome =
--- a/coordination/fleet/tests/limits.rs
+++ b/coordination/fleet/tests/limits.rs
@@ -50,6 +50,7 @@
 impl Model {
     fn new(seed: u64, hosts: u32, limits: &[Option<u32>], pressure: f64) -> Model {
         let mut world = World::new(seed, 3, hosts - 3, &[1, 2, 3]);
+        world.run(ms(8000));
         let tag = world.tag();
         let body = desired::pack(b"{}");
         world.input(
--- a/edge/src/disk.rs
+++ b/edge/src/disk.rs
@@ -9,13 +9,19 @@
 
 use fleet::Input;
 use replog::{Op, Recovered, Write};
-use store::Disk;
+use store::{Disk, RecordFile, StoreError, StreamRecord};
 use tokio::sync::mpsc::UnboundedSender;
 
 use wire::error_chain;
 
 enum DiskTask {
     Write(Write),
+    /// Append records of streams, as the write of this ticket.
+    Records(u64, [StreamRecord; 2]),
+    /// Drop the older generation of the records.
+    RotateRecords,
+    /// Note whether records may be missing.
+    MarkRecords(bool),
     /// Open the data folder again, after this delay.
     Reopen(Duration),
 }
@@ -36,10 +42,12 @@
     pub(crate) fn start(
         dir: PathBuf,
         disk: Box<dyn Disk>,
+        records: RecordFile,
         inputs: UnboundedSender<Input>,
     ) -> std::io::Result<DiskQueue> {
         let (sender, tasks) = channel();
-        let writer = move || run_writer(&dir, Some(disk), &tasks, &inputs);
+        let records = RecordWriter { dir: dir.clone(), file: Some(records) };
+        let writer = move || run_writer(&dir, Some(disk), records, &tasks, &inputs);
         thread::Builder::new().name("disk".to_owned()).spawn(writer)?;
         Ok(DiskQueue(sender))
     }
@@ -49,22 +57,83 @@
         let _ = self.0.send(DiskTask::Write(write));
     }
 
+    /// Queues the write of records; `Input::RecordsSynced` follows if it succeeds.
+    pub(crate) fn write_records(&self, ticket: u64, records: [StreamRecord; 2]) {
+        let _ = self.0.send(DiskTask::Records(ticket, records));
+    }
+
+    /// Queues a note whether records may be missing.
+    pub(crate) fn mark_records(&self, complete: bool) {
+        let _ = self.0.send(DiskTask::MarkRecords(complete));
+    }
+
+    /// Queues dropping the older generation of the records.
+    pub(crate) fn rotate_records(&self) {
+        let _ = self.0.send(DiskTask::RotateRecords);
+    }
+
     /// Queues reopening the folder after a failure, with a delay before each attempt.
     pub(crate) fn reopen(&self, after: Duration) {
         let _ = self.0.send(DiskTask::Reopen(after));
     }
 }
 
+/// Writes records of streams, and opens their file again after a failure.
+struct RecordWriter {
+    dir: PathBuf,
+    file: Option<RecordFile>,
+}
+
+impl RecordWriter {
+    /// Carries out an operation. Returns whether it succeeded; the host sends records again that are
+    /// not confirmed.
+    fn with(&mut self, operation: impl FnOnce(&mut RecordFile) -> Result<(), StoreError>) -> bool {
+        if self.file.is_none() {
+            self.file = RecordFile::open(&self.dir).ok().map(|(file, _)| file);
+        }
+        let Some(file) = &mut self.file else { return false };
+        if operation(file).is_ok() {
+            return true;
+        }
+        self.file = None;
+        false
+    }
+}
+
 /// Carries out tasks until the queue is closed. After a failed write, further writes are
 /// dropped until the folder has been reopened.
 fn run_writer(
     dir: &std::path::Path,
     mut disk: Option<Box<dyn Disk>>,
+    mut records: RecordWriter,
     tasks: &Receiver<DiskTask>,
     inputs: &UnboundedSender<Input>,
 ) {
-    while let Ok(task) = tasks.recv() {
+    let mut next = None;
+    while let Some(task) = next.take().or_else(|| tasks.recv().ok()) {
         match task {
+            DiskTask::Records(first, pair) => {
+                // Records that wait are synced together.
+                let mut last = first;
+                let mut batch = pair.to_vec();
+                while let Ok(task) = tasks.try_recv() {
+                    let DiskTask::Records(ticket, pair) = task else {
+                        next = Some(task);
+                        break;
+                    };
+                    last = ticket;
+                    batch.extend(pair);
+                }
+                if records.with(|file| file.append(&batch)) {
+                    let _ = inputs.send(Input::RecordsSynced(first, last));
+                }
+            }
+            DiskTask::MarkRecords(complete) => {
+                records.with(|file| file.mark(complete));
+            }
+            DiskTask::RotateRecords => {
+                records.with(RecordFile::rotate);
+            }
             DiskTask::Write(write) => {
                 let Some(open) = &mut disk else { continue };
                 let input = match open.write(&write) {
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -116,6 +116,21 @@
                         disk.write(write);
                     }
                 }
+                Output::WriteRecord { ticket, records } => {
+                    if let Some(disk) = &self.disk {
+                        disk.write_records(ticket, records);
+                    }
+                }
+                Output::RotateRecords => {
+                    if let Some(disk) = &self.disk {
+                        disk.rotate_records();
+                    }
+                }
+                Output::MarkRecords { complete } => {
+                    if let Some(disk) = &self.disk {
+                        disk.mark_records(complete);
+                    }
+                }
                 Output::Reopen(after) => {
                     if let Some(disk) = &self.disk {
                         disk.reopen(after);
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -10,6 +10,7 @@
 use fleet::{Event, Host, Input, Settings};
 use peer::{Hub, Peers};
 use platform::settings::SETTINGS_VARIABLE;
+use store::RecordFile;
 use tokio::{
     runtime::Builder,
     signal::unix::{SignalKind, signal},
@@ -111,13 +112,14 @@
 ) -> Result<Rc<Edge>, EdgeError> {
     let log = Log::start(&settings.name, log_lines);
     let incarnation = new_incarnation();
-    let (disk, recovered) = match &settings.data_dir {
-        Some(dir) => {
-            let (disk, recovered) = open(dir)?;
-            (Some(DiskQueue::start(dir.clone(), disk, sender.clone())?), Some(recovered))
-        }
-        None => (None, None),
-    };
+    let (mut disk, mut recovered, mut records) = (None, None, None);
+    if let Some(dir) = &settings.data_dir {
+        let (files, state) = open(dir)?;
+        let (record_file, kept) = RecordFile::open(dir)?;
+        disk = Some(DiskQueue::start(dir.clone(), files, record_file, sender.clone())?);
+        recovered = Some(state);
+        records = kept;
+    }
     let config = peer::Config {
         host: settings.host,
         incarnation,
@@ -127,8 +129,9 @@
     };
     let hub = Hub::start(config, Arc::new(Inbox(sender.clone()))).await?;
     let started = clock();
-    let (host, outputs) =
+    let (mut host, outputs) =
         Host::new(Duration::ZERO, settings, incarnation, recovered, rand::random());
+    host.restore_records(Duration::ZERO, records);
     let edge = Edge::new(host, hub, disk, log, started);
     edge.carry_out(outputs);
     Ok(edge)
--- a/state/desired/tests/desired.rs
+++ b/state/desired/tests/desired.rs
@@ -86,16 +86,17 @@
 }
 
 /// Guards against a stored state of an earlier release that can't be read any more: it ends before
-/// the quarantined suspects.
+/// the software versions, or before the quarantined suspects.
 #[test]
-fn a_state_without_quarantine_is_read() {
+fn states_of_earlier_releases_are_read() {
     let mut state = Desired::default();
     state.apply(1, replace(7, "seven"));
     state.apply(4, hold(1, 10));
     let bytes = wire::encode(&state);
-    let (former, empty_table) = bytes.split_at(bytes.len() - 1);
-    assert_eq!(empty_table, [0]);
-    assert_eq!(Desired::decode(former).expect("an earlier form"), state);
+    let (former, empty_tables) = bytes.split_at(bytes.len() - 2);
+    assert_eq!(empty_tables, [0, 0]);
+    assert_eq!(Desired::decode(former).expect("without suspects"), state);
+    assert_eq!(Desired::decode(&bytes[..bytes.len() - 1]).expect("without versions"), state);
     assert_eq!(Desired::decode(&bytes).expect("the present form"), state);
     assert!(Desired::decode(&former[..former.len() - 1]).is_err());
 }
--- a/state/store/src/lib.rs
+++ b/state/store/src/lib.rs
@@ -1,4 +1,4 @@
-//! The data folder of a replica: identity, hard state, log and snapshot.
+//! The data folder of a replica: identity, hard state, log, snapshot and recorded streams.
 //!
 //! Each file starts with a version number, followed by records with their length and checksums.
 //! The log is appended to and synced once per write; the other files are replaced by renaming a
@@ -8,12 +8,15 @@
 mod file;
 mod journal;
 mod record;
+mod records;
 
 use std::path::PathBuf;
 
 use replog::{Recovered, Write};
 use thiserror::Error;
 
+pub use crate::records::{RecordFile, StreamRecord};
+
 /// An error of reading or writing the data folder.
 #[derive(Debug, Error)]
 pub enum StoreError {
