Do not hold prompts back at targets of which no answer is known

Cause: of a target of which nothing is known a host sends one request at a time until its first answer, and a prompt's first answer takes as long as its prefill and the prompts before it. Change: this holds for requests without a prompt only.

--- a/coordination/fleet/src/choose.rs
+++ b/coordination/fleet/src/choose.rs
@@ -85,7 +85,8 @@
             Some(version) => version >= requirements.newest,
         };
         held = true;
-        let access = target.limit.access(now, target.own(), requirements.rank);
+        let is_prompt = requirements.adapter.is_some();
+        let access = target.limit.access(now, target.own(), requirements.rank, is_prompt);
         let full = access == Access::Full || is_full(target, requirements);
         if full || (newest && !is_newest) {
             continue;
--- a/coordination/fleet/src/limits.rs
+++ b/coordination/fleet/src/limits.rs
@@ -4,7 +4,8 @@
 //! A host that hears of a limit keeps it at once and reports it to the holder of the target's
 //! failure domain, which publishes it to all hosts. A higher limit, or its end, counts only from an
 //! answer to a request that had a place: such an answer is newer than what the holder knew when it
-//! granted the place. While nothing is known of a target, a host has few requests there at a time.
+//! granted the place. While nothing is known of a target, a host has one request there at a time;
+//! prompts need no such limit, as their prefill permits keep them apart until the first answer.
 
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 
 use crate::{Event, Host, Reservation, Target, TargetQuery, io::Output, places::PLACE_TTL};
 
-/// Requests that a host has at a time at a target of which no answer is known.
+/// Requests without a prompt that a host has at a time at a target of which no answer is known.
 const UNKNOWN_REQUESTS: u32 = 1;
 /// Time between two requests for places at a target, unless a more urgent request needs one.
 const ASK_INTERVAL: Duration = Duration::from_millis(150);
@@ -104,10 +105,10 @@
     }
 
     /// Whether a request of this rank may be sent; `own` is the number of this host's requests there.
-    pub(crate) fn access(&self, now: Duration, own: u32, rank: Rank) -> Access {
+    pub(crate) fn access(&self, now: Duration, own: u32, rank: Rank, is_prompt: bool) -> Access {
         match self.limit {
             RequestLimit::Unlimited => Access::Open,
-            RequestLimit::Unknown if own < UNKNOWN_REQUESTS => Access::Open,
+            RequestLimit::Unknown if is_prompt || own < UNKNOWN_REQUESTS => Access::Open,
             RequestLimit::Unknown => Access::Full,
             RequestLimit::Rate(_) if self.places.iter().any(|it| it.serves(now, rank)) => {
                 Access::Open
