Prefill streams that go on before new ones of their priority

Cause: permits went to requests that can be on time first; a stream that goes on has no first event to be in time with, and came after all new ones once it had waited for 0.8 s. Change: prompts of streams that go on count as in time, and come before new ones of the same priority; what their callers have received would otherwise be in vain. The new test of the scheduler failed before.

--- a/coordination/fleet/src/prefill.rs
+++ b/coordination/fleet/src/prefill.rs
@@ -104,13 +104,15 @@
         tokens.max(MIN_TOKENS)
     }
 
-    /// Returns the request to grant next: those that can be on time first, then by priority, then
-    /// by time of arrival.
+    /// Returns the request to grant next: those that can be on time or go on with a stream first, then
+    /// by priority, then those that go on with a stream, whose first part would otherwise be in vain,
+    /// then by time of arrival.
     fn next(&self, now: Duration) -> Option<PermitKey> {
         let rank = |(key, it): (&PermitKey, &Waiting)| {
             let objective = Duration::from_millis(u64::from(it.request.objective_ms));
-            let late = now >= it.arrived + objective.mul_f64(LATE_SHARE);
-            (late, it.request.priority, it.arrived, *key)
+            let resumes = it.request.resumes;
+            let late = !resumes && now >= it.arrived + objective.mul_f64(LATE_SHARE);
+            (late, it.request.priority, !resumes, it.arrived, *key)
         };
         self.waiting.iter().map(rank).min().map(|(.., key)| key)
     }
--- a/coordination/fleet/tests/prefill.rs
+++ b/coordination/fleet/tests/prefill.rs
@@ -17,6 +17,7 @@
         target,
         tokens,
         priority,
+        resumes: false,
         waited_ms,
         objective_ms: 1000,
         pause_ms: 300,
@@ -121,3 +122,18 @@
     assert_eq!(scheduler.request(now, 2, &request(101, 1900, 0, 0)), [(2, 101)]);
     assert_eq!(scheduler.request(now, 3, &request(102, 1900, 0, 0)), []);
 }
+
+/// Guards against streams that go on and wait behind all new ones until their callers leave: what
+/// they have received would be in vain.
+#[test]
+fn streams_that_go_on_come_before_new_ones_of_their_priority() {
+    let mut scheduler = PrefillScheduler::default();
+    let mut granted = scheduler.request(ms(1000), 9, &request(0, 4000, 1, 0));
+    for (permit_id, priority, waited) in [(1, 1, 0), (2, 0, 0), (3, 1, 100)] {
+        granted.extend(scheduler.request(ms(1000), 1, &request(permit_id, 4000, priority, waited)));
+    }
+    let resumed = PrefillRequest { resumes: true, ..request(4, 4000, 1, 2500) };
+    granted.extend(scheduler.request(ms(1000), 1, &resumed));
+    let (order, _) = run_prefills(&mut scheduler, granted, &[400; 5]);
+    assert_eq!(order, [0, 2, 4, 3, 1]);
+}
--- a/edge/src/permit.rs
+++ b/edge/src/permit.rs
@@ -127,6 +127,7 @@
             target: target.clone(),
             tokens,
             priority: job.query.route.priority,
+            resumes: job.query.software.is_some(),
             waited_ms: now.saturating_sub(job.arrived).as_millis() as u32,
             objective_ms: objective.as_millis() as u32,
             pause_ms: pause.as_millis() as u32,
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -250,6 +250,8 @@
     pub tokens: u32,
     /// The request's priority; zero is served first.
     pub priority: u8,
+    /// Whether the request goes on with a stream that has begun.
+    pub resumes: bool,
     /// The time since the request arrived, in milliseconds.
     pub waited_ms: u32,
     /// The time from the request's arrival within which its response should begin, in
