Keep the numbers of commands in the log

A log of an earlier release that holds the end of a quarantine would be read as the setting of a default software version: the number of a command's variant is stored, and the new command had been put before the last one. It comes last now; the new test of the numbers failed before.

--- a/state/desired/src/lib.rs
+++ b/state/desired/src/lib.rs
@@ -16,7 +16,7 @@
 /// Maximum number of quarantined suspects; the one that was quarantined first is dropped first.
 pub const MAX_QUARANTINED: usize = 1024;
 
-/// A change of the desired state.
+/// A change of the desired state. The log stores the number of the variant, so new ones come last.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
     /// Puts a whole configuration in force, unless one with the same or a higher number is.
@@ -57,6 +57,11 @@
         /// Number of trials that crashed their target.
         failed_trials: u16,
     },
+    /// Ends the quarantine of a suspect.
+    Release {
+        /// The suspect.
+        suspect: Suspect,
+    },
     /// Sets the default software version of a service's targets.
     SetSoftware {
         /// The service.
@@ -64,11 +69,6 @@
         /// The version.
         software: DefaultSoftware,
     },
-    /// Ends the quarantine of a suspect.
-    Release {
-        /// The suspect.
-        suspect: Suspect,
-    },
 }
 
 /// The default software version of a service's targets: streams without a record began at it.
--- a/state/desired/tests/desired.rs
+++ b/state/desired/tests/desired.rs
@@ -2,7 +2,7 @@
 //! configuration is unchanged after it is packed and unpacked.
 
 use bytes::Bytes;
-use desired::{Applied, Command, Desired};
+use desired::{Applied, Command, DefaultSoftware, Desired};
 use wire::{HostId, Incarnation, Suspect};
 
 fn replace(number: u64, body: &'static str) -> Command {
@@ -113,3 +113,22 @@
     state.apply(3, Command::Release { suspect });
     assert!(state.quarantined.is_empty());
 }
+
+/// Guards against a log of an earlier release that is read as other commands: the number of a variant
+/// is stored.
+#[test]
+fn stored_commands_keep_their_numbers() {
+    let suspect = Suspect::Request(7);
+    let software = DefaultSoftware { default: 1, records_all: false };
+    let commands = [
+        replace(7, "seven"),
+        Command::Version { adapter: "m/a".to_owned(), version: 2 },
+        hold(1, 10),
+        Command::StartOrders { domain: "d".to_owned(), fence: 3 },
+        Command::Quarantine { suspect, failed_trials: 1 },
+        Command::Release { suspect },
+        Command::SetSoftware { service: "s".to_owned(), software },
+    ];
+    let numbers: Vec<u8> = commands.iter().map(|it| wire::encode(it)[0]).collect();
+    assert_eq!(numbers, [0, 1, 2, 3, 4, 5, 6]);
+}
