Take streams of split routes up at the service that began them

A stream on a route that is split between two services could be taken up at the other one, and was then joined from two runs. Cause: the service was drawn for each attempt. Change: it is drawn from the attempt that brought the first event, which all attempts at one stream name, so the draw is the same while the weights are. streams_taken_up_keep_their_service failed before. The tests of versions share their steps.

--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -3,11 +3,11 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use fleet::{Event, Limits, NoRoute, TargetQuery};
+use fleet::{Event, Limits, NoRoute, TargetQuery, stable_hash};
 use http::{HeaderValue, Request, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use platform::request::read_head;
+use platform::request::{first_attempt, read_head};
 use tokio::time::timeout;
 
 use crate::{
@@ -71,7 +71,9 @@
     let (parts, body) = request.into_parts();
     let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok());
     let host = host.or(parts.uri.host()).unwrap_or_default().to_owned();
-    let routed = edge.host.borrow().route(&host, parts.uri.path(), rand::random());
+    // All attempts at one stream go to the same service of a split route.
+    let draw = first_attempt(&parts.headers).map_or_else(rand::random, |it| stable_hash(&it));
+    let routed = edge.host.borrow().route(&host, parts.uri.path(), draw);
     let (route, service) = match routed {
         Ok(routed) => routed,
         Err(NoRoute::Unknown) => {
--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -469,13 +469,19 @@
     format!("{head}{more}\r\n")
 }
 
-/// Returns a configuration with a streaming route, an unsafe and a safe one, and two routes to the
-/// service `odd`.
+/// Returns a configuration with a streaming route, an unsafe and a safe one, two routes to the service
+/// `odd`, and one that is split between `odd` and `app`.
 pub fn document(version: u64) -> String {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        let services = match service.split_once('+') {
+            None => format!(r#""service":"{service}""#),
+            Some((one, other)) => format!(
+                r#""trafficSplit":[{{"service":"{one}","weight":50}},{{"service":"{other}","weight":50}}]"#
+            ),
+        };
         format!(
             r#"{{"name":"{name}","host":"a.example","pathPrefix":"{prefix}","routeType":"{kind}",
-            "timeoutMs":9000,"targetLatencyMs":1000,"priority":1,"service":"{service}","maxAttempts":2,
+            "timeoutMs":9000,"targetLatencyMs":1000,"priority":1,{services},"maxAttempts":2,
             "resumable":true,"gapTargetMs":300}}"#
         )
     };
@@ -485,6 +491,7 @@
         route("read", "/read/", "safe", "app"),
         route("odd", "/odd/", "safe", "odd"),
         route("flow", "/flow/", "streaming", "odd"),
+        route("split", "/split/", "streaming", "odd+app"),
     ];
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{{"name":"models","healthPath":"/h","engine":
--- a/edge/tests/versions.rs
+++ b/edge/tests/versions.rs
@@ -21,6 +21,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::Notify,
+    task::JoinHandle,
     time::{sleep, timeout},
 };
 
@@ -30,6 +31,9 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
 /// How long a caller reads an answer at most.
 const READ_TIMEOUT: Duration = Duration::from_secs(8);
+/// Paths of a route to one service, and of one that is split between two.
+const FLOW: &str = "/flow/x";
+const SPLIT: &str = "/split/x";
 /// Heartbeats of a new target reach all hosts in this time.
 const HEARTBEATS: Duration = Duration::from_millis(1500);
 
@@ -46,12 +50,13 @@
     async fn start(
         net: u8,
         number: u8,
+        service: &str,
         software: &'static str,
         control: Vec<SocketAddr>,
     ) -> VersionedTarget {
         let target = VersionedTarget { software, is_down: Arc::default(), broken: Arc::default() };
         let addr = format!("{}:8080", ip(net, 100 + number));
-        let mut record = target_record(number, "odd", addr.clone());
+        let mut record = target_record(number, service, addr.clone());
         record.software = software.to_owned();
         let serving = target.clone();
         let listener = TcpListener::bind(&addr).await.expect("the address is free");
@@ -114,12 +119,12 @@
 }
 
 /// Requests a stream, or takes one up again, and adds what arrives.
-async fn stream(entry: SocketAddr, attempt: &str, so_far: &mut Received) {
+async fn stream(entry: SocketAddr, path: &str, attempt: &str, so_far: &mut Received) {
     if so_far.versions.is_empty() {
         so_far.first_attempt = attempt.to_owned();
     }
     let mut request = format!(
-        "GET /flow/x HTTP/1.1\r\nHost: a.example\r\n{}: {attempt}\r\ndeadline-ms: 8000\r\n",
+        "GET {path} HTTP/1.1\r\nHost: a.example\r\n{}: {attempt}\r\ndeadline-ms: 8000\r\n",
         stand_in::ATTEMPT,
     );
     if !so_far.versions.is_empty() {
@@ -173,7 +178,16 @@
     }
 
     async fn target(&self, number: u8, software: &'static str) -> VersionedTarget {
-        VersionedTarget::start(self.net, number, software, self.control.clone()).await
+        self.target_of("odd", number, software).await
+    }
+
+    async fn target_of(
+        &self,
+        service: &str,
+        number: u8,
+        software: &'static str,
+    ) -> VersionedTarget {
+        VersionedTarget::start(self.net, number, service, software, self.control.clone()).await
     }
 
     fn entry(&self, host: u8) -> SocketAddr {
@@ -185,37 +199,46 @@
         for host in 1..=HOSTS {
             until(async || {
                 let mut received = Received::default();
-                stream(self.entry(host), "sound", &mut received).await;
+                stream(self.entry(host), FLOW, "sound", &mut received).await;
                 received.is_complete
             })
             .await;
         }
     }
 
-    /// Begins `count` streams at all hosts, lets `fault` happen while they run, and returns what the
-    /// callers have then.
-    async fn begin(&self, count: usize, fault: impl AsyncFnOnce()) -> Vec<Received> {
+    /// Begins `count` streams at all hosts. The callers end with them.
+    fn begin(&self, path: &'static str, count: usize) -> Vec<JoinHandle<Received>> {
         let mut callers = Vec::new();
         for number in 0..count {
             let entry = self.entry(1 + number as u8 % HOSTS);
             callers.push(tokio::spawn(async move {
                 let mut received = Received::default();
-                stream(entry, &format!("first-{number}"), &mut received).await;
+                stream(entry, path, &format!("first-{number}"), &mut received).await;
                 received
             }));
         }
+        callers
+    }
+
+    /// Begins streams, kills hosts while they run and starts them again. Returns what the callers
+    /// have then.
+    async fn begin_and_kill(&mut self, path: &'static str, hosts: &[u8]) -> Vec<Received> {
+        let callers = self.begin(path, 16);
         sleep(EVENT_INTERVAL * 5).await;
-        fault().await;
-        let mut all = Vec::new();
-        for caller in callers {
-            all.push(caller.await.expect("the caller ends"));
+        for &host in hosts {
+            self.cluster.kill(host);
         }
-        all
+        let streams = collect(callers).await;
+        for &host in hosts {
+            self.cluster.start_host(host);
+        }
+        self.wait_ready().await;
+        streams
     }
 
     /// Takes up each broken stream again, up to four times, each time at another host. Returns how
     /// many were broken and how many of them were completed.
-    async fn take_up(&self, streams: &mut [Received]) -> (usize, usize) {
+    async fn take_up(&self, path: &str, streams: &mut [Received]) -> (usize, usize) {
         let (mut broken, mut completed) = (0, 0);
         for (number, received) in streams.iter_mut().enumerate() {
             if received.is_complete || received.versions.is_empty() {
@@ -224,7 +247,8 @@
             broken += 1;
             for attempt in 0..4 {
                 let host = 1 + (number as u8 + attempt) % HOSTS;
-                stream(self.entry(host), &format!("again-{number}-{attempt}"), received).await;
+                stream(self.entry(host), path, &format!("again-{number}-{attempt}"), received)
+                    .await;
                 if received.is_complete {
                     completed += 1;
                     break;
@@ -236,6 +260,14 @@
     }
 }
 
+async fn collect(callers: Vec<JoinHandle<Received>>) -> Vec<Received> {
+    let mut all = Vec::new();
+    for caller in callers {
+        all.push(caller.await.expect("the caller ends"));
+    }
+    all
+}
+
 fn assert_none_joined(streams: &[Received]) {
     for received in streams {
         assert!(!received.is_joined(), "joined: {received:?}");
@@ -251,7 +283,10 @@
     system.until_served().await;
     let _new = system.target(2, "v2").await;
     sleep(HEARTBEATS).await;
-    let streams = system.begin(12, async || old.break_off(true)).await;
+    let callers = system.begin(FLOW, 12);
+    sleep(EVENT_INTERVAL * 5).await;
+    old.break_off(true);
+    let streams = collect(callers).await;
     assert_none_joined(&streams);
     let old_versions = streams.iter().filter(|it| it.versions.first().is_some_and(|v| v == "v1"));
     assert!(old_versions.count() > 0, "no stream began at v1");
@@ -266,29 +301,8 @@
     system.until_served().await;
     let _new = system.target(2, "v2").await;
     sleep(HEARTBEATS).await;
-    let entries: Vec<_> = (1..=HOSTS).map(|host| system.entry(host)).collect();
-    let mut callers = Vec::new();
-    for number in 0..16 {
-        let entry = entries[number % entries.len()];
-        callers.push(tokio::spawn(async move {
-            let mut received = Received::default();
-            stream(entry, &format!("first-{number}"), &mut received).await;
-            received
-        }));
-    }
-    sleep(EVENT_INTERVAL * 5).await;
-    for host in [2, 4] {
-        system.cluster.kill(host);
-    }
-    let mut streams = Vec::new();
-    for caller in callers {
-        streams.push(caller.await.expect("the caller ends"));
-    }
-    for host in [2, 4] {
-        system.cluster.start_host(host);
-    }
-    system.wait_ready().await;
-    let (broken, completed) = system.take_up(&mut streams).await;
+    let mut streams = system.begin_and_kill(FLOW, &[2, 4]).await;
+    let (broken, completed) = system.take_up(FLOW, &mut streams).await;
     assert_none_joined(&streams);
     assert!(broken >= 6, "only {broken} streams broke off");
     assert!(completed * 2 >= broken, "{completed} of {broken} went on");
@@ -303,37 +317,32 @@
     system.until_served().await;
     let _new = system.target(2, "v2").await;
     sleep(HEARTBEATS).await;
-    let entries: Vec<_> = (1..=HOSTS).map(|host| system.entry(host)).collect();
-    let mut callers = Vec::new();
-    for number in 0..16 {
-        let entry = entries[number % entries.len()];
-        callers.push(tokio::spawn(async move {
-            let mut received = Received::default();
-            stream(entry, &format!("first-{number}"), &mut received).await;
-            received
-        }));
-    }
-    sleep(EVENT_INTERVAL * 5).await;
-    for host in 1..=HOSTS {
-        system.cluster.kill(host);
-    }
-    let mut streams = Vec::new();
-    for caller in callers {
-        streams.push(caller.await.expect("the caller ends"));
-    }
+    let mut streams = system.begin_and_kill(FLOW, &[1, 2, 3, 4]).await;
     let mut gone = streams.clone();
-    for host in 1..=HOSTS {
-        system.cluster.start_host(host);
-    }
-    system.wait_ready().await;
     system.until_served().await;
-    let (broken, completed) = system.take_up(&mut streams).await;
+    let (broken, completed) = system.take_up(FLOW, &mut streams).await;
     assert_none_joined(&streams);
     assert!(broken >= 10, "only {broken} streams broke off");
     assert!(completed * 2 >= broken, "{completed} of {broken} went on");
 
     // Now v1 is gone: its streams end, and are not joined to v2.
     old.break_off(true);
-    system.take_up(&mut gone).await;
+    system.take_up(FLOW, &mut gone).await;
     assert_none_joined(&gone);
 }
+
+/// Guards against a stream on a split route that is taken up at another service than the one that
+/// began it.
+#[tokio::test]
+async fn streams_taken_up_keep_their_service() {
+    let mut system = System::start(19).await;
+    let _one = system.target_of("odd", 1, "odd v1").await;
+    let _other = system.target_of("app", 2, "app v1").await;
+    system.until_served().await;
+    sleep(HEARTBEATS).await;
+    let mut streams = system.begin_and_kill(SPLIT, &[2, 4]).await;
+    let (broken, completed) = system.take_up(SPLIT, &mut streams).await;
+    assert_none_joined(&streams);
+    assert!(broken >= 6, "only {broken} streams broke off");
+    assert!(completed * 2 >= broken, "{completed} of {broken} went on");
+}
