--- a/coordination/fleet/src/stream_records.rs
+++ b/coordination/fleet/src/stream_records.rs
@@ -121,11 +121,11 @@
 }
 
 impl Host {
-    /// Takes over the records that the disk kept; `None` if some may be missing.
-    pub fn restore_records(&mut self, now: Duration, records: Option<Vec<Record>>) {
+    /// Takes over the records that the disk kept. Without `is_complete` some may be missing.
+    pub fn restore_records(&mut self, now: Duration, records: Vec<Record>, is_complete: bool) {
         let recorder = &mut self.records.recorder;
-        recorder.kept_all = records.is_some();
-        recorder.older = records.unwrap_or_default().into_iter().collect();
+        recorder.kept_all = is_complete;
+        recorder.older = records.into_iter().collect();
         recorder.rotated_at = now;
     }
 
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -10,7 +10,7 @@
 use fleet::{Event, Host, Input, Settings};
 use peer::{Hub, Peers};
 use platform::settings::SETTINGS_VARIABLE;
-use store::RecordFile;
+use store::{KeptRecords, RecordFile};
 use tokio::{
     runtime::Builder,
     signal::unix::{SignalKind, signal},
@@ -112,13 +112,13 @@
 ) -> Result<Rc<Edge>, EdgeError> {
     let log = Log::start(&settings.name, log_lines);
     let incarnation = new_incarnation();
-    let (mut disk, mut recovered, mut records) = (None, None, None);
+    let (mut disk, mut recovered, mut kept) = (None, None, KeptRecords::default());
     if let Some(dir) = &settings.data_dir {
         let (files, state) = open(dir)?;
-        let (record_file, kept) = RecordFile::open(dir)?;
+        let (record_file, records) = RecordFile::open(dir)?;
         disk = Some(DiskQueue::start(dir.clone(), files, record_file, sender.clone())?);
         recovered = Some(state);
-        records = kept;
+        kept = records;
     }
     let config = peer::Config {
         host: settings.host,
@@ -131,7 +131,7 @@
     let started = clock();
     let (mut host, outputs) =
         Host::new(Duration::ZERO, settings, incarnation, recovered, rand::random());
-    host.restore_records(Duration::ZERO, records);
+    host.restore_records(Duration::ZERO, kept.records, kept.is_complete);
     let edge = Edge::new(host, hub, disk, log, started);
     edge.carry_out(outputs);
     Ok(edge)
--- a/state/store/src/lib.rs
+++ b/state/store/src/lib.rs
@@ -15,7 +15,7 @@
 use replog::{Recovered, Write};
 use thiserror::Error;
 
-pub use crate::records::{RecordFile, StreamRecord};
+pub use crate::records::{KeptRecords, RecordFile, StreamRecord};
 
 /// An error of reading or writing the data folder.
 #[derive(Debug, Error)]
--- a/state/store/src/records.rs
+++ b/state/store/src/records.rs
@@ -23,6 +23,16 @@
 /// A stream and the software version that began it.
 pub type StreamRecord = (StreamHash, SoftwareHash);
 
+/// The records found in the files.
+#[derive(Debug, Default)]
+pub struct KeptRecords {
+    /// The records.
+    pub records: Vec<StreamRecord>,
+    /// Whether no confirmed record is missing. One may be after a new folder was made, after damage,
+    /// and after it was noted so.
+    pub is_complete: bool,
+}
+
 /// The open files of recorded streams.
 #[derive(Debug)]
 pub struct RecordFile {
@@ -31,35 +41,37 @@
 }
 
 impl RecordFile {
-    /// Opens the files in an open data folder, or creates them. Returns the records, or none if some
-    /// may be missing: there were no files, one is damaged, or that was noted before.
-    pub fn open(dir: &Path) -> Result<(RecordFile, Option<Vec<StreamRecord>>), StoreError> {
+    /// Opens the files in an open data folder, or creates them.
+    pub fn open(dir: &Path) -> Result<(RecordFile, KeptRecords), StoreError> {
         let path = dir.join(NEWER);
         remove_temporary(&path)?;
-        let older = read(&dir.join(OLDER));
-        let newer = read(&path);
-        let (records, end) = match (older, newer) {
-            (Ok(older), Ok(Some((mut records, end)))) => {
-                records.extend(older.unwrap_or_default().0);
-                (Some(records), Some(end))
-            }
-            (Err(error @ StoreError::Io { .. }), _) | (_, Err(error @ StoreError::Io { .. })) => {
-                return Err(error);
+        let mut kept = KeptRecords::default();
+        let mut end = None;
+        let mut is_intact = true;
+        for (name, is_required) in [(OLDER, false), (NEWER, true)] {
+            match read(&dir.join(name)) {
+                Ok(Some((records, len))) => {
+                    kept.records.extend(records);
+                    end = is_required.then_some(len);
+                }
+                Ok(None) => is_intact &= !is_required,
+                Err(error @ StoreError::Io { .. }) => return Err(error),
+                Err(_) => is_intact = false,
             }
-            _ => (None, None),
-        };
-        if records.is_none() {
+        }
+        if !is_intact {
             save(&dir.join(INCOMPLETE), &())?;
+        }
+        if end.is_none() {
             replace(&path, &record::version_bytes())?;
         }
-        let is_marked = read_value::<()>(&dir.join(INCOMPLETE))?.is_some();
-        let records = records.filter(|_| !is_marked);
+        kept.is_complete = read_value::<()>(&dir.join(INCOMPLETE))?.is_none();
         let file = OpenOptions::new().append(true).open(&path).map_err(io_error("open", &path))?;
         if let Some(end) = end {
             file.set_len(end as u64).map_err(io_error("truncate", &path))?;
             file.sync_data().map_err(io_error("sync", &path))?;
         }
-        Ok((RecordFile { dir: dir.to_owned(), file }, records))
+        Ok((RecordFile { dir: dir.to_owned(), file }, kept))
     }
 
     /// Appends records and syncs the file. After an error, the file has to be opened again.
