--- a/coordination/fleet/src/choose.rs
+++ b/coordination/fleet/src/choose.rs
@@ -4,7 +4,7 @@
 
 use wire::SoftwareHash;
 
-use crate::{Engine, Target, Targets, limits::Access};
+use crate::{Engine, Target, Targets, limit_view::Access};
 
 /// Factor of a target's failure rate in its cost.
 const FAILURE_COST: f64 = 6.0;
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -19,13 +19,16 @@
 mod hosts;
 mod io;
 mod lead;
+mod limit_view;
 mod limits;
 mod machine;
 mod members;
 mod models;
 mod operator;
+mod orders;
 mod other_domains;
 mod permits;
+mod place_requests;
 mod placement;
 mod places;
 mod prefill;
@@ -48,7 +51,7 @@
     config::{Config, ConfigError, Engine, Limits, Model, RequestKind, Route, Service},
     event::Event,
     io::{Input, Order, OrderOutcome, Output, Reply, Report, Tag},
-    limits::LimitView,
+    limit_view::LimitView,
     machine::Host,
     other_domains::OtherDomains,
     placement::{Demand, PlacementSettings, PlacementStep, PlacementTable},
--- a/coordination/fleet/src/placement.rs
+++ b/coordination/fleet/src/placement.rs
@@ -14,25 +14,18 @@
 
 use crate::{
     Engine, Event,
-    io::{Order, OrderOutcome, Report},
+    io::{Order, Report},
     other_domains::OtherDomains,
     rates::RequestRates,
-    row::{SentOrder, Stage, TargetRow},
+    row::{Stage, TargetRow},
 };
 
 /// Maximum age of a report on arrival, with a margin for the network delay.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Interval between report requests while a model or adapter is in transit.
 const REPORT_INTERVAL: Duration = Duration::from_millis(80);
-/// Delay of the first report request after an order; an earlier report cannot show its effect.
-const FIRST_REPORT_DELAY: Duration = Duration::from_millis(120);
 /// Timeout of a report request.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Backoff after a target answered an order with busy.
-const BUSY_BACKOFF: Duration = Duration::from_millis(150);
-/// Backoff after an order that was refused or not sent. After an order without an answer, it delays
-/// only the report request.
-const FAILED_BACKOFF: Duration = Duration::from_millis(700);
 /// Interval between checks for adapters that need a further copy.
 const COPY_INTERVAL: Duration = Duration::from_millis(250);
 /// Lifetime of a host's status unless it is repeated.
@@ -335,7 +328,7 @@
     }
 
     /// Removes a target and publishes it as silent.
-    fn mark_silent(&mut self, id: &str) {
+    pub(crate) fn mark_silent(&mut self, id: &str) {
         let Some(row) = self.rows.remove(id) else { return };
         let record = TargetRecord { state: TargetState::Silent, ..row.record };
         self.steps.push(PlacementStep::Log(Event::TargetSilent { target: id.to_owned() }));
@@ -405,125 +398,6 @@
             self.steps.push(PlacementStep::Publish(FeedChange::Placed(arrival)));
         }
     }
-
-    /// Handles the outcome of the order that was sent to a target.
-    pub fn handle_outcome(&mut self, now: Duration, id: &str, outcome: OrderOutcome) {
-        let Some(row) = self.rows.get_mut(id) else { return };
-        let Some(SentOrder { order, at }) = row.open_order.take() else { return };
-        let name = order.name();
-        let took = now.saturating_sub(at);
-        self.steps.push(PlacementStep::Log(Event::Ordered {
-            target: id.to_owned(),
-            load: order.load,
-            adapter: name.clone(),
-            expect: order.expected_orders,
-            fence: order.fence,
-            outcome,
-            took_ms: took.as_millis() as u64,
-        }));
-        let unanswered = row.unanswered.take();
-        if let Some(former) = unanswered.filter(|_| outcome == OrderOutcome::Accepted) {
-            self.roll_back(id, &former);
-        }
-        let Some(row) = self.rows.get_mut(id) else { return };
-        match outcome {
-            OrderOutcome::Accepted => {
-                row.apply_order(now, &order);
-                row.sequence = row.sequence.map(|it| it + 1);
-                row.report_due = Some(now + FIRST_REPORT_DELAY);
-            }
-            OrderOutcome::Done if order.load => {
-                row.apply_order(now, &order);
-                row.sequence = None;
-                row.report_due = Some(now);
-            }
-            OrderOutcome::Done => {
-                row.sequence = row.sequence.map(|it| it + 1);
-                row.remove_adapter(now, &name);
-            }
-            OrderOutcome::Busy => {
-                self.roll_back(id, &order);
-                self.require_report(now, id, BUSY_BACKOFF);
-            }
-            OrderOutcome::Elsewhere => self.mark_silent(id),
-            OrderOutcome::Refused | OrderOutcome::NotSent => {
-                self.roll_back(id, &order);
-                self.require_report(now, id, FAILED_BACKOFF);
-            }
-            OrderOutcome::Unknown => {
-                // The order may have been executed, or be executed late, so it keeps its adapter
-                // slot. The next order expects the same number: if that one is accepted, this one
-                // never is. Otherwise a report shows its result.
-                row.apply_order(now, &order);
-                row.report_due = Some(now + FAILED_BACKOFF);
-                row.unanswered = Some(order);
-            }
-        }
-    }
-
-    /// Requires a new report from a target before its next order.
-    fn require_report(&mut self, now: Duration, id: &str, backoff: Duration) {
-        let Some(row) = self.rows.get_mut(id) else { return };
-        row.sequence = None;
-        row.backoff_until = now + backoff;
-        row.report_due = Some(now + backoff);
-    }
-
-    /// Rolls back the table changes of an order that had no effect.
-    fn roll_back(&mut self, id: &str, order: &Order) {
-        let Some(row) = self.rows.get_mut(id) else { return };
-        let name = order.name();
-        if order.load {
-            if row.held.get(&name).is_some_and(|it| it.stage == Stage::Loading) {
-                row.held.remove(&name);
-            }
-            return;
-        }
-        if let Some(held) = row.held.get_mut(&name) {
-            held.stage = Stage::Ready;
-            let (number, version) = (row.number, held.version);
-            self.steps.push(PlacementStep::Publish(FeedChange::Placed(placement(
-                number, &name, version,
-            ))));
-        }
-    }
-
-    #[expect(clippy::too_many_arguments, reason = "an order has as many parts")]
-    pub(crate) fn send_order(
-        &mut self,
-        now: Duration,
-        fence: Fence,
-        id: &str,
-        load: bool,
-        model: &str,
-        adapter: Option<&str>,
-        version: u64,
-    ) -> bool {
-        let Some(row) = self.rows.get_mut(id) else { return false };
-        let Some(expected_orders) = row.sequence else { return false };
-        let order = Order {
-            target: id.to_owned(),
-            addr: row.record.addr.clone(),
-            load,
-            model: model.to_owned(),
-            adapter: adapter.map(str::to_owned),
-            version,
-            expected_orders,
-            fence,
-        };
-        let name = order.name();
-        if !load {
-            if let Some(held) = row.held.get_mut(&name) {
-                held.stage = Stage::Unloading;
-                held.since = now;
-            }
-            let change = FeedChange::Removed(placement(row.number, &name, 0));
-            self.steps.push(PlacementStep::Publish(change));
-        }
-        row.open_order = Some(SentOrder { order: order.clone(), at: now });
-        self.steps.push(PlacementStep::Order(order));
-        true
-    }
 }
 
 pub(crate) fn placement(target: TargetNumber, name: &str, version: u64) -> Placement {
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -11,7 +11,7 @@
 use crate::{
     Host, Pick, Picked, Requirements, RetryBudget, Route, Target,
     io::Output,
-    limits::{Place, Rank},
+    limit_view::{Place, Rank},
     other_domains::domain_order,
     pick,
     placement::Demand,
--- a/coordination/fleet/src/row_limits.rs
+++ b/coordination/fleet/src/row_limits.rs
@@ -5,7 +5,7 @@
 use wire::{FeedChange, Fence, RequestLimit, TargetState};
 
 use crate::{
-    PlacementStep, PlacementTable, limits::is_lower, places::LimitInForce, row::TargetRow,
+    PlacementStep, PlacementTable, limit_view::is_lower, places::LimitInForce, row::TargetRow,
 };
 
 /// Time after a limit was last named for which a target gets new adapters only if no other can take
