--- a/edge/src/reservation.rs
+++ b/edge/src/reservation.rs
@@ -109,14 +109,14 @@
 struct PlaceWait {
     edge: Rc<Edge>,
     target: String,
-    /// Whether the estimate of its wait was found short enough.
-    in_time: bool,
+    /// Whether the first estimate of its wait was found short enough.
+    was_judged: bool,
 }
 
 impl PlaceWait {
     fn start(edge: &Rc<Edge>, target: String) -> PlaceWait {
         edge.host.borrow_mut().wait_for_place(&target);
-        PlaceWait { edge: edge.clone(), target, in_time: false }
+        PlaceWait { edge: edge.clone(), target, was_judged: false }
     }
 }
 
@@ -126,6 +126,14 @@
     }
 }
 
+/// What a request without a reservation waits for.
+#[derive(Default)]
+struct Waits {
+    adapter: Option<AdapterWait>,
+    place: Option<PlaceWait>,
+    trial: bool,
+}
+
 impl Job {
     /// Reserves a target, and waits for one within the limits if necessary.
     pub(crate) async fn reserve(&mut self) -> Result<ReservationGuard, NoReservation> {
@@ -134,9 +142,8 @@
         let left = self.deadline.saturating_sub(started);
         let max_wait =
             left.mul_f64(RESERVE_WAIT_SHARE).min(self.objective().mul_f64(RESERVE_WAIT_OBJECTIVES));
-        let mut waiting = None;
-        let mut awaits_trial = false;
-        let mut place_wait: Option<PlaceWait> = None;
+        let latest = started + max_wait;
+        let mut waits = Waits::default();
         loop {
             let now = edge.now();
             if now >= self.deadline {
@@ -144,18 +151,7 @@
             }
             let mut wake = std::pin::pin!(edge.wake.notified());
             wake.as_mut().enable();
-            let choice = if self.admit(now, started)? {
-                let chosen = edge.host.borrow_mut().choose(now, &self.query, rand::random());
-                edge.carry_out(chosen.1);
-                chosen.0
-            } else {
-                if !std::mem::replace(&mut awaits_trial, true) {
-                    self.add_step("waits", "for a trial");
-                }
-                Choice::Full
-            };
-            let mut load = choice == Choice::Wait;
-            let (until, interval, why) = match choice {
+            let (until, interval, why) = match self.choose(now, started, &mut waits)? {
                 Choice::Send(reservation) => {
                     edge.metrics.observe_part("wait", now.saturating_sub(started).as_secs_f64());
                     return Ok(ReservationGuard {
@@ -165,23 +161,18 @@
                         ended: false,
                     });
                 }
-                Choice::Wait => (started + max_wait, LOAD_RETRY_INTERVAL, NoReservation::Busy),
-                Choice::Full => (started + max_wait, FULL_RETRY_INTERVAL, NoReservation::Busy),
+                Choice::Wait => {
+                    self.wait_for_adapter(now, &mut waits);
+                    (latest, LOAD_RETRY_INTERVAL, NoReservation::Busy)
+                }
+                Choice::Full => (latest, FULL_RETRY_INTERVAL, NoReservation::Busy),
                 Choice::Limited { target, due, elsewhere } => {
-                    let until = started + max_wait;
-                    if place_wait.as_ref().is_none_or(|it| it.target != target) {
-                        self.add_step("waits for a place at", &target);
-                        place_wait = Some(PlaceWait::start(&edge, target));
-                    }
-                    if let (Some(due), Some(wait)) = (due, &mut place_wait)
-                        && !elsewhere
-                        && !std::mem::replace(&mut wait.in_time, true)
-                        && now + due > until
-                    {
-                        return Err(NoReservation::Limited(due));
+                    if elsewhere {
+                        self.wait_for_adapter(now, &mut waits);
                     }
-                    load = elsewhere;
-                    (until, PLACE_RETRY_INTERVAL, NoReservation::Limited(due.unwrap_or_default()))
+                    let late = due.filter(|due| !elsewhere && now + *due > latest);
+                    self.wait_for_place(target, due.is_some(), late, &mut waits)?;
+                    (latest, PLACE_RETRY_INTERVAL, NoReservation::Limited(due.unwrap_or_default()))
                 }
                 Choice::None => {
                     (started + NO_TARGET_WAIT, LOAD_RETRY_INTERVAL, NoReservation::NoTarget)
@@ -190,14 +181,6 @@
             if now >= until || (why == NoReservation::NoTarget && !self.query.tried.is_empty()) {
                 return Err(why);
             }
-            if waiting.is_none() && load {
-                let adapter = self.query.adapter.clone().unwrap_or_default();
-                self.add_step("waits", &adapter);
-                edge.host.borrow_mut().wait_for(&self.query);
-                waiting = Some(AdapterWait(edge.clone(), self.query.clone()));
-                let outputs = edge.host.borrow_mut().send_demands(now);
-                edge.carry_out(outputs);
-            }
             let remaining = until.min(self.deadline).saturating_sub(now).min(interval);
             tokio::select! {
                 () = wake => {}
@@ -206,6 +189,62 @@
         }
     }
 
+    /// Chooses a target, once a trial is granted if the request needs one.
+    fn choose(
+        &mut self,
+        now: Duration,
+        started: Duration,
+        waits: &mut Waits,
+    ) -> Result<Choice, NoReservation> {
+        if !self.admit(now, started)? {
+            if !std::mem::replace(&mut waits.trial, true) {
+                self.add_step("waits", "for a trial");
+            }
+            return Ok(Choice::Full);
+        }
+        let (choice, outputs) =
+            self.edge.host.borrow_mut().choose(now, &self.query, rand::random());
+        self.edge.carry_out(outputs);
+        Ok(choice)
+    }
+
+    /// Reports that the request waits for its adapter, for as long as `waits` lives.
+    fn wait_for_adapter(&mut self, now: Duration, waits: &mut Waits) {
+        if waits.adapter.is_some() {
+            return;
+        }
+        let edge = self.edge.clone();
+        let adapter = self.query.adapter.clone().unwrap_or_default();
+        self.add_step("waits", &adapter);
+        edge.host.borrow_mut().wait_for(&self.query);
+        waits.adapter = Some(AdapterWait(edge.clone(), self.query.clone()));
+        let outputs = edge.host.borrow_mut().send_demands(now);
+        edge.carry_out(outputs);
+    }
+
+    /// Counts the request among those that wait for a place at a target. Refuses it if its place
+    /// would be `late` when that is first known; later requests do not delay its place.
+    fn wait_for_place(
+        &mut self,
+        target: String,
+        is_known: bool,
+        late: Option<Duration>,
+        waits: &mut Waits,
+    ) -> Result<(), NoReservation> {
+        if waits.place.as_ref().is_none_or(|it| it.target != target) {
+            self.add_step("waits for a place at", &target);
+            waits.place = Some(PlaceWait::start(&self.edge, target));
+        }
+        let Some(wait) = waits.place.as_mut().filter(|_| is_known) else { return Ok(()) };
+        match late {
+            Some(due) if !wait.was_judged => Err(NoReservation::Limited(due)),
+            _ => {
+                wait.was_judged = true;
+                Ok(())
+            }
+        }
+    }
+
     /// Reserves a target and, for a prompt, acquires a prefill permit there. If the target leaves
     /// or loses the adapter during the wait for the permit, another one is reserved.
     pub(crate) async fn reserve_with_permit(&mut self) -> Result<ReservationGuard, NoReservation> {
