Test limits while a holder is cut off, and after a calm time

Mutations of the code that no test noticed: holders that hand out places without a lease, and places that add up for 9 s in place of 0.5 s. Both tests fail with these.

--- a/coordination/fleet/tests/limits.rs
+++ b/coordination/fleet/tests/limits.rs
@@ -222,6 +222,12 @@
             let served = model.served(id, from);
             assert!(served as f64 >= 0.85 * rate * 30.0, "seed {seed}: {served} at {id}");
         }
+        // Callers come back after a calm time.
+        model.pressure = 0.3;
+        model.run(ms(15_000));
+        model.pressure = 60.0;
+        model.run(ms(8000));
+        model.check(&format!("seed {seed}, after a calm time"));
     }
 }
 
@@ -295,6 +301,21 @@
     }
 }
 
+/// Guards against two holders that hand out places at the same time, each for hosts of its own.
+#[test]
+fn limits_hold_while_a_holder_is_cut_off() {
+    for seed in 0..6 {
+        let mut model = Model::new(300 + seed, 10, &[Some(8000)], 60.0);
+        model.run(ms(6000));
+        let holder = model.holder().expect("there is one");
+        model.world.cut.extend([holder, 7, 8, 9, 10]);
+        model.run(ms(20_000));
+        model.world.cut.clear();
+        model.run(ms(6000));
+        model.check(&format!("seed {seed}"));
+    }
+}
+
 /// Guards against messages that grow faster than what the limits let through.
 #[test]
 fn messages_for_places_stay_few() {
