Count absent records by the most voters that there were

A host could take a stream for one of the default version though it had a record: of seven voters four had confirmed it, two of these were lost, and three of the five that were left had none (versions_are_known_after_voters_are_lost, which failed before with a wrong version). Cause: without a record at so many of the present voters that no majority of them can have it, the default was assumed; a majority of the former, larger number can. Change: voters tell the highest number of voters in the life of a record, and so many of them must lack it that no majority of that number can be without them.

--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -361,9 +361,7 @@
             }
             FleetMsg::StreamRecorded { stream } => self.handle_recorded(from, stream),
             FleetMsg::FindStream { stream } => self.handle_search(now, from, stream),
-            FleetMsg::StreamFound { stream, software, is_complete } => {
-                self.handle_found(now, from, stream, software, is_complete);
-            }
+            FleetMsg::StreamFound(found) => self.handle_found(now, from, &found),
             FleetMsg::PlaceRequest(request) => self.handle_place_request(now, from, &request),
             FleetMsg::PlaceReply(reply) => self.handle_place_reply(now, &reply),
             FleetMsg::PlacesUnused { target, started_at, places } => {
--- a/coordination/fleet/src/stream_records.rs
+++ b/coordination/fleet/src/stream_records.rs
@@ -4,7 +4,8 @@
 //! takes up again may go on only at the version that began it. The replicated log holds the default
 //! version of each service. A stream that begins at another version is recorded at a majority of the
 //! voters before its first event goes out. A host that takes a stream up asks the voters: without a
-//! record at a majority of them, the default version began it. Voters that may have lost records say
+//! record at so many of them that no majority of the voters in the life of a record can be without
+//! them, the default version began it. Voters that may have lost records say
 //! so and do not count. Nothing is joined to a stream of which this does not tell the version.
 //!
 //! The default changes in three steps, see [`crate::software`], so that a host that knows an earlier
@@ -15,7 +16,7 @@
     time::Duration,
 };
 
-use wire::{FleetMsg, HostId, Role, SoftwareHash, StreamHash};
+use wire::{FleetMsg, FoundRecord, HostId, Role, SoftwareHash, StreamHash};
 
 use crate::{Event, Host, io::Output, targets::stable_hash};
 
@@ -103,10 +104,35 @@
     sent: Duration,
 }
 
+/// The highest number of voters over the last one to two times [`RECORD_TTL`]. A record may be at a
+/// majority of as many.
+#[derive(Debug, Default)]
+struct VoterPeak {
+    newer: usize,
+    older: usize,
+    rotated_at: Duration,
+}
+
+impl VoterPeak {
+    fn add(&mut self, now: Duration, voters: usize) {
+        if now >= self.rotated_at + RECORD_TTL {
+            self.older = std::mem::take(&mut self.newer);
+            self.rotated_at = now;
+        }
+        self.newer = self.newer.max(voters);
+    }
+
+    fn get(&self) -> usize {
+        self.newer.max(self.older)
+    }
+}
+
 /// A stream whose software version the voters are asked for.
 #[derive(Debug)]
 struct PendingSearch {
     service: String,
+    /// Highest number of voters that an answer names.
+    peak: usize,
     /// Voters without a record of it that have missed none.
     absent: BTreeSet<HostId>,
     sent: Duration,
@@ -116,6 +142,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct StreamRecords {
     pub(crate) recorder: Recorder,
+    voter_peak: VoterPeak,
     pending: BTreeMap<StreamHash, PendingRecord>,
     searches: BTreeMap<StreamHash, PendingSearch>,
 }
@@ -134,10 +161,15 @@
         let members = self.replica.status().members.members;
         let voters = members.into_iter().filter(|it| it.role == Role::Voter);
         let voters: Vec<HostId> = voters.map(|it| it.host).collect();
-        let majority = (voters.len() / 2 + 1).max(self.settings.tolerated_losses + 1);
+        let majority = self.record_majority(voters.len());
         (voters, majority)
     }
 
+    /// Returns how many of `voters` voters must hold a record.
+    fn record_majority(&self, voters: usize) -> usize {
+        (voters / 2 + 1).max(self.settings.tolerated_losses + 1)
+    }
+
     /// Whether a stream that begins at this software version must be recorded.
     pub fn needs_record(&self, now: Duration, service: &str, software: SoftwareHash) -> bool {
         let is_default = self
@@ -251,8 +283,12 @@
         attempt: Option<&str>,
     ) -> (StreamHash, Vec<Output>) {
         let hash = attempt.map_or(service_hash(service), |it| stream_hash(service, it));
-        let search =
-            PendingSearch { service: service.to_owned(), absent: BTreeSet::new(), sent: now };
+        let search = PendingSearch {
+            service: service.to_owned(),
+            peak: self.records.voter_peak.get(),
+            absent: BTreeSet::new(),
+            sent: now,
+        };
         self.records.searches.insert(hash, search);
         self.send_search(now, hash);
         (hash, self.finish(now))
@@ -282,34 +318,33 @@
         let recorder = &self.records.recorder;
         let software = recorder.find(stream);
         let is_complete = self.caught_up && recorder.is_complete(now);
+        let peak = self.records.voter_peak.get() as u16;
+        let found = FoundRecord { stream, software, is_complete, peak };
         if from == self.settings.host {
-            self.handle_found(now, from, stream, software, is_complete);
+            self.handle_found(now, from, &found);
         } else {
-            self.send(from, FleetMsg::StreamFound { stream, software, is_complete });
+            self.send(from, FleetMsg::StreamFound(found));
         }
     }
 
     /// Handles a voter's answer to a search.
-    pub(crate) fn handle_found(
-        &mut self,
-        now: Duration,
-        from: HostId,
-        stream: StreamHash,
-        software: Option<SoftwareHash>,
-        is_complete: bool,
-    ) {
-        let (voters, majority) = self.record_voters();
+    pub(crate) fn handle_found(&mut self, now: Duration, from: HostId, found: &FoundRecord) {
+        let FoundRecord { stream, software, is_complete, peak } = *found;
+        let (voters, _) = self.record_voters();
         let has_view = self.has_view(now, MAX_READ_AGE);
         let Some(search) = self.records.searches.get_mut(&stream) else { return };
+        search.peak = search.peak.max(usize::from(peak)).max(voters.len());
         if software.is_none() && is_complete {
             search.absent.insert(from);
         }
-        let default = self.desired.software.get(&search.service).map(|it| it.default);
+        let most = search.peak;
         let absent = voters.iter().filter(|it| search.absent.contains(it)).count();
-        let is_absent = voters.len() >= majority && absent > voters.len() - majority;
+        let default = self.desired.software.get(&search.service).map(|it| it.default);
         // A record of a whole service does not tell which of its streams it is of.
-        let found = software.filter(|_| stream != service_hash(&search.service));
-        let software = match found {
+        let told = software.filter(|_| stream != service_hash(&search.service));
+        let majority = self.record_majority(most);
+        let is_absent = most >= majority && absent > most - majority;
+        let software = match told {
             Some(software) => software,
             None if software.is_none() && is_absent && has_view => {
                 let Some(default) = default else { return };
@@ -345,6 +380,7 @@
     /// Follows whether this host is a voter and which records it may have missed.
     fn update_recorder(&mut self, now: Duration) {
         let (voters, _) = self.record_voters();
+        self.records.voter_peak.add(now, voters.len());
         let is_voter = voters.contains(&self.settings.host);
         let missed_none = self.settings.first_start && now < self.started_at + FOUNDING_TIME;
         let recorder = &mut self.records.recorder;
--- a/coordination/fleet/tests/stream_records.rs
+++ b/coordination/fleet/tests/stream_records.rs
@@ -51,7 +51,12 @@
 
 impl Model {
     fn new(seed: u64) -> Model {
-        let mut world = World::new(seed, 3, 7, &[1, 2, 3]);
+        Model::with_disks(seed, 3)
+    }
+
+    /// Makes a model of ten hosts, `disks` of them with a disk.
+    fn with_disks(seed: u64, disks: u32) -> Model {
+        let mut world = World::new(seed, disks, 10 - disks, &[1, 2, 3]);
         world.run(ms(8000));
         let tag = world.tag();
         let body = desired::pack(b"{}");
@@ -291,6 +296,29 @@
     }
 }
 
+/// Guards against a record that was kept by a majority of many voters and is missing at a majority of
+/// those that are left.
+#[test]
+fn versions_are_known_after_voters_are_lost() {
+    for seed in 0..12 {
+        let mut model = Model::with_disks(400 + seed, 7);
+        model.run(ms(8000), 10.0);
+        model.release("v2");
+        model.run(ms(2000), 20.0);
+        // Shorter than the time after which silent voters are replaced.
+        model.world.cut.extend([1, 2, 3]);
+        model.run(ms(2500), 40.0);
+        model.world.cut.clear();
+        model.world.kill(6);
+        model.world.kill(7);
+        model.run(ms(6000), 0.0);
+        model.rates();
+        model.run(ms(6000), 40.0);
+        let (told, untold) = model.rates();
+        assert!(untold * 10 <= told, "seed {seed}: told {told}, not {untold}");
+    }
+}
+
 /// Guards against records of every stream, or none, while only one version serves, and against a
 /// default that changes before the streams of the former one have ended.
 #[test]
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -303,6 +303,19 @@
     pub due_ms: u32,
 }
 
+/// What a voter knows of the software version that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FoundRecord {
+    /// The stream.
+    pub stream: StreamHash,
+    /// The recorded software version; none without a record.
+    pub software: Option<SoftwareHash>,
+    /// Whether the voter has all records that it has confirmed in the life of a stream.
+    pub is_complete: bool,
+    /// The highest number of voters in that time.
+    pub peak: u16,
+}
+
 /// A message between hosts that send callers' requests to the targets directly.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FleetMsg {
@@ -447,14 +460,7 @@
         stream: StreamHash,
     },
     /// Answers [`FleetMsg::FindStream`].
-    StreamFound {
-        /// The stream.
-        stream: StreamHash,
-        /// The recorded software version; none without a record.
-        software: Option<SoftwareHash>,
-        /// Whether the voter has all records that it has confirmed in the life of a stream.
-        is_complete: bool,
-    },
+    StreamFound(FoundRecord),
     /// Requests places at a target with a limit.
     PlaceRequest(PlaceRequest),
     /// Answers [`FleetMsg::PlaceRequest`].
@@ -508,7 +514,7 @@
                 | FleetMsg::RecordStream { .. }
                 | FleetMsg::StreamRecorded { .. }
                 | FleetMsg::FindStream { .. }
-                | FleetMsg::StreamFound { .. }
+                | FleetMsg::StreamFound(_)
                 | FleetMsg::PlaceRequest(_)
                 | FleetMsg::PlaceReply(_)
                 | FleetMsg::PrefillRequest(_)
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -20,10 +20,10 @@
     },
     error::{ErrorInfo, ErrorKind, Fault, Ran, Retry, error_chain},
     fleet::{
-        AdapterHash, CrashId, DomainLoads, Epoch, Feed, FeedChange, FleetMsg, HostRecord,
-        HostStatus, MilliRate, PartId, PlaceReply, PlaceRequest, Placement, PrefillRequest,
-        Renewal, RequestHash, RequestLimit, Running, SoftwareHash, StreamHash, Suspect,
-        SuspectRecord, TargetNumber, TargetRecord, TargetState, Topic,
+        AdapterHash, CrashId, DomainLoads, Epoch, Feed, FeedChange, FleetMsg, FoundRecord,
+        HostRecord, HostStatus, MilliRate, PartId, PlaceReply, PlaceRequest, Placement,
+        PrefillRequest, Renewal, RequestHash, RequestLimit, Running, SoftwareHash, StreamHash,
+        Suspect, SuspectRecord, TargetNumber, TargetRecord, TargetState, Topic,
     },
     id::{
         AdapterId, CallerId, DiskId, DomainId, Fence, Fingerprint, GroupId, HostId, Incarnation,
