Test copies elsewhere, adapters by software version, and limits of silent targets

The table kept the former software version of a target whose record names another one under the same start; it follows the record now.

--- a/coordination/fleet/src/limit_view.rs
+++ b/coordination/fleet/src/limit_view.rs
@@ -194,7 +194,7 @@
         self.published = RequestLimit::Unknown;
     }
 
-    /// Whether a target with a limit.
+    /// Whether the target has a limit.
     pub(crate) fn is_limited(&self) -> bool {
         matches!(self.limit, RequestLimit::Rate(_))
     }
--- a/coordination/fleet/src/placement.rs
+++ b/coordination/fleet/src/placement.rs
@@ -18,6 +18,7 @@
     other_domains::OtherDomains,
     rates::RequestRates,
     row::{Stage, TargetRow},
+    targets::stable_hash,
 };
 
 /// Maximum age of a report on arrival, with a margin for the network delay.
@@ -209,6 +210,7 @@
                     row.record.sequence = record.sequence.max(row.record.sequence);
                     return;
                 }
+                row.software = stable_hash(&record.software);
                 row.record = record.clone();
                 let change = FeedChange::Target(row.number, record.clone());
                 self.steps.push(PlacementStep::Publish(change));
--- a/coordination/fleet/src/row_limits.rs
+++ b/coordination/fleet/src/row_limits.rs
@@ -36,7 +36,7 @@
 impl PlacementTable {
     /// Records the limit that an answer of a target named. `is_newer` tells whether the answer is
     /// newer than the last change; otherwise only a lower limit counts.
-    pub(crate) fn record_limit(
+    pub fn record_limit(
         &mut self,
         now: Duration,
         id: &str,
--- a/coordination/fleet/tests/placement.rs
+++ b/coordination/fleet/tests/placement.rs
@@ -7,11 +7,11 @@
 
 use fleet::{
     Demand, Engine, Model, Order, OrderOutcome, PlacementSettings, PlacementStep, PlacementTable,
-    Report,
+    Report, Targets, stable_hash,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use wire::{FeedChange, HostStatus, Running, TargetRecord, TargetState};
+use wire::{FeedChange, HostStatus, RequestLimit, Running, TargetRecord, TargetState};
 
 const ADAPTER_SLOTS: usize = 6;
 const REPORT_LAG: Duration = Duration::from_millis(200);
@@ -424,3 +424,82 @@
         assert!(!world.table.take_steps().iter().any(former), "announced: {announced}");
     }
 }
+
+/// Lets the only copy of an adapter be at a target, and returns its name.
+fn place_alone(world: &mut World) -> String {
+    world.demand(1);
+    for _ in 0..100 {
+        world.step();
+    }
+    let mut holders = world.targets.iter().filter(|(_, it)| it.adapters.contains_key("m/a1"));
+    let (id, _) = holders.next().expect("it is placed");
+    let id = id.clone();
+    assert!(holders.next().is_none(), "one copy suffices");
+    id
+}
+
+fn holders(world: &World) -> Vec<&String> {
+    let held = world.targets.iter().filter(|(_, it)| it.adapters.contains_key("m/a1"));
+    held.map(|(id, _)| id).collect()
+}
+
+/// Guards against an adapter whose only copy is at a target with a request limit: its requests would
+/// wait for places although other targets are free.
+#[test]
+fn an_adapter_of_a_limited_target_gets_a_copy_elsewhere() {
+    let mut world = World::new(5, 3);
+    let limited = place_alone(&mut world);
+    let limit = RequestLimit::Rate(1400);
+    world.table.record_limit(world.now, &limited, 1, limit, false);
+    world.demand(1);
+    for _ in 0..100 {
+        world.step();
+    }
+    let held = holders(&world);
+    assert_eq!(held.len(), 2);
+    // When all targets have limits, their copies count.
+    for id in ["t0", "t1", "t2"] {
+        world.table.record_limit(world.now, id, 1, limit, false);
+    }
+    world.demand(1);
+    for _ in 0..100 {
+        world.step();
+    }
+    assert_eq!(holders(&world).len(), 2);
+}
+
+/// Guards against a stream that cannot go on at the version that began it, since only targets of
+/// another version hold its adapter.
+#[test]
+fn an_adapter_is_placed_at_the_software_version_that_asks_for_it() {
+    let mut world = World::new(6, 3);
+    let first = place_alone(&mut world);
+    let other = ["t0", "t1", "t2"].into_iter().find(|it| **it != first).expect("there are three");
+    let newer = TargetRecord { software: "v2".to_owned(), sequence: 2, ..record(other) };
+    world.table.update_target(world.now, &newer);
+    let demand = Demand { adapter: "m/a1".to_owned(), software: Some(stable_hash(&"v2")) };
+    for _ in 0..100 {
+        world.table.record_demand(world.now, 1, "s", demand.clone(), 1);
+        world.step();
+    }
+    let mut expected = vec![first.as_str(), other];
+    expected.sort_unstable();
+    assert_eq!(holders(&world), expected);
+}
+
+/// Guards against a limit that is forgotten while its target's heartbeats are missing, and against
+/// one that outlives the target's process.
+#[test]
+fn a_limit_outlives_the_silence_of_its_target() {
+    let mut targets = Targets::default();
+    targets.merge(&record("t0"));
+    let limit = RequestLimit::Rate(1400);
+    targets.get_mut("t0").expect("it is known").limit.limit = limit;
+    targets.merge(&TargetRecord { state: TargetState::Silent, ..record("t0") });
+    assert!(targets.get("t0").is_none());
+    targets.merge(&TargetRecord { sequence: 2, ..record("t0") });
+    assert_eq!(targets.get("t0").expect("it is back").limit.limit, limit);
+    targets.merge(&TargetRecord { started_at: 2, ..record("t0") });
+    let limit = targets.get("t0").expect("it is new").limit.limit;
+    assert_eq!(limit, RequestLimit::Unknown);
+}
