Refuse a stream at once whose version has only limited targets

A stream that goes on at one version, all of whose targets name limits, waited for a copy of its adapter at targets of other versions, which may not run it, until its time to wait was over. Change: only targets of its version count as elsewhere. The new test failed before.

--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -204,8 +204,10 @@
     }
 
     fn limited(&self, now: Duration, query: &TargetQuery, target: String) -> Choice {
-        let mut others = self.targets.ready(&query.service);
-        let elsewhere = query.adapter.is_some() && others.any(|it| !it.limit.is_limited());
+        let mut others = self.targets.ready(&query.service).filter(|it| {
+            !it.limit.is_limited() && query.software.is_none_or(|software| software == it.software)
+        });
+        let elsewhere = query.adapter.is_some() && others.next().is_some();
         let due = self.place_due(now, &target);
         Choice::Limited { target, due, elsewhere }
     }
--- a/coordination/fleet/tests/limits.rs
+++ b/coordination/fleet/tests/limits.rs
@@ -316,6 +316,32 @@
     }
 }
 
+/// Guards against a stream that waits for a copy of its adapter at targets that may not go on with
+/// it, although the only ones that may have limits.
+#[test]
+fn a_stream_of_a_limited_version_is_not_sent_to_another() {
+    let mut model = Model::new(400, 5, &[Some(100), None], 0.0);
+    for (id, software) in [("t0", "v1"), ("t1", "v2")] {
+        let mut record = target(id, 2, 1, TargetState::Ready);
+        record.software = software.to_owned();
+        model.world.input(1, Input::Heartbeat { record });
+    }
+    model.world.run(ms(3000));
+    let choose = |model: &mut Model, software: Option<&str>| {
+        let mut query = query("m");
+        query.arrived = model.world.now;
+        query.software = software.map(|it| fleet::stable_hash(&it));
+        model.world.call(1, |state, now| state.choose(now, &query, 0))
+    };
+    let Choice::Send(reservation) = choose(&mut model, Some("v1")) else { panic!("it is free") };
+    assert_eq!(reservation.target, "t0");
+    model.world.call(1, |state, now| ((), state.record_limit(now, &reservation, Some(100))));
+    let limited = choose(&mut model, Some("v1"));
+    assert!(matches!(limited, Choice::Limited { elsewhere: false, .. }), "{limited:?}");
+    let Choice::Send(reservation) = choose(&mut model, None) else { panic!("v2 is free") };
+    assert_eq!(reservation.target, "t1");
+}
+
 /// Guards against messages that grow faster than what the limits let through.
 #[test]
 fn messages_for_places_stay_few() {
