Log records that cannot be written, and bound the log of unreadable limits

A failed write of records was not logged, nor was a folder that may lack some; a target that named something unreadable had a line for each answer. The first failure of several is logged, the start says that records may be missing, and unreadable limits share the budget of request lines.

--- a/coordination/fleet/src/io.rs
+++ b/coordination/fleet/src/io.rs
@@ -98,6 +98,8 @@
     Synced(u64),
     /// The records of streams from the first of these tickets to the last are on disk.
     RecordsSynced(u64, u64),
+    /// Records of streams could not be written, for this reason.
+    RecordsFailed(String),
     /// A write failed for this reason; the data folder must be reopened.
     SyncFailed(String),
     /// The data folder was reopened; holds the recovered state.
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -153,6 +153,7 @@
             Input::Peer { from, msg } => self.handle_peer(now, from, msg),
             Input::Synced(ticket) => self.step_log(now, LogInput::Synced(ticket)),
             Input::RecordsSynced(first, last) => self.records_synced(first, last),
+            Input::RecordsFailed(reason) => self.log(Event::DiskFailed { reason }),
             Input::SyncFailed(reason) => self.sync_failed(now, reason),
             Input::Reopened(disk) => self.reopened(now, *disk),
             Input::Heartbeat { record } => self.handle_heartbeat(now, record),
--- a/coordination/fleet/src/stream_records.rs
+++ b/coordination/fleet/src/stream_records.rs
@@ -154,6 +154,10 @@
         recorder.kept_all = is_complete;
         recorder.older = records.into_iter().collect();
         recorder.rotated_at = now;
+        if !is_complete && self.settings.data_dir.is_some() && !self.settings.first_start {
+            let what = "records of streams may be missing from the data folder".to_owned();
+            self.log(Event::Alarm { what });
+        }
     }
 
     /// Returns the voters, and the number of them that must hold a record.
--- a/edge/src/disk.rs
+++ b/edge/src/disk.rs
@@ -46,7 +46,12 @@
         inputs: UnboundedSender<Input>,
     ) -> std::io::Result<DiskQueue> {
         let (sender, tasks) = channel();
-        let records = RecordWriter { dir: dir.clone(), file: Some(records) };
+        let records = RecordWriter {
+            dir: dir.clone(),
+            file: Some(records),
+            failed: false,
+            inputs: inputs.clone(),
+        };
         let writer = move || run_writer(&dir, Some(disk), records, &tasks, &inputs);
         thread::Builder::new().name("disk".to_owned()).spawn(writer)?;
         Ok(DiskQueue(sender))
@@ -82,21 +87,36 @@
 struct RecordWriter {
     dir: PathBuf,
     file: Option<RecordFile>,
+    /// Whether the last operation failed; the first of several failures is reported.
+    failed: bool,
+    inputs: UnboundedSender<Input>,
 }
 
 impl RecordWriter {
     /// Carries out an operation. Returns whether it succeeded; the host sends records again that are
     /// not confirmed.
     fn with(&mut self, operation: impl FnOnce(&mut RecordFile) -> Result<(), StoreError>) -> bool {
-        if self.file.is_none() {
-            self.file = RecordFile::open(&self.dir).ok().map(|(file, _)| file);
-        }
-        let Some(file) = &mut self.file else { return false };
-        if operation(file).is_ok() {
-            return true;
+        let result = self.try_with(operation);
+        let failed = result.is_err();
+        if let Err(error) = result {
+            self.file = None;
+            if !self.failed {
+                let _ = self.inputs.send(Input::RecordsFailed(error_chain(&error)));
+            }
         }
-        self.file = None;
-        false
+        self.failed = failed;
+        !failed
+    }
+
+    fn try_with(
+        &mut self,
+        operation: impl FnOnce(&mut RecordFile) -> Result<(), StoreError>,
+    ) -> Result<(), StoreError> {
+        let file = match &mut self.file {
+            Some(file) => file,
+            None => self.file.insert(RecordFile::open(&self.dir)?.0),
+        };
+        operation(file)
     }
 }
 
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -278,8 +278,9 @@
         let rate = match named_limit(headers) {
             Ok(rate) => rate,
             Err(error) => {
-                let what = format!("answer of {}: {error}", reservation.target());
-                return edge.log.event(&Event::Alarm { what });
+                return edge.log.request(edge.now(), true, || Event::Alarm {
+                    what: format!("answer of {}: {error}", reservation.target()),
+                });
             }
         };
         let reservation = &reservation.reservation;
