--- a/coordination/fleet/src/places.rs
+++ b/coordination/fleet/src/places.rs
@@ -74,7 +74,7 @@
         1.0 + self.rate() * BURST.as_secs_f64()
     }
 
-    /// Uses places of the time until now, then takes over the limit.
+    /// Adds the places of the time until now at the former limit, then takes over the limit.
     fn update(&mut self, now: Duration, limit: LimitInForce) {
         self.add_places(now);
         self.limit = limit;
