Decide in one place when an answer can no longer be on time

Prefill permits and places at limited targets had the same constant and comparison each; places spelled out the type that ranks requests. Behaviour is unchanged.

--- a/coordination/fleet/src/place_requests.rs
+++ b/coordination/fleet/src/place_requests.rs
@@ -4,20 +4,18 @@
 
 use wire::{FleetMsg, HostId, PlaceReply, PlaceRequest, RequestLimit};
 
-use crate::{Host, Target, TargetQuery, io::Output, limit_view::Rank};
+use crate::{Host, Target, TargetQuery, io::Output, limit_view::Rank, prefill::is_late};
 
 /// Places are asked for ahead of the requests of this time.
 const ASK_AHEAD: Duration = Duration::from_millis(50);
 /// Most places that are asked for at a time.
 const MAX_ASKED: u32 = 16;
-/// Share of the objective after which an answer can no longer be on time.
-const LATE_SHARE: f64 = 0.8;
 
 impl Host {
     /// Returns the rank of a request among those that wait for places.
     pub(crate) fn rank(now: Duration, query: &TargetQuery) -> Rank {
         let route = &query.route;
-        (now >= query.arrived + route.latency_objective.mul_f64(LATE_SHARE), route.priority)
+        (is_late(now, query.arrived, route.latency_objective), route.priority)
     }
 
     /// Returns the time until a target has a place for a further request, as the holder of its
--- a/coordination/fleet/src/places.rs
+++ b/coordination/fleet/src/places.rs
@@ -9,6 +9,8 @@
 
 use wire::{HostId, MilliRate, PlaceReply, PlaceRequest};
 
+use crate::limit_view::Rank;
+
 /// Time from a place's grant until it expires.
 pub(crate) const PLACE_TTL: Duration = Duration::from_millis(500);
 /// Time for which unused places add up, beside one.
@@ -29,7 +31,7 @@
 
 impl Waiting {
     /// Order in which hosts get places: those with requests that can be on time, then by priority.
-    fn rank(&self) -> (bool, u8) {
+    fn rank(&self) -> Rank {
         (self.request.late, self.request.priority)
     }
 }
@@ -96,7 +98,7 @@
     }
 
     /// Returns the time until a further request of a host's rank would get a place.
-    fn due(&self, rank: (bool, u8)) -> Duration {
+    fn due(&self, rank: Rank) -> Duration {
         let before = self.waiting.values().filter(|it| it.rank() <= rank);
         let waiting: f64 = before.map(|it| f64::from(it.request.waiting.max(1))).sum();
         Duration::from_secs_f64(((waiting - self.unused) / self.rate()).max(0.0))
--- a/coordination/fleet/src/prefill.rs
+++ b/coordination/fleet/src/prefill.rs
@@ -30,6 +30,11 @@
 /// Share of the objective after which an answer can no longer be on time.
 const LATE_SHARE: f64 = 0.8;
 
+/// Whether an answer to a request that arrived at `arrived` can no longer be on time.
+pub(crate) fn is_late(now: Duration, arrived: Duration, objective: Duration) -> bool {
+    now >= arrived + objective.mul_f64(LATE_SHARE)
+}
+
 /// Key of a prefill request: the host and its number for the request.
 pub(crate) type PermitKey = (HostId, u64);
 
@@ -111,7 +116,7 @@
         let rank = |(key, it): (&PermitKey, &Waiting)| {
             let objective = Duration::from_millis(u64::from(it.request.objective_ms));
             let resumes = it.request.resumes;
-            let late = !resumes && now >= it.arrived + objective.mul_f64(LATE_SHARE);
+            let late = !resumes && is_late(now, it.arrived, objective);
             (late, it.request.priority, !resumes, it.arrived, *key)
         };
         self.waiting.iter().map(rank).min().map(|(.., key)| key)
