Acknowledge a change once the listed hosts have confirmed it

Callers saw: routes that an operator had been told were in force answered 404, or went by an older configuration, for up to 2.5 s after hosts with disks were restarted (CONFIG). Cause: a leader that has just been elected knew only the voters (log) and the seeds (settings). It told nobody else, waited for nobody else, and acknowledged; hosts without a disk believed in the former leader for 4.5 s. Change: the log lists all hosts. A new leader sends to all of them, and an acknowledgement waits until each has confirmed the entry, for 800 ms at most; a host that did not is not waited for again until it has caught up. A host accepts callers once it is listed. A host whose renewals a leader doesn't answer for configApplyMs looks for another one.

--- /dev/null
+++ b/coordination/fleet/src/confirm.rs
@@ -0,0 +1,128 @@
+//! What a leader's acknowledgement of a change rests on: the hosts that obey it.
+//!
+//! The log lists all hosts, so that a leader that has just started knows whom to tell and for whom to
+//! wait. A host accepts callers once it is listed. A change is acknowledged when every listed host
+//! has confirmed it, or has been sent it for [`CONFIRM_TIMEOUT`]; a host that did not answer in that
+//! time is not waited for again until it has caught up.
+
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use desired::Command;
+use replog::Input as LogInput;
+use wire::{FleetMsg, HostId, Index, encode};
+
+use crate::{Event, Host, io::Tag};
+
+/// Time that a change waits for the hosts that have not confirmed it: within the second after which
+/// operators call another host.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time between two proposals of changes of the list of hosts.
+const LIST_INTERVAL: Duration = Duration::from_millis(100);
+/// Silence after which a host is dropped from the list.
+const LISTED_SILENCE: Duration = Duration::from_secs(60);
+
+/// A change in force at the leader that is not acknowledged yet.
+#[derive(Debug)]
+struct PendingChange {
+    host: HostId,
+    tag: Tag,
+    index: Index,
+    since: Duration,
+}
+
+/// A leader's changes that wait for hosts to confirm them.
+#[derive(Debug, Default)]
+pub(crate) struct Confirmations {
+    pending: VecDeque<PendingChange>,
+    /// Hosts that did not confirm an earlier change in time, and have not caught up since.
+    lapsed: BTreeSet<HostId>,
+    listed_at: Duration,
+}
+
+impl Confirmations {
+    /// Adds a change in force, unless it is waiting already.
+    pub(crate) fn add(&mut self, now: Duration, host: HostId, tag: Tag, index: Index) {
+        if !self.pending.iter().any(|it| (it.host, it.tag) == (host, tag)) {
+            self.pending.push_back(PendingChange { host, tag, index, since: now });
+        }
+    }
+}
+
+/// Whether operators wait for the acknowledgement of a command.
+pub(crate) fn is_acknowledged(command: &Command) -> bool {
+    matches!(command, Command::Replace { .. } | Command::Version { .. })
+}
+
+impl Host {
+    /// Acknowledges the changes that all hosts have confirmed that may be waited for.
+    pub(crate) fn confirm_changes(&mut self, now: Duration) {
+        loop {
+            let Some(leading) = &mut self.leading else { return };
+            let Confirmations { pending, lapsed, .. } = &mut leading.confirmations;
+            let Some(change) = pending.front() else { return };
+            let behind: BTreeSet<HostId> =
+                self.replica.hosts_behind(change.index).into_iter().collect();
+            lapsed.retain(|host| behind.contains(host));
+            let ended = |host: &HostId| {
+                let record = self.hosts.record(*host);
+                record.is_some_and(|it| leading.ended.contains(&(*host, it.incarnation)))
+            };
+            let missing: Vec<HostId> =
+                behind.into_iter().filter(|it| !lapsed.contains(it) && !ended(it)).collect();
+            if !missing.is_empty() && now < change.since + CONFIRM_TIMEOUT {
+                return;
+            }
+            lapsed.extend(missing.iter().copied());
+            let Some(change) = pending.pop_front() else { return };
+            if !missing.is_empty() {
+                self.log(Event::Unconfirmed { index: change.index, hosts: missing });
+            }
+            if change.host == self.settings.host {
+                self.operator_calls.confirm(change.tag);
+            } else {
+                self.send(change.host, FleetMsg::Confirmed { tag: change.tag });
+            }
+        }
+    }
+
+    /// Proposes to list the live hosts that the log lacks, and to drop those that are silent.
+    pub(crate) fn update_list(&mut self, now: Duration) {
+        let Some(leading) = &mut self.leading else { return };
+        if now < leading.confirmations.listed_at + LIST_INTERVAL {
+            return;
+        }
+        leading.confirmations.listed_at = now;
+        let listed = &self.desired.hosts;
+        let live = self.hosts.live(now);
+        let added: Vec<HostId> = live.into_iter().filter(|it| !listed.contains(it)).collect();
+        let oldest = now.saturating_sub(LISTED_SILENCE).max(Duration::from_nanos(1));
+        let leads_long = leading.since < oldest;
+        let silent = |host: &HostId| leads_long && self.hosts.is_silent_since(*host, oldest);
+        let dropped: Vec<HostId> = listed.iter().copied().filter(silent).collect();
+        if added.is_empty() && dropped.is_empty() {
+            return;
+        }
+        let command = Command::ListHosts { added, dropped };
+        if leading.list_proposed.as_ref() == Some(&command) {
+            return;
+        }
+        leading.list_proposed = Some(command.clone());
+        self.step_log(now, LogInput::Propose(encode(&command).into()));
+    }
+
+    /// Takes over the list of hosts in the log.
+    pub(crate) fn apply_list(&mut self, now: Duration) {
+        self.hosts.set_listed(self.desired.hosts.clone());
+        self.update_log_hosts(now);
+    }
+
+    /// Whether a leader that starts without memory would know this host. Always true under a leader of
+    /// a release that lists no hosts.
+    pub(crate) fn is_listed(&self) -> bool {
+        let hosts = &self.desired.hosts;
+        hosts.is_empty() || hosts.contains(&self.settings.host)
+    }
+}
--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -85,6 +85,13 @@
         /// The new version.
         version: u64,
     },
+    /// The leader acknowledges a change without these hosts, which have not confirmed it in time.
+    Unconfirmed {
+        /// Log index that contains the change.
+        index: Index,
+        /// The hosts.
+        hosts: Vec<HostId>,
+    },
     /// A host joined, its readiness or incarnation changed, or it announced its end, as seen by the
     /// host that logs this.
     Host {
--- a/coordination/fleet/src/holder.rs
+++ b/coordination/fleet/src/holder.rs
@@ -14,6 +14,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use desired::{Command, Holder};
+use replog::Input as LogInput;
 use wire::{DomainId, Fence, FleetMsg, HostId, Index, Renewal, TargetRecord, Topic};
 
 use crate::{
@@ -151,6 +152,7 @@
             return;
         }
         self.renewal_sent = Some(now);
+        self.drop_silent_leader(now);
         let own = self.settings.host;
         let Some(leader) = self.leader else { return };
         if leader != own {
@@ -164,6 +166,15 @@
         }
     }
 
+    /// Looks for another leader if this one has answered no renewal for as long as a configuration may
+    /// take to come into force.
+    fn drop_silent_leader(&mut self, now: Duration) {
+        let heard_at = self.renewed_at.max(self.leader_since).unwrap_or_default();
+        if now >= heard_at + self.settings.bounds.config_deadline {
+            self.step_log(now, LogInput::LeaderSilent);
+        }
+    }
+
     /// Handles a leader's answer to the renewal that was sent at `sent_ms`, in milliseconds.
     pub(crate) fn handle_renewed(&mut self, sent_ms: u64, commit: Index) {
         let sent = Duration::from_millis(sent_ms);
--- a/coordination/fleet/src/hosts.rs
+++ b/coordination/fleet/src/hosts.rs
@@ -29,6 +29,8 @@
 pub(crate) struct Hosts {
     own: HostId,
     known: BTreeMap<HostId, KnownHost>,
+    /// The hosts that the log lists; some of them may not be known otherwise.
+    listed: BTreeSet<HostId>,
     next_candidate: usize,
 }
 
@@ -36,7 +38,7 @@
     pub(crate) fn new(record: HostRecord) -> Hosts {
         let own = record.host;
         let known = BTreeMap::from([(own, KnownHost { record, last_message: Duration::ZERO })]);
-        Hosts { own, known, next_candidate: 0 }
+        Hosts { own, known, listed: BTreeSet::new(), next_candidate: 0 }
     }
 
     pub(crate) fn own(&self) -> &HostRecord {
@@ -77,8 +79,13 @@
         self.known.values().map(|it| it.record.clone()).collect()
     }
 
+    /// All other hosts, known or listed.
     pub(crate) fn others(&self) -> Vec<HostId> {
-        self.known.keys().copied().filter(|&it| it != self.own).collect()
+        self.all().into_iter().filter(|&it| it != self.own).collect()
+    }
+
+    pub(crate) fn set_listed(&mut self, hosts: BTreeSet<HostId>) {
+        self.listed = hosts;
     }
 
     /// Number of known hosts, including this one.
@@ -86,8 +93,15 @@
         self.known.len()
     }
 
+    /// All hosts, known or listed, including this one.
     pub(crate) fn all(&self) -> Vec<HostId> {
-        self.known.keys().copied().collect()
+        let known = self.known.keys().copied();
+        known.chain(self.listed.iter().copied()).collect::<BTreeSet<_>>().into_iter().collect()
+    }
+
+    /// Whether the last message of another host came before `time`, or none has come.
+    pub(crate) fn is_silent_since(&self, host: HostId, time: Duration) -> bool {
+        host != self.own && self.known.get(&host).is_none_or(|it| it.last_message < time)
     }
 
     /// Whether a host has sent a message within [`HOST_TIMEOUT`]; always true for this host.
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     Event, Host,
+    confirm::{Confirmations, is_acknowledged},
     feed::FeedWriter,
     holder::{HOLD_LEASES, HOLDER_MARGIN},
     io::Tag,
@@ -40,7 +41,7 @@
 #[derive(Debug)]
 pub(crate) struct Leading {
     pub(crate) feed: FeedWriter,
-    since: Duration,
+    pub(crate) since: Duration,
     voters_checked: Duration,
     holders_checked: Duration,
     /// When a holder was last proposed for each failure domain.
@@ -48,8 +49,11 @@
     /// When each host's renewal was last granted.
     renewal_granted: BTreeMap<HostId, Duration>,
     /// Incarnations that announced their end and send no more orders.
-    ended: BTreeSet<(HostId, Incarnation)>,
+    pub(crate) ended: BTreeSet<(HostId, Incarnation)>,
     proposals: BTreeMap<(HostId, Tag), Command>,
+    pub(crate) confirmations: Confirmations,
+    /// The latest proposed change of the list of hosts.
+    pub(crate) list_proposed: Option<Command>,
     pending_reads: Vec<PendingRead>,
     pub(crate) software: SoftwareWatch,
 }
@@ -63,7 +67,8 @@
         } else if !status.leading && self.leading.is_some() {
             self.leading = None;
         }
-        self.drop_applied_proposals();
+        self.take_applied_proposals(now, status.applied);
+        self.confirm_changes(now);
         self.answer_reads(status.quorum_at, status.commit);
     }
 
@@ -78,6 +83,8 @@
             renewal_granted: BTreeMap::new(),
             ended: BTreeSet::new(),
             proposals: BTreeMap::new(),
+            confirmations: Confirmations::default(),
+            list_proposed: None,
             pending_reads: Vec::new(),
             software: SoftwareWatch::default(),
         };
@@ -86,6 +93,7 @@
         }
         self.position = crate::feed::Position { epoch, last: 0 };
         self.leading = Some(leading);
+        self.update_log_hosts(now);
     }
 
     /// Whether a quorum followed this leader so recently that no other leader can have been elected
@@ -249,6 +257,7 @@
             }
         }
         self.update_voters(now);
+        self.update_list(now);
         self.assign_holders(now);
         self.watch_software(now);
     }
@@ -305,10 +314,17 @@
         }
     }
 
-    /// Drops the proposals that are in force.
-    fn drop_applied_proposals(&mut self) {
+    /// Drops the proposals that are in force; those that operators wait for are acknowledged once
+    /// the hosts have confirmed them.
+    fn take_applied_proposals(&mut self, now: Duration, applied: Index) {
         let Some(leading) = &mut self.leading else { return };
-        leading.proposals.retain(|_, command| !self.desired.is_redundant(command));
+        let applied_proposals =
+            leading.proposals.extract_if(.., |_, command| self.desired.is_redundant(command));
+        for ((host, tag), command) in applied_proposals {
+            if is_acknowledged(&command) {
+                leading.confirmations.add(now, host, tag, applied);
+            }
+        }
     }
 
     /// Queues a read index request. It is answered once a quorum has followed this leader after the
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod choose;
 mod config;
+mod confirm;
 mod crash_reports;
 mod event;
 mod exchange;
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -61,7 +61,8 @@
     pub(crate) requests: Requests,
     pub(crate) leading: Option<Leading>,
     pub(crate) operator_calls: OperatorCalls,
-    /// Whether the applied state has reached a leader's commit index since the start.
+    /// Whether the applied state has reached a leader's commit index since the start, and lists this
+    /// host.
     pub(crate) caught_up: bool,
     pub(crate) stopping: bool,
     pub(crate) join_sent: Option<Duration>,
@@ -200,8 +201,8 @@
         self.knows_config() && !self.stopping
     }
 
-    /// Whether the host knows the configuration in force: it has one, and its state has caught up
-    /// with a leader's since the start.
+    /// Whether the host knows the configuration in force: it has one, its state has caught up with a
+    /// leader's since the start, and leaders wait for it before they acknowledge another one.
     pub fn knows_config(&self) -> bool {
         self.caught_up && self.config.is_some()
     }
@@ -284,6 +285,7 @@
             && status.leader.is_some()
             && status.commit > 0
             && status.applied >= status.commit
+            && self.is_listed()
         {
             self.caught_up = true;
         }
@@ -400,6 +402,7 @@
                     self.propose(now, from, tag, command);
                 }
             }
+            FleetMsg::Confirmed { tag } => self.operator_calls.confirm(tag),
             FleetMsg::ReadIndex { tag } => self.queue_read_index(now, from, tag),
             FleetMsg::ReadIndexReply { tag, index } => self.read_index_received(tag, index),
             FleetMsg::Leaving { incarnation } => self.handle_leaving(now, from, incarnation),
--- a/coordination/fleet/src/operator.rs
+++ b/coordination/fleet/src/operator.rs
@@ -1,5 +1,5 @@
 //! Operators' changes and reads. They are sent to the leader, and answered once the change is in
-//! force, or the configuration here is known to be the newest.
+//! force at the hosts, or the configuration here is known to be the newest.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -18,7 +18,11 @@
 /// What an operator's call asks for.
 #[derive(Debug)]
 enum CallKind {
-    Change(Command),
+    Change {
+        command: Command,
+        /// Whether the leader knows that the hosts obey it.
+        confirmed: bool,
+    },
     /// A read, with the index that must be applied first; `None` until the leader has sent it.
     Read(Option<Index>),
 }
@@ -45,7 +49,7 @@
 
 impl OperatorCalls {
     pub(crate) fn change(&mut self, now: Duration, tag: Tag, command: Command) {
-        let kind = CallKind::Change(command);
+        let kind = CallKind::Change { command, confirmed: false };
         self.calls.insert(tag, Call { kind, since: now, sent: None });
     }
 
@@ -53,6 +57,15 @@
         self.calls.insert(tag, Call { kind: CallKind::Read(None), since: now, sent: None });
     }
 
+    /// Records that the hosts obey a change.
+    pub(crate) fn confirm(&mut self, tag: Tag) {
+        if let Some(call) = self.calls.get_mut(&tag)
+            && let CallKind::Change { confirmed, .. } = &mut call.kind
+        {
+            *confirmed = true;
+        }
+    }
+
     /// Sets the index that must be applied before a read is answered.
     pub(crate) fn set_read_index(&mut self, tag: Tag, index: Index) {
         if let Some(call) = self.calls.get_mut(&tag)
@@ -70,7 +83,10 @@
                 continue;
             }
             match &call.kind {
-                CallKind::Change(command) => due.push(LeaderRequest::Propose(tag, command.clone())),
+                CallKind::Change { confirmed: true, .. } => continue,
+                CallKind::Change { command, .. } => {
+                    due.push(LeaderRequest::Propose(tag, command.clone()));
+                }
                 CallKind::Read(None) => due.push(LeaderRequest::ReadIndex(tag)),
                 CallKind::Read(Some(_)) => continue,
             }
@@ -96,12 +112,16 @@
         let mut replies = Vec::new();
         for (&tag, call) in &self.calls {
             let reply = match &call.kind {
-                CallKind::Change(command) if state.is_redundant(command) => Some(Reply::InForce),
+                CallKind::Change { command, confirmed: true } if state.is_redundant(command) => {
+                    Some(Reply::InForce)
+                }
                 CallKind::Read(Some(index)) if *index <= applied => match &state.config {
                     Some(config) => Some(Reply::Config(config.body.clone())),
                     None => Some(Reply::Unknown),
                 },
-                CallKind::Change(_) if now >= call.since + CHANGE_TIMEOUT => Some(Reply::Unknown),
+                CallKind::Change { .. } if now >= call.since + CHANGE_TIMEOUT => {
+                    Some(Reply::Unknown)
+                }
                 CallKind::Read(_) if now >= call.since + READ_TIMEOUT => Some(Reply::Unknown),
                 _ => None,
             };
--- a/coordination/fleet/src/replicated.rs
+++ b/coordination/fleet/src/replicated.rs
@@ -97,6 +97,7 @@
                 self.apply_holders(now);
             }
             (Applied::Quarantine, _) => self.apply_quarantined(now),
+            (Applied::Hosts, _) => self.apply_list(now),
             (Applied::Version | Applied::Holder | Applied::Software | Applied::Unchanged, _) => {}
         }
         self.configure_placement();
@@ -117,6 +118,7 @@
                 self.desired = desired;
                 self.apply_holders(now);
                 self.apply_quarantined(now);
+                self.apply_list(now);
                 if newer {
                     self.config_applied(now, snapshot.index);
                 }
--- a/coordination/fleet/src/settings.rs
+++ b/coordination/fleet/src/settings.rs
@@ -9,6 +9,8 @@
 pub struct Bounds {
     /// Time that a process may keep running after it was told to end.
     pub shutdown_grace: Duration,
+    /// Time within which hosts obey an acknowledged configuration.
+    pub config_deadline: Duration,
     /// Time within which an acknowledged adapter version is in force on all hosts.
     pub version_deadline: Duration,
     /// Minimum time between orders of two different holders to the same target.
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -78,6 +78,7 @@
 fn bounds() -> Bounds {
     Bounds {
         shutdown_grace: ms(8000),
+        config_deadline: ms(2000),
         version_deadline: ms(5000),
         lease: ms(3000),
         retry_ratio: 0.2,
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -410,7 +410,8 @@
         suspects: Vec<Suspect>,
     },
     /// Proposes a command to the leader. The sender learns that the command is in force when it
-    /// applies the log entry.
+    /// applies the log entry, and that all hosts obey an operator's change by
+    /// [`FleetMsg::Confirmed`].
     Propose {
         /// The sender's number for the proposal.
         tag: u64,
@@ -499,6 +500,12 @@
         /// The sender's incarnation.
         incarnation: Incarnation,
     },
+    /// Answers [`FleetMsg::Propose`] of an operator's change: the hosts obey it, but for those that
+    /// could not be told.
+    Confirmed {
+        /// The proposal's tag.
+        tag: u64,
+    },
 }
 
 impl FleetMsg {
--- a/state/desired/src/lib.rs
+++ b/state/desired/src/lib.rs
@@ -4,7 +4,10 @@
 //! The holder of a failure domain is the host that may send load and unload orders to the
 //! targets there. The state is replicated: every host applies the same commands in log order.
 
-use std::{collections::BTreeMap, io::Read};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io::Read,
+};
 
 use bytes::Bytes;
 use flate2::{Compression, read::DeflateDecoder, read::DeflateEncoder};
@@ -69,6 +72,13 @@
         /// The version.
         software: DefaultSoftware,
     },
+    /// Changes the list of the hosts that obey the configuration in force.
+    ListHosts {
+        /// Hosts to add.
+        added: Vec<HostId>,
+        /// Hosts to drop.
+        dropped: Vec<HostId>,
+    },
 }
 
 /// The default software version of a service's targets: streams without a record began at it.
@@ -142,6 +152,8 @@
     Quarantine,
     /// A service has another default software version, or other records.
     Software,
+    /// The list of hosts has changed.
+    Hosts,
     /// Nothing changed: the same or a higher number or version is in force, or the command only
     /// marks a holder as begun.
     Unchanged,
@@ -160,6 +172,19 @@
     pub quarantined: BTreeMap<Suspect, Quarantined>,
     /// The default software version of each service's targets.
     pub software: BTreeMap<String, DefaultSoftware>,
+    /// The hosts that obey the configuration in force, for leaders that have just started. Empty
+    /// before a leader has listed them.
+    pub hosts: BTreeSet<HostId>,
+}
+
+/// The desired state as it was stored before it had a list of hosts.
+#[derive(Deserialize)]
+struct WithoutHosts {
+    config: Option<Document>,
+    versions: BTreeMap<String, u64>,
+    holders: BTreeMap<DomainId, Holder>,
+    quarantined: BTreeMap<Suspect, Quarantined>,
+    software: BTreeMap<String, DefaultSoftware>,
 }
 
 /// The desired state as it was stored before it had software versions.
@@ -180,8 +205,8 @@
 }
 
 impl Desired {
-    /// Decodes a stored state, also one of a release without quarantined suspects or software
-    /// versions.
+    /// Decodes a stored state, also one of a release without quarantined suspects, software versions
+    /// or a list of hosts.
     ///
     /// # Errors
     ///
@@ -191,10 +216,14 @@
             Ok(desired) => return Ok(desired),
             Err(error) => error,
         };
+        if let Ok(former) = decode_state::<WithoutHosts>(bytes) {
+            let WithoutHosts { config, versions, holders, quarantined, software } = former;
+            let hosts = BTreeSet::new();
+            return Ok(Desired { config, versions, holders, quarantined, software, hosts });
+        }
         if let Ok(former) = decode_state::<WithoutSoftware>(bytes) {
             let WithoutSoftware { config, versions, holders, quarantined } = former;
-            let software = BTreeMap::new();
-            return Ok(Desired { config, versions, holders, quarantined, software });
+            return Ok(Desired { config, versions, holders, quarantined, ..Desired::default() });
         }
         let Ok(former) = decode_state::<WithoutQuarantine>(bytes) else { return Err(error) };
         let WithoutQuarantine { config, versions, holders } = former;
@@ -233,6 +262,13 @@
                 self.quarantined.remove(&suspect);
                 Applied::Unchanged
             }
+            Command::ListHosts { added, dropped } => {
+                self.hosts.extend(added);
+                for host in dropped {
+                    self.hosts.remove(&host);
+                }
+                Applied::Hosts
+            }
         }
     }
 
@@ -253,6 +289,10 @@
                 self.software.get(service) == Some(software)
             }
             Command::Release { suspect } => !self.quarantined.contains_key(suspect),
+            Command::ListHosts { added, dropped } => {
+                added.iter().all(|it| self.hosts.contains(it))
+                    && !dropped.iter().any(|it| self.hosts.contains(it))
+            }
         }
     }
 
--- a/state/desired/tests/desired.rs
+++ b/state/desired/tests/desired.rs
@@ -86,17 +86,18 @@
 }
 
 /// Guards against a stored state of an earlier release that can't be read any more: it ends before
-/// the software versions, or before the quarantined suspects.
+/// the list of hosts, the software versions, or the quarantined suspects.
 #[test]
 fn states_of_earlier_releases_are_read() {
     let mut state = Desired::default();
     state.apply(1, replace(7, "seven"));
     state.apply(4, hold(1, 10));
     let bytes = wire::encode(&state);
-    let (former, empty_tables) = bytes.split_at(bytes.len() - 2);
-    assert_eq!(empty_tables, [0, 0]);
+    let (former, empty_tables) = bytes.split_at(bytes.len() - 3);
+    assert_eq!(empty_tables, [0, 0, 0]);
     assert_eq!(Desired::decode(former).expect("without suspects"), state);
-    assert_eq!(Desired::decode(&bytes[..bytes.len() - 1]).expect("without versions"), state);
+    assert_eq!(Desired::decode(&bytes[..bytes.len() - 2]).expect("without versions"), state);
+    assert_eq!(Desired::decode(&bytes[..bytes.len() - 1]).expect("without hosts"), state);
     assert_eq!(Desired::decode(&bytes).expect("the present form"), state);
     assert!(Desired::decode(&former[..former.len() - 1]).is_err());
 }
@@ -128,7 +129,19 @@
         Command::Quarantine { suspect, failed_trials: 1 },
         Command::Release { suspect },
         Command::SetSoftware { service: "s".to_owned(), software },
+        Command::ListHosts { added: vec![1], dropped: vec![2] },
     ];
     let numbers: Vec<u8> = commands.iter().map(|it| wire::encode(it)[0]).collect();
-    assert_eq!(numbers, [0, 1, 2, 3, 4, 5, 6]);
+    assert_eq!(numbers, [0, 1, 2, 3, 4, 5, 6, 7]);
+}
+
+#[test]
+fn hosts_are_listed_until_they_are_dropped() {
+    let mut state = Desired::default();
+    let list = Command::ListHosts { added: vec![1, 2], dropped: Vec::new() };
+    assert!(!state.is_redundant(&list));
+    assert_eq!(state.apply(1, list.clone()), Applied::Hosts);
+    assert!(state.is_redundant(&list));
+    state.apply(2, Command::ListHosts { added: vec![3], dropped: vec![1] });
+    assert_eq!(state.hosts, [2, 3].into());
 }
--- a/state/replog/src/io.rs
+++ b/state/replog/src/io.rs
@@ -42,8 +42,12 @@
     /// Sets which hosts should vote. Ignored unless the replica leads. It changes one member at a
     /// time for as long as it leads; each later leader needs this input again.
     SetVoters(Vec<HostId>),
-    /// Replaces the list of all hosts, for a system whose hosts discover each other.
+    /// Replaces the list of all hosts, for a system whose hosts discover each other. A leader sends
+    /// the log to the hosts that are new in it.
     SetHosts(Vec<HostId>),
+    /// The leader answers nothing that this host sends. An observer looks for another one; voters
+    /// have their election timeout.
+    LeaderSilent,
     /// Names a host that is reported to lead; it receives the next hellos.
     LeaderHint(HostId),
     /// Replaces the founders. It does not change the membership of a group that is already founded.
--- a/state/replog/src/replica.rs
+++ b/state/replog/src/replica.rs
@@ -144,7 +144,8 @@
             Input::Msg { from, msg } => self.receive(from, msg),
             Input::Propose(data) => self.propose(data),
             Input::SetVoters(hosts) => self.set_voters(hosts),
-            Input::SetHosts(hosts) => self.settings.hosts = hosts,
+            Input::SetHosts(hosts) => self.set_hosts(hosts),
+            Input::LeaderSilent => self.drop_silent_leader(),
             Input::LeaderHint(host) => self.leader_hint = Some(host),
             Input::SetFounders(hosts) => self.settings.founders = hosts,
             Input::Synced(ticket) => self.on_synced(ticket),
@@ -182,6 +183,15 @@
         members.iter().filter(|it| self.is_responsive(lead, it)).map(|it| it.host).collect()
     }
 
+    /// On a leader: returns the hosts that it sends the log to and that have not confirmed the entry
+    /// at `index`. A host without a disk has applied what it confirms, a member has it on disk.
+    /// Empty on other replicas.
+    pub fn hosts_behind(&self, index: Index) -> Vec<HostId> {
+        let Role::Leader(lead) = &self.role else { return Vec::new() };
+        let behind = lead.peers.iter().filter(|(_, peer)| peer.match_index < index);
+        behind.map(|(&host, _)| host).collect()
+    }
+
     /// On a leader: returns the hosts that should vote but are no members and have reported no data
     /// folder to this leader for as long as a silent non-member is kept as a peer. On a new leader,
     /// a host counts as missing until it reports one. Empty on other replicas.
@@ -219,6 +229,15 @@
         }
     }
 
+    /// Looks for a leader with the next tick, if this replica is an observer.
+    fn drop_silent_leader(&mut self) {
+        if self.disk.is_some() || self.leader.is_none() {
+            return;
+        }
+        self.leader = None;
+        self.next_hello = self.now;
+    }
+
     fn receive(&mut self, from: HostId, msg: LogMsg) {
         if from == self.settings.host || !self.accept_group(from, &msg) {
             return;
