Refuse a target's end at a host that can't tell the others

A host that has just started knows neither all hosts nor all targets. It answered 200 to a target that says it leaves, told only the hosts that it knew, and forgot the end of a target that it didn't know. It answers 503 until it has caught up, so that the target calls the next host.

--- a/coordination/fleet/src/exchange.rs
+++ b/coordination/fleet/src/exchange.rs
@@ -124,8 +124,9 @@
         self.send(writer, FleetMsg::Resync(topic));
     }
 
-    /// Requests the full tables of holders whose present feed this host doesn't follow yet.
-    pub(crate) fn request_tables(&mut self, now: Duration) {
+    /// Returns the failure domains, with their holders, whose present feed this host doesn't follow
+    /// yet.
+    pub(crate) fn feeds_missing(&self) -> Vec<(DomainId, HostId)> {
         let mut missing = Vec::new();
         for (domain, holder) in &self.desired.holders {
             let epoch = self.holder_views.get(domain).map(|it| it.position.epoch);
@@ -134,7 +135,12 @@
                 missing.push((domain.clone(), holder.host));
             }
         }
-        for (domain, host) in missing {
+        missing
+    }
+
+    /// Requests the full tables of holders whose present feed this host doesn't follow yet.
+    pub(crate) fn request_tables(&mut self, now: Duration) {
+        for (domain, host) in self.feeds_missing() {
             let sent = self.holder_views.entry(domain.clone()).or_default().resync_sent;
             if sent.is_none_or(|at| now >= at + RESYNC_INTERVAL * 4) {
                 self.resync(now, host, Topic::Targets(domain));
--- a/coordination/fleet/src/heartbeats.rs
+++ b/coordination/fleet/src/heartbeats.rs
@@ -23,6 +23,18 @@
         }
     }
 
+    /// Whether this host can tell all others of a target that takes no more requests. A host that has
+    /// just started doesn't know them.
+    pub fn can_announce(&self) -> bool {
+        self.caught_up
+    }
+
+    /// Whether this host can tell all others that a target has ended. It must know the target, or that
+    /// no host does.
+    pub fn can_deregister(&self, id: &str) -> bool {
+        self.can_announce() && (self.targets.get(id).is_some() || self.feeds_missing().is_empty())
+    }
+
     pub(crate) fn handle_deregistration(&mut self, now: Duration, id: &str) {
         let Some(target) = self.targets.get(id) else { return };
         let record = TargetRecord { state: TargetState::Gone, ..target.record.clone() };
--- a/coordination/fleet/tests/hosts.rs
+++ b/coordination/fleet/tests/hosts.rs
@@ -238,6 +238,37 @@
     }
 }
 
+/// Guards against a host without memory that acknowledges what a target says of its end and tells
+/// nobody: it has just started and knows neither the target nor the other hosts.
+#[test]
+fn a_host_that_has_just_started_acknowledges_no_end_of_a_target() {
+    for seed in 0..5 {
+        let mut world = World::new(seed, 3, 5, &[1, 2, 3]);
+        world.run(ms(5000));
+        let record = target("t1", 5, 1, TargetState::Ready);
+        world.input(6, Input::Heartbeat { record });
+        world.run(ms(500));
+        world.kill(7);
+        world.start(7);
+        let may = |world: &World| {
+            let state = world.machines[&7].host.as_ref().expect("it runs");
+            (state.can_announce(), state.can_deregister("t1"))
+        };
+        assert_eq!(may(&world), (false, false), "seed {seed}");
+        let mut waited = ms(0);
+        while !may(&world).1 {
+            world.run(ms(10));
+            waited += ms(10);
+            assert!(waited < ms(3000), "seed {seed}");
+        }
+        world.input(7, Input::Deregistered { id: "t1".to_owned() });
+        world.run(ms(100));
+        for host in world.running() {
+            assert!(!sees_target(&world, host, "t1"), "seed {seed}, host {host}");
+        }
+    }
+}
+
 #[test]
 fn a_silent_target_is_forgotten_and_comes_back() {
     let mut world = World::new(8, 3, 2, &[1, 2, 3]);
--- a/edge/src/control.rs
+++ b/edge/src/control.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use platform::{config, registry};
+use wire::TargetState;
 
 use crate::{
     answer::{Answer, empty, error, json},
@@ -55,6 +56,9 @@
         return heartbeat(&edge, id, &body);
     }
     if let Some(id) = path.strip_prefix(registry::DEREGISTER_PATH) {
+        if !edge.host.borrow().can_deregister(id) {
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
         edge.step(Input::Deregistered { id: id.to_owned() });
         return json(StatusCode::OK, "{}");
     }
@@ -121,6 +125,9 @@
             return error(StatusCode::BAD_REQUEST, &what);
         }
     };
+    if record.state == TargetState::Leaving && !edge.host.borrow().can_announce() {
+        return empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let domain = record.domain.clone();
     edge.step(Input::Heartbeat { record });
     let host = edge.host.borrow();
