--- a/edge/tests/crashes.rs
+++ b/edge/tests/crashes.rs
@@ -196,3 +196,22 @@
     assert!(crashes >= 2, "only {crashes} crashes");
     assert!(crashes <= PART_CRASHES + MORE_SENDS, "{crashes} crashes");
 }
+
+/// Guards against a request that ends a second target because it is sent on at once: it was the only
+/// one that was lost with the first, so it is the likely cause. No two of these requests are alike.
+#[tokio::test]
+async fn a_request_lost_alone_ends_one_target() {
+    let (cluster, targets) = start(15, "app").await;
+    for round in 0..6u8 {
+        until_served(&cluster, "/read/sound", "").await;
+        let source = ip(15, 200 + round).parse().expect("an address");
+        let path = format!("/read/{round}/crash");
+        for attempt in 0..2 {
+            let entry = cluster.addr(1 + (round + attempt) % 4, ENTRY);
+            call_from(source, entry, &path, &format!("r{round}-{attempt}"), "").await;
+        }
+        sleep(RESTART_DELAY * 2).await;
+    }
+    let crashes = count_crashes(&targets);
+    assert_eq!(crashes, 6, "each of six requests came twice");
+}
