Judge a lost request before it is sent to another target

Cause: a lost request was sent on while the check for a crash ran beside it, and counted as a suspect from the second target on, 0.2 s later. Change: a repeatable request waits for the check (one round trip, 0.1 s at most). A whole request is a suspect from its first crash; its next send is a trial, which the leader grants. Sound requests that were lost together are tried at once, each by itself; a host that had an answer with one within 5 s clears it. Trials are also given back when nothing is reported.

--- a/coordination/fleet/src/crash_reports.rs
+++ b/coordination/fleet/src/crash_reports.rs
@@ -14,10 +14,27 @@
 /// Maximum number of crashes that this host reports to later leaders.
 const MAX_REPORTS: usize = 256;
 
-/// A crash that this host saw.
+/// A target's crash that this host saw, and the requests that it lost there before their answers
+/// began.
+#[derive(Debug, Clone, Default)]
+pub struct SeenCrash {
+    /// Name of the target.
+    pub target: String,
+    /// Start time of the target's process, in milliseconds since the epoch.
+    pub started_at: u64,
+    /// What the lost requests had in them.
+    pub suspects: Vec<Suspect>,
+    /// Those of the suspects that were on trial.
+    pub trials: Vec<Suspect>,
+    /// The request, if this host lost no other one.
+    pub alone: Option<Suspect>,
+}
+
+/// A crash that this host reports.
 #[derive(Debug)]
 pub(crate) struct CrashReport {
     crash: CrashId,
+    alone: Option<Suspect>,
     pub(crate) suspects: Vec<Suspect>,
     pub(crate) trials: Vec<Suspect>,
     pub(crate) at: Duration,
@@ -31,17 +48,12 @@
 }
 
 impl Host {
-    /// Reports that a target crashed which this host's requests with the contents `suspects` had
-    /// not begun to answer; `started_at` is its start time in milliseconds since the epoch.
-    /// `trials` are those that were on trial.
-    pub fn report_crash(
-        &mut self,
-        now: Duration,
-        target: &str,
-        started_at: u64,
-        mut suspects: Vec<Suspect>,
-        trials: Vec<Suspect>,
-    ) -> Vec<Output> {
+    /// Reports that a target crashed.
+    pub fn report_crash(&mut self, now: Duration, seen: SeenCrash) -> Vec<Output> {
+        let SeenCrash { target, started_at, mut suspects, trials, alone } = seen;
+        for suspect in &trials {
+            self.quarantine.running.remove(suspect);
+        }
         let sound = &self.quarantine.sound;
         suspects.retain(|it| sound.get(it).is_none_or(|at| now >= *at + SOUND_TTL));
         suspects.sort_unstable();
@@ -49,10 +61,9 @@
         if suspects.is_empty() {
             return Vec::new();
         }
-        for suspect in &trials {
-            self.quarantine.running.remove(suspect);
-        }
+        let alone = alone.filter(|it| suspects.contains(it));
         let crash = stable_hash(&(target, started_at));
+        self.record_loss(now, self.settings.host, crash, alone);
         self.count_crash(now, crash, &suspects, &trials);
         let reports = &mut self.quarantine.reports;
         if reports.len() >= MAX_REPORTS {
@@ -61,6 +72,7 @@
         let sent = now.saturating_sub(REPORT_INTERVAL);
         let report = CrashReport {
             crash,
+            alone,
             suspects,
             trials,
             at: now,
@@ -98,6 +110,9 @@
             let is_unheard =
                 report.sends == LEADER_REPORTS + 1 || (leader.is_none() && report.sends == 1);
             let to_all = is_unheard && !report.counted;
+            if let Some(suspect) = report.alone {
+                messages.push((FleetMsg::LostAlone { crash: report.crash, suspect }, to_all));
+            }
             messages.push((msg, to_all));
         }
         for (msg, to_all) in messages {
@@ -127,12 +142,26 @@
         suspects: &[Suspect],
         trials: &[Suspect],
     ) {
+        self.record_loss(now, from, crash, None);
         self.count_crash(now, crash, suspects, trials);
         if self.leading.is_some() {
             self.send(from, FleetMsg::CrashCounted { crash });
         }
     }
 
+    /// Records what a host lost with a target; `alone` is the request, if it lost one only.
+    pub(crate) fn record_loss(
+        &mut self,
+        now: Duration,
+        host: HostId,
+        crash: CrashId,
+        alone: Option<Suspect>,
+    ) {
+        if self.leading.is_some() {
+            self.quarantine.losses.add(now, crash, host, alone);
+        }
+    }
+
     pub(crate) fn crash_counted(&mut self, crash: CrashId) {
         for report in self.quarantine.reports.iter_mut().filter(|it| it.crash == crash) {
             report.acknowledged = true;
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -22,6 +22,7 @@
 mod lead;
 mod limit_view;
 mod limits;
+mod losses;
 mod machine;
 mod members;
 mod models;
@@ -50,6 +51,7 @@
     budget::RetryBudget,
     choose::{Pick, Picked, Requirements, pick},
     config::{Config, ConfigError, Engine, Limits, Model, RequestKind, Route, Service},
+    crash_reports::SeenCrash,
     event::Event,
     io::{Input, Order, OrderOutcome, Output, Reply, Report, Tag},
     limit_view::LimitView,
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -392,6 +392,9 @@
             FleetMsg::Crashed { crash, suspects, trials } => {
                 self.handle_crash(now, from, crash, &suspects, &trials);
             }
+            FleetMsg::LostAlone { crash, suspect } => {
+                self.record_loss(now, from, crash, Some(suspect));
+            }
             FleetMsg::CrashCounted { crash } => self.crash_counted(crash),
             FleetMsg::Sound { suspects } => self.publish_cleared(&suspects),
             FleetMsg::TrialRequest { suspects } => self.handle_trial_request(now, from, &suspects),
--- a/coordination/fleet/src/quarantine.rs
+++ b/coordination/fleet/src/quarantine.rs
@@ -2,9 +2,11 @@
 //!
 //! A host that loses requests together with their target reports to the leader what they had in
 //! them, the suspects. Each host keeps what it saw for a while and sends it to later leaders too.
-//! The leader counts different targets for each suspect and publishes those with two or more. From
-//! then on one request with such a suspect is sent at a time, at one host: a trial, which the leader
-//! grants. A request that runs without a crash clears its suspects everywhere; after a failed trial
+//! The leader counts different targets for each suspect and publishes whole requests from the first
+//! one on, what requests share from the second one on. From then on one request with such a suspect
+//! is sent at a time, at one host: a trial, which the leader grants. A request that was lost alone
+//! with its target was on trial there. A host that had an answer begin with a suspect shortly before
+//! clears it. A request that runs without a crash clears its suspects everywhere; after a failed trial
 //! requests with the suspect are refused until the next trial is due. The replicated log keeps
 //! suspects with failed trials, so that they outlive all processes.
 
@@ -21,6 +23,7 @@
     Event, Host,
     crash_reports::CrashReport,
     io::Output,
+    losses::Losses,
     suspects::{CRASH_TTL, Grant, Hold, Suspects, TRIAL_CRASHES, TRIAL_TIMEOUT},
 };
 
@@ -31,9 +34,9 @@
 /// How long a granted trial may wait for a request of this host; then it goes back to the leader.
 const GRANT_TTL: Duration = Duration::from_millis(500);
 /// Time after a request ran without a crash during which its contents are not suspected here.
-pub(crate) const SOUND_TTL: Duration = Duration::from_millis(1000);
+pub(crate) const SOUND_TTL: Duration = Duration::from_secs(5);
 /// Maximum number of contents whose last run without a crash is kept.
-const MAX_SOUND: usize = 4096;
+const MAX_SOUND: usize = 16_384;
 /// Time between two proposals of what the log lacks.
 const PROPOSE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -42,6 +45,7 @@
 pub(crate) struct Quarantine {
     pub(crate) suspects: Suspects,
     pub(crate) reports: Vec<CrashReport>,
+    pub(crate) losses: Losses,
     /// Trials that the leader granted and no request has taken yet.
     pub(crate) granted: BTreeMap<Suspect, Duration>,
     /// Trials under way at this host, and since when.
@@ -101,7 +105,7 @@
         let mut tried = Vec::new();
         let mut due = None;
         for suspect in contents {
-            match self.quarantine.suspects.hold(now, suspect) {
+            match self.hold(now, suspect) {
                 Hold::Free => {}
                 Hold::Trial => tried.push(*suspect),
                 Hold::Until(at) => due = due.max(Some(at)),
@@ -139,8 +143,19 @@
 
     /// Whether a request with these contents must not be sent without a trial.
     pub fn needs_trial(&self, now: Duration, contents: &[Suspect]) -> bool {
+        self.has_suspects() && contents.iter().any(|it| self.hold(now, it) != Hold::Free)
+    }
+
+    /// Returns how requests with a suspect are handled. Without a leader nobody grants trials, so that
+    /// one crash alone holds nothing back.
+    fn hold(&self, now: Duration, suspect: &Suspect) -> Hold {
         let suspects = &self.quarantine.suspects;
-        !suspects.is_empty() && contents.iter().any(|it| suspects.hold(now, it) != Hold::Free)
+        match suspects.hold(now, suspect) {
+            Hold::Trial if self.leader.is_none() && !suspects.is_corroborated(suspect) => {
+                Hold::Free
+            }
+            hold => hold,
+        }
     }
 
     fn ask_for_trial(&mut self, now: Duration, suspects: Vec<Suspect>) {
@@ -163,7 +178,7 @@
         from: HostId,
         suspects: &[Suspect],
     ) {
-        if self.leading.is_none() {
+        if self.leading.is_none() || suspects.iter().any(|it| self.is_unjudged(it)) {
             return;
         }
         match self.quarantine.suspects.grant(now, suspects, from) {
@@ -180,6 +195,20 @@
         }
     }
 
+    /// Whether the hosts may still report what else was lost with the targets of a suspect.
+    fn is_unjudged(&self, suspect: &Suspect) -> bool {
+        let Quarantine { suspects, losses, .. } = &self.quarantine;
+        suspects.untried_crashes(suspect).any(|it| losses.is_open(it, suspect))
+    }
+
+    /// Counts the requests that were lost alone with their targets as failed trials.
+    fn judge_losses(&mut self, now: Duration) {
+        for (crash, suspect) in self.quarantine.losses.take_judged(now) {
+            let failed = self.quarantine.suspects.fail_trials(now, &[suspect], crash);
+            self.publish_suspects(failed);
+        }
+    }
+
     pub(crate) fn trial_granted(&mut self, now: Duration, suspects: &[Suspect]) {
         let running = &self.quarantine.running;
         if suspects.iter().any(|it| running.contains_key(it)) {
@@ -231,6 +260,11 @@
             records.extend(table.add_crash(now, suspect, crash));
         }
         records.extend(table.fail_trials(now, trials, crash));
+        self.publish_suspects(records);
+    }
+
+    /// Publishes suspects if this host leads.
+    fn publish_suspects(&mut self, records: Vec<SuspectRecord>) {
         for record in records {
             self.log_suspect(&record);
             self.quarantine.releases.remove(&record.suspect);
@@ -252,8 +286,14 @@
         });
     }
 
-    /// Takes over what the leader or the log tells of a suspect.
+    /// Takes over what the leader or the log tells of a suspect. A suspect with which an answer began
+    /// here shortly before is cleared instead, unless a trial has failed.
     pub(crate) fn merge_suspect(&mut self, now: Duration, record: &SuspectRecord) {
+        let sound_at = self.quarantine.sound.get(&record.suspect);
+        let is_sound = sound_at.is_some_and(|at| now < *at + SOUND_TTL);
+        if is_sound && record.failed_trials == 0 {
+            return self.tell_sound(vec![record.suspect]);
+        }
         if self.quarantine.suspects.merge(now, record) {
             self.log_suspect(record);
         }
@@ -280,16 +320,21 @@
         if cleared.is_empty() {
             return Vec::new();
         }
+        self.tell_sound(cleared);
+        self.finish(now)
+    }
+
+    /// Clears suspects here, and tells the leader.
+    fn tell_sound(&mut self, suspects: Vec<Suspect>) {
+        for suspect in &suspects {
+            self.clear_suspect(suspect);
+        }
         match self.leader {
             Some(leader) if leader != self.settings.host => {
-                self.send(leader, FleetMsg::Sound { suspects: cleared.clone() });
+                self.send(leader, FleetMsg::Sound { suspects });
             }
-            _ => self.publish_cleared(&cleared),
+            _ => self.publish_cleared(&suspects),
         }
-        for suspect in &cleared {
-            self.clear_suspect(suspect);
-        }
-        self.finish(now)
     }
 
     /// Publishes that suspects are cleared, if this host leads.
@@ -344,6 +389,7 @@
     }
 
     pub(crate) fn tick_quarantine(&mut self, now: Duration) {
+        self.judge_losses(now);
         let quarantine = &mut self.quarantine;
         if quarantine.suspects.is_empty() && quarantine.reports.is_empty() {
             return;
--- a/coordination/fleet/src/suspects.rs
+++ b/coordination/fleet/src/suspects.rs
@@ -7,11 +7,11 @@
 
 use wire::{CrashId, HostId, Suspect, SuspectRecord};
 
-/// Number of crashed targets from which requests with a suspect need a trial.
+/// Number of crashed targets from which a suspect is one for more than the requests that were lost.
 pub(crate) const TRIAL_CRASHES: u16 = 2;
 /// How long a crash counts; targets also end for other reasons.
 pub(crate) const CRASH_TTL: Duration = Duration::from_secs(60);
-/// Time for requests under way to clear a new suspect before others need a trial.
+/// Time for requests under way to clear a new suspect that they share before others need a trial.
 const CLEARING_TIME: Duration = Duration::from_millis(200);
 /// Time to the next trial after each failed one, in seconds; after the last entry it stays the same.
 /// Few trials may follow once the cause is known, however long it is sent.
@@ -21,16 +21,27 @@
 /// Maximum number of suspects.
 const MAX_SUSPECTS: usize = 1024;
 
+/// Returns the number of crashed targets from which requests with a suspect need a trial. A whole
+/// request is tried before it is sent to a second target.
+fn trial_crashes(suspect: &Suspect) -> u16 {
+    match suspect {
+        Suspect::Request(_) => 1,
+        Suspect::Part(_) => TRIAL_CRASHES,
+    }
+}
+
 /// The state of one suspect.
 #[derive(Debug, Default)]
 struct Entry {
+    /// [`trial_crashes`] of the suspect.
+    threshold: u16,
     /// The crashes that this host knows of.
     crashes: BTreeSet<CrashId>,
     /// The highest number of crashes that the leader has published.
     published: u16,
     failed_trials: u16,
     latest_crash: Duration,
-    /// When it reached [`TRIAL_CRASHES`] here.
+    /// When it reached `threshold` here.
     suspected_at: Option<Duration>,
     /// Earliest time of the next trial.
     trial_due: Duration,
@@ -41,12 +52,16 @@
 }
 
 impl Entry {
+    fn new(suspect: &Suspect) -> Entry {
+        Entry { threshold: trial_crashes(suspect), ..Entry::default() }
+    }
+
     fn crashes(&self) -> u16 {
         self.published.max(self.crashes.len().try_into().unwrap_or(u16::MAX))
     }
 
     fn is_suspected(&self) -> bool {
-        self.crashes() >= TRIAL_CRASHES || self.failed_trials > 0
+        self.crashes() >= self.threshold || self.failed_trials > 0
     }
 
     fn update(&mut self, now: Duration, failed_trials: u16) {
@@ -108,7 +123,7 @@
         crash: CrashId,
     ) -> Option<SuspectRecord> {
         self.make_room(suspect);
-        let entry = self.entries.entry(suspect).or_default();
+        let entry = self.entries.entry(suspect).or_insert_with(|| Entry::new(&suspect));
         if !entry.crashes.insert(crash) {
             return None;
         }
@@ -146,7 +161,7 @@
     /// another trial failed.
     pub(crate) fn merge(&mut self, now: Duration, told: &SuspectRecord) -> bool {
         self.make_room(told.suspect);
-        let entry = self.entries.entry(told.suspect).or_default();
+        let entry = self.entries.entry(told.suspect).or_insert_with(|| Entry::new(&told.suspect));
         let before = (entry.suspected_at.is_some(), entry.failed_trials);
         if told.crashes > entry.crashes() || entry.published == 0 {
             entry.latest_crash = now;
@@ -172,12 +187,25 @@
         if entry.failed_trials > 0 {
             return if now < entry.trial_due { Hold::Until(entry.trial_due) } else { Hold::Trial };
         }
+        let clearing = if entry.threshold > 1 { CLEARING_TIME } else { Duration::ZERO };
         match entry.suspected_at {
-            Some(at) if now >= at + CLEARING_TIME => Hold::Trial,
+            Some(at) if now >= at + clearing => Hold::Trial,
             _ => Hold::Free,
         }
     }
 
+    /// The crashes that count against a suspect here, before its first failed trial.
+    pub(crate) fn untried_crashes(&self, suspect: &Suspect) -> impl Iterator<Item = CrashId> {
+        let entry = self.entries.get(suspect).filter(|it| it.failed_trials == 0);
+        entry.into_iter().flat_map(|it| it.crashes.iter().copied())
+    }
+
+    /// Whether more than one crash or a failed trial counts against a suspect.
+    pub(crate) fn is_corroborated(&self, suspect: &Suspect) -> bool {
+        let entry = self.entries.get(suspect);
+        entry.is_some_and(|it| it.crashes() >= TRIAL_CRASHES || it.failed_trials > 0)
+    }
+
     /// Grants a host the trial of all the suspects together, if each may be tried.
     pub(crate) fn grant(&mut self, now: Duration, suspects: &[Suspect], host: HostId) -> Grant {
         let mut known = false;
--- a/edge/src/crash.rs
+++ b/edge/src/crash.rs
@@ -3,8 +3,9 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use fleet::{Admission, Event, Reservation, stable_hash};
+use fleet::{Admission, Event, Reservation, SeenCrash, stable_hash};
 use http::{HeaderValue, header};
+use tokio::{sync::oneshot, time::timeout};
 use wire::Suspect;
 
 use crate::{
@@ -14,6 +15,10 @@
     reservation::{NoReservation, ReservationGuard},
 };
 
+/// Time that a request waits for the check whether its target has crashed before it is sent again. A
+/// crashed target refuses a connection after one round trip.
+const CHECK_WAIT: Duration = Duration::from_millis(100);
+
 /// The right to send one request with these suspects. Dropping it ends the trial without a result.
 pub(crate) struct TrialGuard {
     edge: Rc<Edge>,
@@ -49,6 +54,8 @@
     pub(crate) body_hash: u64,
     pub(crate) contents: Vec<Suspect>,
     pub(crate) trial: Option<TrialGuard>,
+    /// Dropped when the check has ended.
+    checked: oneshot::Sender<()>,
 }
 
 /// Requests whose targets are being checked, by the target's id and start time.
@@ -80,7 +87,10 @@
 
 fn report(edge: &Rc<Edge>, target: &str, started_at: u64, lost: Vec<LostRequest>) {
     let now = edge.now();
-    let (mut suspects, mut trials) = (Vec::new(), Vec::new());
+    let mut seen = SeenCrash { target: target.to_owned(), started_at, ..SeenCrash::default() };
+    let mut checks = Vec::new();
+    let first = lost.first().and_then(|it| it.contents.first().copied());
+    seen.alone = first.filter(|it| lost.iter().all(|other| other.contents.first() == Some(it)));
     for request in lost {
         edge.log.request(now, true, || Event::Crashed {
             id: request.id,
@@ -90,10 +100,11 @@
             body: format!("{:x}", request.body_hash),
             target: target.to_owned(),
         });
-        suspects.extend(request.contents);
-        trials.extend(request.trial.map(TrialGuard::finish).unwrap_or_default());
+        seen.suspects.extend(request.contents);
+        seen.trials.extend(request.trial.map(TrialGuard::finish).unwrap_or_default());
+        checks.push(request.checked);
     }
-    let outputs = edge.host.borrow_mut().report_crash(now, target, started_at, suspects, trials);
+    let outputs = edge.host.borrow_mut().report_crash(now, seen);
     edge.carry_out(outputs);
 }
 
@@ -136,18 +147,12 @@
         if let Some(trial) = self.trial.take() {
             trial.finish();
         }
-        let now = self.edge.now();
-        let mut host = self.edge.host.borrow_mut();
-        if !host.has_suspects() && self.head.shared_parts.is_empty() {
-            return;
-        }
-        let outputs = host.report_sound(now, self.contents());
-        drop(host);
+        let outputs = self.edge.host.borrow_mut().report_sound(self.edge.now(), self.contents());
         self.edge.carry_out(outputs);
     }
 
-    /// Returns what other requests may share with this one: the whole content, as a hash of its
-    /// method, host, path and body, since a caller may repeat it from another address, and the
+    /// Returns what other requests may share with this one: first the whole content, as a hash of its
+    /// method, host, path and body, since a caller may repeat it from another address, then the
     /// parts of its prompt.
     fn contents(&self) -> &[Suspect] {
         self.contents.get_or_init(|| {
@@ -160,8 +165,10 @@
     }
 
     /// Checks whether a target that broke off before it began to answer has crashed. If so, the
-    /// request may be the cause, and the crash is counted against it.
-    pub(crate) fn check_crash(&mut self, reservation: &ReservationGuard) {
+    /// request may be the cause, and the crash is counted against it. A request that may be sent again
+    /// waits for the check.
+    pub(crate) async fn check_crash(&mut self, reservation: &ReservationGuard) {
+        let (checked, ended) = oneshot::channel();
         let caller = self.parts.extensions.get::<Caller>();
         let lost = LostRequest {
             id: self.head.attempt.clone(),
@@ -170,8 +177,12 @@
             body_hash: stable_hash(&&self.body[..]),
             contents: self.contents().to_vec(),
             trial: self.trial.take(),
+            checked,
         };
         check(&self.edge, &reservation.reservation, lost);
+        if self.kind().is_idempotent() {
+            let _ = timeout(CHECK_WAIT, ended).await;
+        }
     }
 }
 
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -243,7 +243,7 @@
                 return self.resend(reservation, last_event).await;
             }
             Ok(Err(SendError::Lost)) => {
-                self.check_crash(&reservation);
+                self.check_crash(&reservation).await;
                 return self.fail_send(reservation, "lost", StatusCode::BAD_GATEWAY);
             }
             Err(_) => return self.fail_send(reservation, "silent", StatusCode::GATEWAY_TIMEOUT),
@@ -380,7 +380,7 @@
         let body = timeout(left, self.edge.client.collect(body)).await.ok().flatten();
         let signed = is_signed(&parts.headers);
         let Some(body) = body.filter(|_| signed || !parts.status.is_success()) else {
-            self.check_crash(&reservation);
+            self.check_crash(&reservation).await;
             return match self.fail_send(reservation, "broken", StatusCode::BAD_GATEWAY) {
                 SendOutcome::Final(status) => Some(self.fail(status, "broken")),
                 SendOutcome::Retry | SendOutcome::Head(_) => None,
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -185,7 +185,7 @@
         }
         drop(source.connection);
         if !source.begun {
-            job.check_crash(&source.reservation);
+            job.check_crash(&source.reservation).await;
         }
         let retry = matches!(
             job.fail_send(source.reservation, "broken", http::StatusCode::BAD_GATEWAY),
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -506,6 +506,13 @@
         /// The proposal's tag.
         tag: u64,
     },
+    /// Goes before a [`FleetMsg::Crashed`] of a host that lost one request only with the target.
+    LostAlone {
+        /// The crash.
+        crash: CrashId,
+        /// The request.
+        suspect: Suspect,
+    },
 }
 
 impl FleetMsg {
