Count crashes by what requests without a prompt name

Cause: requests without a prompt had nothing in common but their whole content. Change: the path below the route's prefix is a suspect of the service, as a part of a prompt is; one that was lost alone twice is refused. Failed before: what_crashing_requests_name_is_stopped_on_all_routes (12 crashes, 6 allowed).

--- a/coordination/fleet/src/crash_reports.rs
+++ b/coordination/fleet/src/crash_reports.rs
@@ -26,15 +26,15 @@
     pub suspects: Vec<Suspect>,
     /// Those of the suspects that were on trial.
     pub trials: Vec<Suspect>,
-    /// The request, if this host lost no other one.
-    pub alone: Option<Suspect>,
+    /// The request and what it names, if this host lost no other one.
+    pub alone: Vec<Suspect>,
 }
 
 /// A crash that this host reports.
 #[derive(Debug)]
 pub(crate) struct CrashReport {
     crash: CrashId,
-    alone: Option<Suspect>,
+    alone: Vec<Suspect>,
     pub(crate) suspects: Vec<Suspect>,
     pub(crate) trials: Vec<Suspect>,
     pub(crate) at: Duration,
@@ -50,7 +50,7 @@
 impl Host {
     /// Reports that a target crashed.
     pub fn report_crash(&mut self, now: Duration, seen: SeenCrash) -> Vec<Output> {
-        let SeenCrash { target, started_at, mut suspects, trials, alone } = seen;
+        let SeenCrash { target, started_at, mut suspects, trials, mut alone } = seen;
         for suspect in &trials {
             self.quarantine.running.remove(suspect);
         }
@@ -61,9 +61,9 @@
         if suspects.is_empty() {
             return Vec::new();
         }
-        let alone = alone.filter(|it| suspects.contains(it));
+        alone.retain(|it| suspects.contains(it));
         let crash = stable_hash(&(target, started_at));
-        self.record_loss(now, self.settings.host, crash, alone);
+        self.record_loss(now, self.settings.host, crash, alone.clone());
         self.count_crash(now, crash, &suspects, &trials);
         let reports = &mut self.quarantine.reports;
         if reports.len() >= MAX_REPORTS {
@@ -110,8 +110,9 @@
             let is_unheard =
                 report.sends == LEADER_REPORTS + 1 || (leader.is_none() && report.sends == 1);
             let to_all = is_unheard && !report.counted;
-            if let Some(suspect) = report.alone {
-                messages.push((FleetMsg::LostAlone { crash: report.crash, suspect }, to_all));
+            if !report.alone.is_empty() {
+                let (crash, suspects) = (report.crash, report.alone.clone());
+                messages.push((FleetMsg::LostAlone { crash, suspects }, to_all));
             }
             messages.push((msg, to_all));
         }
@@ -142,20 +143,21 @@
         suspects: &[Suspect],
         trials: &[Suspect],
     ) {
-        self.record_loss(now, from, crash, None);
+        self.record_loss(now, from, crash, Vec::new());
         self.count_crash(now, crash, suspects, trials);
         if self.leading.is_some() {
             self.send(from, FleetMsg::CrashCounted { crash });
         }
     }
 
-    /// Records what a host lost with a target; `alone` is the request, if it lost one only.
+    /// Records what a host lost with a target; `alone` is the request and what it names, if it lost one
+    /// only.
     pub(crate) fn record_loss(
         &mut self,
         now: Duration,
         host: HostId,
         crash: CrashId,
-        alone: Option<Suspect>,
+        alone: Vec<Suspect>,
     ) {
         if self.leading.is_some() {
             self.quarantine.losses.add(now, crash, host, alone);
--- a/coordination/fleet/src/losses.rs
+++ b/coordination/fleet/src/losses.rs
@@ -13,16 +13,20 @@
 #[derive(Debug)]
 struct Loss {
     at: Duration,
-    /// For each host that lost requests, the request, if it lost one only.
-    hosts: BTreeMap<HostId, Option<Suspect>>,
+    /// For each host that lost requests, the request and what it names, if it lost one only.
+    hosts: BTreeMap<HostId, Vec<Suspect>>,
     judged: bool,
 }
 
 impl Loss {
-    /// The only request that any host lost.
-    fn alone(&self) -> Option<Suspect> {
-        let first = self.hosts.values().next().copied().flatten()?;
-        self.hosts.values().all(|it| *it == Some(first)).then_some(first)
+    /// The only request that any host lost, or only what it names if that was lost alone.
+    fn alone(&self) -> Vec<Suspect> {
+        let mut hosts = self.hosts.values();
+        let mut alone = hosts.next().cloned().unwrap_or_default();
+        for other in hosts {
+            alone.retain(|it| other.contains(it));
+        }
+        alone
     }
 }
 
@@ -33,28 +37,24 @@
 }
 
 impl Losses {
-    /// Adds a host's report; `alone` is the request that it lost, if it lost one only.
-    pub(crate) fn add(
-        &mut self,
-        now: Duration,
-        crash: CrashId,
-        host: HostId,
-        alone: Option<Suspect>,
-    ) {
+    /// Adds a host's report; `alone` is the request that it lost and what it names, if it lost one only.
+    pub(crate) fn add(&mut self, now: Duration, crash: CrashId, host: HostId, alone: Vec<Suspect>) {
         let new = Loss { at: now, hosts: BTreeMap::new(), judged: false };
         let loss = self.crashes.entry(crash).or_insert(new);
-        let known = loss.hosts.entry(host).or_insert(alone);
-        *known = known.or(alone);
+        let known = loss.hosts.entry(host).or_default();
+        if known.is_empty() {
+            *known = alone;
+        }
     }
 
     /// Whether reports may still show that a request was not lost alone with a target.
     pub(crate) fn is_open(&self, crash: CrashId, suspect: &Suspect) -> bool {
         let loss = self.crashes.get(&crash);
-        loss.is_some_and(|it| !it.judged && it.alone() == Some(*suspect))
+        loss.is_some_and(|it| !it.judged && it.alone().contains(suspect))
     }
 
-    /// Returns the requests that were lost alone, once all hosts have reported. Each crash is returned
-    /// once.
+    /// Returns the requests that were lost alone and what they name, once all hosts have reported. Each
+    /// crash is returned once.
     pub(crate) fn take_judged(&mut self, now: Duration) -> Vec<(CrashId, Suspect)> {
         self.crashes.retain(|_, it| now < it.at + CRASH_TTL);
         let mut alone = Vec::new();
@@ -63,7 +63,7 @@
                 continue;
             }
             loss.judged = true;
-            alone.extend(loss.alone().map(|it| (crash, it)));
+            alone.extend(loss.alone().into_iter().map(|it| (crash, it)));
         }
         alone
     }
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -392,8 +392,8 @@
             FleetMsg::Crashed { crash, suspects, trials } => {
                 self.handle_crash(now, from, crash, &suspects, &trials);
             }
-            FleetMsg::LostAlone { crash, suspect } => {
-                self.record_loss(now, from, crash, Some(suspect));
+            FleetMsg::LostAlone { crash, suspects } => {
+                self.record_loss(now, from, crash, suspects);
             }
             FleetMsg::CrashCounted { crash } => self.crash_counted(crash),
             FleetMsg::Sound { suspects } => self.publish_cleared(&suspects),
--- a/coordination/fleet/src/quarantine.rs
+++ b/coordination/fleet/src/quarantine.rs
@@ -201,9 +201,14 @@
         suspects.untried_crashes(suspect).any(|it| losses.is_open(it, suspect))
     }
 
-    /// Counts the requests that were lost alone with their targets as failed trials.
+    /// Counts the requests that were lost alone with their targets as failed trials. What they name
+    /// is tried so only if it was lost before: many requests may name it.
     fn judge_losses(&mut self, now: Duration) {
         for (crash, suspect) in self.quarantine.losses.take_judged(now) {
+            let is_request = matches!(suspect, Suspect::Request(_));
+            if !is_request && !self.quarantine.suspects.is_corroborated(&suspect) {
+                continue;
+            }
             let failed = self.quarantine.suspects.fail_trials(now, &[suspect], crash);
             self.publish_suspects(failed);
         }
--- a/coordination/fleet/src/suspects.rs
+++ b/coordination/fleet/src/suspects.rs
@@ -26,7 +26,7 @@
 fn trial_crashes(suspect: &Suspect) -> u16 {
     match suspect {
         Suspect::Request(_) => 1,
-        Suspect::Part(_) => TRIAL_CRASHES,
+        Suspect::Part(_) | Suspect::Resource(_) => TRIAL_CRASHES,
     }
 }
 
--- a/coordination/fleet/tests/deadly_part.rs
+++ b/coordination/fleet/tests/deadly_part.rs
@@ -161,7 +161,8 @@
         let mut lost: BTreeMap<HostId, SeenCrash> = BTreeMap::new();
         for prompt in std::mem::take(&mut self.targets[target].prompts) {
             let seen = lost.entry(prompt.host).or_default();
-            seen.alone = seen.suspects.is_empty().then(|| prompt.contents[0]);
+            seen.alone =
+                if seen.suspects.is_empty() { vec![prompt.contents[0]] } else { Vec::new() };
             seen.suspects.extend(prompt.contents);
             seen.trials.extend(prompt.trial);
         }
--- a/coordination/fleet/tests/quarantine.rs
+++ b/coordination/fleet/tests/quarantine.rs
@@ -298,8 +298,8 @@
 const REQUEST: Suspect = Suspect::Request(79);
 
 /// Lets a host report that it lost one request only with a target.
-fn lost_alone(world: &mut World, host: HostId, request: Suspect, target: &str) {
-    let seen = SeenCrash { alone: Some(request), ..seen_crash(target, &[request]) };
+fn lost_alone(world: &mut World, host: HostId, contents: &[Suspect], target: &str) {
+    let seen = SeenCrash { alone: contents.to_vec(), ..seen_crash(target, contents) };
     world.call(host, |state, now| ((), state.report_crash(now, seen)));
 }
 
@@ -310,7 +310,7 @@
     for hosts in [&[4][..], &[4, 5]] {
         let mut world = world(16);
         for &host in hosts {
-            lost_alone(&mut world, host, REQUEST, "t1");
+            lost_alone(&mut world, host, &[REQUEST], "t1");
         }
         assert!(matches!(world.admit(hosts[0], &[REQUEST]), Admission::Wait), "{hosts:?}: at once");
         world.run(SPREAD);
@@ -327,7 +327,7 @@
     let mut world = world(17);
     let requests: Vec<Suspect> = (200..206).map(Suspect::Request).collect();
     for (host, lost) in [(4, &requests[..1]), (5, &requests[1..2]), (6, &requests[2..])] {
-        let alone = Some(lost[0]).filter(|_| lost.len() == 1);
+        let alone = if lost.len() == 1 { lost.to_vec() } else { Vec::new() };
         let seen = SeenCrash { alone, ..seen_crash("t1", lost) };
         world.call(host, |state, now| ((), state.report_crash(now, seen)));
     }
@@ -350,7 +350,7 @@
     let mut world = world(18);
     world.call(6, |state, now| ((), state.report_sound(now, &[REQUEST])));
     world.run(ms(1000));
-    lost_alone(&mut world, 4, REQUEST, "t1");
+    lost_alone(&mut world, 4, &[REQUEST], "t1");
     world.run(SPREAD);
     assert_eq!(senders(&mut world, REQUEST).len(), 6);
 }
@@ -364,10 +364,30 @@
         world.kill(host);
     }
     world.run(ms(3500));
-    lost_alone(&mut world, 4, REQUEST, "t1");
+    lost_alone(&mut world, 4, &[REQUEST], "t1");
     world.run(SPREAD);
     assert_eq!(senders(&mut world, REQUEST).len(), 3);
     world.crashed(5, &[REQUEST], "t2");
     world.run(SPREAD);
     assert_eq!(senders(&mut world, REQUEST), []);
 }
+
+/// Guards against requests of several routes that name the same thing, each of which ends targets by
+/// itself: after two of them, whatever names it is refused.
+#[test]
+fn requests_that_name_the_same_thing_are_refused_together() {
+    let mut world = world(20);
+    let named = Suspect::Resource(5);
+    let (read, change) = (Suspect::Request(301), Suspect::Request(302));
+    lost_alone(&mut world, 4, &[read, named], "t1");
+    world.run(SPREAD);
+    assert_eq!(senders(&mut world, named).len(), 6, "one target may crash for another cause");
+    lost_alone(&mut world, 5, &[change, named], "t2");
+    world.run(SPREAD);
+    assert_eq!(refusers(&mut world, named).len(), 6);
+    world.run(ms(5000));
+    assert!(get_trial(&mut world, 6, &[Suspect::Request(303), named]));
+    world.call(6, |state, now| ((), state.report_sound(now, &[named])));
+    world.run(SPREAD);
+    assert_eq!(senders(&mut world, named).len(), 6);
+}
--- a/edge/src/crash.rs
+++ b/edge/src/crash.rs
@@ -89,8 +89,7 @@
     let now = edge.now();
     let mut seen = SeenCrash { target: target.to_owned(), started_at, ..SeenCrash::default() };
     let mut checks = Vec::new();
-    let first = lost.first().and_then(|it| it.contents.first().copied());
-    seen.alone = first.filter(|it| lost.iter().all(|other| other.contents.first() == Some(it)));
+    seen.alone = lost_alone(&lost);
     for request in lost {
         edge.log.request(now, true, || Event::Crashed {
             id: request.id,
@@ -108,6 +107,15 @@
     edge.carry_out(outputs);
 }
 
+/// Returns what all of the lost requests have in common, but for parts of prompts, which requests
+/// that the target has begun to answer may share.
+fn lost_alone(lost: &[LostRequest]) -> Vec<Suspect> {
+    let mut common = lost.first().map(|it| it.contents.clone()).unwrap_or_default();
+    common.retain(|it| !matches!(it, Suspect::Part(_)));
+    common.retain(|it| lost.iter().all(|other| other.contents.contains(it)));
+    common
+}
+
 impl Job {
     /// Whether the request may be sent now, as far as its contents may crash targets. Otherwise it
     /// waits for a trial; `started` is when it began to wait.
@@ -151,16 +159,20 @@
         self.edge.carry_out(outputs);
     }
 
-    /// Returns what other requests may share with this one: first the whole content, as a hash of its
-    /// method, host, path and body, since a caller may repeat it from another address, then the
-    /// parts of its prompt.
+    /// Returns what other requests may share with this one: the whole content, as a hash of its
+    /// method, host, path and body, since a caller may repeat it from another address, and the
+    /// parts of its prompt, or what it names without one.
     fn contents(&self) -> &[Suspect] {
         self.contents.get_or_init(|| {
+            let named = self.parts.uri.path().strip_prefix(&self.query.route.prefix);
+            let named = named.filter(|it| !it.is_empty() && self.query.adapter.is_none());
+            let named = named.map(|it| stable_hash(&(&self.query.service, it)));
             let parts = self.head.shared_parts.iter().copied().map(Suspect::Part);
             let host = self.parts.headers.get(header::HOST).map(HeaderValue::as_bytes);
             let whole =
                 stable_hash(&(self.parts.method.as_str(), host, self.path(), &self.body[..]));
-            std::iter::once(Suspect::Request(whole)).chain(parts).collect()
+            let named = named.map(Suspect::Resource);
+            std::iter::once(Suspect::Request(whole)).chain(named).chain(parts).collect()
         })
     }
 
--- a/edge/tests/crashes.rs
+++ b/edge/tests/crashes.rs
@@ -39,8 +39,8 @@
 /// The prompt part with which a target crashes when it begins its answer.
 const DEADLY_PART: &str = "dead1:100";
 
-/// A target whose process ends when it runs a request for a path that ends in `crash`, or begins to
-/// answer a prompt with [`DEADLY_PART`]. It starts again at the same address under a new name.
+/// A target whose process ends when it runs a request for a path that ends in `crash` before a query,
+/// or begins to answer a prompt with [`DEADLY_PART`]. It starts again at the same address under a new name.
 #[derive(Clone, Default)]
 struct FragileTarget {
     crashes: Arc<AtomicUsize>,
@@ -88,7 +88,7 @@
                 let _ = stream.write_all(head.as_bytes()).await;
                 sleep(HEAD_TIME).await;
             }
-            if is_deadly || path.ends_with("crash") {
+            if is_deadly || path.split('?').next().is_some_and(|it| it.ends_with("crash")) {
                 self.crashes.fetch_add(1, Ordering::SeqCst);
                 self.ended.notify_one();
                 std::future::pending::<()>().await;
@@ -215,3 +215,23 @@
     let crashes = count_crashes(&targets);
     assert_eq!(crashes, 6, "each of six requests came twice");
 }
+
+/// Guards against requests on several routes that name the same thing and each end targets: they count
+/// together.
+#[tokio::test]
+async fn what_crashing_requests_name_is_stopped_on_all_routes() {
+    let (cluster, targets) = start(16, "app").await;
+    for round in 0..12u8 {
+        until_served(&cluster, "/read/sound", "").await;
+        let source = ip(16, 200 + round).parse().expect("an address");
+        let entry = cluster.addr(1 + round % 4, ENTRY);
+        let query = round / 2;
+        let route = if round % 2 == 0 { "read" } else { "once" };
+        let path = format!("/{route}/crash?page={query}");
+        call_from(source, entry, &path, &format!("r{round}"), "").await;
+        sleep(RESTART_DELAY * 2).await;
+    }
+    let crashes = count_crashes(&targets);
+    assert!(crashes >= 2, "only {crashes} crashes");
+    assert!(crashes <= REQUEST_CRASHES + MORE_SENDS, "{crashes} crashes");
+}
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -36,6 +36,9 @@
 /// A hash of a request's method, host, path and body.
 pub type RequestHash = u64;
 
+/// A hash of a service and of what a request without a prompt names: its path below its route's prefix.
+pub type ResourceHash = u64;
+
 /// The id of a part of prompts, or a hash of an id that is not a number.
 pub type PartId = u64;
 
@@ -49,6 +52,8 @@
     Request(RequestHash),
     /// A part that prompts share.
     Part(PartId),
+    /// What requests without a prompt name, also on different routes.
+    Resource(ResourceHash),
 }
 
 impl std::fmt::Display for Suspect {
@@ -56,6 +61,7 @@
         match self {
             Suspect::Request(hash) => write!(f, "request:{hash:x}"),
             Suspect::Part(id) => write!(f, "part:{id:x}"),
+            Suspect::Resource(hash) => write!(f, "resource:{hash:x}"),
         }
     }
 }
@@ -510,8 +516,8 @@
     LostAlone {
         /// The crash.
         crash: CrashId,
-        /// The request.
-        suspect: Suspect,
+        /// The request, and what it names.
+        suspects: Vec<Suspect>,
     },
 }
 
