--- a/edge/src/client.rs
+++ b/edge/src/client.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     io::{self, ErrorKind},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -17,7 +17,11 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::AbortHandle,
+    time::timeout,
+};
 
 /// Time limit for a new connection; it leaves room for one lost SYN and its retransmission.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -69,8 +73,10 @@
 }
 
 /// Opens connections to targets and pools idle ones by the target's id.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct Client {
+    /// This host's address, from which connections come.
+    own: IpAddr,
     idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
     /// Size of the bodies that are being received, in bytes.
     received: Rc<Cell<usize>>,
@@ -106,6 +112,10 @@
 }
 
 impl Client {
+    pub(crate) fn new(own: IpAddr) -> Client {
+        Client { own, idle: Rc::default(), received: Rc::default() }
+    }
+
     /// Returns a usable idle connection to a target; none if the pool has none.
     pub(crate) fn reuse(&self, target: &str) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -146,13 +156,13 @@
 
     /// Whether an address refuses connections, as it does after its process crashed.
     pub(crate) async fn refuses_connections(&self, addr: &str) -> bool {
-        let opened = connect(addr).await;
+        let opened = connect(self.own, addr).await;
         matches!(opened, Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
     }
 
     /// Opens a new connection to a target; none if that fails or takes too long.
     pub(crate) async fn open(&self, target: &str, addr: &str) -> Option<Connection> {
-        let stream = connect(addr).await?.ok()?;
+        let stream = connect(self.own, addr).await?.ok()?;
         stream.set_nodelay(true).ok()?;
         peer::detect_dead_peer(&stream).ok()?;
         let mut builder = http1::Builder::new();
@@ -210,9 +220,14 @@
 }
 
 /// Connects to an address; none if the address is invalid or the time limit is over.
-async fn connect(addr: &str) -> Option<io::Result<TcpStream>> {
+async fn connect(own: IpAddr, addr: &str) -> Option<io::Result<TcpStream>> {
     let addr: SocketAddr = addr.parse().ok()?;
-    timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await.ok()
+    let connecting = async {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::new(own, 0))?;
+        socket.connect(addr).await
+    };
+    timeout(CONNECT_TIMEOUT, connecting).await.ok()
 }
 
 /// Whether a target closes its connection after an answer.
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -76,10 +76,9 @@
     ) -> Rc<Edge> {
         Rc::new(Edge {
             name: host.settings().name.clone(),
-            host: RefCell::new(host),
             hub,
             disk,
-            client: Client::default(),
+            client: Client::new(IpAddr::V4(Ipv4Addr::from(host.settings().host))),
             wake: Notify::new(),
             closing: Notify::new(),
             pending_calls: RefCell::default(),
@@ -92,6 +91,7 @@
             active: Cell::new(0),
             stopping: Cell::new(false),
             started,
+            host: RefCell::new(host),
         })
     }
 
--- /dev/null
+++ b/edge/tests/cut_off.rs
@@ -0,0 +1,169 @@
+//! Hosts that reach no target, while callers and the other hosts reach them.
+
+mod common;
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use common::{
+    CONTROL, Cluster, ENTRY, call, document, ip, read_request, send_heartbeats, signed_head,
+    target_record, until,
+};
+use http::Method;
+use socket2::{SockFilter, SockRef};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+const HOSTS: u8 = 5;
+/// The hosts that are cut off.
+const CUT: [u8; 2] = [4, 5];
+const TARGETS: u8 = 4;
+/// Time after the cut from which these hosts serve callers.
+const CONTACT: Duration = Duration::from_secs(3);
+/// First tries at each host.
+const TRIES: usize = 20;
+
+/// Targets that can drop what comes from some hosts, as a partition does.
+#[derive(Clone)]
+struct Targets {
+    net: u8,
+    is_cut: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<Arc<TcpListener>>>>,
+}
+
+/// Returns a filter that drops packets from these hosts. Its first load is the IPv4 source address,
+/// at an offset from the network header.
+fn drop_from(net: u8, hosts: &[u8]) -> Vec<SockFilter> {
+    const SOURCE: u32 = 0xfff0_0000 + 12;
+    const LOAD: u16 = 0x20;
+    const JUMP_IF_EQUAL: u16 = 0x15;
+    const RETURN: u16 = 0x06;
+    let mut program = vec![SockFilter::new(LOAD, 0, 0, SOURCE)];
+    for (at, host) in hosts.iter().enumerate() {
+        let addr: Ipv4Addr = ip(net, *host).parse().expect("an address");
+        let to_drop = (hosts.len() - at) as u8;
+        program.push(SockFilter::new(JUMP_IF_EQUAL, to_drop, 0, addr.into()));
+    }
+    program.push(SockFilter::new(RETURN, 0, 0, u32::MAX));
+    program.push(SockFilter::new(RETURN, 0, 0, 0));
+    program
+}
+
+impl Targets {
+    async fn start(net: u8, control: Vec<SocketAddr>) -> Targets {
+        let connections = Arc::default();
+        let targets = Targets { net, is_cut: Arc::default(), connections };
+        for number in 1..=TARGETS {
+            let addr = format!("{}:8080", ip(net, 100 + number));
+            let listener = Arc::new(TcpListener::bind(&addr).await.expect("the address is free"));
+            targets.connections.lock().expect("not poisoned").push(listener.clone());
+            let record = target_record(number, "app", addr);
+            tokio::spawn(send_heartbeats(record, control.clone(), Vec::new));
+            let serving = targets.clone();
+            tokio::spawn(async move {
+                loop {
+                    let Ok((stream, from)) = listener.accept().await else { continue };
+                    tokio::spawn(serving.clone().serve(stream, from));
+                }
+            });
+        }
+        targets
+    }
+
+    /// Drops from now on what comes from the hosts of [`CUT`], or no longer.
+    fn cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::SeqCst);
+        for listener in self.connections.lock().expect("not poisoned").iter() {
+            let socket = SockRef::from(&**listener);
+            if is_cut {
+                socket.attach_filter(&drop_from(self.net, &CUT)).expect("a filter");
+            } else {
+                socket.detach_filter().expect("it has one");
+            }
+        }
+    }
+
+    /// Answers with the address from which a request came. A connection that was open before the cut
+    /// falls silent.
+    async fn serve(self, mut stream: TcpStream, from: SocketAddr) {
+        let is_behind = CUT.iter().any(|it| ip(self.net, *it) == from.ip().to_string());
+        let mut bytes = Vec::new();
+        while let Some(request) = read_request(&mut stream, &mut bytes).await {
+            while is_behind && self.is_cut.load(Ordering::SeqCst) {
+                sleep(Duration::from_millis(50)).await;
+            }
+            let body = from.ip().to_string();
+            let more = format!("Content-Length: {}\r\n", body.len());
+            let answer = signed_head("200 OK", &request.attempt, &more) + &body;
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Sends one request of each kind in turn to a host. Returns the addresses from which targets got
+/// those that were served.
+async fn first_tries(cluster: &Cluster, host: u8) -> Vec<String> {
+    let mut served = Vec::new();
+    for number in 0..TRIES {
+        let kind = if number % 2 == 0 { "read" } else { "once" };
+        let attempt = format!("{host}-{number}");
+        let headers = [("attempt-id", attempt.as_str()), ("deadline-ms", "2000")];
+        let path = format!("/{kind}/{number}");
+        let answer = call(cluster.addr(host, ENTRY), Method::GET, &path, &headers, "").await;
+        if let Ok(answer) = answer
+            && answer.status.is_success()
+        {
+            served.extend(answer.body);
+        }
+    }
+    served
+}
+
+async fn until_served_directly(cluster: &Cluster, net: u8) {
+    for host in 1..=HOSTS {
+        until(async || first_tries(cluster, host).await.iter().all(|it| *it == ip(net, host)))
+            .await;
+    }
+}
+
+/// Guards against hosts that fail their callers because they reach no target themselves, while other
+/// hosts reach all of them.
+#[tokio::test]
+async fn hosts_that_reach_no_target_serve_through_others() {
+    let net = 17;
+    let cluster = Cluster::start(net, HOSTS);
+    cluster.configure(1, &document(3)).await;
+    let control: Vec<_> = (1..=3).map(|host| cluster.addr(host, CONTROL)).collect();
+    let targets = Targets::start(net, control).await;
+    for host in 1..=HOSTS {
+        cluster.wait_ready(host).await;
+    }
+    until_served_directly(&cluster, net).await;
+    targets.cut(true);
+    let callers = CUT.map(|host| first_tries(&cluster, host));
+    for tries in callers {
+        tries.await;
+    }
+    sleep(CONTACT).await;
+    let mut served = Vec::new();
+    for host in 1..=HOSTS {
+        served.push(first_tries(&cluster, host).await.len());
+    }
+    let (others, cut) = served.split_at(3);
+    let (others, cut): (usize, usize) = (others.iter().sum(), cut.iter().sum());
+    assert_eq!(others, 3 * TRIES, "hosts that reach the targets");
+    assert!(cut * 3 * 3 >= others * 2 * 2, "of {} each: {served:?}", TRIES);
+    targets.cut(false);
+    until_served_directly(&cluster, net).await;
+}
