Reach targets through other hosts when the own path is at fault

Cause: a host knew one way to a target, its own, and took the failure of that way for the target's. It kept its order leases, so nobody ordered adapters there. Change: a connection that fails, or takes 0.25 s while none was opened to any target, is opened through another host too, which passes on the bytes of both sides. Two targets that only others reach make a host cut off: all its new connections go through others, it resigns its order leases, and address answers leave it out, until two probes in a row succeed. A refused connection counts as a crash only if another host isn't let in either.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -85,6 +85,11 @@
         /// The new version.
         version: u64,
     },
+    /// This host was cut off from all targets, while other hosts reach them, or reaches them again.
+    Reach {
+        /// Whether it is cut off.
+        cut: bool,
+    },
     /// The leader acknowledges a change without these hosts, which have not confirmed it in time.
     Unconfirmed {
         /// Log index that contains the change.
--- a/coordination/fleet/src/follow.rs
+++ b/coordination/fleet/src/follow.rs
@@ -20,7 +20,10 @@
             FeedAction::Resync => return self.resync(now, from, feed.topic.clone()),
             FeedAction::Replace => match &feed.topic {
                 Topic::Targets(domain) => self.targets.clear_feed(domain),
-                Topic::Hosts => self.reset_suspects(&feed.changes),
+                Topic::Hosts => {
+                    self.reset_suspects(&feed.changes);
+                    self.hosts.clear_cut();
+                }
             },
             FeedAction::Append => {}
         }
@@ -45,6 +48,7 @@
                 }
             }
             FeedChange::Suspected(record) => self.merge_suspect(now, record),
+            FeedChange::Reach(host, cut) => self.hosts.set_cut(*host, *cut),
             FeedChange::Cleared(suspect) => self.clear_suspect(suspect),
             FeedChange::Target(number, record) => {
                 if self.merge_target(record) {
--- a/coordination/fleet/src/holder.rs
+++ b/coordination/fleet/src/holder.rs
@@ -5,9 +5,9 @@
 //!
 //! The leader appoints holders in the replicated log. A holder sends orders for [`HOLD_LEASES`]
 //! lease times after it sent the last renewal that a leader with a quorum answered. The leader
-//! appoints another host at once if the holder announced its end; otherwise only after that time
-//! and [`HOLDER_MARGIN`] have passed since its last answer to the holder, or since it became
-//! leader.
+//! appoints another host at once if the holder announced its end, or resigned because it reaches no
+//! targets; otherwise only after that time and [`HOLDER_MARGIN`] have passed since its last answer to
+//! the holder, or since it became leader.
 //! The new holder waits for one lease time and [`HOLDER_MARGIN`], but only if another host may have
 //! sent orders shortly before ([`Holder::must_wait`]).
 
@@ -46,6 +46,8 @@
     pub(crate) feed: FeedWriter,
     pub(crate) places: PlaceScheduler,
     pub(crate) fence: Fence,
+    /// Whether this host gives no more orders with this fencing number: it reached no targets.
+    pub(crate) resigned: bool,
     /// No orders are sent before this time.
     orders_from: Duration,
     /// When [`Command::StartOrders`] was last proposed.
@@ -108,6 +110,7 @@
             feed: FeedWriter::new(Topic::Targets(domain.clone()), epoch),
             places: PlaceScheduler::default(),
             fence: holder.fence,
+            resigned: self.is_cut_off(),
             orders_from: now + wait,
             begin_proposed: None,
             loads_sent: now,
@@ -142,7 +145,8 @@
     pub(crate) fn order_fence(&self, now: Duration, domain: &str) -> Option<Fence> {
         let held = self.held_domains.get(domain)?;
         let lapses_at = self.renewed_at? + self.settings.bounds.lease * HOLD_LEASES;
-        (!self.stopping && now >= held.orders_from && now < lapses_at).then_some(held.fence)
+        (!self.stopping && !held.resigned && now >= held.orders_from && now < lapses_at)
+            .then_some(held.fence)
     }
 
     /// Sends a renewal to the leader if one is due.
--- a/coordination/fleet/src/hosts.rs
+++ b/coordination/fleet/src/hosts.rs
@@ -31,6 +31,8 @@
     known: BTreeMap<HostId, KnownHost>,
     /// The hosts that the log lists; some of them may not be known otherwise.
     listed: BTreeSet<HostId>,
+    /// The hosts that are cut off from the targets.
+    cut: BTreeSet<HostId>,
     next_candidate: usize,
 }
 
@@ -38,7 +40,7 @@
     pub(crate) fn new(record: HostRecord) -> Hosts {
         let own = record.host;
         let known = BTreeMap::from([(own, KnownHost { record, last_message: Duration::ZERO })]);
-        Hosts { own, known, listed: BTreeSet::new(), next_candidate: 0 }
+        Hosts { own, known, listed: BTreeSet::new(), cut: BTreeSet::new(), next_candidate: 0 }
     }
 
     pub(crate) fn own(&self) -> &HostRecord {
@@ -93,6 +95,27 @@
         self.known.len()
     }
 
+    /// Records whether a host is cut off from the targets.
+    pub(crate) fn set_cut(&mut self, host: HostId, cut: bool) {
+        if cut {
+            self.cut.insert(host);
+        } else {
+            self.cut.remove(&host);
+        }
+    }
+
+    pub(crate) fn cut(&self) -> impl Iterator<Item = HostId> {
+        self.cut.iter().copied()
+    }
+
+    pub(crate) fn clear_cut(&mut self) {
+        self.cut.clear();
+    }
+
+    pub(crate) fn is_cut(&self, host: HostId) -> bool {
+        self.cut.contains(&host)
+    }
+
     /// All hosts, known or listed, including this one.
     pub(crate) fn all(&self) -> Vec<HostId> {
         let known = self.known.keys().copied();
--- a/coordination/fleet/src/io.rs
+++ b/coordination/fleet/src/io.rs
@@ -224,6 +224,16 @@
         /// The version.
         software: SoftwareHash,
     },
+    /// Close all idle connections to targets.
+    DropConnections,
+    /// Try to open a connection to a target from this host; answered by [`crate::Host::path_opened`]
+    /// or [`crate::Host::probe_failed`].
+    ProbePath {
+        /// Name of the target.
+        target: String,
+        /// IP address and port of the target.
+        addr: String,
+    },
     /// Requests that wait for a target should choose again.
     RetryWaiting,
     /// Write a log line.
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -9,7 +9,8 @@
 use desired::Command;
 use replog::Input as LogInput;
 use wire::{
-    DomainId, FeedChange, FleetMsg, HostId, HostRecord, Incarnation, Index, Renewal, Topic, encode,
+    DomainId, FeedChange, Fence, FleetMsg, HostId, HostRecord, Incarnation, Index, Renewal, Topic,
+    encode,
 };
 
 use crate::{
@@ -52,6 +53,10 @@
     pub(crate) ended: BTreeSet<(HostId, Incarnation)>,
     proposals: BTreeMap<(HostId, Tag), Command>,
     pub(crate) confirmations: Confirmations,
+    /// The hosts that are cut off from the targets, and when they last said so.
+    pub(crate) cut: BTreeMap<HostId, Duration>,
+    /// Failure domains and fencing numbers whose holders have resigned.
+    pub(crate) resigned: BTreeSet<(DomainId, Fence)>,
     /// The latest proposed change of the list of hosts.
     pub(crate) list_proposed: Option<Command>,
     pending_reads: Vec<PendingRead>,
@@ -84,6 +89,8 @@
             ended: BTreeSet::new(),
             proposals: BTreeMap::new(),
             confirmations: Confirmations::default(),
+            cut: self.hosts.cut().map(|host| (host, now)).collect(),
+            resigned: BTreeSet::new(),
             list_proposed: None,
             pending_reads: Vec::new(),
             software: SoftwareWatch::default(),
@@ -189,6 +196,10 @@
             return self.best_holder(now, domain, None);
         };
         let leading = self.leading.as_ref()?;
+        if leading.resigned.contains(&(domain.to_owned(), holder.fence)) {
+            let best = self.best_holder(now, domain, None);
+            return best.filter(|(host, _)| !self.hosts.is_cut(*host));
+        }
         let record = self.hosts.record(holder.host);
         let live = |it: &&HostRecord| {
             self.hosts.is_live(now, it.host) && !self.has_ended(it.host, it.incarnation)
@@ -211,9 +222,10 @@
         own || leading.is_some_and(|it| it.ended.contains(&(host, run)))
     }
 
-    /// Returns the best host to hold a failure domain. Ready hosts come first, then hosts in the
-    /// domain, then hosts that aren't weak: a holder sends its feed to all hosts, which is more
-    /// than a weak host can send. Among these, hosts with the fewest other duties come first.
+    /// Returns the best host to hold a failure domain. Hosts that reach targets come first, then ready
+    /// hosts, then hosts in the domain, then hosts that aren't weak: a holder sends its feed to all
+    /// hosts, which is more than a weak host can send. Among these, hosts with the fewest other duties
+    /// come first.
     fn best_holder(
         &self,
         now: Duration,
@@ -238,7 +250,9 @@
             let tie_break = stable_hash(&(record.host, domain));
             let weak = record.cpu_millis < max_power / WEAK_DIVISOR;
             let far = record.domain != domain;
-            let rank = (!record.ready, far, weak, held(record.host), record.disk, leads, tie_break);
+            let cut = self.hosts.is_cut(record.host);
+            let rank =
+                (cut, !record.ready, far, weak, held(record.host), record.disk, leads, tie_break);
             if best.as_ref().is_none_or(|(least, _, _)| rank < *least) {
                 best = Some((rank, record.host, record.incarnation));
             }
@@ -280,10 +294,12 @@
         self.step_log(now, LogInput::SetVoters(voters));
     }
 
-    /// Full table of the feed of hosts: all hosts and the suspects whose requests need trials.
+    /// Full table of the feed of hosts: all hosts, the suspects whose requests need trials, and the
+    /// hosts that are cut off from the targets.
     fn hosts_table(&self) -> Vec<FeedChange> {
         let records = self.hosts.records().into_iter().map(FeedChange::Host);
-        records.chain(self.quarantine.changes()).collect()
+        let cut = self.cut_hosts().into_iter().map(|host| FeedChange::Reach(host, true));
+        records.chain(self.quarantine.changes()).chain(cut).collect()
     }
 
     /// Sends the full table of a topic to a host, if this host writes its feed.
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -36,6 +36,7 @@
 mod prefill;
 mod quarantine;
 mod rates;
+mod reach;
 mod replicated;
 mod request;
 mod routes;
@@ -61,6 +62,7 @@
     places::{LimitInForce, PlaceScheduler},
     prefill::PrefillScheduler,
     quarantine::Admission,
+    reach::Way,
     request::{Choice, NoRoute, Outcome, Reservation, TargetQuery},
     routes::Routes,
     settings::{Bounds, Settings},
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -19,6 +19,7 @@
     operator::{LeaderRequest, OperatorCalls},
     placement::Demand,
     quarantine::Quarantine,
+    reach::Reach,
     replicated::log_settings,
     request::Requests,
     stream_records::StreamRecords,
@@ -59,6 +60,7 @@
     /// When the host started.
     pub(crate) started_at: Duration,
     pub(crate) requests: Requests,
+    pub(crate) reach: Reach,
     pub(crate) leading: Option<Leading>,
     pub(crate) operator_calls: OperatorCalls,
     /// Whether the applied state has reached a leader's commit index since the start, and lists this
@@ -119,6 +121,7 @@
             view_at: None,
             started_at: now,
             requests: Requests::default(),
+            reach: Reach::default(),
             leading: None,
             operator_calls: OperatorCalls::default(),
             caught_up: false,
@@ -228,9 +231,12 @@
     }
 
     /// Returns the hosts that callers may use: those in `domain` if at least two of them are ready,
-    /// otherwise all ready hosts.
+    /// otherwise all ready hosts; those that are cut off from the targets only if all are.
     pub fn entries(&self, domain: Option<&str>) -> Vec<HostId> {
-        let all: Vec<&HostRecord> = self.hosts.ready().collect();
+        let mut all: Vec<&HostRecord> = self.hosts.ready().collect();
+        if all.iter().any(|it| !self.hosts.is_cut(it.host)) {
+            all.retain(|it| !self.hosts.is_cut(it.host));
+        }
         let near: Vec<HostId> =
             all.iter().filter(|it| Some(it.domain.as_str()) == domain).map(|it| it.host).collect();
         if near.len() >= 2 {
@@ -268,6 +274,7 @@
         self.renew(now);
         self.send_statuses(now);
         self.tick_leading(now);
+        self.tick_reach(now);
         self.tick_holding(now);
         self.tick_requests(now);
         self.tick_quarantine(now);
@@ -405,6 +412,7 @@
                     self.propose(now, from, tag, command);
                 }
             }
+            FleetMsg::Reach { cut, resigned } => self.handle_reach(now, from, cut, resigned),
             FleetMsg::Confirmed { tag } => self.operator_calls.confirm(tag),
             FleetMsg::ReadIndex { tag } => self.queue_read_index(now, from, tag),
             FleetMsg::ReadIndexReply { tag, index } => self.read_index_received(tag, index),
--- a/coordination/fleet/src/settings.rs
+++ b/coordination/fleet/src/settings.rs
@@ -46,6 +46,8 @@
     pub directory: Option<SocketAddr>,
     /// Port for messages between hosts.
     pub peer_port: u16,
+    /// Port at which this host opens connections to targets for other hosts.
+    pub relay_port: u16,
     /// Port of the metrics endpoint.
     pub metrics_port: u16,
     /// Hosts that are contacted to discover the others.
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -65,6 +65,12 @@
         }
     }
 
+    /// Forgets that the target could not be reached.
+    fn forget_misses(&mut self) {
+        self.misses = 0;
+        self.avoid_until = Duration::ZERO;
+    }
+
     /// Records that the target could not be reached or broke off.
     pub fn missed(&mut self, now: Duration) {
         let span = MIN_AVOIDED * 2u32.saturating_pow(self.misses.min(8));
@@ -268,6 +274,13 @@
         }
     }
 
+    /// Forgets which targets this host could not reach.
+    pub(crate) fn forget_misses(&mut self) {
+        for target in self.iter_mut() {
+            target.health.forget_misses();
+        }
+    }
+
     /// Applies the domain loads of a holder to the targets of the failure domain.
     pub(crate) fn set_loads(&mut self, domain_loads: &DomainLoads) {
         for target in self.by_id.values_mut().filter(|it| it.record.domain == domain_loads.domain) {
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -60,6 +60,8 @@
     pub cut: BTreeSet<HostId>,
     /// Hosts that handle no input for now.
     pub frozen: BTreeSet<HostId>,
+    /// Hosts that reach no target themselves.
+    pub pathless: BTreeSet<HostId>,
     /// The targets, by name.
     pub targets: BTreeMap<String, SimTarget>,
     pub seeds: Vec<HostId>,
@@ -100,6 +102,7 @@
         control: Some(addr(2)),
         directory: None,
         peer_port: 3,
+        relay_port: 5,
         metrics_port: 4,
         seeds: seeds.to_vec(),
         first_start,
@@ -171,6 +174,7 @@
             machines: BTreeMap::new(),
             cut: BTreeSet::new(),
             frozen: BTreeSet::new(),
+            pathless: BTreeSet::new(),
             targets: BTreeMap::new(),
             seeds: seeds.to_vec(),
             loss: 0.0,
@@ -374,6 +378,7 @@
                     let input = Input::ReportReceived { target, report: Some(report) };
                     self.schedule(ms(4), Scheduled::Input(host, incarnation, Box::new(input)));
                 }
+                Output::ProbePath { .. } => self.probe_path(host),
                 Output::Answer { tag, reply } => {
                     machine.replies.insert(tag, reply);
                 }
@@ -388,6 +393,25 @@
         }
     }
 
+    fn probe_path(&mut self, host: HostId) {
+        let is_open = !self.pathless.contains(&host);
+        self.call(host, |state, now| match is_open {
+            true => ((), state.path_opened(now)),
+            false => (state.probe_failed(), Vec::new()),
+        });
+    }
+
+    /// Cuts a host off from all targets. It finds that others reach two of them.
+    pub fn lose_paths(&mut self, host: HostId, targets: [&str; 2]) {
+        self.pathless.insert(host);
+        if self.machines[&host].host.is_none() {
+            return;
+        }
+        for target in targets {
+            self.call(host, |state, now| ((), state.path_missed(now, target)));
+        }
+    }
+
     pub fn tag(&mut self) -> Tag {
         self.tags += 1;
         self.tags
--- a/coordination/fleet/tests/holders.rs
+++ b/coordination/fleet/tests/holders.rs
@@ -147,6 +147,45 @@
     assert!(new.is_some(), "orders at {:?}", orders_since(&world, since, 1));
 }
 
+/// Whether all running hosts name this one to callers.
+fn is_entry(world: &World, host: HostId) -> bool {
+    let mut hosts = world.running().into_iter();
+    hosts.all(|it| {
+        let state = world.machines[&it].host.as_ref().expect("it runs");
+        state.entries(None).contains(&host)
+    })
+}
+
+/// Guards against holders that order nothing, and keep others from it, because they reach no target.
+#[test]
+fn a_holder_that_reaches_no_target_gives_way() {
+    for seed in 0..10 {
+        let mut world = world(seed);
+        let mut next = 0;
+        request_adapters(&mut world, ms(3000), &mut next);
+        let old = last_holder(&world, "t1").expect("a holder");
+        let since = world.now;
+        world.lose_paths(old, ["t1", "t4"]);
+        request_adapters(&mut world, LEASE + ms(2000), &mut next);
+        let orders = world.orders();
+        let mut orders = orders.iter().filter(|it| it.0 >= since);
+        assert!(orders.all(|it| it.2 != old), "seed {seed}: ordered by a host that was cut off");
+        let new = last_holder(&world, "t1").expect("a holder");
+        assert_ne!(new, old, "seed {seed}: the holder stays");
+        assert!(!is_entry(&world, old), "seed {seed}: named to callers");
+        let leader = world.leader().expect("a leader");
+        if leader != old {
+            world.kill(leader);
+            request_adapters(&mut world, LEASE * 2, &mut next);
+            assert!(!is_entry(&world, old), "seed {seed}: forgotten by the next leader");
+            world.start(leader);
+        }
+        world.pathless.clear();
+        request_adapters(&mut world, ms(4000), &mut next);
+        assert!(is_entry(&world, old), "seed {seed}: not named again");
+    }
+}
+
 /// All hosts are killed and restarted. Each holder is the same host as before, and sends orders as
 /// soon as there is a leader.
 #[test]
@@ -173,7 +212,7 @@
     }
 }
 
-/// Hosts are killed, cut off, frozen, stopped and restarted at random. A target never gets orders
+/// Hosts are killed, cut off from hosts or targets, frozen, stopped and restarted at random. A target never gets orders
 /// from two hosts within the lease time.
 #[test]
 fn no_two_hosts_order_within_the_lease_time() {
@@ -187,7 +226,7 @@
             let host = hosts[rng.random_range(0..hosts.len())];
             let holder = last_holder(&world, "t1").unwrap_or(host);
             let host = if rng.random_bool(0.5) { holder } else { host };
-            match rng.random_range(0..5) {
+            match rng.random_range(0..6) {
                 0 => world.kill(host),
                 1 => {
                     world.cut.insert(host);
@@ -196,11 +235,13 @@
                     world.frozen.insert(host);
                 }
                 3 => world.input(host, Input::Stop),
+                4 => world.lose_paths(host, ["t1", "t4"]),
                 _ => {}
             }
             request_adapters(&mut world, ms(rng.random_range(300..9000)), &mut next);
             world.cut.clear();
             world.frozen.clear();
+            world.pathless.clear();
             let stopped = world.machines[&host].host.is_none() || rng.random_bool(0.3);
             if stopped {
                 world.start(host);
--- a/edge/src/client.rs
+++ b/edge/src/client.rs
@@ -3,8 +3,6 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    io::{self, ErrorKind},
-    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -17,14 +15,8 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use tokio::{
-    net::{TcpSocket, TcpStream},
-    task::AbortHandle,
-    time::timeout,
-};
+use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-/// Time limit for a new connection; it leaves room for one lost SYN and its retransmission.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Share of a target's announced keep-alive time during which an idle connection is reused.
 const IDLE_REUSE_SHARE: f64 = 0.5;
 /// How long an idle connection is reused if the target announces no keep-alive time.
@@ -72,11 +64,9 @@
     until: Instant,
 }
 
-/// Opens connections to targets and pools idle ones by the target's id.
-#[derive(Clone)]
+/// Speaks HTTP over connections to targets and pools idle ones by the target's id.
+#[derive(Clone, Default)]
 pub(crate) struct Client {
-    /// This host's address, from which connections come.
-    own: IpAddr,
     idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
     /// Size of the bodies that are being received, in bytes.
     received: Rc<Cell<usize>>,
@@ -112,10 +102,6 @@
 }
 
 impl Client {
-    pub(crate) fn new(own: IpAddr) -> Client {
-        Client { own, idle: Rc::default(), received: Rc::default() }
-    }
-
     /// Returns a usable idle connection to a target; none if the pool has none.
     pub(crate) fn reuse(&self, target: &str) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -154,17 +140,13 @@
         });
     }
 
-    /// Whether an address refuses connections, as it does after its process crashed.
-    pub(crate) async fn refuses_connections(&self, addr: &str) -> bool {
-        let opened = connect(self.own, addr).await;
-        matches!(opened, Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    /// Closes all idle connections.
+    pub(crate) fn drop_idle(&self) {
+        self.idle.borrow_mut().clear();
     }
 
-    /// Opens a new connection to a target; none if that fails or takes too long.
-    pub(crate) async fn open(&self, target: &str, addr: &str) -> Option<Connection> {
-        let stream = connect(self.own, addr).await?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        peer::detect_dead_peer(&stream).ok()?;
+    /// Prepares a new connection to a target; none if that fails.
+    pub(crate) async fn prepare(&self, target: &str, stream: TcpStream) -> Option<Connection> {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
@@ -219,17 +201,6 @@
     }
 }
 
-/// Connects to an address; none if the address is invalid or the time limit is over.
-async fn connect(own: IpAddr, addr: &str) -> Option<io::Result<TcpStream>> {
-    let addr: SocketAddr = addr.parse().ok()?;
-    let connecting = async {
-        let socket = TcpSocket::new_v4()?;
-        socket.bind(SocketAddr::new(own, 0))?;
-        socket.connect(addr).await
-    };
-    timeout(CONNECT_TIMEOUT, connecting).await.ok()
-}
-
 /// Whether a target closes its connection after an answer.
 fn closes(headers: &HeaderMap) -> bool {
     let value = headers.get(http::header::CONNECTION);
--- a/edge/src/crash.rs
+++ b/edge/src/crash.rs
@@ -77,7 +77,7 @@
     drop(pending);
     let (edge, addr) = (edge.clone(), reservation.addr.clone());
     tokio::task::spawn_local(async move {
-        let crashed = edge.client.refuses_connections(&addr).await;
+        let crashed = edge.refuses_connections(&key.0, &addr).await;
         let lost = edge.crash_checks.pending.borrow_mut().remove(&key).unwrap_or_default();
         if crashed {
             report(&edge, &key.0, key.1, lost);
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -54,6 +54,8 @@
     pub(crate) metrics: Metrics,
     /// Callers' requests in progress.
     pub(crate) active: Cell<usize>,
+    /// Connections to targets that are passed on for other hosts.
+    pub(crate) passed_on: Cell<usize>,
     pub(crate) stopping: Cell<bool>,
     /// When the process started, by [`clock`].
     started: Duration,
@@ -78,7 +80,7 @@
             name: host.settings().name.clone(),
             hub,
             disk,
-            client: Client::new(IpAddr::V4(Ipv4Addr::from(host.settings().host))),
+            client: Client::default(),
             wake: Notify::new(),
             closing: Notify::new(),
             pending_calls: RefCell::default(),
@@ -89,6 +91,7 @@
             log,
             metrics: Metrics::new(),
             active: Cell::new(0),
+            passed_on: Cell::new(0),
             stopping: Cell::new(false),
             started,
             host: RefCell::new(host),
@@ -151,6 +154,8 @@
                 Output::StreamSoftware { stream, software } => {
                     self.streams.found(stream, software);
                 }
+                Output::DropConnections => self.client.drop_idle(),
+                Output::ProbePath { target, addr } => self.probe(target, addr),
                 Output::RetryWaiting => self.wake.notify_waiters(),
                 Output::Log(event) => self.log.event(&event),
             }
@@ -194,7 +199,7 @@
         });
     }
 
-    async fn send_order(&self, order: &Order) -> OrderOutcome {
+    async fn send_order(self: &Rc<Edge>, order: &Order) -> OrderOutcome {
         let body = platform::target::order_body(order, &self.name);
         let request = self.control_request(
             Method::POST,
@@ -210,7 +215,7 @@
         loop {
             let open = match reused.take() {
                 Some(open) => open,
-                None => match self.client.open(&order.target, &order.addr).await {
+                None => match self.open_directly(&order.target, &order.addr).await {
                     Some(open) => open,
                     None => return OrderOutcome::NotSent,
                 },
@@ -251,7 +256,7 @@
         });
     }
 
-    async fn fetch_report(&self, target: &str, addr: &str) -> Option<Report> {
+    async fn fetch_report(self: &Rc<Edge>, target: &str, addr: &str) -> Option<Report> {
         let request = self.control_request(
             Method::GET,
             platform::target::REPORT_PATH,
@@ -261,7 +266,7 @@
         )?;
         let open = match self.client.reuse(target) {
             Some(open) => open,
-            None => self.client.open(target, addr).await?,
+            None => self.open_directly(target, addr).await?,
         };
         let (status, _, body) = self.exchange(open, request).await.ok()?;
         let body = body?;
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -18,6 +18,7 @@
 mod run;
 mod software;
 mod stream;
+mod way;
 
 use std::process::ExitCode;
 
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -218,7 +218,7 @@
         let reused = if self.kind().is_idempotent() { edge.client.reuse(&id) } else { None };
         let mut connection = match reused {
             Some(connection) => connection,
-            None => match edge.client.open(&id, &reservation.reservation.addr).await {
+            None => match edge.open(&id, &reservation.reservation.addr).await {
                 Some(connection) => connection,
                 None => return self.handle_unreached(reservation),
             },
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -29,6 +29,7 @@
     front,
     listen::{self, Until},
     log::Log,
+    way,
 };
 
 /// Time between two ticks of the host.
@@ -127,6 +128,7 @@
         port: settings.peer_port,
         key: Vec::new(),
     };
+    let relay_port = settings.relay_port;
     let hub = Hub::start(config, Arc::new(Inbox(sender.clone()))).await?;
     let started = clock();
     let (mut host, outputs) =
@@ -134,6 +136,7 @@
     host.restore_records(Duration::ZERO, kept.records, kept.is_complete);
     let edge = Edge::new(host, hub, disk, log, started);
     edge.carry_out(outputs);
+    way::serve(&edge, relay_port).await?;
     Ok(edge)
 }
 
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -246,8 +246,9 @@
     if source.begun || is_framed {
         return true;
     }
-    let addr = &source.reservation.reservation.addr;
-    events.last_event.is_some() && !job.edge.client.refuses_connections(addr).await
+    let reservation = &source.reservation.reservation;
+    events.last_event.is_some()
+        && !job.edge.refuses_connections(&reservation.target, &reservation.addr).await
 }
 
 /// Forwards the events of one source until it ends.
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{DomainId, HostId, Incarnation, Index, Term};
+use crate::{DomainId, Fence, HostId, Incarnation, Index, Term};
 
 /// A target's number within an epoch of its failure domain's feed.
 pub type TargetNumber = u16;
@@ -158,6 +158,8 @@
     Suspected(SuspectRecord),
     /// A suspect is cleared: a request with it ran without a crash.
     Cleared(Suspect),
+    /// A host is cut off from all targets, or no longer.
+    Reach(HostId, bool),
 }
 
 /// Identifies a feed among those of its topic; later feeds are higher. Consists of the writer's
@@ -519,6 +521,14 @@
         /// The request, and what it names.
         suspects: Vec<Suspect>,
     },
+    /// Tells the leader whether the sender is cut off from all targets.
+    Reach {
+        /// Whether it is.
+        cut: bool,
+        /// The failure domains that the sender holds and whose targets it gives no more orders, with
+        /// its fencing numbers.
+        resigned: Vec<(DomainId, Fence)>,
+    },
 }
 
 impl FleetMsg {
