Count the requests at brittle targets, and send only where there is room

Nothing read Server-Brittle, so full targets were pressed until they fell. Cause: each host sends by what it knows of a target's load, which is up to 0.25 s old, and a target that turned a request away gets the next one at once. Change: a brittle target is limited by places of its holder, like one that names a rate, but by the number of requests there at once, which the holder estimates: raised by one while callers wait, halved (by one if it was just raised) when a request is turned away, and none is sent for a while. A place goes back when its request has ended.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -134,6 +134,8 @@
         target: String,
         /// The limit in thousandths of a request per second; `None` without one.
         milli_rate: Option<MilliRate>,
+        /// How many requests a brittle target gets at once, at first; `None` at any other.
+        at_once: Option<u32>,
     },
     /// Requests that this host sent to a target with a limit since the last such line, at most 2 s
     /// before.
--- a/coordination/fleet/src/limit_view.rs
+++ b/coordination/fleet/src/limit_view.rs
@@ -14,6 +14,8 @@
 const UNUSED_TTL: Duration = Duration::from_millis(100);
 /// How long an estimate of the time to the next place is used.
 const DUE_TTL: Duration = Duration::from_millis(300);
+/// Time that a request is expected to wait for a place at a brittle target without an estimate.
+const EXPECTED_WAIT: Duration = Duration::from_millis(50);
 /// Time between two reports of the same limit that differs from the published one.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two reports of a limit that is published.
@@ -81,6 +83,8 @@
     waiting: u16,
     /// Requests sent since the last log line about sends.
     sends: u32,
+    /// Requests per second that the target may turn away before it falls over, if it said so.
+    brittle: Option<u32>,
 }
 
 impl LimitView {
@@ -95,10 +99,10 @@
             RequestLimit::Unlimited => Access::Open,
             RequestLimit::Unknown if is_prompt || own < UNKNOWN_REQUESTS => Access::Open,
             RequestLimit::Unknown => Access::Full,
-            RequestLimit::Rate(_) if self.places.iter().any(|it| it.serves(now, rank)) => {
-                Access::Open
+            RequestLimit::Rate(_) | RequestLimit::AtOnce(_) => {
+                let has_place = self.places.iter().any(|it| it.serves(now, rank));
+                if has_place { Access::Open } else { Access::NeedsPlace }
             }
-            RequestLimit::Rate(_) => Access::NeedsPlace,
         }
     }
 
@@ -109,6 +113,7 @@
         }
         match self.limit {
             RequestLimit::Rate(rate) => Duration::from_secs_f64(1000.0 / f64::from(rate.max(1))),
+            RequestLimit::AtOnce(_) => EXPECTED_WAIT,
             RequestLimit::Unknown | RequestLimit::Unlimited => Duration::ZERO,
         }
     }
@@ -121,7 +126,6 @@
 
     /// Takes a place for a request of this rank, if the target has a limit.
     pub(crate) fn take_place(&mut self, now: Duration, rank: Rank) -> Option<Place> {
-        self.places.retain(|it| it.is_valid(now));
         let at = self.places.iter().position(|it| it.serves(now, rank))?;
         Some(self.places.swap_remove(at))
     }
@@ -129,12 +133,14 @@
     /// Returns the limit and the number of waiting requests for a request for places, which is noted
     /// as sent; `None` if the target has no limit or was asked for a place of this rank recently.
     pub(crate) fn ask(&mut self, now: Duration, rank: Rank) -> Option<(MilliRate, u16)> {
-        let RequestLimit::Rate(milli_rate) = self.limit else { return None };
+        if !self.is_limited() {
+            return None;
+        }
         if self.asked.is_some_and(|it| now < it.at + ASK_INTERVAL && it.rank <= rank) {
             return None;
         }
         self.asked = Some(Asked { at: now, rank });
-        Some((milli_rate, self.waiting))
+        Some((self.limit.rate().unwrap_or(0), self.waiting))
     }
 
     /// Takes over the answer to the last request for places; earlier ones have no effect. Returns
@@ -181,9 +187,12 @@
         (is_unpublished && self.is_report_due(now, REPORT_INTERVAL)).then_some(self.limit)
     }
 
-    /// Removes and counts the places that no request took in time, but for those that expired.
+    /// Removes and counts the places that no request took in time. Those that expired don't go back to a
+    /// target with a rate.
     pub(crate) fn take_unused(&mut self, now: Duration) -> u16 {
-        self.places.retain(|it| it.is_valid(now));
+        if !self.counts_requests() {
+            self.places.retain(|it| it.is_valid(now));
+        }
         let valid = self.places.len();
         self.places.retain(|it| now < it.granted + UNUSED_TTL);
         (valid - self.places.len()) as u16
@@ -196,7 +205,12 @@
 
     /// Whether the target has a limit.
     pub(crate) fn is_limited(&self) -> bool {
-        matches!(self.limit, RequestLimit::Rate(_))
+        self.limit.needs_places()
+    }
+
+    /// Whether the holder counts the requests at the target, and places go back when they end.
+    pub(crate) fn counts_requests(&self) -> bool {
+        matches!(self.limit, RequestLimit::AtOnce(_))
     }
 
     /// Takes over what the holder published.
@@ -216,8 +230,25 @@
         }
     }
 
+    /// Records whether an answer said that the target is brittle.
+    pub(crate) fn hear_brittle(&mut self, brittle: Option<u32>) {
+        self.brittle = brittle;
+    }
+
+    /// Lets requests need places from now on, so many at once. Returns whether they needed none.
+    pub(crate) fn guard(&mut self, at_once: u32) -> bool {
+        if self.is_limited() {
+            return false;
+        }
+        self.set(RequestLimit::AtOnce(at_once));
+        true
+    }
+
     /// Takes over what an answer named. Returns whether it has to be reported.
     pub(crate) fn hear(&mut self, now: Duration, limit: RequestLimit) -> bool {
+        if self.brittle.is_some() && limit == RequestLimit::Unlimited && self.is_limited() {
+            return false;
+        }
         if self.limit == RequestLimit::Unknown || is_lower(limit, self.limit) {
             self.set(limit);
         }
@@ -243,7 +274,8 @@
 pub(crate) fn is_lower(limit: RequestLimit, than: RequestLimit) -> bool {
     match (limit, than) {
         (RequestLimit::Rate(rate), RequestLimit::Rate(than)) => rate < than,
-        (RequestLimit::Rate(_), RequestLimit::Unlimited | RequestLimit::Unknown) => true,
-        _ => false,
+        (RequestLimit::AtOnce(count), RequestLimit::AtOnce(than)) => count < than,
+        (RequestLimit::AtOnce(_), RequestLimit::Rate(_)) => false,
+        _ => limit.needs_places() && limit != than,
     }
 }
--- a/coordination/fleet/src/limits.rs
+++ b/coordination/fleet/src/limits.rs
@@ -1,5 +1,9 @@
 //! Request limits that targets name in their answers, and their way to all hosts.
 //!
+//! A brittle target names how many requests it may turn away in a second. The holder of its failure
+//! domain estimates how many it takes at once: fewer with each that it turns away, more while there is
+//! none. If it turns one away while requests there need no places, all hosts are told at once.
+//!
 //! A host that hears of a limit keeps it at once and reports it to the holder of the target's
 //! failure domain, which publishes it to all hosts. A higher limit, or its end, counts only from an
 //! answer to a request that had a place: such an answer is newer than what the holder knew when it
@@ -10,7 +14,7 @@
 
 use wire::{FleetMsg, MilliRate, RequestLimit};
 
-use crate::{Event, Host, Reservation, Target, io::Output};
+use crate::{Event, Host, Reservation, Target, io::Output, row_limits::BrittleReport};
 
 /// Interval between log lines about the sends to targets with a limit.
 const SENDS_LOG_INTERVAL: Duration = Duration::from_secs(2);
@@ -55,14 +59,77 @@
         if self.out.is_empty() { Vec::new() } else { self.finish(now) }
     }
 
+    /// Records whether a target said in an answer that it falls over once it has turned more than so
+    /// many requests away in a second, and whether this answer turned one away.
+    pub fn record_brittle(
+        &mut self,
+        now: Duration,
+        reservation: &Reservation,
+        brittle: Option<u32>,
+        turned_away: bool,
+    ) -> Vec<Output> {
+        let Some(target) = self.targets.get_mut(&reservation.target) else { return Vec::new() };
+        if target.record.started_at != reservation.started_at {
+            return Vec::new();
+        }
+        target.limit.hear_brittle(brittle);
+        let Some(refusals) = brittle else { return Vec::new() };
+        let was_limited = target.limit.is_limited();
+        if was_limited && !turned_away {
+            return Vec::new();
+        }
+        let load = target.load();
+        let domain = target.record.domain.clone();
+        let (target, started_at) = (reservation.target.clone(), reservation.started_at);
+        self.handle_brittle(
+            now,
+            &target,
+            started_at,
+            BrittleReport { refusals, turned_away, load },
+        );
+        let msg = FleetMsg::Brittle { target, started_at, refusals, turned_away, load };
+        if turned_away && !was_limited {
+            for host in self.hosts.others() {
+                self.send(host, msg.clone());
+            }
+        } else if let Some(holder) = self.holder(&domain) {
+            self.send(holder, msg);
+        }
+        self.finish(now)
+    }
+
+    /// Handles the news that a target is brittle, from an answer to this host or another one.
+    pub(crate) fn handle_brittle(
+        &mut self,
+        now: Duration,
+        id: &str,
+        started_at: u64,
+        report: BrittleReport,
+    ) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        if target.record.started_at != started_at {
+            return;
+        }
+        let before = target.limit.limit;
+        if target.limit.guard(report.at_once()) {
+            self.log_limit(id, before);
+        }
+        for held in self.held_domains.values_mut() {
+            held.placement.record_brittle(now, id, started_at, report);
+        }
+    }
+
     fn log_limit(&mut self, target: &str, before: RequestLimit) {
         let Some(view) = self.targets.get(target).map(|it| &it.limit) else { return };
-        let milli_rate = match (before, view.limit) {
-            (_, RequestLimit::Rate(rate)) => Some(rate),
-            (RequestLimit::Rate(_), _) => None,
-            _ => return,
+        if !view.limit.needs_places() && !before.needs_places() {
+            return;
+        }
+        let milli_rate = view.limit.rate();
+        let at_once = match view.limit {
+            RequestLimit::AtOnce(count) => Some(count),
+            _ => None,
         };
-        self.log(Event::Limit { target: target.to_owned(), milli_rate });
+        self.log(Event::Limit { target: target.to_owned(), milli_rate, at_once });
     }
 
     fn report_limit(
@@ -133,7 +200,7 @@
         let mut lines = Vec::new();
         for Target { record, limit, .. } in self.targets.iter_mut() {
             let sends = limit.take_sends();
-            let RequestLimit::Rate(milli_rate) = limit.limit else { continue };
+            let Some(milli_rate) = limit.limit.rate() else { continue };
             if sends > 0 {
                 lines.push(Event::LimitedSends { target: record.id.clone(), milli_rate, sends });
             }
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -22,6 +22,7 @@
     reach::Reach,
     replicated::log_settings,
     request::Requests,
+    row_limits::BrittleReport,
     stream_records::StreamRecords,
 };
 
@@ -375,7 +376,7 @@
             FleetMsg::PlaceRequest(request) => self.handle_place_request(now, from, &request),
             FleetMsg::PlaceReply(reply) => self.handle_place_reply(now, &reply),
             FleetMsg::PlacesUnused { target, started_at, places } => {
-                self.handle_unused_places(&target, started_at, places);
+                self.handle_returned_places(now, from, &target, started_at, places);
             }
             FleetMsg::PrefillRequest(request) => self.handle_prefill_request(now, from, &request),
             FleetMsg::PrefillReply { permit_id, granted, backlog } => {
@@ -413,6 +414,10 @@
                 }
             }
             FleetMsg::Reach { cut, resigned } => self.handle_reach(now, from, cut, resigned),
+            FleetMsg::Brittle { target, started_at, refusals, turned_away, load } => {
+                let report = BrittleReport { refusals, turned_away, load };
+                self.handle_brittle(now, &target, started_at, report);
+            }
             FleetMsg::Confirmed { tag } => self.operator_calls.confirm(tag),
             FleetMsg::ReadIndex { tag } => self.queue_read_index(now, from, tag),
             FleetMsg::ReadIndexReply { tag, index } => self.read_index_received(tag, index),
--- a/coordination/fleet/src/place_requests.rs
+++ b/coordination/fleet/src/place_requests.rs
@@ -59,17 +59,16 @@
         from: HostId,
         request: &PlaceRequest,
     ) {
-        let Some(domain) = self.targets.get(&request.target).map(|it| it.record.domain.clone())
-        else {
-            return;
-        };
+        let Some(known) = self.targets.get(&request.target) else { return };
+        let domain = known.record.domain.clone();
+        let target_limit = Some(known.limit.limit).filter(|it| it.needs_places());
         if self.order_fence(now, &domain).is_none() {
             return;
         }
         let Some(held) = self.held_domains.get_mut(&domain) else { return };
         let PlaceRequest { target, started_at, milli_rate, .. } = request;
-        let named = RequestLimit::Rate(*milli_rate);
-        held.placement.recall_limit(now, target, *started_at, named);
+        let known = target_limit.unwrap_or(RequestLimit::Rate(*milli_rate));
+        held.placement.recall_limit(now, target, *started_at, known);
         let Some(limit) = held.placement.limit_in_force(target, held.fence) else { return };
         let replies = held.places.request(now, from, request, limit);
         self.send_places(now, replies);
@@ -81,9 +80,13 @@
             return;
         }
         let Some(held) = self.held_domains.get_mut(domain) else { return };
+        for target in held.places.used_up() {
+            held.placement.raise_at_once(now, &target);
+        }
         let fence = held.fence;
         let placement = &held.placement;
-        let replies = held.places.tick(now, |it| placement.limit_in_force(it, fence));
+        let limit = |target: &str| placement.limit_in_force(target, fence);
+        let replies = held.places.tick(now, limit, |host| self.hosts.is_live(now, host));
         self.send_places(now, replies);
     }
 
@@ -128,18 +131,42 @@
             }
         }
         for (domain, target, started_at, places) in unused {
-            if self.held_domains.contains_key(&domain) {
-                self.handle_unused_places(&target, started_at, places);
-            } else if let Some(holder) = self.holder(&domain) {
-                self.send(holder, FleetMsg::PlacesUnused { target, started_at, places });
-            }
+            self.return_places(now, &domain, target, started_at, places);
+        }
+    }
+
+    /// Gives places back to the holder of a target's failure domain.
+    pub(crate) fn return_places(
+        &mut self,
+        now: Duration,
+        domain: &str,
+        target: String,
+        started_at: u64,
+        places: u16,
+    ) {
+        if self.held_domains.contains_key(domain) {
+            let own = self.settings.host;
+            self.handle_returned_places(now, own, &target, started_at, places);
+        } else if let Some(holder) = self.holder(domain) {
+            self.send(holder, FleetMsg::PlacesUnused { target, started_at, places });
         }
     }
 
     /// Takes back places of a host, if this host holds the target's failure domain.
-    pub(crate) fn handle_unused_places(&mut self, target: &str, started_at: u64, places: u16) {
-        for held in self.held_domains.values_mut() {
-            held.places.take_back(target, started_at, places);
+    pub(crate) fn handle_returned_places(
+        &mut self,
+        now: Duration,
+        from: HostId,
+        target: &str,
+        started_at: u64,
+        places: u16,
+    ) {
+        let mut replies = Vec::new();
+        for (domain, held) in &mut self.held_domains {
+            if self.targets.get(target).is_some_and(|it| it.record.domain == *domain) {
+                replies = held.places.take_back(now, from, target, started_at, places);
+            }
         }
+        self.send_places(now, replies);
     }
 }
--- a/coordination/fleet/src/placement.rs
+++ b/coordination/fleet/src/placement.rs
@@ -199,6 +199,12 @@
         counts.into_iter().map(|(target, (count, tokens))| (target, count, tokens)).collect()
     }
 
+    /// Returns the number of requests at a target by the last statuses of all hosts.
+    pub(crate) fn present(&self, number: TargetNumber) -> u32 {
+        let running = self.statuses.values().flat_map(|(_, it)| &it.running);
+        running.filter(|it| it.target == number).map(|it| u32::from(it.count)).sum()
+    }
+
     /// Merges a target's record into the table. A new target gets a report request.
     pub fn update_target(&mut self, now: Duration, record: &TargetRecord) {
         match self.rows.get_mut(&record.id) {
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -272,6 +272,11 @@
             Outcome::NoAnswer => target.health.missed(now),
             Outcome::Refused | Outcome::Left => {}
         }
+        if reservation.place.is_some() && target.limit.counts_requests() {
+            let domain = target.record.domain.clone();
+            let started_at = reservation.started_at;
+            self.return_places(now, &domain, reservation.target.clone(), started_at, 1);
+        }
     }
 
     /// Takes one retry out of the service's budget. Returns false if the budget is exhausted.
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use platform::request::{
     RequestHead, SystemHeaders, answer_headers, forward_headers, is_encoded, is_not_run, is_signed,
-    matches_attempt, named_limit, names_no_attempt,
+    matches_attempt, named_brittle, named_limit, names_no_attempt,
 };
 use tokio::time::timeout;
 use wire::Suspect;
@@ -250,7 +250,7 @@
         };
         let delay = edge.now().saturating_sub(started);
         let status = response.status().as_u16();
-        self.record_limit(&reservation, &response);
+        self.record_target(&reservation, &response);
         if edge.host.borrow().is_replaced(&reservation.reservation) {
             return self.fail_send(reservation, "replaced", StatusCode::BAD_GATEWAY);
         }
@@ -265,26 +265,33 @@
         SendOutcome::Head(Box::new((response, connection, reservation, delay)))
     }
 
-    /// Records the request limit that a target names in its answer. Answers to other requests, and
-    /// those that may come from another target, do not count.
-    fn record_limit(&self, reservation: &ReservationGuard, response: &Response<Incoming>) {
+    /// Records what a target says of itself in its answer: its request limit, and whether it is brittle.
+    /// Answers to other requests, and those that may come from another target, do not count.
+    fn record_target(&self, reservation: &ReservationGuard, response: &Response<Incoming>) {
         let headers = response.headers();
+        let status = response.status();
+        let is_refused = is_not_run(status.as_u16(), headers);
         let is_own = matches_attempt(headers, &self.head.attempt)
-            || (names_no_attempt(headers) && is_not_run(response.status().as_u16(), headers));
-        if response.status() == StatusCode::MISDIRECTED_REQUEST || !is_own {
+            || (names_no_attempt(headers) && is_refused);
+        if status == StatusCode::MISDIRECTED_REQUEST || !is_own {
             return;
         }
         let edge = &self.edge;
-        let rate = match named_limit(headers) {
-            Ok(rate) => rate,
+        let now = edge.now();
+        let named = named_limit(headers).and_then(|rate| Ok((rate, named_brittle(headers)?)));
+        let (rate, brittle) = match named {
+            Ok(named) => named,
             Err(error) => {
-                return edge.log.request(edge.now(), true, || Event::Alarm {
+                return edge.log.request(now, true, || Event::Alarm {
                     what: format!("answer of {}: {error}", reservation.target()),
                 });
             }
         };
         let reservation = &reservation.reservation;
-        let outputs = edge.host.borrow_mut().record_limit(edge.now(), reservation, rate);
+        let mut host = edge.host.borrow_mut();
+        let mut outputs = host.record_brittle(now, reservation, brittle, is_refused);
+        outputs.extend(host.record_limit(now, reservation, rate));
+        drop(host);
         edge.carry_out(outputs);
     }
 
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -24,6 +24,24 @@
     Unlimited,
     /// The target takes so many requests.
     Rate(MilliRate),
+    /// The target names no limit, but falls over if it turns too many requests away. The holder
+    /// estimates how many it takes at once.
+    AtOnce(u32),
+}
+
+impl RequestLimit {
+    /// Whether each request needs a place.
+    pub fn needs_places(self) -> bool {
+        matches!(self, RequestLimit::Rate(_) | RequestLimit::AtOnce(_))
+    }
+
+    /// Returns the requests per second, in thousandths; `None` if that is not what is limited.
+    pub fn rate(self) -> Option<MilliRate> {
+        match self {
+            RequestLimit::Rate(rate) => Some(rate),
+            RequestLimit::Unknown | RequestLimit::Unlimited | RequestLimit::AtOnce(_) => None,
+        }
+    }
 }
 
 /// A hash of the name of a target's software version.
@@ -277,7 +295,7 @@
     pub target: String,
     /// The target's start time, in milliseconds since the Unix epoch.
     pub started_at: u64,
-    /// The limit that the host knows.
+    /// The limit that the host knows; zero at a brittle target.
     pub milli_rate: MilliRate,
     /// The number of places that the host can use at once.
     pub count: u16,
@@ -529,6 +547,19 @@
         /// its fencing numbers.
         resigned: Vec<(DomainId, Fence)>,
     },
+    /// Reports that a target falls over if it has to turn too many requests away for want of room.
+    Brittle {
+        /// The target's name.
+        target: String,
+        /// The target's start time.
+        started_at: u64,
+        /// Number of requests that it may turn away in a second.
+        refusals: u32,
+        /// Whether it has just turned one away.
+        turned_away: bool,
+        /// Number of requests that were there, as far as the host knows.
+        load: u32,
+    },
 }
 
 impl FleetMsg {
