Send nothing to a target once it says in an answer that it leaves

Nothing read Server-Leaving, so a target whose heartbeats still said that it is ready went on getting requests. Cause: that a target leaves was known from heartbeats only, and was forgotten when it fell silent. Change: the host that hears it in an answer sends nothing to that process from then on and tells all hosts, as with a heartbeat; it is checked when a target is chosen and right before each send, also for connections opened for other hosts. It is kept while the target is silent, and counts whatever the record's sequence is.

--- /dev/null
+++ b/coordination/fleet/src/answers.rs
@@ -0,0 +1,50 @@
+//! What targets say of themselves in their answers, beside request limits: that they leave, and that
+//! they want nothing from this host for a while.
+//!
+//! Both hold for the process that said so, whatever its heartbeats say, until it has ended or the time
+//! is over. All hosts are told that a target leaves; a pause concerns the host that was asked for it.
+
+use std::time::Duration;
+
+use wire::TargetState;
+
+use crate::{Event, Host, Reservation, Target, io::Output};
+
+impl Host {
+    /// Whether a request may still be sent to its reserved target: the target neither leaves nor has
+    /// asked this host for a pause, and has no limit, or the reservation has a place that has not
+    /// expired.
+    pub fn may_send(&self, now: Duration, reservation: &Reservation) -> bool {
+        if self.targets.is_ending(&reservation.target, reservation.started_at) {
+            return false;
+        }
+        let Some(target) = self.targets.get(&reservation.target) else { return true };
+        let has_place = reservation.place.is_some_and(|it| it.is_valid(now));
+        has_place || !target.limit.is_limited()
+    }
+
+    /// Returns the target of a reservation, if the same process still has its name.
+    fn reserved_target(&mut self, reservation: &Reservation) -> Option<&mut Target> {
+        let target = self.targets.get_mut(&reservation.target)?;
+        (target.record.started_at == reservation.started_at).then_some(target)
+    }
+
+    /// Records that a target said in an answer to the attempt `id` that it leaves, and tells all hosts.
+    pub fn record_leaving(
+        &mut self,
+        now: Duration,
+        reservation: &Reservation,
+        id: &str,
+    ) -> Vec<Output> {
+        let Some(target) = self.reserved_target(reservation) else { return Vec::new() };
+        if target.record.state != TargetState::Ready {
+            return Vec::new();
+        }
+        let mut record = target.record.clone();
+        record.state = TargetState::Leaving;
+        self.log(Event::LeavesByAnswer { target: record.id.clone(), id: id.to_owned() });
+        self.broadcast_seen(&record);
+        self.update_target(now, &record);
+        self.finish(now)
+    }
+}
--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -128,6 +128,13 @@
         /// Name of the target.
         target: String,
     },
+    /// A target said in an answer that it leaves.
+    LeavesByAnswer {
+        /// Name of the target.
+        target: String,
+        /// The attempt whose answer said so.
+        id: String,
+    },
     /// A target named another request limit than before, or none any more.
     Limit {
         /// Name of the target.
--- a/coordination/fleet/src/limits.rs
+++ b/coordination/fleet/src/limits.rs
@@ -20,13 +20,6 @@
 const SENDS_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
 impl Host {
-    /// Whether a request may still be sent to its reserved target: the target has no limit, or the
-    /// reservation has a place that has not expired.
-    pub fn may_send(&self, now: Duration, reservation: &Reservation) -> bool {
-        let Some(target) = self.targets.get(&reservation.target) else { return true };
-        !target.limit.is_limited() || reservation.place.is_some_and(|it| it.is_valid(now))
-    }
-
     /// Counts a request that is sent to its reserved target.
     pub fn record_send(&mut self, reservation: &Reservation) {
         if let Some(target) = self.targets.get_mut(&reservation.target) {
--- a/coordination/fleet/src/reach.rs
+++ b/coordination/fleet/src/reach.rs
@@ -79,6 +79,14 @@
         self.reach.cut
     }
 
+    /// Whether this host may open a connection to a target for another host: it reaches targets, and
+    /// the target at this address neither leaves nor has asked this host for a pause.
+    pub fn may_relay(&self, target: &str, addr: &str) -> bool {
+        let Some(target) = self.targets.get(target) else { return false };
+        let is_open = target.record.state == TargetState::Ready;
+        !self.reach.cut && is_open && target.record.addr == addr
+    }
+
     /// Returns the hosts that may open connections for this one, best first: those of its failure
     /// domain, chosen by their processor time. `draw` is a random number.
     pub fn relays(&self, draw: u64) -> Vec<HostId> {
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -21,7 +21,7 @@
 const MIN_AVOIDED: Duration = Duration::from_millis(250);
 /// Maximum time for which a target is avoided.
 const MAX_AVOIDED: Duration = Duration::from_secs(4);
-/// Maximum number of ended targets, and of silent ones with a limit, that are kept.
+/// Maximum number of ended targets, and of silent ones, that are kept.
 const MAX_ENDED: usize = 4096;
 
 /// Returns a hash that is the same on all hosts: SipHash-1-3 with an all-zero key.
@@ -129,14 +129,22 @@
     }
 }
 
+/// What holds again if a silent target comes back as the same process.
+#[derive(Debug, Clone)]
+struct SilentTarget {
+    started_at: u64,
+    limit: RequestLimit,
+    is_leaving: bool,
+}
+
 /// All targets that a host knows.
 #[derive(Debug, Clone, Default)]
 pub struct Targets {
     by_id: BTreeMap<String, Target>,
     /// Start time of each ended target, by name.
     ended: BTreeMap<String, u64>,
-    /// Start time and request limit of targets that named one and are silent, by name.
-    silent_limits: BTreeMap<String, (u64, RequestLimit)>,
+    /// Silent targets that named a limit, asked for a pause or leave, by name.
+    silent: BTreeMap<String, SilentTarget>,
 }
 
 impl Targets {
@@ -187,10 +195,13 @@
                 return false;
             }
             let mut target = Target::new(record.clone());
-            if let Some((started_at, limit)) = self.silent_limits.remove(&record.id)
-                && started_at == record.started_at
+            if let Some(silent) = self.silent.remove(&record.id)
+                && silent.started_at == record.started_at
             {
-                target.limit = LimitView::known(limit);
+                target.limit = LimitView::known(silent.limit);
+                if silent.is_leaving {
+                    target.record.state = TargetState::Leaving;
+                }
             }
             self.by_id.insert(record.id.clone(), target);
             return true;
@@ -216,8 +227,13 @@
             *known = target;
             return true;
         }
+        let is_new_leave =
+            known.record.state == TargetState::Ready && record.state == TargetState::Leaving;
         if record.sequence <= known.record.sequence {
-            return false;
+            if is_new_leave {
+                known.record.state = TargetState::Leaving;
+            }
+            return is_new_leave;
         }
         let mut next = record.clone();
         if known.record.state == TargetState::Leaving {
@@ -230,15 +246,35 @@
         changed
     }
 
-    /// Removes a target that is silent; its limit holds if the same process comes back.
+    /// Removes a target that is silent. What it said of itself holds if the same process comes back.
     fn silence(&mut self, id: &str) {
         let Some(target) = self.by_id.remove(id) else { return };
-        if target.limit.is_limited() {
-            let limit = (target.record.started_at, target.limit.limit);
-            self.silent_limits.insert(id.to_owned(), limit);
+        let is_leaving = target.record.state == TargetState::Leaving;
+        if target.limit.is_limited() || is_leaving {
+            let silent = SilentTarget {
+                started_at: target.record.started_at,
+                limit: target.limit.limit,
+                is_leaving,
+            };
+            self.silent.insert(id.to_owned(), silent);
+        }
+        while self.silent.len() > MAX_ENDED {
+            self.silent.pop_first();
         }
-        while self.silent_limits.len() > MAX_ENDED {
-            self.silent_limits.pop_first();
+    }
+
+    /// Whether a process of a target is known to leave, or to have ended.
+    pub(crate) fn is_ending(&self, id: &str, started_at: u64) -> bool {
+        match self.by_id.get(id) {
+            Some(target) if target.record.started_at == started_at => {
+                target.record.state == TargetState::Leaving
+            }
+            Some(target) => target.record.started_at > started_at,
+            None => {
+                let silent = self.silent.get(id).filter(|it| it.started_at == started_at);
+                silent.is_some_and(|it| it.is_leaving)
+                    || self.ended.get(id).is_some_and(|ended| *ended >= started_at)
+            }
         }
     }
 
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -5,15 +5,18 @@
 
 use bytes::Bytes;
 use fleet::{Event, Outcome, RequestKind, TargetQuery};
-use http::{Request, Response, StatusCode, request::Parts};
+use http::{HeaderMap, Request, Response, StatusCode, request::Parts};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use platform::request::{
-    RequestHead, SystemHeaders, answer_headers, forward_headers, is_encoded, is_not_run, is_signed,
-    matches_attempt, named_brittle, named_limit, names_no_attempt,
+use platform::{
+    FormatError,
+    request::{
+        RequestHead, SystemHeaders, answer_headers, forward_headers, is_encoded, is_not_run,
+        is_signed, matches_attempt, named_brittle, named_limit, names_no_attempt, says_leaving,
+    },
 };
 use tokio::time::timeout;
-use wire::Suspect;
+use wire::{MilliRate, Suspect};
 
 use crate::{
     answer::{Answer, AnswerBody, empty, not_run},
@@ -70,6 +73,33 @@
     steps: String,
 }
 
+/// What a target says of itself in an answer.
+struct Named {
+    /// Its request limit, in thousandths of a request per second.
+    rate: Option<MilliRate>,
+    /// Number of requests that it may turn away in a second before it falls over.
+    brittle: Option<u32>,
+    leaving: bool,
+}
+
+impl Named {
+    /// Reads an answer's headers; what can't be read counts as not named, and is returned too.
+    fn read(headers: &HeaderMap) -> (Named, Vec<FormatError>) {
+        let mut errors = Vec::new();
+        let named = Named {
+            rate: named_limit(headers).unwrap_or_else(|error| note(&mut errors, error)),
+            brittle: named_brittle(headers).unwrap_or_else(|error| note(&mut errors, error)),
+            leaving: says_leaving(headers),
+        };
+        (named, errors)
+    }
+}
+
+fn note<T>(errors: &mut Vec<FormatError>, error: FormatError) -> Option<T> {
+    errors.push(error);
+    None
+}
+
 /// How a send ended.
 pub(crate) enum SendOutcome {
     /// The head of an answer to this request arrived; the duration is the time it took.
@@ -276,21 +306,21 @@
         if status == StatusCode::MISDIRECTED_REQUEST || !is_own {
             return;
         }
-        let edge = &self.edge;
+        let (named, errors) = Named::read(headers);
+        for error in errors {
+            self.edge.log.request(self.edge.now(), true, || Event::Alarm {
+                what: format!("answer of {}: {error}", reservation.target()),
+            });
+        }
+        let (edge, id) = (&self.edge, &self.head.attempt);
         let now = edge.now();
-        let named = named_limit(headers).and_then(|rate| Ok((rate, named_brittle(headers)?)));
-        let (rate, brittle) = match named {
-            Ok(named) => named,
-            Err(error) => {
-                return edge.log.request(now, true, || Event::Alarm {
-                    what: format!("answer of {}: {error}", reservation.target()),
-                });
-            }
-        };
         let reservation = &reservation.reservation;
         let mut host = edge.host.borrow_mut();
-        let mut outputs = host.record_brittle(now, reservation, brittle, is_refused);
-        outputs.extend(host.record_limit(now, reservation, rate));
+        let mut outputs = host.record_brittle(now, reservation, named.brittle, is_refused);
+        outputs.extend(host.record_limit(now, reservation, named.rate));
+        if named.leaving {
+            outputs.extend(host.record_leaving(now, reservation, id));
+        }
         drop(host);
         edge.carry_out(outputs);
     }
--- /dev/null
+++ b/edge/tests/says.rs
@@ -0,0 +1,159 @@
+//! What targets say of themselves in their answers, as stand-in targets, callers and several hosts see
+//! it: that they leave, and that they want nothing from a host for a while.
+
+mod common;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use common::{
+    CONTROL, Cluster, ENTRY, call, document, ip, read_request, send_heartbeats, signed_head,
+    target_record, until,
+};
+use http::{HeaderMap, Method};
+use platform::stand_in;
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+    time::sleep,
+};
+
+const HOSTS: u8 = 4;
+/// Time after a host has passed on that a target leaves from which nothing may reach it from there.
+const DRAIN: Duration = Duration::from_secs(2);
+/// How long callers press on the targets.
+const PRESSURE: Duration = Duration::from_secs(6);
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Says {
+    Nothing,
+    Leaving,
+}
+
+/// What a target has seen.
+struct Seen {
+    says: Says,
+    /// When requests came, and from which address.
+    arrivals: Vec<(Instant, String)>,
+    /// When answers with what it says went out, and to which address.
+    said: Vec<(Instant, String)>,
+}
+
+/// A target whose heartbeats say that it is ready, whatever its answers say.
+#[derive(Clone)]
+struct Target(Arc<Mutex<Seen>>);
+
+impl Target {
+    async fn start(net: u8, number: u8, control: Vec<SocketAddr>) -> Target {
+        let seen = Seen { says: Says::Nothing, arrivals: Vec::new(), said: Vec::new() };
+        let target = Target(Arc::new(Mutex::new(seen)));
+        let addr = format!("{}:8080", ip(net, 100 + number));
+        let listener = TcpListener::bind(&addr).await.expect("the address is free");
+        tokio::spawn(send_heartbeats(target_record(number, "app", addr), control, Vec::new));
+        let serving = target.clone();
+        tokio::spawn(async move {
+            loop {
+                let Ok((stream, from)) = listener.accept().await else { continue };
+                tokio::spawn(serving.clone().serve(stream, from.ip().to_string()));
+            }
+        });
+        target
+    }
+
+    fn seen<T>(&self, read: impl FnOnce(&mut Seen) -> T) -> T {
+        read(&mut self.0.lock().expect("the lock is not poisoned"))
+    }
+
+    async fn serve(self, mut stream: TcpStream, from: String) {
+        let mut bytes = Vec::new();
+        while let Some(request) = read_request(&mut stream, &mut bytes).await {
+            let says = self.seen(|seen| {
+                seen.arrivals.push((Instant::now(), from.clone()));
+                if seen.says != Says::Nothing {
+                    seen.said.push((Instant::now(), from.clone()));
+                }
+                seen.says
+            });
+            let mut headers = HeaderMap::new();
+            let mut more = "Content-Length: 4\r\n".to_owned();
+            let status = match says {
+                Says::Nothing => "200 OK",
+                Says::Leaving => {
+                    stand_in::say_leaving(&mut headers);
+                    "200 OK"
+                }
+            };
+            for (name, value) in &headers {
+                more += &format!("{name}: {}\r\n", value.to_str().expect("it is text"));
+            }
+            let answer = signed_head(status, &request.attempt, &more) + "done";
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+async fn start(net: u8, targets: u8) -> (Cluster, Vec<Target>) {
+    let cluster = Cluster::start(net, HOSTS);
+    cluster.configure(1, &document(3)).await;
+    let control: Vec<_> = (1..=HOSTS).map(|host| cluster.addr(host, CONTROL)).collect();
+    let mut started = Vec::new();
+    for number in 1..=targets {
+        started.push(Target::start(net, number, control.clone()).await);
+    }
+    for host in 1..=HOSTS {
+        cluster.wait_ready(host).await;
+        let entry = cluster.addr(host, ENTRY);
+        until(async || read(entry, format!("first-{host}")).await.is_ok_and(|it| it.status == 200))
+            .await;
+    }
+    (cluster, started)
+}
+
+async fn read(entry: SocketAddr, attempt: String) -> std::io::Result<common::Answer> {
+    let headers = [("attempt-id", attempt.as_str()), ("deadline-ms", "3000")];
+    call(entry, Method::GET, "/read/x", &headers, "").await
+}
+
+/// Lets callers press on all hosts.
+fn press(cluster: &Cluster) -> Vec<JoinHandle<()>> {
+    let mut callers = Vec::new();
+    for host in 1..=HOSTS {
+        let entry = cluster.addr(host, ENTRY);
+        for caller in 0..2 {
+            callers.push(tokio::spawn(async move {
+                for number in 0.. {
+                    let _ = read(entry, format!("{host}-{caller}-{number}")).await;
+                    sleep(Duration::from_millis(40)).await;
+                }
+            }));
+        }
+    }
+    callers
+}
+
+/// Guards against hosts that go on sending to a target because its heartbeats still say that it is
+/// ready, though its answers say that it leaves.
+#[tokio::test]
+async fn a_target_that_leaves_by_its_answers_gets_no_more() {
+    let (cluster, targets) = start(18, 2).await;
+    let callers = press(&cluster);
+    sleep(Duration::from_secs(1)).await;
+    targets[0].seen(|it| it.says = Says::Leaving);
+    sleep(PRESSURE).await;
+    for caller in callers {
+        caller.abort();
+    }
+    targets[0].seen(|it| {
+        let said = it.said.first().expect("it said so").0;
+        let late = it.arrivals.iter().filter(|(at, _)| *at > said + DRAIN).count();
+        assert_eq!(late, 0, "requests later than {DRAIN:?} after the first answer that said so");
+    });
+    let others = targets[1].seen(|it| it.arrivals.len());
+    assert!(others > 0, "the other target serves");
+}
