--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -12,6 +12,7 @@
 mod listen;
 mod log;
 mod metrics;
+mod named;
 mod permit;
 mod relay;
 mod reservation;
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -5,19 +5,15 @@
 
 use bytes::Bytes;
 use fleet::{Event, Outcome, RequestKind, TargetQuery};
-use http::{HeaderMap, Request, Response, StatusCode, request::Parts};
+use http::{Request, Response, StatusCode, request::Parts};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use platform::{
-    FormatError,
-    request::{
-        RequestHead, SystemHeaders, answer_headers, asked_pause, forward_headers, is_encoded,
-        is_not_run, is_signed, matches_attempt, named_brittle, named_limit, names_no_attempt,
-        says_leaving,
-    },
+use platform::request::{
+    RequestHead, SystemHeaders, answer_headers, forward_headers, is_encoded, is_not_run, is_signed,
+    matches_attempt,
 };
 use tokio::time::timeout;
-use wire::{MilliRate, Suspect};
+use wire::Suspect;
 
 use crate::{
     answer::{Answer, AnswerBody, empty, not_run},
@@ -65,45 +61,15 @@
     /// What other requests may have in common with it that may crash targets.
     pub(crate) contents: OnceCell<Vec<Suspect>>,
     pub(crate) trial: Option<TrialGuard>,
-    /// Time to the next trial of its suspects, or to the next place at a target with a request
-    /// limit, if it is refused for these.
-    retry_due: Option<Duration>,
+    /// Time to the next trial of its suspects, to the next place at a target with a request limit, or
+    /// to the end of a target's pause, if it is refused for these.
+    pub(crate) retry_due: Option<Duration>,
     /// A target's error answer, forwarded if no further send succeeds.
     fallback: Option<Answer>,
     /// The decisions so far, for the log line.
     steps: String,
 }
 
-/// What a target says of itself in an answer.
-struct Named {
-    /// Its request limit, in thousandths of a request per second.
-    rate: Option<MilliRate>,
-    /// Number of requests that it may turn away in a second before it falls over.
-    brittle: Option<u32>,
-    /// Time for which it wants nothing from this host.
-    pause: Option<Duration>,
-    leaving: bool,
-}
-
-impl Named {
-    /// Reads an answer's headers; what can't be read counts as not named, and is returned too.
-    fn read(status: u16, headers: &HeaderMap) -> (Named, Vec<FormatError>) {
-        let mut errors = Vec::new();
-        let named = Named {
-            rate: named_limit(headers).unwrap_or_else(|error| note(&mut errors, error)),
-            brittle: named_brittle(headers).unwrap_or_else(|error| note(&mut errors, error)),
-            pause: asked_pause(status, headers).unwrap_or_else(|error| note(&mut errors, error)),
-            leaving: says_leaving(headers),
-        };
-        (named, errors)
-    }
-}
-
-fn note<T>(errors: &mut Vec<FormatError>, error: FormatError) -> Option<T> {
-    errors.push(error);
-    None
-}
-
 /// How a send ended.
 pub(crate) enum SendOutcome {
     /// The head of an answer to this request arrived; the duration is the time it took.
@@ -299,43 +265,6 @@
         SendOutcome::Head(Box::new((response, connection, reservation, delay)))
     }
 
-    /// Records what a target says of itself in its answer: its request limit, and whether it is brittle.
-    /// Answers to other requests, and those that may come from another target, do not count.
-    fn record_target(&mut self, reservation: &ReservationGuard, response: &Response<Incoming>) {
-        let headers = response.headers();
-        let status = response.status();
-        let is_refused = is_not_run(status.as_u16(), headers);
-        let is_own = matches_attempt(headers, &self.head.attempt)
-            || (names_no_attempt(headers) && is_refused);
-        if status == StatusCode::MISDIRECTED_REQUEST || !is_own {
-            return;
-        }
-        let (named, errors) = Named::read(status.as_u16(), headers);
-        for error in errors {
-            self.edge.log.request(self.edge.now(), true, || Event::Alarm {
-                what: format!("answer of {}: {error}", reservation.target()),
-            });
-        }
-        let (edge, id) = (&self.edge, &self.head.attempt);
-        let now = edge.now();
-        let reservation = &reservation.reservation;
-        let mut host = edge.host.borrow_mut();
-        let mut outputs = host.record_brittle(now, reservation, named.brittle, is_refused);
-        outputs.extend(host.record_limit(now, reservation, named.rate));
-        let pause = named.pause.filter(|_| is_refused);
-        if let Some(span) = pause {
-            outputs.extend(host.record_pause(now, reservation, id, span));
-        }
-        if named.leaving {
-            outputs.extend(host.record_leaving(now, reservation, id));
-        }
-        drop(host);
-        edge.carry_out(outputs);
-        if let Some(span) = pause {
-            self.retry_due = Some(self.retry_due.map_or(span, |it| it.min(span)));
-        }
-    }
-
     /// Sends a request over a new connection after it could not be sent on a pooled one.
     async fn resend(
         &mut self,
