Use a connection that another host passes on for one request only

Cause: idle connections to a target were pooled whatever their way, and orders take one from the pool. Change: a connection through another host is closed after its answer. So each further request also asks the other host again, which knows whether the target leaves or has asked it for a pause. Failed before: hosts_that_reach_no_target_serve_through_others, with a check of the connections that it did not have (16 and more requests on kept connections of other hosts; none now).

--- a/edge/src/client.rs
+++ b/edge/src/client.rs
@@ -39,6 +39,8 @@
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
     target: String,
+    /// Whether another host passes it on.
+    is_relayed: bool,
 }
 
 impl Drop for Connection {
@@ -49,6 +51,13 @@
     }
 }
 
+/// A connection that has just been opened.
+pub(crate) struct Opened {
+    pub(crate) stream: TcpStream,
+    /// Whether another host opened it and passes it on.
+    pub(crate) is_relayed: bool,
+}
+
 /// Why a request got no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SendError {
@@ -117,9 +126,10 @@
     }
 
     /// Puts a connection into the pool after its answer was read completely, unless the
-    /// answer's headers say that the target closes it.
+    /// answer's headers say that the target closes it. One that another host passes on is closed, as
+    /// orders must come from this host.
     pub(crate) fn keep(&self, connection: Connection, headers: &HeaderMap) {
-        if closes(headers) {
+        if connection.is_relayed || closes(headers) {
             return;
         }
         let announced = platform::request::keep_alive(headers);
@@ -146,7 +156,8 @@
     }
 
     /// Prepares a new connection to a target; none if that fails.
-    pub(crate) async fn prepare(&self, target: &str, stream: TcpStream) -> Option<Connection> {
+    pub(crate) async fn prepare(&self, target: &str, opened: Opened) -> Option<Connection> {
+        let Opened { stream, is_relayed } = opened;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
@@ -155,7 +166,8 @@
             let _ = connection.await;
         });
         let task = task.abort_handle();
-        Some(Connection { sender: Some(sender), task, target: target.to_owned() })
+        let target = target.to_owned();
+        Some(Connection { sender: Some(sender), task, target, is_relayed })
     }
 }
 
--- a/edge/src/way.rs
+++ b/edge/src/way.rs
@@ -23,7 +23,11 @@
 };
 use wire::HostId;
 
-use crate::{client::Connection, edge::Edge, error::EdgeError};
+use crate::{
+    client::{Connection, Opened},
+    edge::Edge,
+    error::EdgeError,
+};
 
 /// Time limit for a new connection; it leaves room for one lost SYN and its retransmission.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -69,7 +73,7 @@
     Rejected = 3,
 }
 
-type Opening<'a> = Pin<Box<dyn Future<Output = Result<TcpStream, Failure>> + 'a>>;
+type Opening<'a> = Pin<Box<dyn Future<Output = Result<Opened, Failure>> + 'a>>;
 
 /// Opens connections to targets in one way.
 trait Opener {
@@ -87,7 +91,7 @@
         Box::pin(async move {
             let addr: SocketAddr = addr.parse().map_err(|_| Failure::Unreachable)?;
             match timeout(self.limit, connect(self.own, addr)).await {
-                Ok(Ok(stream)) => Ok(stream),
+                Ok(Ok(stream)) => Ok(Opened { stream, is_relayed: false }),
                 Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                     Err(Failure::Refused)
                 }
@@ -114,7 +118,7 @@
                     continue;
                 };
                 match reply {
-                    Some(Reply::Opened) => return Ok(stream),
+                    Some(Reply::Opened) => return Ok(Opened { stream, is_relayed: true }),
                     Some(Reply::Refused) => failure = Failure::Refused,
                     Some(Reply::Unreachable | Reply::Rejected) | None => {}
                 }
@@ -236,7 +240,7 @@
         self.carry_out(outputs);
     }
 
-    async fn connect(self: &Rc<Edge>, target: &str, addr: &str) -> Result<TcpStream, Failure> {
+    async fn connect(self: &Rc<Edge>, target: &str, addr: &str) -> Result<Opened, Failure> {
         let relays = self.ways();
         if relays.is_empty() {
             return self.connect_or_hedge(target, addr).await;
@@ -250,7 +254,7 @@
         self: &Rc<Edge>,
         target: &str,
         addr: &str,
-    ) -> Result<TcpStream, Failure> {
+    ) -> Result<Opened, Failure> {
         let direct = self.direct(CONNECT_TIMEOUT);
         let mut direct = direct.open(target, addr);
         let first = timeout(HEDGE_DELAY, &mut direct).await;
@@ -284,10 +288,7 @@
     }
 
     /// Records a connection that was opened from here.
-    fn note_opened(
-        self: &Rc<Edge>,
-        opened: Result<TcpStream, Failure>,
-    ) -> Result<TcpStream, Failure> {
+    fn note_opened(self: &Rc<Edge>, opened: Result<Opened, Failure>) -> Result<Opened, Failure> {
         if opened.is_ok() {
             self.path_opened();
         }
@@ -362,9 +363,9 @@
         return (Reply::Rejected, None);
     }
     match edge.direct(RELAYED_TIMEOUT).open(&request.target, &request.addr).await {
-        Ok(stream) => {
+        Ok(opened) => {
             edge.path_opened();
-            (Reply::Opened, Some(stream))
+            (Reply::Opened, Some(opened.stream))
         }
         Err(Failure::Refused) => (Reply::Refused, None),
         Err(Failure::Unreachable) => (Reply::Unreachable, None),
--- a/edge/tests/cut_off.rs
+++ b/edge/tests/cut_off.rs
@@ -38,6 +38,8 @@
     net: u8,
     is_cut: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<Arc<TcpListener>>>>,
+    /// Attempts that came on a connection which another host had used for a request before.
+    reused: Arc<Mutex<Vec<String>>>,
 }
 
 /// Returns a filter that drops packets from these hosts. Its first load is the IPv4 source address,
@@ -61,7 +63,8 @@
 impl Targets {
     async fn start(net: u8, control: Vec<SocketAddr>) -> Targets {
         let connections = Arc::default();
-        let targets = Targets { net, is_cut: Arc::default(), connections };
+        let (is_cut, reused) = (Arc::default(), Arc::default());
+        let targets = Targets { net, is_cut, connections, reused };
         for number in 1..=TARGETS {
             let addr = format!("{}:8080", ip(net, 100 + number));
             let listener = Arc::new(TcpListener::bind(&addr).await.expect("the address is free"));
@@ -97,7 +100,14 @@
     async fn serve(self, mut stream: TcpStream, from: SocketAddr) {
         let is_behind = CUT.iter().any(|it| ip(self.net, *it) == from.ip().to_string());
         let mut bytes = Vec::new();
+        let mut requests = 0;
         while let Some(request) = read_request(&mut stream, &mut bytes).await {
+            let host = request.attempt.split('-').next().unwrap_or_default();
+            let is_own = host.parse().is_ok_and(|host| ip(self.net, host) == from.ip().to_string());
+            if requests > 0 && !is_own {
+                self.reused.lock().expect("not poisoned").push(request.attempt.clone());
+            }
+            requests += 1;
             while is_behind && self.is_cut.load(Ordering::SeqCst) {
                 sleep(Duration::from_millis(50)).await;
             }
@@ -164,6 +174,8 @@
     let (others, cut): (usize, usize) = (others.iter().sum(), cut.iter().sum());
     assert_eq!(others, 3 * TRIES, "hosts that reach the targets");
     assert!(cut * 3 * 3 >= others * 2 * 2, "of {} each: {served:?}", TRIES);
+    let reused = targets.reused.lock().expect("not poisoned").clone();
+    assert!(reused.is_empty(), "kept connections of other hosts, on which orders come: {reused:?}");
     targets.cut(false);
     until_served_directly(&cluster, net).await;
 }
