--- a/edge/tests/says.rs
+++ b/edge/tests/says.rs
@@ -197,7 +197,7 @@
 /// wait, or that are told to come back too early.
 #[tokio::test]
 async fn callers_are_told_when_the_first_pause_ends() {
-    let (cluster, targets) = start(20, 1).await;
+    let (cluster, targets) = start(21, 1).await;
     targets[0].seen(|it| it.says = Says::Pause(LONG_PAUSE));
     let entry = cluster.addr(1, ENTRY);
     let headers = [("attempt-id", "refused-1"), ("deadline-ms", "1200")];
