Count a lost request of a crashing route as tried

Cause: what several requests without a prompt have in common but their content was not looked at. Change: a route without prompts is a suspect once requests of it have crashed three targets, each on trial or alone. It holds nothing back, but each of its requests that is lost with a target counts as tried, alone or not: refused for 5 s, and not sent on. Failed before: crashing_requests_of_a_route_are_not_sent_on (19 crashes of ten requests that come twice, 16 allowed). New: lost_requests_of_a_crashing_route_are_refused, also under the next leader.

--- a/coordination/fleet/src/crash_reports.rs
+++ b/coordination/fleet/src/crash_reports.rs
@@ -5,7 +5,7 @@
 
 use wire::{CrashId, FleetMsg, HostId, Suspect};
 
-use crate::{Host, io::Output, quarantine::SOUND_TTL, stable_hash};
+use crate::{Host, io::Output, quarantine::SOUND_TTL, stable_hash, suspects::is_route};
 
 /// Time after which a report without an acknowledgement is sent again.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
@@ -24,7 +24,7 @@
     pub started_at: u64,
     /// What the lost requests had in them.
     pub suspects: Vec<Suspect>,
-    /// Those of the suspects that were on trial.
+    /// Those of the suspects that were on trial, and the routes of the requests that were.
     pub trials: Vec<Suspect>,
     /// The request and what it names, if this host lost no other one.
     pub alone: Vec<Suspect>,
@@ -51,20 +51,21 @@
     /// Reports that a target crashed.
     pub fn report_crash(&mut self, now: Duration, seen: SeenCrash) -> Vec<Output> {
         let SeenCrash { target, started_at, mut suspects, trials, mut alone } = seen;
-        for suspect in &trials {
-            self.quarantine.running.remove(suspect);
-        }
+        let running = &mut self.quarantine.running;
+        let mut granted = trials.clone();
+        granted.retain(|it| running.remove(it).is_some());
         let sound = &self.quarantine.sound;
         suspects.retain(|it| sound.get(it).is_none_or(|at| now >= *at + SOUND_TTL));
         suspects.sort_unstable();
         suspects.dedup();
-        if suspects.is_empty() {
+        if suspects.iter().all(is_route) {
             return Vec::new();
         }
         alone.retain(|it| suspects.contains(it));
         let crash = stable_hash(&(target, started_at));
         self.record_loss(now, self.settings.host, crash, alone.clone());
-        self.count_crash(now, crash, &suspects, &trials);
+        let failed = if self.leader.is_some() { &granted } else { &trials };
+        self.count_crash(now, crash, &suspects, &trials, failed);
         let reports = &mut self.quarantine.reports;
         if reports.len() >= MAX_REPORTS {
             reports.remove(0);
@@ -144,7 +145,11 @@
         trials: &[Suspect],
     ) {
         self.record_loss(now, from, crash, Vec::new());
-        self.count_crash(now, crash, suspects, trials);
+        let mut failed = trials.to_vec();
+        if self.leading.is_some() {
+            failed.retain(|it| self.quarantine.suspects.is_tried_at(it, from));
+        }
+        self.count_crash(now, crash, suspects, trials, &failed);
         if self.leading.is_some() {
             self.send(from, FleetMsg::CrashCounted { crash });
         }
@@ -168,7 +173,7 @@
         for report in self.quarantine.reports.iter_mut().filter(|it| it.crash == crash) {
             report.acknowledged = true;
             report.counted = true;
-            report.trials.clear();
+            report.trials.retain(is_route);
         }
     }
 }
--- a/coordination/fleet/src/losses.rs
+++ b/coordination/fleet/src/losses.rs
@@ -15,6 +15,8 @@
     at: Duration,
     /// For each host that lost requests, the request and what it names, if it lost one only.
     hosts: BTreeMap<HostId, Vec<Suspect>>,
+    /// The requests that count as tried, alone or not.
+    tried: Vec<Suspect>,
     judged: bool,
 }
 
@@ -39,7 +41,7 @@
 impl Losses {
     /// Adds a host's report; `alone` is the request that it lost and what it names, if it lost one only.
     pub(crate) fn add(&mut self, now: Duration, crash: CrashId, host: HostId, alone: Vec<Suspect>) {
-        let new = Loss { at: now, hosts: BTreeMap::new(), judged: false };
+        let new = Loss { at: now, hosts: BTreeMap::new(), tried: Vec::new(), judged: false };
         let loss = self.crashes.entry(crash).or_insert(new);
         let known = loss.hosts.entry(host).or_default();
         if known.is_empty() {
@@ -47,24 +49,38 @@
         }
     }
 
-    /// Whether reports may still show that a request was not lost alone with a target.
+    /// Adds requests that count as tried to a crash that was reported.
+    pub(crate) fn add_tried<'a>(
+        &mut self,
+        crash: CrashId,
+        tried: impl Iterator<Item = &'a Suspect>,
+    ) {
+        if let Some(loss) = self.crashes.get_mut(&crash) {
+            loss.tried.extend(tried);
+        }
+    }
+
+    /// Whether a request is still to be judged, or reports may show that it was not lost alone.
     pub(crate) fn is_open(&self, crash: CrashId, suspect: &Suspect) -> bool {
-        let loss = self.crashes.get(&crash);
-        loss.is_some_and(|it| !it.judged && it.alone().contains(suspect))
+        let Some(loss) = self.crashes.get(&crash) else { return false };
+        loss.tried.contains(suspect) || (!loss.judged && loss.alone().contains(suspect))
     }
 
-    /// Returns the requests that were lost alone and what they name, once all hosts have reported. Each
-    /// crash is returned once.
-    pub(crate) fn take_judged(&mut self, now: Duration) -> Vec<(CrashId, Suspect)> {
+    /// Returns the crashes of which all hosts have reported, and for each what counts as tried: what all
+    /// requests that it lost have in common, and those that count alone or not. Each is returned once.
+    pub(crate) fn take_judged(&mut self, now: Duration) -> Vec<(CrashId, Vec<Suspect>)> {
         self.crashes.retain(|_, it| now < it.at + CRASH_TTL);
-        let mut alone = Vec::new();
+        let mut judged = Vec::new();
         for (&crash, loss) in &mut self.crashes {
-            if loss.judged || now < loss.at + REPORT_TIME {
+            if now < loss.at + REPORT_TIME || (loss.judged && loss.tried.is_empty()) {
                 continue;
             }
-            loss.judged = true;
-            alone.extend(loss.alone().into_iter().map(|it| (crash, it)));
+            let mut tried = std::mem::take(&mut loss.tried);
+            if !std::mem::replace(&mut loss.judged, true) {
+                tried.extend(loss.alone());
+            }
+            judged.push((crash, tried));
         }
-        alone
+        judged
     }
 }
--- a/coordination/fleet/src/quarantine.rs
+++ b/coordination/fleet/src/quarantine.rs
@@ -5,7 +5,9 @@
 //! The leader counts different targets for each suspect and publishes whole requests from the first
 //! one on, what requests share from the second one on. From then on one request with such a suspect
 //! is sent at a time, at one host: a trial, which the leader grants. A request that was lost alone
-//! with its target was on trial there. A host that had an answer begin with a suspect shortly before
+//! with its target was on trial there. Once several requests of one route, which have no prompt, have each
+//! crashed a target on trial, each request of the route that is lost counts as tried, alone or not: it
+//! is not sent to another target. A host that had an answer begin with a suspect shortly before
 //! clears it. A request that runs without a crash clears its suspects everywhere; after a failed trial
 //! requests with the suspect are refused until the next trial is due. The replicated log keeps
 //! suspects with failed trials, so that they outlive all processes.
@@ -24,7 +26,7 @@
     crash_reports::CrashReport,
     io::Output,
     losses::Losses,
-    suspects::{CRASH_TTL, Grant, Hold, Suspects, TRIAL_CRASHES, TRIAL_TIMEOUT},
+    suspects::{CRASH_TTL, Grant, Hold, Suspects, TRIAL_CRASHES, TRIAL_TIMEOUT, is_route},
 };
 
 /// Time that a request with several suspects waits for others to clear all but one of them.
@@ -204,16 +206,44 @@
     /// Counts the requests that were lost alone with their targets as failed trials. What they name
     /// is tried so only if it was lost before: many requests may name it.
     fn judge_losses(&mut self, now: Duration) {
-        for (crash, suspect) in self.quarantine.losses.take_judged(now) {
-            let is_request = matches!(suspect, Suspect::Request(_));
-            if !is_request && !self.quarantine.suspects.is_corroborated(&suspect) {
-                continue;
+        for (crash, tried) in self.quarantine.losses.take_judged(now) {
+            let is_request = |it: &Suspect| matches!(it, Suspect::Request(_));
+            if tried.iter().any(is_request) {
+                self.count_routes(now, crash, &tried);
+            }
+            for suspect in tried.into_iter().filter(|it| !is_route(it)) {
+                if !is_request(&suspect) && !self.quarantine.suspects.is_corroborated(&suspect) {
+                    continue;
+                }
+                let failed = self.quarantine.suspects.fail_trials(now, &[suspect], crash);
+                self.publish_suspects(failed);
             }
-            let failed = self.quarantine.suspects.fail_trials(now, &[suspect], crash);
-            self.publish_suspects(failed);
         }
     }
 
+    /// Counts a crash against the routes among what was tried.
+    fn count_routes(&mut self, now: Duration, crash: CrashId, tried: &[Suspect]) {
+        let table = &mut self.quarantine.suspects;
+        let routes = tried.iter().copied().filter(is_route);
+        let records = routes.filter_map(|it| table.add_crash(now, it, crash)).collect();
+        self.publish_suspects(records);
+    }
+
+    /// Returns what counts as tried when a request with these contents is lost with its target, after
+    /// a trial of `trial`: on a route that is a suspect, the whole request in any case.
+    pub fn tried(&self, contents: &[Suspect], trial: Vec<Suspect>) -> Vec<Suspect> {
+        let mut tried = trial;
+        let Some(route) = contents.iter().find(|it| is_route(it)) else { return tried };
+        if tried.is_empty() {
+            if !self.quarantine.suspects.is_suspected(route) {
+                return tried;
+            }
+            tried.extend(contents.iter().filter(|it| matches!(it, Suspect::Request(_))));
+        }
+        tried.push(*route);
+        tried
+    }
+
     pub(crate) fn trial_granted(&mut self, now: Duration, suspects: &[Suspect]) {
         let running = &self.quarantine.running;
         if suspects.iter().any(|it| running.contains_key(it)) {
@@ -251,21 +281,26 @@
         }
     }
 
-    /// Counts a crash, and publishes the suspects that need trials if this host leads.
+    /// Counts a crash, and publishes the suspects that need trials if this host leads. Of what was tried,
+    /// `failed` is refused from now on; the leader judges the rest once all hosts need a trial for it.
     pub(crate) fn count_crash(
         &mut self,
         now: Duration,
         crash: CrashId,
         suspects: &[Suspect],
-        trials: &[Suspect],
+        tried: &[Suspect],
+        failed: &[Suspect],
     ) {
         let table = &mut self.quarantine.suspects;
         let mut records: Vec<SuspectRecord> = Vec::new();
-        for &suspect in suspects {
+        for &suspect in suspects.iter().filter(|it| !is_route(it)) {
             records.extend(table.add_crash(now, suspect, crash));
         }
-        records.extend(table.fail_trials(now, trials, crash));
+        records.extend(table.fail_trials(now, failed, crash));
+        let rest = tried.iter().filter(|it| !is_route(it) && !failed.contains(it));
+        self.quarantine.losses.add_tried(crash, rest);
         self.publish_suspects(records);
+        self.count_routes(now, crash, tried);
     }
 
     /// Publishes suspects if this host leads.
@@ -311,13 +346,14 @@
             quarantine.sound.retain(|_, at| now < *at + SOUND_TTL);
         }
         if quarantine.sound.len() < MAX_SOUND {
-            quarantine.sound.extend(contents.iter().map(|it| (*it, now)));
+            let sound = contents.iter().filter(|it| !is_route(it));
+            quarantine.sound.extend(sound.map(|it| (*it, now)));
         }
         if quarantine.suspects.is_empty() {
             return Vec::new();
         }
         let mut cleared = Vec::new();
-        for suspect in contents {
+        for suspect in contents.iter().filter(|it| !is_route(it)) {
             if self.quarantine.suspects.contains(suspect) {
                 cleared.push(*suspect);
             }
--- a/coordination/fleet/src/suspects.rs
+++ b/coordination/fleet/src/suspects.rs
@@ -21,12 +21,17 @@
 /// Maximum number of suspects.
 const MAX_SUSPECTS: usize = 1024;
 
+/// Number of crashed targets, each by a request of a route that was tried there, from which the route is
+/// a suspect.
+const ROUTE_CRASHES: u16 = 3;
+
 /// Returns the number of crashed targets from which requests with a suspect need a trial. A whole
 /// request is tried before it is sent to a second target.
 fn trial_crashes(suspect: &Suspect) -> u16 {
     match suspect {
         Suspect::Request(_) => 1,
         Suspect::Part(_) | Suspect::Resource(_) => TRIAL_CRASHES,
+        Suspect::Route(_) => ROUTE_CRASHES,
     }
 }
 
@@ -114,6 +119,11 @@
         self.entries.contains_key(suspect)
     }
 
+    /// Whether as many crashes count against a suspect as it takes.
+    pub(crate) fn is_suspected(&self, suspect: &Suspect) -> bool {
+        self.entries.get(suspect).is_some_and(Entry::is_suspected)
+    }
+
     /// Counts a crash against a suspect. Returns its record if that is new and the suspect's requests
     /// need trials.
     pub(crate) fn add_crash(
@@ -184,6 +194,9 @@
     /// Returns how requests with a suspect are handled.
     pub(crate) fn hold(&self, now: Duration, suspect: &Suspect) -> Hold {
         let Some(entry) = self.entries.get(suspect) else { return Hold::Free };
+        if is_route(suspect) {
+            return Hold::Free;
+        }
         if entry.failed_trials > 0 {
             return if now < entry.trial_due { Hold::Until(entry.trial_due) } else { Hold::Trial };
         }
@@ -228,6 +241,12 @@
         Grant::Granted
     }
 
+    /// Whether a host has been granted the trial of a suspect.
+    pub(crate) fn is_tried_at(&self, suspect: &Suspect, host: HostId) -> bool {
+        let trial = self.entries.get(suspect).and_then(|it| it.trial);
+        trial.is_some_and(|(by, _)| by == host)
+    }
+
     /// Ends a host's trial of a suspect that showed nothing.
     pub(crate) fn end_trial(&mut self, suspect: &Suspect, host: HostId) {
         if let Some(entry) = self.entries.get_mut(suspect)
@@ -265,6 +284,10 @@
     }
 }
 
+pub(crate) fn is_route(suspect: &Suspect) -> bool {
+    matches!(suspect, Suspect::Route(_))
+}
+
 fn record(suspect: Suspect, entry: &Entry) -> SuspectRecord {
     SuspectRecord { suspect, crashes: entry.crashes(), failed_trials: entry.failed_trials }
 }
--- a/coordination/fleet/tests/quarantine.rs
+++ b/coordination/fleet/tests/quarantine.rs
@@ -391,3 +391,42 @@
     world.run(SPREAD);
     assert_eq!(senders(&mut world, named).len(), 6);
 }
+
+/// Guards against requests of one route, no two alike, that each end a second target: after three that
+/// crashed one alone, those that are lost together are refused, and no others of the route are held.
+#[test]
+fn lost_requests_of_a_crashing_route_are_refused() {
+    let mut world = world(20);
+    let (route, other) = (Suspect::Route(6), Suspect::Route(7));
+    let request = |number| Suspect::Request(300 + number);
+    let lose = |world: &mut World, host, contents: &[Suspect], target: &str| {
+        world.call(host, |state, now| {
+            let trials = state.tried(contents, Vec::new());
+            ((), state.report_crash(now, SeenCrash { trials, ..seen_crash(target, contents) }))
+        });
+    };
+    for (number, host) in [(0, 4), (1, 5), (2, 6)] {
+        lost_alone(&mut world, host, &[request(number), route], &format!("t{number}"));
+        world.run(SPREAD);
+    }
+    for leader_lost in [false, true] {
+        if leader_lost {
+            let leader = world.leader().expect("a leader");
+            world.kill(leader);
+            world.run(ms(4000));
+        }
+        let first = 10 + 10 * u64::from(leader_lost);
+        let target = format!("t{first}");
+        lose(&mut world, 4, &[request(first), route], &target);
+        lose(&mut world, 5, &[request(first + 1), route], &target);
+        lose(&mut world, 6, &[request(first + 2), other], &target);
+        assert!(matches!(world.admit(4, &[request(first), route]), Admission::Wait), "at once");
+        world.run(SPREAD);
+        let all = world.running().len();
+        assert_eq!(refusers(&mut world, request(first)).len(), all);
+        assert_eq!(refusers(&mut world, request(first + 1)).len(), all);
+        assert!(get_trial(&mut world, 6, &[request(first + 2), other]), "of another route");
+        let sound = world.admit(5, &[request(100), route]);
+        assert!(matches!(sound, Admission::Free), "not lost: {sound:?}");
+    }
+}
--- a/edge/src/crash.rs
+++ b/edge/src/crash.rs
@@ -99,8 +99,9 @@
             body: format!("{:x}", request.body_hash),
             target: target.to_owned(),
         });
+        let trial = request.trial.map(TrialGuard::finish).unwrap_or_default();
+        seen.trials.extend(edge.host.borrow().tried(&request.contents, trial));
         seen.suspects.extend(request.contents);
-        seen.trials.extend(request.trial.map(TrialGuard::finish).unwrap_or_default());
         checks.push(request.checked);
     }
     let outputs = edge.host.borrow_mut().report_crash(now, seen);
@@ -161,18 +162,21 @@
 
     /// Returns what other requests may share with this one: the whole content, as a hash of its
     /// method, host, path and body, since a caller may repeat it from another address, and the
-    /// parts of its prompt, or what it names without one.
+    /// parts of its prompt, or its route and what it names there without one.
     fn contents(&self) -> &[Suspect] {
         self.contents.get_or_init(|| {
-            let named = self.parts.uri.path().strip_prefix(&self.query.route.prefix);
-            let named = named.filter(|it| !it.is_empty() && self.query.adapter.is_none());
-            let named = named.map(|it| stable_hash(&(&self.query.service, it)));
+            let has_prompt = self.query.adapter.is_some() || self.head.prompt_tokens.is_some();
+            let (service, prefix) = (&self.query.service, &self.query.route.prefix);
+            let route = (!has_prompt).then(|| stable_hash(&(service, prefix)));
+            let named = self.parts.uri.path().strip_prefix(prefix);
+            let named = named.filter(|it| !it.is_empty() && !has_prompt);
+            let named = named.map(|it| stable_hash(&(service, it)));
             let parts = self.head.shared_parts.iter().copied().map(Suspect::Part);
             let host = self.parts.headers.get(header::HOST).map(HeaderValue::as_bytes);
             let whole =
                 stable_hash(&(self.parts.method.as_str(), host, self.path(), &self.body[..]));
-            let named = named.map(Suspect::Resource);
-            std::iter::once(Suspect::Request(whole)).chain(named).chain(parts).collect()
+            let shared = named.map(Suspect::Resource).into_iter().chain(route.map(Suspect::Route));
+            std::iter::once(Suspect::Request(whole)).chain(shared).chain(parts).collect()
         })
     }
 
--- a/edge/tests/crashes.rs
+++ b/edge/tests/crashes.rs
@@ -36,6 +36,11 @@
 /// Sends that may follow.
 const MORE_SENDS: usize = 3;
 
+/// How long a target takes for a request for a path that ends in `slow`.
+const SLOW_TIME: Duration = Duration::from_millis(300);
+/// Sound requests under way beside each one that crashes its target.
+const BYSTANDERS: u8 = 6;
+
 /// The prompt part with which a target crashes when it begins its answer.
 const DEADLY_PART: &str = "dead1:100";
 
@@ -93,6 +98,9 @@
                 self.ended.notify_one();
                 std::future::pending::<()>().await;
             }
+            if path.ends_with("slow") {
+                sleep(SLOW_TIME).await;
+            }
             let answer = if path.starts_with("/flow/") {
                 signed_head("200 OK", attempt, "Content-Length: 16\r\n") + "id: 1\ndata: ab\n\n"
             } else {
@@ -235,3 +243,35 @@
     assert!(crashes >= 2, "only {crashes} crashes");
     assert!(crashes <= REQUEST_CRASHES + MORE_SENDS, "{crashes} crashes");
 }
+
+/// Guards against requests of one route, no two alike, that each end a second target: none is lost
+/// alone, so none is known as the cause.
+#[tokio::test]
+async fn crashing_requests_of_a_route_are_not_sent_on() {
+    let (cluster, targets) = start(17, "app").await;
+    let rounds = 10u8;
+    for round in 0..rounds {
+        until_served(&cluster, "/read/sound", "").await;
+        let source: IpAddr = ip(17, 200 + round).parse().expect("an address");
+        let mut bystanders = Vec::new();
+        for number in 0..BYSTANDERS {
+            let entry = cluster.addr(1 + number % 4, ENTRY);
+            let (path, id) = (format!("/read/{number}/slow"), format!("b{round}-{number}"));
+            bystanders
+                .push(tokio::spawn(async move { call_from(source, entry, &path, &id, "").await }));
+        }
+        sleep(HEAD_TIME).await;
+        let path = format!("/read/{round}/crash");
+        for attempt in 0..2 {
+            let entry = cluster.addr(1 + (round + attempt) % 4, ENTRY);
+            call_from(source, entry, &path, &format!("r{round}-{attempt}"), "").await;
+        }
+        for bystander in bystanders {
+            let _ = bystander.await;
+        }
+        sleep(RESTART_DELAY * 2).await;
+    }
+    let crashes = count_crashes(&targets);
+    let known_after = PART_CRASHES.div_ceil(2);
+    assert!(crashes <= usize::from(rounds) + known_after + MORE_SENDS, "{crashes} crashes");
+}
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -57,6 +57,9 @@
 /// A hash of a service and of what a request without a prompt names: its path below its route's prefix.
 pub type ResourceHash = u64;
 
+/// A hash of a service and of the prefix of a route, for requests without a prompt.
+pub type RouteHash = u64;
+
 /// The id of a part of prompts, or a hash of an id that is not a number.
 pub type PartId = u64;
 
@@ -72,6 +75,9 @@
     Part(PartId),
     /// What requests without a prompt name, also on different routes.
     Resource(ResourceHash),
+    /// The route of requests without a prompt. Its requests are sent, but one that is lost with its
+    /// target counts as tried.
+    Route(RouteHash),
 }
 
 impl std::fmt::Display for Suspect {
@@ -80,6 +86,7 @@
             Suspect::Request(hash) => write!(f, "request:{hash:x}"),
             Suspect::Part(id) => write!(f, "part:{id:x}"),
             Suspect::Resource(hash) => write!(f, "resource:{hash:x}"),
+            Suspect::Route(hash) => write!(f, "route:{hash:x}"),
         }
     }
 }
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -22,8 +22,9 @@
     fleet::{
         AdapterHash, CrashId, DomainLoads, Epoch, Feed, FeedChange, FleetMsg, FoundRecord,
         HostRecord, HostStatus, MilliRate, PartId, PlaceReply, PlaceRequest, Placement,
-        PrefillRequest, Renewal, RequestHash, RequestLimit, ResourceHash, Running, SoftwareHash,
-        StreamHash, Suspect, SuspectRecord, TargetNumber, TargetRecord, TargetState, Topic,
+        PrefillRequest, Renewal, RequestHash, RequestLimit, ResourceHash, RouteHash, Running,
+        SoftwareHash, StreamHash, Suspect, SuspectRecord, TargetNumber, TargetRecord, TargetState,
+        Topic,
     },
     id::{
         AdapterId, CallerId, DiskId, DomainId, Fence, Fingerprint, GroupId, HostId, Incarnation,
