Tell the host that passes a request on which pause its target asked for

Callers saw: nothing yet. A target's 503 with Retry-After goes to the machine that the request came from. Cause: a pause was recorded where the answer is read, not where the request came from. Change: the reader tells the host that passed the request on, and keeps the pause too, as before. Failed before (with that message left out): a_host_that_passes_requests_on_keeps_the_pauses_asked_of_it. The new test of crashing routes has loopback addresses of its own.

--- a/coordination/fleet/src/answers.rs
+++ b/coordination/fleet/src/answers.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use wire::TargetState;
+use wire::{FleetMsg, HostId, TargetState};
 
 use crate::{Event, Host, Reservation, Target, io::Output};
 
@@ -26,10 +26,10 @@
         !target.is_paused(now) && (has_place || !target.limit.is_limited())
     }
 
-    /// Returns the target of a reservation, if the same process still has its name.
-    fn reserved_target(&mut self, reservation: &Reservation) -> Option<&mut Target> {
-        let target = self.targets.get_mut(&reservation.target)?;
-        (target.record.started_at == reservation.started_at).then_some(target)
+    /// Returns a target, if the process that was started then still has its name.
+    fn known_process(&mut self, name: &str, started_at: u64) -> Option<&mut Target> {
+        let target = self.targets.get_mut(name)?;
+        (target.record.started_at == started_at).then_some(target)
     }
 
     /// Records that a target said in an answer to the attempt `id` that it leaves, and tells all hosts.
@@ -39,7 +39,8 @@
         reservation: &Reservation,
         id: &str,
     ) -> Vec<Output> {
-        let Some(target) = self.reserved_target(reservation) else { return Vec::new() };
+        let process = self.known_process(&reservation.target, reservation.started_at);
+        let Some(target) = process else { return Vec::new() };
         if target.record.state != TargetState::Ready {
             return Vec::new();
         }
@@ -52,26 +53,45 @@
     }
 
     /// Records that a target asked this host in an answer to the attempt `id` for no request during the
-    /// next `span`. Of several such times the one that ends last counts.
+    /// next `span`. If another host passed the request on, the target asked that one: it is told.
     pub fn record_pause(
         &mut self,
         now: Duration,
         reservation: &Reservation,
         id: &str,
         span: Duration,
+        relay: Option<HostId>,
     ) -> Vec<Output> {
+        let (target, started_at) = (&reservation.target, reservation.started_at);
+        if let Some(relay) = relay {
+            let (target, id) = (target.clone(), id.to_owned());
+            let span_ms = span.min(MAX_PAUSE).as_millis() as u64;
+            self.send(relay, FleetMsg::PauseAsked { target, started_at, id, span_ms });
+        }
+        self.pause_target(now, target, started_at, id, span);
+        self.finish(now)
+    }
+
+    /// Sends nothing to a process of a target for `span`. Of several such times the one that ends last
+    /// counts.
+    pub(crate) fn pause_target(
+        &mut self,
+        now: Duration,
+        name: &str,
+        started_at: u64,
+        id: &str,
+        span: Duration,
+    ) {
         let until = now + span.min(MAX_PAUSE);
-        let Some(target) = self.reserved_target(reservation) else { return Vec::new() };
+        let Some(target) = self.known_process(name, started_at) else { return };
         if target.paused_until.is_some_and(|it| it >= until) {
-            return Vec::new();
+            return;
         }
         let is_new = target.paused_until.replace(until).is_none();
         if is_new {
             let span_ms = (until - now).as_millis() as u64;
-            let target = reservation.target.clone();
-            self.log(Event::Paused { target, id: id.to_owned(), span_ms });
+            self.log(Event::Paused { target: name.to_owned(), id: id.to_owned(), span_ms });
         }
-        self.finish(now)
     }
 
     /// Ends the pauses whose time is over.
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -419,6 +419,10 @@
                 let report = BrittleReport { refusals, turned_away, load };
                 self.handle_brittle(now, &target, started_at, report);
             }
+            FleetMsg::PauseAsked { target, started_at, id, span_ms } => {
+                let span = Duration::from_millis(span_ms);
+                self.pause_target(now, &target, started_at, &id, span);
+            }
             FleetMsg::Confirmed { tag } => self.operator_calls.confirm(tag),
             FleetMsg::ReadIndex { tag } => self.queue_read_index(now, from, tag),
             FleetMsg::ReadIndexReply { tag, index } => self.read_index_received(tag, index),
--- a/coordination/fleet/tests/answers.rs
+++ b/coordination/fleet/tests/answers.rs
@@ -138,7 +138,8 @@
                 let span = ms(self.rng.random_range(1..4000));
                 let until = process.pauses.entry((host, incarnation)).or_default();
                 *until = (*until).max(now + span);
-                self.world.call(host, |it, now| ((), it.record_pause(now, reservation, "a", span)));
+                self.world
+                    .call(host, |it, now| ((), it.record_pause(now, reservation, "a", span, None)));
             }
         }
     }
@@ -191,3 +192,27 @@
     }
     assert!(said.0 > 5 && said.1 > 50, "said too little: {said:?}");
 }
+
+/// Guards against a host that goes on sending to a target which asked it for a pause in an answer that
+/// only another host could read: the one for which it passed the request on.
+#[test]
+fn a_host_that_passes_requests_on_keeps_the_pauses_asked_of_it() {
+    let mut model = Model::new(30);
+    model.run(ms(2000));
+    let mut query = query("");
+    query.adapter = None;
+    let choice = model.world.call(5, |it, now| it.choose(now, &query, 1));
+    let Choice::Send(reservation) = choice else { panic!("no target: {choice:?}") };
+    model.world.call(5, |it, now| ((), it.record_pause(now, &reservation, "a", ms(3000), Some(4))));
+    model.world.run(ms(300));
+    let senders = |world: &mut World| -> Vec<HostId> {
+        let mut hosts = world.running();
+        hosts.retain(|&host| {
+            world.call(host, |it, now| (it.may_send(now, &reservation), Vec::new()))
+        });
+        hosts
+    };
+    assert_eq!(senders(&mut model.world), [1, 2, 3, 6]);
+    model.world.run(ms(3000));
+    assert_eq!(senders(&mut model.world).len(), 6, "the pause has ended");
+}
--- a/edge/src/client.rs
+++ b/edge/src/client.rs
@@ -16,6 +16,7 @@
 };
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use wire::HostId;
 
 /// Share of a target's announced keep-alive time during which an idle connection is reused.
 const IDLE_REUSE_SHARE: f64 = 0.5;
@@ -39,8 +40,8 @@
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
     target: String,
-    /// Whether another host passes it on.
-    is_relayed: bool,
+    /// The host that passes it on, if that is another one.
+    relay: Option<HostId>,
 }
 
 impl Drop for Connection {
@@ -54,8 +55,8 @@
 /// A connection that has just been opened.
 pub(crate) struct Opened {
     pub(crate) stream: TcpStream,
-    /// Whether another host opened it and passes it on.
-    pub(crate) is_relayed: bool,
+    /// The host that opened it and passes it on, if that is another one.
+    pub(crate) relay: Option<HostId>,
 }
 
 /// Why a request got no answer.
@@ -129,7 +130,7 @@
     /// answer's headers say that the target closes it. One that another host passes on is closed, as
     /// orders must come from this host.
     pub(crate) fn keep(&self, connection: Connection, headers: &HeaderMap) {
-        if connection.is_relayed || closes(headers) {
+        if connection.relay.is_some() || closes(headers) {
             return;
         }
         let announced = platform::request::keep_alive(headers);
@@ -157,7 +158,7 @@
 
     /// Prepares a new connection to a target; none if that fails.
     pub(crate) async fn prepare(&self, target: &str, opened: Opened) -> Option<Connection> {
-        let Opened { stream, is_relayed } = opened;
+        let Opened { stream, relay } = opened;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
@@ -167,7 +168,7 @@
         });
         let task = task.abort_handle();
         let target = target.to_owned();
-        Some(Connection { sender: Some(sender), task, target, is_relayed })
+        Some(Connection { sender: Some(sender), task, target, relay })
     }
 }
 
@@ -197,6 +198,11 @@
 }
 
 impl Connection {
+    /// Returns the host that passes the connection on, if that is another one.
+    pub(crate) fn relay(&self) -> Option<HostId> {
+        self.relay
+    }
+
     /// Sends a request and waits for the head of its answer.
     pub(crate) async fn send(
         &mut self,
--- a/edge/src/named.rs
+++ b/edge/src/named.rs
@@ -15,7 +15,7 @@
 };
 use wire::MilliRate;
 
-use crate::{relay::Job, reservation::ReservationGuard};
+use crate::{client::Connection, relay::Job, reservation::ReservationGuard};
 
 /// What a target says of itself in an answer.
 struct Named {
@@ -53,6 +53,7 @@
     pub(crate) fn record_target(
         &mut self,
         reservation: &ReservationGuard,
+        connection: &Connection,
         response: &Response<Incoming>,
     ) {
         let headers = response.headers();
@@ -76,7 +77,7 @@
         let mut outputs = host.record_brittle(now, reservation, named.brittle, is_refused);
         outputs.extend(host.record_limit(now, reservation, named.rate));
         if let Some(span) = named.pause {
-            outputs.extend(host.record_pause(now, reservation, id, span));
+            outputs.extend(host.record_pause(now, reservation, id, span, connection.relay()));
         }
         if named.leaving {
             outputs.extend(host.record_leaving(now, reservation, id));
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -250,7 +250,7 @@
         };
         let delay = edge.now().saturating_sub(started);
         let status = response.status().as_u16();
-        self.record_target(&reservation, &response);
+        self.record_target(&reservation, &connection, &response);
         if edge.host.borrow().is_replaced(&reservation.reservation) {
             return self.fail_send(reservation, "replaced", StatusCode::BAD_GATEWAY);
         }
--- a/edge/src/way.rs
+++ b/edge/src/way.rs
@@ -91,7 +91,7 @@
         Box::pin(async move {
             let addr: SocketAddr = addr.parse().map_err(|_| Failure::Unreachable)?;
             match timeout(self.limit, connect(self.own, addr)).await {
-                Ok(Ok(stream)) => Ok(Opened { stream, is_relayed: false }),
+                Ok(Ok(stream)) => Ok(Opened { stream, relay: None }),
                 Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                     Err(Failure::Refused)
                 }
@@ -104,7 +104,9 @@
 /// Opens connections through other hosts, the first that can.
 struct ByHosts {
     own: IpAddr,
-    relays: Vec<SocketAddr>,
+    relays: Vec<HostId>,
+    /// The port at which hosts open connections for others.
+    port: u16,
 }
 
 impl Opener for ByHosts {
@@ -112,13 +114,14 @@
         Box::pin(async move {
             let request = OpenRequest { target: target.to_owned(), addr: addr.to_owned() };
             let mut failure = Failure::Unreachable;
-            for &relay in &self.relays {
+            for &host in &self.relays {
+                let relay = SocketAddr::new(Ipv4Addr::from(host).into(), self.port);
                 let asking = ask(self.own, relay, &request);
                 let Ok(Ok((stream, reply))) = timeout(RELAY_TIMEOUT, asking).await else {
                     continue;
                 };
                 match reply {
-                    Some(Reply::Opened) => return Ok(Opened { stream, is_relayed: true }),
+                    Some(Reply::Opened) => return Ok(Opened { stream, relay: Some(host) }),
                     Some(Reply::Refused) => failure = Failure::Refused,
                     Some(Reply::Unreachable | Reply::Rejected) | None => {}
                 }
@@ -226,8 +229,7 @@
 
     fn by_hosts(&self, relays: Vec<HostId>) -> ByHosts {
         let port = self.host.borrow().settings().relay_port;
-        let relays = relays.into_iter().map(|it| (Ipv4Addr::from(it), port).into()).collect();
-        ByHosts { own: self.own_ip(), relays }
+        ByHosts { own: self.own_ip(), relays, port }
     }
 
     fn path_opened(self: &Rc<Edge>) {
--- a/edge/tests/crashes.rs
+++ b/edge/tests/crashes.rs
@@ -248,11 +248,11 @@
 /// alone, so none is known as the cause.
 #[tokio::test]
 async fn crashing_requests_of_a_route_are_not_sent_on() {
-    let (cluster, targets) = start(17, "app").await;
+    let (cluster, targets) = start(22, "app").await;
     let rounds = 10u8;
     for round in 0..rounds {
         until_served(&cluster, "/read/sound", "").await;
-        let source: IpAddr = ip(17, 200 + round).parse().expect("an address");
+        let source: IpAddr = ip(22, 200 + round).parse().expect("an address");
         let mut bystanders = Vec::new();
         for number in 0..BYSTANDERS {
             let entry = cluster.addr(1 + number % 4, ENTRY);
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -567,6 +567,17 @@
         /// Number of requests that were there, as far as the host knows.
         load: u32,
     },
+    /// Tells the host that passed a request on that the target turned it away and asked for a pause.
+    PauseAsked {
+        /// The target's name.
+        target: String,
+        /// The target's start time.
+        started_at: u64,
+        /// The attempt whose answer asked for it.
+        id: String,
+        /// The time in milliseconds.
+        span_ms: u64,
+    },
 }
 
 impl FleetMsg {
