Log how long a pause lasted; show what callers get while targets pause by turns

The line at the end of a pause names the attempt that brought it, and its age. New test: three targets that pause by turns, for a second each.

--- a/coordination/fleet/src/answers.rs
+++ b/coordination/fleet/src/answers.rs
@@ -8,7 +8,7 @@
 
 use wire::{FleetMsg, HostId, TargetState};
 
-use crate::{Event, Host, Reservation, Target, io::Output};
+use crate::{Event, Host, Reservation, Target, io::Output, targets::Pause};
 
 /// Maximum time for which a target gets nothing because it asked for that.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
@@ -84,11 +84,10 @@
     ) {
         let until = now + span.min(MAX_PAUSE);
         let Some(target) = self.known_process(name, started_at) else { return };
-        if target.paused_until.is_some_and(|it| it >= until) {
-            return;
-        }
-        let is_new = target.paused_until.replace(until).is_none();
-        if is_new {
+        if let Some(pause) = &mut target.pause {
+            pause.until = pause.until.max(until);
+        } else {
+            target.pause = Some(Pause { since: now, until, id: id.to_owned() });
             let span_ms = (until - now).as_millis() as u64;
             self.log(Event::Paused { target: name.to_owned(), id: id.to_owned(), span_ms });
         }
@@ -98,13 +97,13 @@
     pub(crate) fn tick_pauses(&mut self, now: Duration) {
         let mut ended = Vec::new();
         for target in self.targets.iter_mut() {
-            if target.paused_until.is_some_and(|until| now >= until) {
-                target.paused_until = None;
-                ended.push(target.record.id.clone());
+            if let Some(pause) = target.pause.take_if(|it| now >= it.until) {
+                ended.push((target.record.id.clone(), pause));
             }
         }
-        for target in ended {
-            self.log(Event::PauseEnded { target });
+        for (target, pause) in ended {
+            let age_ms = now.saturating_sub(pause.since).as_millis() as u64;
+            self.log(Event::PauseEnded { target, id: pause.id, age_ms });
             self.out.push(Output::RetryWaiting);
         }
     }
--- a/coordination/fleet/src/choose.rs
+++ b/coordination/fleet/src/choose.rs
@@ -89,7 +89,7 @@
             Some(version) => version >= requirements.newest,
         };
         held = true;
-        if let Some(until) = target.paused_until.filter(|until| now < *until) {
+        if let Some(until) = target.pause.as_ref().map(|it| it.until).filter(|it| now < *it) {
             if paused.is_none_or(|(least, _)| until < least) {
                 paused = Some((until, target));
             }
--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -148,6 +148,10 @@
     PauseEnded {
         /// Name of the target.
         target: String,
+        /// The attempt whose answer first asked for it.
+        id: String,
+        /// Time since then, in milliseconds.
+        age_ms: u64,
     },
     /// A target named another request limit than before, or none any more.
     Limit {
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -68,5 +68,5 @@
     routes::Routes,
     settings::{Bounds, Settings},
     stream_records::stream_hash,
-    targets::{Target, Targets, adapter_hash, stable_hash},
+    targets::{Pause, Target, Targets, adapter_hash, stable_hash},
 };
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -212,7 +212,7 @@
     fn limited(&self, query: &TargetQuery, target: String, due: Option<Duration>) -> Choice {
         let mut others = self.targets.ready(&query.service).filter(|it| {
             !it.limit.is_limited()
-                && it.paused_until.is_none()
+                && it.pause.is_none()
                 && query.software.is_none_or(|software| software == it.software)
         });
         let elsewhere = query.adapter.is_some() && others.next().is_some();
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -80,6 +80,17 @@
     }
 }
 
+/// The time for which a target wants no request from this host.
+#[derive(Debug, Clone)]
+pub struct Pause {
+    /// When the target first asked for it.
+    pub since: Duration,
+    /// When it ends.
+    pub until: Duration,
+    /// The attempt whose answer first asked for it.
+    pub id: String,
+}
+
 /// One target in the local view of a host.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -101,8 +112,8 @@
     pub health: Health,
     /// The limit of requests that it names.
     pub limit: LimitView,
-    /// It asked this host for no request before this time; `None` if it asked for no pause.
-    pub paused_until: Option<Duration>,
+    /// The pause that it asked this host for.
+    pub pause: Option<Pause>,
 }
 
 impl Target {
@@ -117,13 +128,13 @@
             adapters: HashMap::new(),
             health: Health::default(),
             limit: LimitView::default(),
-            paused_until: None,
+            pause: None,
         }
     }
 
     /// Whether it asked this host for no request now.
     pub(crate) fn is_paused(&self, now: Duration) -> bool {
-        self.paused_until.is_some_and(|until| now < until)
+        self.pause.as_ref().is_some_and(|it| now < it.until)
     }
 
     /// Returns the number of requests of this host in progress.
@@ -142,7 +153,7 @@
 struct SilentTarget {
     started_at: u64,
     limit: RequestLimit,
-    paused_until: Option<Duration>,
+    pause: Option<Pause>,
     is_leaving: bool,
 }
 
@@ -208,7 +219,7 @@
                 && silent.started_at == record.started_at
             {
                 target.limit = LimitView::known(silent.limit);
-                target.paused_until = silent.paused_until;
+                target.pause = silent.pause;
                 if silent.is_leaving {
                     target.record.state = TargetState::Leaving;
                 }
@@ -260,11 +271,11 @@
     fn silence(&mut self, id: &str) {
         let Some(target) = self.by_id.remove(id) else { return };
         let is_leaving = target.record.state == TargetState::Leaving;
-        if target.limit.is_limited() || target.paused_until.is_some() || is_leaving {
+        if target.limit.is_limited() || target.pause.is_some() || is_leaving {
             let silent = SilentTarget {
                 started_at: target.record.started_at,
                 limit: target.limit.limit,
-                paused_until: target.paused_until,
+                pause: target.pause,
                 is_leaving,
             };
             self.silent.insert(id.to_owned(), silent);
--- a/edge/tests/says.rs
+++ b/edge/tests/says.rs
@@ -5,7 +5,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -31,6 +34,9 @@
 /// Time after a target asked for a pause from which few requests may reach it from that host.
 const PAUSE_BEGINS: Duration = Duration::from_millis(500);
 const MAX_PAUSED: usize = 2;
+/// How long targets pause by turns, and how often.
+const TURN: Duration = Duration::from_secs(1);
+const TURNS: usize = 6;
 /// How long callers press on the targets.
 const PRESSURE: Duration = Duration::from_secs(6);
 
@@ -133,15 +139,30 @@
     call(entry, Method::GET, "/read/x", &headers, "").await
 }
 
+/// How many requests were served and not served.
+#[derive(Default)]
+struct Counts {
+    served: AtomicUsize,
+    failed: AtomicUsize,
+}
+
 /// Lets callers press on all hosts.
 fn press(cluster: &Cluster) -> Vec<JoinHandle<()>> {
+    press_and_count(cluster, &Arc::default())
+}
+
+fn press_and_count(cluster: &Cluster, counts: &Arc<Counts>) -> Vec<JoinHandle<()>> {
     let mut callers = Vec::new();
     for host in 1..=HOSTS {
         let entry = cluster.addr(host, ENTRY);
         for caller in 0..2 {
+            let counts = counts.clone();
             callers.push(tokio::spawn(async move {
                 for number in 0.. {
-                    let _ = read(entry, format!("{host}-{caller}-{number}")).await;
+                    let answer = read(entry, format!("{host}-{caller}-{number}")).await;
+                    let served = answer.is_ok_and(|it| it.status.is_success());
+                    let count = if served { &counts.served } else { &counts.failed };
+                    count.fetch_add(1, Ordering::SeqCst);
                     sleep(Duration::from_millis(40)).await;
                 }
             }));
@@ -193,6 +214,35 @@
     });
 }
 
+/// Guards against requests that are refused, or sent to a target that wants none, though another target
+/// is free: the targets ask for a pause by turns.
+#[tokio::test]
+async fn callers_are_served_while_targets_pause_by_turns() {
+    let (cluster, targets) = start(23, 3).await;
+    let counts: Arc<Counts> = Arc::default();
+    let callers = press_and_count(&cluster, &counts);
+    for turn in 0..TURNS {
+        let pausing = turn % targets.len();
+        for (number, target) in targets.iter().enumerate() {
+            let says =
+                if number == pausing { Says::Pause(TURN.as_secs_f64()) } else { Says::Nothing };
+            target.seen(|it| it.says = says);
+        }
+        sleep(TURN).await;
+    }
+    for caller in callers {
+        caller.abort();
+    }
+    let turned_away: usize = targets.iter().map(|it| it.seen(|seen| seen.said.len())).sum();
+    let (served, failed) =
+        (counts.served.load(Ordering::SeqCst), counts.failed.load(Ordering::SeqCst));
+    println!("{served} served, {failed} not served, {turned_away} turned away by targets");
+    assert!(served > 0, "nothing served");
+    assert_eq!(failed, 0, "of {served}, while two targets were free");
+    let most = TURNS * usize::from(HOSTS) * (1 + MAX_PAUSED);
+    assert!(turned_away <= most, "{turned_away} requests turned away by targets that want none");
+}
+
 /// Guards against callers that wait for targets which have all asked for a pause longer than they can
 /// wait, or that are told to come back too early.
 #[tokio::test]
