Soak: targets that leave by their answers, ask for pauses, or are brittle

The stand-in target moves to a file of its own, can say these things of itself, and starts again as another process; says.rs uses the same list of what targets say.

--- a/edge/tests/says.rs
+++ b/edge/tests/says.rs
@@ -14,9 +14,9 @@
 
 use common::{
     CONTROL, Cluster, ENTRY, call, document, ip, read_request, send_heartbeats, signed_head,
-    target_record, until,
+    target::Says, target_record, until,
 };
-use http::{HeaderMap, Method};
+use http::Method;
 use platform::stand_in;
 use tokio::{
     io::AsyncWriteExt,
@@ -40,14 +40,6 @@
 /// How long callers press on the targets.
 const PRESSURE: Duration = Duration::from_secs(6);
 
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Says {
-    Nothing,
-    Leaving,
-    /// It turns each request away and asks for a pause of so many seconds.
-    Pause(f64),
-}
-
 /// What a target has seen.
 struct Seen {
     says: Says,
@@ -92,20 +84,15 @@
                 }
                 seen.says
             });
-            let mut headers = HeaderMap::new();
-            let mut more = "Content-Length: 4\r\n".to_owned();
+            let mut headers = says.headers();
             let status = match says {
-                Says::Nothing => "200 OK",
-                Says::Leaving => {
-                    stand_in::say_leaving(&mut headers);
-                    "200 OK"
-                }
-                Says::Pause(span) => {
-                    headers = stand_in::not_run();
-                    more += &format!("Retry-After: {span}\r\n");
+                Says::Pause(_) => {
+                    headers.extend(stand_in::not_run());
                     "503 Busy"
                 }
+                Says::Nothing | Says::Leaving | Says::Brittle(_) => "200 OK",
             };
+            let mut more = "Content-Length: 4\r\n".to_owned();
             for (name, value) in &headers {
                 more += &format!("{name}: {}\r\n", value.to_str().expect("it is text"));
             }
--- a/edge/tests/sessions.rs
+++ b/edge/tests/sessions.rs
@@ -4,7 +4,9 @@
 mod common;
 
 use common::{
-    Answer, CONTROL, Cluster, DIRECTORY, ENTRY, EVENT_COUNT, Target, call, document, until,
+    Answer, CONTROL, Cluster, DIRECTORY, ENTRY, call, document,
+    target::{EVENT_COUNT, Target},
+    until,
 };
 use http::{Method, StatusCode};
 
--- a/edge/tests/soak.rs
+++ b/edge/tests/soak.rs
@@ -3,7 +3,8 @@
 //!
 //! The default is a short run for every day; `SOAK_SEEDS` (first-last) and `SOAK_SECONDS` (per
 //! seed) set longer ones. Faults: hosts are killed, frozen, terminated and lose their disks; a
-//! proxy refuses, stalls and delays connections to targets. The system clock is not changed.
+//! proxy refuses, stalls and delays connections to targets; targets say in their answers that they
+//! leave, want nothing for a while or are brittle. The system clock is not changed.
 
 mod common;
 
@@ -15,7 +16,11 @@
     time::{Duration, Instant},
 };
 
-use common::{CONTROL, Cluster, ENTRY, EVENT_COUNT, Target, call, document, ip, until};
+use common::{
+    CONTROL, Cluster, ENTRY, call, document, ip,
+    target::{EVENT_COUNT, Says, Target},
+    until,
+};
 use http::{Method, StatusCode};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -153,16 +158,25 @@
     }
 }
 
-/// Injects one fault per round and repairs it.
+/// Injects one fault per round and repairs it. What a target says in its answers lasts through the
+/// next fault.
 async fn inject_faults(
     cluster: &mut Cluster,
     modes: &[Rc<RefCell<ProxyMode>>],
+    apps: &[Target],
     rng: &mut ChaCha8Rng,
     duration: Duration,
 ) {
     let end = Instant::now() + duration;
     while Instant::now() < end {
         cluster.assert_running();
+        let app = &apps[rng.random_range(0..apps.len())];
+        app.say(match rng.random_range(0..6) {
+            0 => Says::Leaving,
+            1 => Says::Pause(rng.random_range(0.2..4.0)),
+            2 => Says::Brittle(3),
+            _ => Says::Nothing,
+        });
         let host = rng.random_range(1..=HOSTS);
         let mode = &modes[rng.random_range(0..modes.len())];
         let delay = Duration::from_millis(rng.random_range(200..2500));
@@ -194,6 +208,7 @@
         }
         sleep(delay).await;
         *mode.borrow_mut() = ProxyMode::Open;
+        app.restart();
         sleep(Duration::from_millis(rng.random_range(100..1500))).await;
     }
 }
@@ -273,7 +288,7 @@
     }
     let own = ChaCha8Rng::seed_from_u64(seed * 100 + 99);
     tasks.push(tokio::task::spawn_local(operator(observed.clone(), control.clone(), own)));
-    inject_faults(&mut cluster, &modes, &mut rng, duration).await;
+    inject_faults(&mut cluster, &modes, &apps, &mut rng, duration).await;
     // All faults are repaired: the acknowledged configuration is in force, and requests are served.
     let before = observed.borrow().acknowledged;
     for addr in &control {
