--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -3,7 +3,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{DomainId, Fence, HostId, Incarnation, Index, Term};
+use crate::{
+    DomainId, Fence, HostId, Incarnation, Index, PlaceReply, PlaceRequest, RequestLimit, Suspect,
+    SuspectRecord, Term, suspect::CrashId,
+};
 
 /// A target's number within an epoch of its failure domain's feed.
 pub type TargetNumber = u16;
@@ -11,39 +14,6 @@
 /// A short hash of an adapter's name, used in counts. Zero stands for no adapter.
 pub type AdapterHash = u32;
 
-/// Requests per second, in thousandths.
-pub type MilliRate = u32;
-
-/// What is known of the limit of requests that a target takes from all hosts together.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RequestLimit {
-    /// No answer of the target is known.
-    #[default]
-    Unknown,
-    /// The target names no limit.
-    Unlimited,
-    /// The target takes so many requests.
-    Rate(MilliRate),
-    /// The target names no limit, but falls over if it turns too many requests away. The holder
-    /// estimates how many it takes at once.
-    AtOnce(u32),
-}
-
-impl RequestLimit {
-    /// Whether each request needs a place.
-    pub fn needs_places(self) -> bool {
-        matches!(self, RequestLimit::Rate(_) | RequestLimit::AtOnce(_))
-    }
-
-    /// Returns the requests per second, in thousandths; `None` if that is not what is limited.
-    pub fn rate(self) -> Option<MilliRate> {
-        match self {
-            RequestLimit::Rate(rate) => Some(rate),
-            RequestLimit::Unknown | RequestLimit::Unlimited | RequestLimit::AtOnce(_) => None,
-        }
-    }
-}
-
 /// A hash of the name of a target's software version.
 pub type SoftwareHash = u64;
 
@@ -51,57 +21,6 @@
 /// alone.
 pub type StreamHash = u64;
 
-/// A hash of a request's method, host, path and body.
-pub type RequestHash = u64;
-
-/// A hash of a service and of what a request without a prompt names: its path below its route's prefix.
-pub type ResourceHash = u64;
-
-/// A hash of a service and of the prefix of a route, for requests without a prompt.
-pub type RouteHash = u64;
-
-/// The id of a part of prompts, or a hash of an id that is not a number.
-pub type PartId = u64;
-
-/// A hash of the name and the start time of a target that crashed.
-pub type CrashId = u64;
-
-/// Something that several requests can have in common and that may crash the targets that run them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Suspect {
-    /// The whole content of a request.
-    Request(RequestHash),
-    /// A part that prompts share.
-    Part(PartId),
-    /// What requests without a prompt name, also on different routes.
-    Resource(ResourceHash),
-    /// The route of requests without a prompt. Its requests are sent, but one that is lost with its
-    /// target counts as tried.
-    Route(RouteHash),
-}
-
-impl std::fmt::Display for Suspect {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Suspect::Request(hash) => write!(f, "request:{hash:x}"),
-            Suspect::Part(id) => write!(f, "part:{id:x}"),
-            Suspect::Resource(hash) => write!(f, "resource:{hash:x}"),
-            Suspect::Route(hash) => write!(f, "route:{hash:x}"),
-        }
-    }
-}
-
-/// What the hosts together know of a suspect.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectRecord {
-    /// The suspect.
-    pub suspect: Suspect,
-    /// Number of targets that crashed while they had requests with it.
-    pub crashes: u16,
-    /// Number of trials that crashed their target.
-    pub failed_trials: u16,
-}
-
 /// The replicated record of a host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostRecord {
@@ -294,48 +213,6 @@
     pub pause_ms: u32,
 }
 
-/// A host's request for places, each the right to send one request to a target with a limit, to the
-/// holder of the target's failure domain.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlaceRequest {
-    /// The target's name.
-    pub target: String,
-    /// The target's start time, in milliseconds since the Unix epoch.
-    pub started_at: u64,
-    /// The limit that the host knows; zero at a brittle target.
-    pub milli_rate: MilliRate,
-    /// The number of places that the host can use at once.
-    pub count: u16,
-    /// The number of requests that wait for a place at the host.
-    pub waiting: u16,
-    /// Whether the most urgent of them can no longer be on time.
-    pub late: bool,
-    /// The priority of the most urgent of them; zero is served first.
-    pub priority: u8,
-    /// When the request was sent, in milliseconds of the sender's clock.
-    pub sent_ms: u64,
-}
-
-/// Answers [`PlaceRequest`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlaceReply {
-    /// The target's name.
-    pub target: String,
-    /// The target's start time.
-    pub started_at: u64,
-    /// The `sent_ms` of the answered request.
-    pub sent_ms: u64,
-    /// The time from the request's arrival to this answer, in milliseconds.
-    pub held_ms: u32,
-    /// The number of granted places; zero if the host has to wait.
-    pub places: u16,
-    /// Number of the limit's last change, over all holders. An answer to a request with the place is
-    /// newer than this change.
-    pub change: u64,
-    /// The time until a further request would get a place, in milliseconds.
-    pub due_ms: u32,
-}
-
 /// What a voter knows of the software version that began a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FoundRecord {
--- a/protocol/wire/src/lib.rs
+++ b/protocol/wire/src/lib.rs
@@ -8,8 +8,10 @@
 mod error;
 mod fleet;
 mod id;
+mod limit;
 mod log;
 mod message;
+mod suspect;
 mod target;
 
 pub use crate::{
@@ -20,20 +22,20 @@
     },
     error::{ErrorInfo, ErrorKind, Fault, Ran, Retry, error_chain},
     fleet::{
-        AdapterHash, CrashId, DomainLoads, Epoch, Feed, FeedChange, FleetMsg, FoundRecord,
-        HostRecord, HostStatus, MilliRate, PartId, PlaceReply, PlaceRequest, Placement,
-        PrefillRequest, Renewal, RequestHash, RequestLimit, ResourceHash, RouteHash, Running,
-        SoftwareHash, StreamHash, Suspect, SuspectRecord, TargetNumber, TargetRecord, TargetState,
-        Topic,
+        AdapterHash, DomainLoads, Epoch, Feed, FeedChange, FleetMsg, FoundRecord, HostRecord,
+        HostStatus, Placement, PrefillRequest, Renewal, Running, SoftwareHash, StreamHash,
+        TargetNumber, TargetRecord, TargetState, Topic,
     },
     id::{
         AdapterId, CallerId, DiskId, DomainId, Fence, Fingerprint, GroupId, HostId, Incarnation,
         Index, RequestId, Revision, TargetId, Term, request_id,
     },
+    limit::{MilliRate, PlaceReply, PlaceRequest, RequestLimit},
     log::{Entry, EntryBody, LogBody, LogMsg, Member, Membership, Role, Snapshot},
     message::{
         Answer, Credit, Digest, DomainForce, Fail, Forward, Grant, Head, LoadEnded, LoadGrant,
         LoadRequest, PeerMsg, Piece, Pin, Query, Renew, Residency, Urgency,
     },
+    suspect::{CrashId, PartId, RequestHash, ResourceHash, RouteHash, Suspect, SuspectRecord},
     target::{Capacity, Load, TargetInfo, TargetKind, TargetReport},
 };
--- a/state/replog/src/lead.rs
+++ b/state/replog/src/lead.rs
@@ -1,7 +1,7 @@
 //! The leader's side of replication: heartbeats, entries, snapshots and commit.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     time::Duration,
 };
 
@@ -128,27 +128,6 @@
         }
     }
 
-    /// Replaces the list of all hosts. On a leader, hosts that are new in it become peers.
-    pub(crate) fn set_hosts(&mut self, hosts: Vec<HostId>) {
-        let former = std::mem::replace(&mut self.settings.hosts, hosts);
-        let (now, commit, own) = (self.now, self.commit, self.settings.host);
-        let Role::Leader(lead) = &mut self.role else {
-            return;
-        };
-        let known: BTreeSet<HostId> = former.into_iter().collect();
-        let mut new = Vec::new();
-        for &host in &self.settings.hosts {
-            if host == own || known.contains(&host) || lead.peers.contains_key(&host) {
-                continue;
-            }
-            lead.peers.insert(host, Peer::new(now, None, None, commit));
-            new.push(host);
-        }
-        for host in new {
-            self.send_append(host);
-        }
-    }
-
     pub(crate) fn propose(&mut self, data: Bytes) {
         if !matches!(self.role, Role::Leader(_)) {
             return;
--- a/state/replog/src/replica.rs
+++ b/state/replog/src/replica.rs
@@ -16,6 +16,7 @@
     group::{is_voter, member, within},
     lead::{LeaderState, NON_MEMBER_INTERVAL},
     log::{Log, entry_bytes},
+    peer::Peer,
     queue::WriteQueue,
 };
 
@@ -229,6 +230,27 @@
         }
     }
 
+    /// Replaces the list of all hosts. On a leader, hosts that are new in it become peers.
+    fn set_hosts(&mut self, hosts: Vec<HostId>) {
+        let former = std::mem::replace(&mut self.settings.hosts, hosts);
+        let (now, commit, own) = (self.now, self.commit, self.settings.host);
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let known: BTreeSet<HostId> = former.into_iter().collect();
+        let mut new = Vec::new();
+        for &host in &self.settings.hosts {
+            if host == own || known.contains(&host) || lead.peers.contains_key(&host) {
+                continue;
+            }
+            lead.peers.insert(host, Peer::new(now, None, None, commit));
+            new.push(host);
+        }
+        for host in new {
+            self.send_append(host);
+        }
+    }
+
     /// Looks for a leader with the next tick, if this replica is no member.
     fn drop_silent_leader(&mut self) {
         if self.is_member() || self.leader.is_none() {
