--- a/coordination/fleet/benches/cost.rs
+++ b/coordination/fleet/benches/cost.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use common::{World, ms, target};
+use common::{World, ms, records::target};
 use desired::Command;
 use fleet::Input;
 use wire::TargetState;
--- a/coordination/fleet/tests/answers.rs
+++ b/coordination/fleet/tests/answers.rs
@@ -5,9 +5,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use bytes::Bytes;
-use common::{World, ms, query, target};
-use desired::Command;
+use common::{
+    World, ms,
+    records::{query, target},
+};
 use fleet::{Choice, Host, Input, Outcome, Reservation};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -42,12 +43,7 @@
 
 impl Model {
     fn new(seed: u64) -> Model {
-        let mut world = World::new(seed, 3, 3, &[1, 2, 3]);
-        world.run(ms(3000));
-        let command = Command::Replace { number: 1, body: Bytes::from_static(b"one") };
-        let tag = world.tag();
-        world.input(4, Input::Change { tag, command });
-        world.run(ms(1000));
+        let world = World::configured(seed);
         let process = |started_at| Process {
             started_at,
             leaves: None,
--- a/coordination/fleet/tests/brittle.rs
+++ b/coordination/fleet/tests/brittle.rs
@@ -9,7 +9,10 @@
     time::Duration,
 };
 
-use common::{World, ms, query, target};
+use common::{
+    World, ms,
+    records::{query, target},
+};
 use fleet::{Choice, Input, Outcome, Reservation};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -1,19 +1,25 @@
 //! Simulation of several hosts in one process with virtual time and a network that can be cut.
 #![allow(dead_code)]
 
+pub mod records;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
+use bytes::Bytes;
+use desired::Command;
 use fleet::{
     Admission, Bounds, Config, Engine, Host, Input, Limits, Model, Order, OrderOutcome, Output,
-    Reply, Report, RequestKind, Route, SeenCrash, Service, Settings, Tag, TargetQuery,
+    Reply, Report, Service, Settings, Tag,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use replog::{HardState, Op, Recovered, Write};
-use wire::{FeedChange, FleetMsg, HostId, PeerMsg, Suspect, TargetRecord, TargetState};
+use wire::{FeedChange, FleetMsg, HostId, PeerMsg, Suspect};
+
+use self::records::{query, seen_crash};
 
 const TICK: Duration = Duration::from_millis(50);
 
@@ -173,6 +179,17 @@
         World::with_cpu_millis(seed, disks, plain, seeds, 1000)
     }
 
+    /// Six hosts, the first three with disks, that obey a configuration.
+    pub fn configured(seed: u64) -> World {
+        let mut world = World::new(seed, 3, 3, &[1, 2, 3]);
+        world.run(ms(3000));
+        let command = Command::Replace { number: 1, body: Bytes::from_static(b"one") };
+        let tag = world.tag();
+        world.input(4, Input::Change { tag, command });
+        world.run(ms(1000));
+        world
+    }
+
     /// Like [`World::new`]; hosts without a disk have `cpu_millis` thousandths of a core.
     pub fn with_cpu_millis(
         seed: u64,
@@ -523,46 +540,3 @@
         report
     }
 }
-
-/// The crash of a target's first process with several requests in it.
-pub fn seen_crash(target: &str, suspects: &[Suspect]) -> SeenCrash {
-    let (target, suspects) = (target.to_owned(), suspects.to_vec());
-    SeenCrash { target, started_at: 1, suspects, ..SeenCrash::default() }
-}
-
-pub fn query(adapter: &str) -> TargetQuery {
-    let route = Route {
-        name: "r".to_owned(),
-        host: "a.example".to_owned(),
-        prefix: "/".to_owned(),
-        kind: RequestKind::Stream { resumable: false },
-        timeout: ms(15_000),
-        latency_objective: ms(1000),
-        max_pause: ms(300),
-        priority: 1,
-        attempts: 1,
-        split: vec![("s".to_owned(), 1)],
-    };
-    TargetQuery {
-        route: route.into(),
-        service: "s".to_owned(),
-        adapter: Some(adapter.to_owned()),
-        tried: BTreeSet::new(),
-        arrived: Duration::ZERO,
-        software: None,
-    }
-}
-
-pub fn target(id: &str, started_at: u64, sequence: u64, state: TargetState) -> TargetRecord {
-    TargetRecord {
-        id: id.to_owned(),
-        started_at,
-        sequence,
-        service: "s".to_owned(),
-        addr: format!("{id}:1"),
-        domain: "d1".to_owned(),
-        slots: 4,
-        software: "v1".to_owned(),
-        state,
-    }
-}
--- a/coordination/fleet/tests/holders.rs
+++ b/coordination/fleet/tests/holders.rs
@@ -5,9 +5,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use bytes::Bytes;
-use common::{World, ms, target};
-use desired::Command;
+use common::{World, ms, records::target};
 use fleet::Input;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -19,12 +17,7 @@
 /// Six hosts, the first three with disks, that know six targets in three failure domains and a
 /// configuration.
 fn world(seed: u64) -> World {
-    let mut world = World::new(seed, 3, 3, &[1, 2, 3]);
-    world.run(ms(3000));
-    let command = Command::Replace { number: 1, body: Bytes::from_static(b"one") };
-    let tag = world.tag();
-    world.input(4, Input::Change { tag, command });
-    world.run(ms(1000));
+    let mut world = World::configured(seed);
     send_heartbeats(&mut world, 1);
     world.run(ms(2500));
     world
--- a/coordination/fleet/tests/hosts.rs
+++ b/coordination/fleet/tests/hosts.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use bytes::Bytes;
-use common::{World, ms, target};
+use common::{World, ms, records::target};
 use desired::Command;
 use fleet::{Input, Reply};
 use wire::{HostId, TargetState};
--- a/coordination/fleet/tests/limits.rs
+++ b/coordination/fleet/tests/limits.rs
@@ -6,7 +6,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use common::{World, ms, query, target};
+use common::{
+    World, ms,
+    records::{query, target},
+};
 use fleet::{Choice, Host, Input, Outcome, Reservation};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/coordination/fleet/tests/quarantine.rs
+++ b/coordination/fleet/tests/quarantine.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{World, ms, seen_crash};
+use common::{World, ms, records::seen_crash};
 use fleet::{Admission, SeenCrash};
 use wire::{HostId, Suspect};
 
--- a/coordination/fleet/tests/stream_records.rs
+++ b/coordination/fleet/tests/stream_records.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use common::{World, ms, target};
+use common::{World, ms, records::target};
 use fleet::{Input, stable_hash, stream_hash};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
