Share the allowance of retries by the hosts that the log lists

Callers saw: nothing yet; found by looking for what a holder promises by what it remembers (BUDGET). Cause: each host divides the allowance by the live hosts that holders count. After all hosts were restarted at once these knew few others, and each took half of the allowance or a third. Change: it is divided by the hosts in the log if they are more.

--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -289,8 +289,9 @@
     /// Takes one retry out of the service's budget. Returns false if the budget is exhausted.
     pub fn try_retry(&mut self, now: Duration, service: &str) -> bool {
         let bounds = &self.settings.bounds;
-        // One more host than the live ones is counted, as a reserve.
-        let hosts = f64::from(self.requests.hosts.max(1)) + 1.0;
+        // A holder that has just started counts few hosts, the log lists all. One more is counted, as
+        // a reserve.
+        let hosts = usize::from(self.requests.hosts).max(self.desired.hosts.len()) as f64 + 1.0;
         let allowance = bounds.retry_allowance / hosts;
         let budget = self.requests.budgets.entry(service.to_owned()).or_default();
         budget.try_take(now, bounds.retry_window, bounds.retry_ratio, allowance)
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -21,6 +21,8 @@
 
 use self::records::{query, seen_crash};
 
+/// Retries that all hosts together may send in a window beside a share of the requests.
+pub const RETRY_ALLOWANCE: f64 = 60.0;
 const TICK: Duration = Duration::from_millis(50);
 
 pub fn ms(ms: u64) -> Duration {
@@ -93,7 +95,7 @@
         lease: ms(3000),
         retry_ratio: 0.2,
         retry_window: ms(10_000),
-        retry_allowance: 60.0,
+        retry_allowance: RETRY_ALLOWANCE,
         load_window: ms(5000),
         entry_ttl: ms(5000),
     }
--- a/coordination/fleet/tests/hosts.rs
+++ b/coordination/fleet/tests/hosts.rs
@@ -325,3 +325,38 @@
         assert_eq!(count(host), 60, "host {host}, the leader is {leader}");
     }
 }
+
+/// Guards against hosts that each take too large a part of the retry budget, since they and the holders
+/// have just started and know few others: what all take is within the budget.
+#[test]
+fn hosts_that_have_just_started_share_the_retry_budget() {
+    for seed in 0..5 {
+        let mut world = World::configured(seed);
+        world.run(ms(2000));
+        let hosts = world.running();
+        for &host in &hosts {
+            world.kill(host);
+        }
+        for &host in &hosts {
+            world.start(host);
+        }
+        let mut taken = 0;
+        for _ in 0..100 {
+            world.run(ms(50));
+            for &host in &hosts {
+                taken += world.call(host, |state, now| {
+                    let may =
+                        |state: &mut fleet::Host| state.is_ready() && state.try_retry(now, "s");
+                    let mut count = 0;
+                    while may(state) {
+                        count += 1;
+                    }
+                    (count, Vec::new())
+                });
+            }
+        }
+        let allowed = common::RETRY_ALLOWANCE;
+        assert!(taken > 0, "seed {seed}: no host takes retries");
+        assert!(f64::from(taken) <= allowed, "seed {seed}: {taken} retries, {allowed} allowed");
+    }
+}
