Model of what targets say in answers: all hosts are killed at once, too

What a target said is kept by the other hosts when one is killed; after all were, by nobody until it says so again. The checks stay the same.

--- a/coordination/fleet/tests/answers.rs
+++ b/coordination/fleet/tests/answers.rs
@@ -1,5 +1,5 @@
 //! What targets say of themselves in their answers, in virtual time with fixed seeds: hosts and targets
-//! are lost, messages too, and heartbeats go on saying that a target is ready.
+//! are lost, all hosts at once, messages too, and heartbeats go on saying that a target is ready.
 
 mod common;
 
@@ -143,7 +143,7 @@
     fn disturb(&mut self) {
         let number = self.rng.random_range(0..TARGETS as usize);
         let host = self.host();
-        match self.rng.random_range(0..4) {
+        match self.rng.random_range(0..5) {
             0 => self.processes[number].silent_until = self.world.now + SILENCE,
             // Another process has its name and address.
             1 => {
@@ -158,6 +158,13 @@
                 self.world.start(host);
                 self.started.insert(host, self.world.now);
             }
+            3 => {
+                for host in self.world.running() {
+                    self.world.kill(host);
+                    self.world.start(host);
+                    self.started.insert(host, self.world.now);
+                }
+            }
             _ => {
                 let leader = self.world.leader().unwrap_or(host);
                 self.world.frozen.insert(leader);
