--- a/coordination/fleet/tests/answers.rs
+++ b/coordination/fleet/tests/answers.rs
@@ -219,3 +219,34 @@
     model.world.run(ms(3000));
     assert_eq!(senders(&mut model.world).len(), 6, "the pause has ended");
 }
+
+/// Guards against a stream that goes on at a target that leaves, or at another software version: the last
+/// target of its version says in an answer that it leaves, and its heartbeats go on saying it is ready.
+#[test]
+fn a_stream_whose_versions_targets_leave_by_answers_gets_none() {
+    let mut world = World::configured(31);
+    let beat = |world: &mut World, sequence| {
+        for (id, software) in [("t0", "v1"), ("t1", "v2")] {
+            let mut record = target(id, 1, sequence, TargetState::Ready);
+            record.software = software.to_owned();
+            world.input(4, Input::Heartbeat { record });
+        }
+        world.run(ms(500));
+    };
+    beat(&mut world, 1);
+    let mut query = query("");
+    query.adapter = None;
+    query.software = Some(fleet::stable_hash(&"v1".to_owned()));
+    let choose = |world: &mut World, host| world.call(host, |it, now| it.choose(now, &query, 1));
+    let choice = choose(&mut world, 5);
+    let Choice::Send(reservation) = choice else { panic!("no target: {choice:?}") };
+    assert_eq!(reservation.target, "t0");
+    world.call(5, |it, now| ((), it.record_leaving(now, &reservation, "a")));
+    for sequence in 2..6 {
+        beat(&mut world, sequence);
+        for host in world.running() {
+            let choice = choose(&mut world, host);
+            assert!(matches!(choice, Choice::None), "host {host}: {choice:?}");
+        }
+    }
+}
