--- a/cli/tests/explain.rs
+++ b/cli/tests/explain.rs
@@ -41,3 +41,21 @@
     let log = file("edge.log", LOG);
     insta::assert_snapshot!(run(&["explain", "ffff", &log.to_string_lossy()]));
 }
+
+const PAUSE_LOG: &str = r#"{"ts":"2026-01-02T03:04:05.0Z","host":"edge-a","event":"paused","target":"i-2","id":"77aa","span_ms":4000}
+{"ts":"2026-01-02T03:04:05.0Z","host":"edge-a","event":"leaves_by_answer","target":"i-3","id":"77ab"}
+{"ts":"2026-01-02T03:04:05.1Z","host":"edge-a","event":"paused","target":"i-9","id":"77ac","span_ms":4000}
+{"ts":"2026-01-02T03:04:05.4Z","host":"edge-a","event":"request","id":"9c41","route":"r-1","outcome":"limited","status":503,"took_ms":30,"steps":"0 placed i-3; 10 gone i-3; 30 waits for a place at i-2;"}
+{"ts":"2026-01-02T03:04:06.2Z","host":"edge-a","event":"pause_ended","target":"i-2","id":"77aa","age_ms":1200}
+"#;
+
+/// Guards against a story that lacks why a request was refused: its targets leave or asked for a pause.
+#[test]
+fn a_request_refused_for_what_targets_say_is_explained() {
+    let log = file("pause.log", PAUSE_LOG);
+    let shown = run(&["explain", "9c41", &log.to_string_lossy()]);
+    for expected in ["paused", "\"id\":\"77aa\"", "leaves_by_answer", "pause_ended"] {
+        assert!(shown.contains(expected), "{expected} is missing in {shown}");
+    }
+    assert!(!shown.contains("i-9"), "another target's pause: {shown}");
+}
