Look up a target's process in one place

Whether a target's name still stands for the process that was started then was checked in five places, three of them since the limits of brittle targets and pauses. Behaviour is unchanged. All tests of fleet and says, limits, cut_off and crashes of edge pass.

--- a/coordination/fleet/src/answers.rs
+++ b/coordination/fleet/src/answers.rs
@@ -8,7 +8,7 @@
 
 use wire::{FleetMsg, HostId, TargetState};
 
-use crate::{Event, Host, Reservation, Target, io::Output, targets::Pause};
+use crate::{Event, Host, Reservation, io::Output, targets::Pause};
 
 /// Maximum time for which a target gets nothing because it asked for that.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
@@ -26,12 +26,6 @@
         !target.is_paused(now) && (has_place || !target.limit.is_limited())
     }
 
-    /// Returns a target, if the process that was started then still has its name.
-    fn known_process(&mut self, name: &str, started_at: u64) -> Option<&mut Target> {
-        let target = self.targets.get_mut(name)?;
-        (target.record.started_at == started_at).then_some(target)
-    }
-
     /// Records that a target said in an answer to the attempt `id` that it leaves, and tells all hosts.
     pub fn record_leaving(
         &mut self,
@@ -39,7 +33,7 @@
         reservation: &Reservation,
         id: &str,
     ) -> Vec<Output> {
-        let process = self.known_process(&reservation.target, reservation.started_at);
+        let process = self.targets.process_mut(&reservation.target, reservation.started_at);
         let Some(target) = process else { return Vec::new() };
         if target.record.state != TargetState::Ready {
             return Vec::new();
@@ -83,7 +77,7 @@
         span: Duration,
     ) {
         let until = now + span.min(MAX_PAUSE);
-        let Some(target) = self.known_process(name, started_at) else { return };
+        let Some(target) = self.targets.process_mut(name, started_at) else { return };
         if let Some(pause) = &mut target.pause {
             pause.until = pause.until.max(until);
         } else {
--- a/coordination/fleet/src/limits.rs
+++ b/coordination/fleet/src/limits.rs
@@ -34,10 +34,8 @@
         reservation: &Reservation,
         milli_rate: Option<MilliRate>,
     ) -> Vec<Output> {
-        let Some(target) = self.targets.get_mut(&reservation.target) else { return Vec::new() };
-        if target.record.started_at != reservation.started_at {
-            return Vec::new();
-        }
+        let process = self.targets.process_mut(&reservation.target, reservation.started_at);
+        let Some(target) = process else { return Vec::new() };
         let limit = milli_rate.map_or(RequestLimit::Unlimited, RequestLimit::Rate);
         let before = target.limit.limit;
         let report = target.limit.hear(now, limit);
@@ -61,10 +59,8 @@
         brittle: Option<u32>,
         turned_away: bool,
     ) -> Vec<Output> {
-        let Some(target) = self.targets.get_mut(&reservation.target) else { return Vec::new() };
-        if target.record.started_at != reservation.started_at {
-            return Vec::new();
-        }
+        let process = self.targets.process_mut(&reservation.target, reservation.started_at);
+        let Some(target) = process else { return Vec::new() };
         target.limit.hear_brittle(brittle);
         let Some(refusals) = brittle else { return Vec::new() };
         let was_limited = target.limit.is_limited();
@@ -99,10 +95,7 @@
         started_at: u64,
         report: BrittleReport,
     ) {
-        let Some(target) = self.targets.get_mut(id) else { return };
-        if target.record.started_at != started_at {
-            return;
-        }
+        let Some(target) = self.targets.process_mut(id, started_at) else { return };
         let before = target.limit.limit;
         if target.limit.guard(report.at_once()) {
             self.log_limit(id, before);
--- a/coordination/fleet/src/place_requests.rs
+++ b/coordination/fleet/src/place_requests.rs
@@ -102,8 +102,10 @@
 
     /// Handles the answer to this host's last request for places; earlier ones have no effect.
     pub(crate) fn handle_place_reply(&mut self, now: Duration, reply: &PlaceReply) {
-        let Some(target) = self.targets.get_mut(&reply.target) else { return };
-        if target.record.started_at == reply.started_at && target.limit.take_reply(now, reply) {
+        let Some(target) = self.targets.process_mut(&reply.target, reply.started_at) else {
+            return;
+        };
+        if target.limit.take_reply(now, reply) {
             self.out.push(Output::RetryWaiting);
         }
     }
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -183,6 +183,11 @@
         self.by_id.values()
     }
 
+    /// Returns a target for changes, if the process that was started then still has its name.
+    pub(crate) fn process_mut(&mut self, id: &str, started_at: u64) -> Option<&mut Target> {
+        self.by_id.get_mut(id).filter(|it| it.record.started_at == started_at)
+    }
+
     pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> {
         self.by_id.values_mut()
     }
