Log which report and which account of a target an order rests on

The log had the orders with their numbers, but no reports and not how many slots the holder counted, so it could not tell apart whether an order that overfills a target rests on a report that was older than the orders, on an order that was undone wrongly, or on a new holder's first report. Report requests have numbers now; a line is written only for a report that changes a row or states another order number.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -6,6 +6,31 @@
 
 use crate::OrderOutcome;
 
+/// The holder's account of a target on which an order rests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Basis {
+    /// Number of the request of the last report that was applied.
+    pub report: u64,
+    /// Number of orders that the target had accepted, by that report.
+    pub report_orders: u64,
+    /// Number of adapters that occupy slots.
+    pub held: usize,
+    /// Number of adapter slots.
+    pub slots: usize,
+}
+
+/// What a holder took a report for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReportVerdict {
+    /// It was applied to the target's row.
+    Applied,
+    /// The row has newer information.
+    OutOfDate,
+    /// It is of another process than the target's.
+    OtherProcess,
+}
+
 /// A log line.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -188,6 +213,28 @@
         outcome: OrderOutcome,
         /// Time from the order to its answer in milliseconds.
         took_ms: u64,
+        /// What the order rested on.
+        basis: Basis,
+    },
+    /// A report of a target has arrived that changed its row in the placement table, or that states
+    /// another number of accepted orders than the row.
+    Reported {
+        /// Name of the target.
+        target: String,
+        /// Number of the report request.
+        request: u64,
+        /// Time from the request to its answer in milliseconds.
+        took_ms: u64,
+        /// Number of orders that the target had accepted, by the report.
+        orders: u64,
+        /// The same number by the row, before the report; `None` if it was not known.
+        known: Option<u64>,
+        /// Models and adapters that became ready.
+        ready: Vec<String>,
+        /// Models and adapters that are gone.
+        gone: Vec<String>,
+        /// What the report was taken for.
+        verdict: ReportVerdict,
     },
     /// Requests have waited 500 ms or longer for adapters that are not placed yet. Counts the
     /// targets by what prevents a placement there.
--- a/coordination/fleet/src/exchange.rs
+++ b/coordination/fleet/src/exchange.rs
@@ -160,8 +160,8 @@
             for step in held.placement.take_steps() {
                 match step {
                     PlacementStep::Order(order) => self.out.push(Output::Order(order)),
-                    PlacementStep::FetchReport { target, addr } => {
-                        self.out.push(Output::FetchReport { target, addr })
+                    PlacementStep::FetchReport { target, addr, request } => {
+                        self.out.push(Output::FetchReport { target, addr, request })
                     }
                     PlacementStep::Publish(change) => held.feed.push(change),
                     PlacementStep::NotifyWaiting(hosts, placement) => {
--- a/coordination/fleet/src/io.rs
+++ b/coordination/fleet/src/io.rs
@@ -137,6 +137,8 @@
     ReportReceived {
         /// Name of the target.
         target: String,
+        /// Number of the request.
+        request: u64,
         /// The report; `None` if the target did not answer.
         report: Option<Report>,
     },
@@ -193,6 +195,8 @@
         target: String,
         /// IP address and port of the target.
         addr: String,
+        /// Number of the request.
+        request: u64,
     },
     /// Answer an operator's call.
     Answer {
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -54,7 +54,7 @@
     choose::{Pick, Picked, Requirements, pick},
     config::{Config, ConfigError, Engine, Limits, Model, RequestKind, Route, Service},
     crash_reports::SeenCrash,
-    event::Event,
+    event::{Basis, Event, ReportVerdict},
     io::{Input, Order, OrderOutcome, Output, Reply, Report, Tag},
     limit_view::LimitView,
     machine::Host,
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -171,9 +171,9 @@
                 }
                 self.tick_placement(now);
             }
-            Input::ReportReceived { target, report } => {
+            Input::ReportReceived { target, request, report } => {
                 if let Some(placement) = self.placement_of(&target) {
-                    placement.handle_report(now, &target, report.as_ref());
+                    placement.handle_report(now, &target, request, report.as_ref());
                 }
                 self.tick_placement(now);
             }
--- a/coordination/fleet/src/orders.rs
+++ b/coordination/fleet/src/orders.rs
@@ -24,7 +24,7 @@
     /// Handles the outcome of the order that was sent to a target.
     pub fn handle_outcome(&mut self, now: Duration, id: &str, outcome: OrderOutcome) {
         let Some(row) = self.rows.get_mut(id) else { return };
-        let Some(SentOrder { order, at }) = row.open_order.take() else { return };
+        let Some(SentOrder { order, at, basis }) = row.open_order.take() else { return };
         let name = order.name();
         let took = now.saturating_sub(at);
         self.steps.push(PlacementStep::Log(Event::Ordered {
@@ -35,6 +35,7 @@
             fence: order.fence,
             outcome,
             took_ms: took.as_millis() as u64,
+            basis,
         }));
         let unanswered = row.unanswered.take();
         if let Some(former) = unanswered.filter(|_| outcome == OrderOutcome::Accepted) {
@@ -135,7 +136,8 @@
             let change = FeedChange::Removed(placement(row.number, &name, 0));
             self.steps.push(PlacementStep::Publish(change));
         }
-        row.open_order = Some(SentOrder { order: order.clone(), at: now });
+        let basis = row.basis(self.engines.get(&row.record.service));
+        row.open_order = Some(SentOrder { order: order.clone(), at: now, basis });
         self.steps.push(PlacementStep::Order(order));
         true
     }
--- a/coordination/fleet/src/placement.rs
+++ b/coordination/fleet/src/placement.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    Engine, Event,
+    Engine, Event, ReportVerdict,
     io::{Order, Report},
     other_domains::OtherDomains,
     rates::RequestRates,
@@ -54,6 +54,8 @@
         target: String,
         /// IP address and port of the target.
         addr: String,
+        /// Number of the request.
+        request: u64,
     },
     /// Publish a change to all hosts, in the feed of the failure domain.
     Publish(FeedChange),
@@ -110,6 +112,8 @@
     /// Adapters with requests in progress, by target.
     pub(crate) in_use: BTreeSet<(TargetNumber, AdapterHash)>,
     next_number: TargetNumber,
+    /// Number of report requests so far.
+    report_requests: u64,
     pub(crate) store_loads: VecDeque<Duration>,
     copies_checked: Duration,
     pub(crate) unplaced_logged: Duration,
@@ -131,6 +135,7 @@
             since: None,
             in_use: BTreeSet::new(),
             next_number: 1,
+            report_requests: 0,
             store_loads: VecDeque::new(),
             copies_checked: Duration::ZERO,
             unplaced_logged: Duration::ZERO,
@@ -354,30 +359,58 @@
             if row.report_due.is_some_and(|at| now >= at) {
                 row.report_due = None;
                 row.requested_at = Some(now);
+                self.report_requests += 1;
                 let (target, addr) = (row.record.id.clone(), row.record.addr.clone());
-                self.steps.push(PlacementStep::FetchReport { target, addr });
+                let request = self.report_requests;
+                self.steps.push(PlacementStep::FetchReport { target, addr, request });
             }
         }
     }
 
     /// Handles the answer to a report request; `None` if the target did not answer.
-    pub fn handle_report(&mut self, now: Duration, id: &str, report: Option<&Report>) {
+    pub fn handle_report(
+        &mut self,
+        now: Duration,
+        id: &str,
+        request: u64,
+        report: Option<&Report>,
+    ) {
         let Some(row) = self.rows.get_mut(id) else { return };
-        row.requested_at = None;
+        let requested_at = row.requested_at.take().unwrap_or(now);
         let Some(report) = report else {
             row.report_due = Some(now + REPORT_INTERVAL * 4);
             return;
         };
+        let known = row.sequence;
+        let log = |verdict, ready: &[(String, u64)], gone: &[(String, u64)]| {
+            let names = |of: &[(String, u64)]| of.iter().map(|it| it.0.clone()).collect();
+            PlacementStep::Log(Event::Reported {
+                target: id.to_owned(),
+                request,
+                took_ms: now.saturating_sub(requested_at).as_millis() as u64,
+                orders: report.accepted_orders,
+                known,
+                ready: names(ready),
+                gone: names(gone),
+                verdict,
+            })
+        };
         if report.started_at.is_some_and(|started_at| started_at != row.record.started_at) {
             // The address belongs to another process, or to the target's next incarnation.
+            self.steps.push(log(ReportVerdict::OtherProcess, &[], &[]));
             return self.mark_silent(id);
         }
         row.last_heard = now;
         if row.is_stale(now, report, REPORT_LAG) {
             row.report_due = Some(now + REPORT_INTERVAL);
+            self.steps.push(log(ReportVerdict::OutOfDate, &[], &[]));
             return;
         }
+        row.applied = (request, report.accepted_orders);
         let (added, removed) = row.apply_report(now, report, REPORT_LAG);
+        if !added.is_empty() || !removed.is_empty() || known != Some(report.accepted_orders) {
+            self.steps.push(log(ReportVerdict::Applied, &added, &removed));
+        }
         if row.open_order.is_none() && now >= row.backoff_until {
             // Reports lag, so a lower number than the known one is out of date.
             row.sequence = row.sequence.max(Some(report.accepted_orders));
--- a/coordination/fleet/src/row.rs
+++ b/coordination/fleet/src/row.rs
@@ -8,7 +8,7 @@
 use wire::{AdapterHash, SoftwareHash, TargetNumber, TargetRecord, TargetState};
 
 use crate::{
-    Engine,
+    Basis, Engine,
     io::{Order, Report},
     row_limits::RowLimit,
     targets::{adapter_hash, stable_hash},
@@ -57,6 +57,7 @@
 pub(crate) struct SentOrder {
     pub(crate) order: Order,
     pub(crate) at: Duration,
+    pub(crate) basis: Basis,
 }
 
 /// One target's row in the placement table.
@@ -85,6 +86,8 @@
     pub(crate) report_due: Option<Duration>,
     /// When the unanswered report request was sent, if there is one.
     pub(crate) requested_at: Option<Duration>,
+    /// Request number and number of accepted orders of the last report that was applied.
+    pub(crate) applied: (u64, u64),
     /// It receives no orders before this time.
     pub(crate) backoff_until: Duration,
     /// Time of the last heartbeat or report.
@@ -108,6 +111,7 @@
             stored: Vec::new(),
             report_due: Some(now),
             requested_at: None,
+            applied: (0, 0),
             backoff_until: Duration::ZERO,
             last_heard: now,
             limit: RowLimit::default(),
@@ -146,6 +150,13 @@
         self.held.keys().filter(|name| name.contains('/')).count()
     }
 
+    /// Returns what the next order rests on.
+    pub(crate) fn basis(&self, engine: Option<&Engine>) -> Basis {
+        let (report, report_orders) = self.applied;
+        let slots = engine.map_or(0, |it| self.max_adapters(it));
+        Basis { report, report_orders, held: self.adapters(), slots }
+    }
+
     /// Whether an adapter slot is free.
     pub(crate) fn has_room(&self, engine: &Engine) -> bool {
         self.adapters() < self.max_adapters(engine)
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -411,9 +411,9 @@
                     let input = Input::OrderEnded { target, outcome };
                     self.schedule(ms(4), Scheduled::Input(host, incarnation, Box::new(input)));
                 }
-                Output::FetchReport { target, .. } => {
+                Output::FetchReport { target, request, .. } => {
                     let report = self.targets.entry(target.clone()).or_default().report();
-                    let input = Input::ReportReceived { target, report: Some(report) };
+                    let input = Input::ReportReceived { target, request, report: Some(report) };
                     self.schedule(ms(4), Scheduled::Input(host, incarnation, Box::new(input)));
                 }
                 Output::ProbePath { .. } => self.probe_path(host),
--- a/coordination/fleet/tests/placement.rs
+++ b/coordination/fleet/tests/placement.rs
@@ -201,9 +201,9 @@
                 *self.outcomes.entry(word).or_default() += 1;
                 self.table.handle_outcome(now, &order.target, outcome);
             }
-            PlacementStep::FetchReport { target, .. } => {
+            PlacementStep::FetchReport { target, request, .. } => {
                 let report = self.targets.get_mut(&target).expect("the target exists").report(now);
-                self.table.handle_report(now, &target, Some(&report));
+                self.table.handle_report(now, &target, request, Some(&report));
             }
             PlacementStep::Publish(FeedChange::Placed(placement)) => {
                 self.placements.insert((placement.target, placement.adapter), placement.version);
@@ -412,7 +412,7 @@
             world.table.update_target(world.now, &successor);
         } else {
             let report = Report { started_at: Some(2), ..Report::default() };
-            world.table.handle_report(world.now, "t0", Some(&report));
+            world.table.handle_report(world.now, "t0", 1000, Some(&report));
         }
         world.table.take_steps();
         for number in 0..4 {
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -140,7 +140,9 @@
                     }
                 }
                 Output::Order(order) => self.start_order(order),
-                Output::FetchReport { target, addr } => self.start_report(target, addr),
+                Output::FetchReport { target, addr, request } => {
+                    self.start_report(target, addr, request)
+                }
                 Output::Answer { tag, reply } => {
                     if let Some(call) = self.pending_calls.borrow_mut().remove(&tag) {
                         let _ = call.send(reply);
@@ -247,12 +249,12 @@
     }
 
     /// Requests a report in a task of its own; the result becomes an input of the host.
-    fn start_report(self: &Rc<Edge>, target: String, addr: String) {
+    fn start_report(self: &Rc<Edge>, target: String, addr: String, request: u64) {
         let edge = self.clone();
         tokio::task::spawn_local(async move {
             let fetched = timeout(REPORT_TIMEOUT, edge.fetch_report(&target, &addr)).await;
             let report = fetched.ok().flatten();
-            edge.step(Input::ReportReceived { target, report });
+            edge.step(Input::ReportReceived { target, request, report });
         });
     }
 
