Keep the slot of a version when the load of its successor in place is undone

A load of a newer version that got no answer was undone, once a later order was accepted, by removing the row's entry. The former version is still at the target and keeps its slot, so the next load overfilled it.

--- a/coordination/fleet/src/models.rs
+++ b/coordination/fleet/src/models.rs
@@ -64,6 +64,7 @@
                         since: now,
                         last_used: held.last_used,
                         hash,
+                        replaces: held.replaces.or(Some(held.version)),
                     };
                 }
             }
--- a/coordination/fleet/src/orders.rs
+++ b/coordination/fleet/src/orders.rs
@@ -89,13 +89,17 @@
     fn roll_back(&mut self, id: &str, order: &Order) {
         let Some(row) = self.rows.get_mut(id) else { return };
         let name = order.name();
-        if order.load {
-            if row.held.get(&name).is_some_and(|it| it.stage == Stage::Loading) {
-                row.held.remove(&name);
-            }
-            return;
-        }
         if let Some(held) = row.held.get_mut(&name) {
+            if order.load {
+                if held.stage != Stage::Loading {
+                    return;
+                }
+                let Some(former) = held.replaces.take() else {
+                    row.held.remove(&name);
+                    return;
+                };
+                held.version = former;
+            }
             held.stage = Stage::Ready;
             let (number, version) = (row.number, held.version);
             self.steps.push(PlacementStep::Publish(FeedChange::Placed(placement(
--- a/coordination/fleet/src/row.rs
+++ b/coordination/fleet/src/row.rs
@@ -46,6 +46,8 @@
     pub(crate) last_used: Duration,
     /// The hash of its name.
     pub(crate) hash: AdapterHash,
+    /// The version that is still there while a newer one is loaded in its place.
+    pub(crate) replaces: Option<u64>,
 }
 
 /// Changes that a report shows: models and adapters that became ready, and those that are gone,
@@ -209,12 +211,17 @@
         if order.load {
             let last_used = now;
             let hash = adapter_hash(&name);
+            let replaces = self.held.get(&name).and_then(|it| match it.stage {
+                Stage::Ready => Some(it.version),
+                Stage::Loading | Stage::Unloading => it.replaces,
+            });
             let held = HeldAdapter {
                 version: order.version,
                 stage: Stage::Loading,
                 since: now,
                 last_used,
                 hash,
+                replaces,
             };
             self.held.insert(name, held);
         } else if let Some(held) = self.held.get_mut(&name) {
@@ -257,6 +264,7 @@
                 since: now,
                 last_used: Duration::ZERO,
                 hash,
+                replaces: None,
             };
             self.held.entry(name.clone()).or_insert(loading);
         }
@@ -268,6 +276,7 @@
                 since: now,
                 last_used: Duration::ZERO,
                 hash,
+                replaces: None,
             };
             let held = self.held.entry(name.clone()).or_insert(ready);
             match held.stage {
