Count what a target holds by order numbers, not by the age of reports

A row removed an adapter that a report didn't name if the report arrived 600 ms or more after the order: a report was taken for newer than the order because it arrived later. Reports take up to 800 ms, longer while the process stands still. The row's order number stayed the newer one, so the target accepted the next load and was overfilled. The same row took only an accepted order, not an unload that was done at once, as the proof that an earlier order without an answer would never come, and kept what it had ordered as being loaded or unloaded for ever.

A target accepts an order only with the number of orders accepted so far, and a report states that number as of its contents. The account is the newest report, by that number, and the orders accepted from it on; what it says is true whenever the target accepts the next order. An order without an answer needs no slot: the next order with its number is either accepted, and precludes it, or refused. No clock decides any more; the report after an order without an answer is asked for at once.

--- /dev/null
+++ b/coordination/fleet/src/account.rs
@@ -0,0 +1,241 @@
+//! What a target holds, by the numbers of its orders and reports.
+//!
+//! A target accepts an order only if the order expects the number of orders that were accepted so far, and
+//! a report states that number as of the moment of its contents. A report of number n therefore shows
+//! all that the orders below n did, and nothing of the later ones, however late it arrives. The account is
+//! the report of the highest number and the orders that were accepted from that number on. If the target
+//! accepts the next order, it holds what the account says, or less: what changes without an order only
+//! frees slots.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    io::{Order, Report},
+    row::Stage,
+};
+
+/// Number of reports, since the number of accepted orders came into doubt, that state a lower one before
+/// it is lowered.
+const DOUBTED_REPORTS: u32 = 5;
+/// Number of reports after which an accepted order no longer hides an adapter, if none shows its end.
+const AWAITED_REPORTS: u32 = 250;
+
+/// A model or adapter by a target's account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Entry {
+    /// Its version; zero while unknown.
+    pub(crate) version: u64,
+    pub(crate) stage: Stage,
+    /// Whether an order of this holder accounts for its stage.
+    pub(crate) is_ordered: bool,
+}
+
+/// An accepted order.
+#[derive(Debug)]
+struct AcceptedOrder {
+    order: Order,
+    /// Whether it had taken effect when it was answered.
+    is_done: bool,
+}
+
+/// An order without an answer. The target accepts it as long as no other order of its number was accepted.
+#[derive(Debug)]
+struct UnansweredOrder {
+    order: Order,
+    /// Number of the last report request before it was given up. Later reports show whether it was
+    /// carried out so far.
+    request: u64,
+}
+
+/// An accepted order whose end no report shows yet.
+#[derive(Debug)]
+struct AwaitedOrder {
+    order: Order,
+    /// Number of reports that did not show it.
+    reports: u32,
+}
+
+/// The newest report.
+#[derive(Debug)]
+struct NumberedReport {
+    request: u64,
+    report: Report,
+}
+
+/// The account of one process of a target.
+#[derive(Debug, Default)]
+pub(crate) struct Account {
+    newest: Option<NumberedReport>,
+    /// Orders accepted at the newest report's number and above, the oldest first.
+    accepted: Vec<AcceptedOrder>,
+    /// Orders accepted below that number that wait for requests to end, by name.
+    awaited: BTreeMap<String, AwaitedOrder>,
+    unanswered: Vec<UnansweredOrder>,
+    /// Number of orders that the target has accepted.
+    number: u64,
+    /// Whether an order of this holder has been accepted since the last one of another holder. If not,
+    /// orders of that holder may still arrive and be accepted.
+    is_own: bool,
+    /// Number of reports since the number came into doubt; `None` if it isn't in doubt.
+    doubted: Option<u32>,
+}
+
+impl Account {
+    /// Returns the number that the next order has to expect; `None` while a report must show it.
+    pub(crate) fn next_number(&self) -> Option<u64> {
+        (self.newest.is_some() && self.doubted.is_none()).then_some(self.number)
+    }
+
+    /// Returns request number and order number of the newest report.
+    pub(crate) fn newest(&self) -> (u64, u64) {
+        self.newest.as_ref().map_or((0, 0), |it| (it.request, it.report.accepted_orders))
+    }
+
+    /// Whether an order without an answer may still be accepted.
+    pub(crate) fn has_unanswered(&self) -> bool {
+        !self.unanswered.is_empty()
+    }
+
+    /// Doubts the number of accepted orders until reports confirm it.
+    pub(crate) fn doubt(&mut self) {
+        self.doubted.get_or_insert(0);
+    }
+
+    /// Records that an order was accepted. `is_done` tells whether it has taken effect.
+    pub(crate) fn accept(&mut self, order: Order, is_done: bool) {
+        let number = order.expected_orders;
+        let is_contested = !self.is_own || self.unanswered.iter().any(|it| it.is_of(number));
+        if is_done && is_contested {
+            // An unload of what had just ended by itself is answered like this, too, and takes no
+            // number: another order may still be accepted at it.
+            self.doubt();
+        }
+        if !is_done {
+            self.unanswered.retain(|it| it.order.expected_orders > number);
+            self.is_own = true;
+        }
+        if self.newest.as_ref().is_some_and(|it| it.report.accepted_orders > number) {
+            return self.await_end(order, is_done);
+        }
+        self.number = self.number.max(number + 1);
+        self.accepted.push(AcceptedOrder { order, is_done });
+    }
+
+    /// Records that an order got no answer; `request` is the number of the last report request.
+    pub(crate) fn give_up(&mut self, order: Order, request: u64) {
+        if order.expected_orders >= self.newest().1 {
+            self.unanswered.push(UnansweredOrder { order, request });
+        }
+    }
+
+    /// Records a report, the answer to the request of the given number. Returns whether it is the
+    /// newest one.
+    pub(crate) fn record_report(&mut self, request: u64, report: &Report) -> bool {
+        let number = report.accepted_orders;
+        if self.newest.is_some() && (number, request) < (self.newest().1, self.newest().0) {
+            return false;
+        }
+        self.newest = Some(NumberedReport { request, report: report.clone() });
+        self.check_number(number);
+        self.unanswered.retain(|it| it.order.expected_orders >= number);
+        for awaited in self.awaited.values_mut() {
+            awaited.reports += 1;
+        }
+        for AcceptedOrder { order, is_done } in std::mem::take(&mut self.accepted) {
+            match order.expected_orders < number {
+                true => self.await_end(order, is_done),
+                false => self.accepted.push(AcceptedOrder { order, is_done }),
+            }
+        }
+        self.awaited.retain(|_, it| it.reports < AWAITED_REPORTS && it.is_waiting(report));
+        true
+    }
+
+    /// Compares the number of accepted orders with that of a new report.
+    fn check_number(&mut self, number: u64) {
+        if number > self.number {
+            self.is_own = false;
+        }
+        if number >= self.number {
+            self.number = number;
+            self.doubted = None;
+            return;
+        }
+        let Some(reports) = &mut self.doubted else { return };
+        *reports += 1;
+        if *reports >= DOUBTED_REPORTS {
+            self.accepted.retain(|it| it.order.expected_orders < number);
+            self.number = number;
+            self.is_own = false;
+            self.doubted = None;
+        }
+    }
+
+    /// Awaits the end of an accepted order that the newest report covers.
+    fn await_end(&mut self, order: Order, is_done: bool) {
+        let name = order.name();
+        self.awaited.remove(&name);
+        let awaited = AwaitedOrder { order, reports: 0 };
+        let newest = self.newest.as_ref();
+        if !is_done && newest.is_some_and(|it| awaited.is_waiting(&it.report)) {
+            self.awaited.insert(name, awaited);
+        }
+    }
+
+    /// Returns the models and adapters that occupy room, under `model` or `model/adapter`. `open` is the
+    /// order that is not answered yet.
+    pub(crate) fn entries(&self, open: Option<&Order>) -> BTreeMap<String, Entry> {
+        let mut entries = BTreeMap::new();
+        let Some(NumberedReport { request, report }) = &self.newest else { return entries };
+        let shown = |version, stage| Entry { version, stage, is_ordered: false };
+        for (name, version) in &report.loaded {
+            entries.insert(name.clone(), shown(*version, Stage::Ready));
+        }
+        for name in &report.pending {
+            entries.insert(name.clone(), shown(0, Stage::Loading));
+        }
+        for awaited in self.awaited.values() {
+            apply(&mut entries, &awaited.order, false);
+        }
+        for accepted in &self.accepted {
+            apply(&mut entries, &accepted.order, accepted.is_done);
+        }
+        // A later report shows whether an order without an answer was carried out so far. If it still is
+        // to be, the next order either precludes it or is not accepted.
+        for unanswered in self.unanswered.iter().filter(|it| it.request >= *request) {
+            apply(&mut entries, &unanswered.order, false);
+        }
+        if let Some(open) = open.filter(|it| it.expected_orders >= report.accepted_orders) {
+            apply(&mut entries, open, false);
+        }
+        entries
+    }
+}
+
+impl UnansweredOrder {
+    fn is_of(&self, number: u64) -> bool {
+        self.order.expected_orders == number
+    }
+}
+
+impl AwaitedOrder {
+    /// Whether a report that covers the order doesn't show its end: requests still use the adapter.
+    fn is_waiting(&self, report: &Report) -> bool {
+        let name = self.order.name();
+        let loaded = report.loaded.iter().find(|(it, _)| *it == name);
+        loaded.is_some_and(|(_, version)| !self.order.load || *version < self.order.version)
+    }
+}
+
+/// Applies an order to the entries.
+fn apply(entries: &mut BTreeMap<String, Entry>, order: &Order, is_done: bool) {
+    let name = order.name();
+    if order.load {
+        let entry = Entry { version: order.version, stage: Stage::Loading, is_ordered: true };
+        entries.insert(name, entry);
+    } else if is_done {
+        entries.remove(&name);
+    } else if let Some(entry) = entries.get_mut(&name) {
+        entry.stage = Stage::Unloading;
+    }
+}
--- a/coordination/fleet/src/homes.rs
+++ b/coordination/fleet/src/homes.rs
@@ -76,11 +76,6 @@
                     survey.loading.insert(held.hash);
                 }
             }
-            if let Some(sent) = &row.open_order
-                && sent.order.load
-            {
-                survey.loading.insert(adapter_hash(&sent.order.name()));
-            }
         }
         for row in ready() {
             let mut share = 0.0;
@@ -128,15 +123,11 @@
             return survey.loading.contains(&hash) || survey.copies.contains_key(&hash);
         }
         self.rows.values().any(|row| {
-            let ordered = row
-                .open_order
-                .as_ref()
-                .is_some_and(|it| it.order.load && it.order.name() == wanted.adapter);
             let held = row.held.get(&wanted.adapter);
             let held = held.is_some_and(|it| it.stage != Stage::Unloading);
             row.record.state == TargetState::Ready
                 && wanted.suits(row)
-                && (ordered || held)
+                && held
                 && self.counts_copies(now, row)
         })
     }
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! The crate is a pure state machine: inputs and the current time go in, outputs come out.
 
+mod account;
 mod answers;
 mod budget;
 mod choose;
--- a/coordination/fleet/src/models.rs
+++ b/coordination/fleet/src/models.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use wire::{FeedChange, Fence, TargetState};
+use wire::{Fence, TargetState};
 
 use crate::{
-    Demand, Engine, PlacementStep, PlacementTable,
-    placement::placement,
-    row::{HeldAdapter, Stage, TargetRow},
+    Demand, Engine, PlacementTable,
+    row::{Stage, TargetRow},
     targets::adapter_hash,
 };
 
@@ -51,33 +50,13 @@
         let hash = adapter_hash(name);
         let in_use = self.in_use.contains(&(row.number, hash));
         if !in_use {
-            let number = row.number;
-            if self.send_order(now, fence, id, true, model, Some(adapter), newest) {
-                self.steps
-                    .push(PlacementStep::Publish(FeedChange::Removed(placement(number, name, 0))));
-                if let Some(row) = self.rows.get_mut(id)
-                    && let Some(held) = row.held.get_mut(name)
-                {
-                    *held = HeldAdapter {
-                        version: newest,
-                        stage: Stage::Loading,
-                        since: now,
-                        last_used: held.last_used,
-                        hash,
-                        replaces: held.replaces.or(Some(held.version)),
-                    };
-                }
-            }
+            self.send_order(now, fence, id, true, model, Some(adapter), newest);
             return;
         }
         let is_updated = |row: &TargetRow| {
             row.held
                 .get(name)
                 .is_some_and(|it| it.version >= newest && it.stage != Stage::Unloading)
-                || row
-                    .open_order
-                    .as_ref()
-                    .is_some_and(|it| it.order.load && it.order.name() == name)
         };
         if !self.rows.values().any(is_updated) {
             let mut survey = self.survey(now);
--- a/coordination/fleet/src/orders.rs
+++ b/coordination/fleet/src/orders.rs
@@ -3,21 +3,19 @@
 
 use std::time::Duration;
 
-use wire::{FeedChange, Fence};
+use wire::Fence;
 
 use crate::{
     Event, PlacementStep, PlacementTable,
     io::{Order, OrderOutcome},
-    placement::placement,
-    row::{SentOrder, Stage},
+    row::SentOrder,
 };
 
 /// Delay of the first report request after an order; an earlier report cannot show its effect.
 const FIRST_REPORT_DELAY: Duration = Duration::from_millis(120);
 /// Backoff after a target answered an order with busy.
 const BUSY_BACKOFF: Duration = Duration::from_millis(150);
-/// Backoff after an order that was refused or not sent. After an order without an answer, it delays
-/// only the report request.
+/// Backoff after an order that was refused or not sent.
 const FAILED_BACKOFF: Duration = Duration::from_millis(700);
 
 impl PlacementTable {
@@ -37,77 +35,42 @@
             took_ms: took.as_millis() as u64,
             basis,
         }));
-        let unanswered = row.unanswered.take();
-        if let Some(former) = unanswered.filter(|_| outcome == OrderOutcome::Accepted) {
-            self.roll_back(id, &former);
-        }
-        let Some(row) = self.rows.get_mut(id) else { return };
         match outcome {
             OrderOutcome::Accepted => {
-                row.apply_order(now, &order);
-                row.sequence = row.sequence.map(|it| it + 1);
+                row.account.accept(order, false);
                 row.report_due = Some(now + FIRST_REPORT_DELAY);
             }
             OrderOutcome::Done if order.load => {
-                row.apply_order(now, &order);
-                row.sequence = None;
-                row.report_due = Some(now);
+                // It is there already, by an order that this table doesn't know: a report shows it.
+                self.require_report(now, id, Duration::ZERO);
             }
             OrderOutcome::Done => {
-                row.sequence = row.sequence.map(|it| it + 1);
-                row.remove_adapter(now, &name);
-            }
-            OrderOutcome::Busy => {
-                self.roll_back(id, &order);
-                self.require_report(now, id, BUSY_BACKOFF);
+                row.account.accept(order, true);
+                if row.account.next_number().is_none() {
+                    row.report_due = Some(now);
+                }
             }
-            OrderOutcome::Elsewhere => self.mark_silent(id),
+            OrderOutcome::Busy => self.require_report(now, id, BUSY_BACKOFF),
+            OrderOutcome::Elsewhere => return self.mark_silent(id),
             OrderOutcome::Refused | OrderOutcome::NotSent => {
-                self.roll_back(id, &order);
                 self.require_report(now, id, FAILED_BACKOFF);
             }
             OrderOutcome::Unknown => {
-                // The order may have been executed, or be executed late, so it keeps its adapter
-                // slot. The next order expects the same number: if that one is accepted, this one
-                // never is. Otherwise a report shows its result.
-                row.apply_order(now, &order);
-                row.report_due = Some(now + FAILED_BACKOFF);
-                row.unanswered = Some(order);
+                row.account.give_up(order, self.report_requests);
+                row.report_due = Some(now);
             }
         }
+        self.publish_changes(now, id);
     }
 
     /// Requires a new report from a target before its next order.
     fn require_report(&mut self, now: Duration, id: &str, backoff: Duration) {
         let Some(row) = self.rows.get_mut(id) else { return };
-        row.sequence = None;
+        row.account.doubt();
         row.backoff_until = now + backoff;
         row.report_due = Some(now + backoff);
     }
 
-    /// Rolls back the table changes of an order that had no effect.
-    fn roll_back(&mut self, id: &str, order: &Order) {
-        let Some(row) = self.rows.get_mut(id) else { return };
-        let name = order.name();
-        if let Some(held) = row.held.get_mut(&name) {
-            if order.load {
-                if held.stage != Stage::Loading {
-                    return;
-                }
-                let Some(former) = held.replaces.take() else {
-                    row.held.remove(&name);
-                    return;
-                };
-                held.version = former;
-            }
-            held.stage = Stage::Ready;
-            let (number, version) = (row.number, held.version);
-            self.steps.push(PlacementStep::Publish(FeedChange::Placed(placement(
-                number, &name, version,
-            ))));
-        }
-    }
-
     #[expect(clippy::too_many_arguments, reason = "an order has as many parts")]
     pub(crate) fn send_order(
         &mut self,
@@ -120,7 +83,7 @@
         version: u64,
     ) -> bool {
         let Some(row) = self.rows.get_mut(id) else { return false };
-        let Some(expected_orders) = row.sequence else { return false };
+        let Some(expected_orders) = row.account.next_number() else { return false };
         let order = Order {
             target: id.to_owned(),
             addr: row.record.addr.clone(),
@@ -131,18 +94,10 @@
             expected_orders,
             fence,
         };
-        let name = order.name();
-        if !load {
-            if let Some(held) = row.held.get_mut(&name) {
-                held.stage = Stage::Unloading;
-                held.since = now;
-            }
-            let change = FeedChange::Removed(placement(row.number, &name, 0));
-            self.steps.push(PlacementStep::Publish(change));
-        }
         let basis = row.basis(self.engines.get(&row.record.service));
         row.open_order = Some(SentOrder { order: order.clone(), at: now, basis });
         self.steps.push(PlacementStep::Order(order));
+        self.publish_changes(now, id);
         true
     }
 }
--- a/coordination/fleet/src/placement.rs
+++ b/coordination/fleet/src/placement.rs
@@ -17,14 +17,14 @@
     io::{Order, Report},
     other_domains::OtherDomains,
     rates::RequestRates,
-    row::{Stage, TargetRow},
+    row::{RowChanges, Stage, TargetRow},
     targets::stable_hash,
 };
 
-/// Maximum age of a report on arrival, with a margin for the network delay.
-const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Interval between report requests while a model or adapter is in transit.
 const REPORT_INTERVAL: Duration = Duration::from_millis(80);
+/// Interval between report requests while an order without an answer may still be executed.
+const UNANSWERED_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout of a report request.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Interval between checks for adapters that need a further copy.
@@ -113,7 +113,7 @@
     pub(crate) in_use: BTreeSet<(TargetNumber, AdapterHash)>,
     next_number: TargetNumber,
     /// Number of report requests so far.
-    report_requests: u64,
+    pub(crate) report_requests: u64,
     pub(crate) store_loads: VecDeque<Duration>,
     copies_checked: Duration,
     pub(crate) unplaced_logged: Duration,
@@ -381,7 +381,7 @@
             row.report_due = Some(now + REPORT_INTERVAL * 4);
             return;
         };
-        let known = row.sequence;
+        let known = row.account.next_number();
         let log = |verdict, ready: &[(String, u64)], gone: &[(String, u64)]| {
             let names = |of: &[(String, u64)]| of.iter().map(|it| it.0.clone()).collect();
             PlacementStep::Log(Event::Reported {
@@ -401,35 +401,40 @@
             return self.mark_silent(id);
         }
         row.last_heard = now;
-        if row.is_stale(now, report, REPORT_LAG) {
-            row.report_due = Some(now + REPORT_INTERVAL);
+        if !row.account.record_report(request, report) {
             self.steps.push(log(ReportVerdict::OutOfDate, &[], &[]));
-            return;
-        }
-        row.applied = (request, report.accepted_orders);
-        let (added, removed) = row.apply_report(now, report, REPORT_LAG);
-        if !added.is_empty() || !removed.is_empty() || known != Some(report.accepted_orders) {
-            self.steps.push(log(ReportVerdict::Applied, &added, &removed));
+            return self.plan_report(now, id);
         }
-        if row.open_order.is_none() && now >= row.backoff_until {
-            // Reports lag, so a lower number than the known one is out of date.
-            row.sequence = row.sequence.max(Some(report.accepted_orders));
-            // A number above the one that the unanswered order expected shows that it was executed.
-            row.unanswered =
-                row.unanswered.take().filter(|it| Some(it.expected_orders) >= row.sequence);
+        row.stored = report.stored.clone();
+        let (ready, gone) = self.publish_changes(now, id);
+        if !ready.is_empty() || !gone.is_empty() || known != Some(report.accepted_orders) {
+            self.steps.push(log(ReportVerdict::Applied, &ready, &gone));
         }
-        let (number, software) = (row.number, row.software);
+        self.plan_report(now, id);
+    }
+
+    /// Plans the next report request, if another report is needed.
+    fn plan_report(&mut self, now: Duration, id: &str) {
+        let Some(row) = self.rows.get_mut(id) else { return };
         let in_transit = row.held.values().any(|it| it.stage != Stage::Ready);
-        if in_transit || row.sequence.is_none() {
+        if in_transit || row.account.next_number().is_none() {
             row.report_due = Some(now + REPORT_INTERVAL);
+        } else if row.account.has_unanswered() {
+            row.report_due = Some(now + UNANSWERED_INTERVAL);
         }
-        for (name, version) in removed {
-            self.steps.push(PlacementStep::Publish(FeedChange::Removed(placement(
-                number, &name, version,
-            ))));
+    }
+
+    /// Publishes what changed in a target's account. Returns what became ready and what no longer is.
+    pub(crate) fn publish_changes(&mut self, now: Duration, id: &str) -> RowChanges {
+        let Some(row) = self.rows.get_mut(id) else { return RowChanges::default() };
+        let (ready, gone) = row.refresh(now);
+        let (number, software) = (row.number, row.software);
+        for (name, version) in &gone {
+            let change = FeedChange::Removed(placement(number, name, *version));
+            self.steps.push(PlacementStep::Publish(change));
         }
-        for (name, version) in added {
-            let arrival = placement(number, &name, version);
+        for (name, version) in &ready {
+            let arrival = placement(number, name, *version);
             for software in [None, Some(software)] {
                 let demand = Demand { adapter: name.clone(), software };
                 let Some(demand) = self.demands.remove(&demand) else { continue };
@@ -438,6 +443,7 @@
             }
             self.steps.push(PlacementStep::Publish(FeedChange::Placed(arrival)));
         }
+        (ready, gone)
     }
 }
 
--- a/coordination/fleet/src/row.rs
+++ b/coordination/fleet/src/row.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     Basis, Engine,
-    io::{Order, Report},
+    account::Account,
+    io::Order,
     row_limits::RowLimit,
     targets::{adapter_hash, stable_hash},
 };
@@ -33,26 +34,20 @@
     Unloading,
 }
 
-/// A model or adapter at a target. It occupies its slot from the load order until it is known to be
-/// gone.
+/// A model or adapter at a target, as its account has it.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct HeldAdapter {
     /// Its version; zero while unknown.
     pub(crate) version: u64,
     pub(crate) stage: Stage,
-    /// When it entered this stage.
-    pub(crate) since: Duration,
     /// When it was ordered or a request last used it; zero if a report alone showed it.
     pub(crate) last_used: Duration,
     /// The hash of its name.
     pub(crate) hash: AdapterHash,
-    /// The version that is still there while a newer one is loaded in its place.
-    pub(crate) replaces: Option<u64>,
 }
 
-/// Changes that a report shows: models and adapters that became ready, and those that are gone,
-/// with their versions.
-pub(crate) type ReportChanges = (Vec<(String, u64)>, Vec<(String, u64)>);
+/// Models and adapters that became ready, and those that no longer are, with their versions.
+pub(crate) type RowChanges = (Vec<(String, u64)>, Vec<(String, u64)>);
 
 /// An order that was sent and is not answered yet.
 #[derive(Debug, Clone)]
@@ -69,27 +64,20 @@
     pub(crate) number: TargetNumber,
     /// Hash of its software version.
     pub(crate) software: SoftwareHash,
-    /// Number of orders that the target has accepted; `None` while a report must show it first.
-    pub(crate) sequence: Option<u64>,
+    /// What the target holds, by its reports and orders.
+    pub(crate) account: Account,
     /// The order that is not answered yet.
     pub(crate) open_order: Option<SentOrder>,
-    /// An earlier order that got no answer and may still be executed.
-    pub(crate) unanswered: Option<Order>,
-    /// Models and adapters, under `model` or `model/adapter`.
+    /// The entries of the account, under `model` or `model/adapter`. Each occupies room.
     pub(crate) held: BTreeMap<String, HeldAdapter>,
     /// Unloaded adapters that its memory may still cache, the newest last.
     cached: VecDeque<String>,
-    /// Adapters that were removed from this row, and when. Reports that were made before still name
-    /// them.
-    removed: BTreeMap<String, Duration>,
     /// Models on its disk or in its memory.
     pub(crate) stored: Vec<String>,
     /// When the next report request is due.
     pub(crate) report_due: Option<Duration>,
     /// When the unanswered report request was sent, if there is one.
     pub(crate) requested_at: Option<Duration>,
-    /// Request number and number of accepted orders of the last report that was applied.
-    pub(crate) applied: (u64, u64),
     /// It receives no orders before this time.
     pub(crate) backoff_until: Duration,
     /// Time of the last heartbeat or report.
@@ -104,16 +92,13 @@
             software: stable_hash(&record.software),
             record,
             number,
-            sequence: None,
+            account: Account::default(),
             open_order: None,
-            unanswered: None,
             held: BTreeMap::new(),
             cached: VecDeque::new(),
-            removed: BTreeMap::new(),
             stored: Vec::new(),
             report_due: Some(now),
             requested_at: None,
-            applied: (0, 0),
             backoff_until: Duration::ZERO,
             last_heard: now,
             limit: RowLimit::default(),
@@ -122,12 +107,14 @@
 
     /// Whether an order can be sent now.
     pub(crate) fn is_free(&self, now: Duration) -> bool {
-        self.sequence.is_some() && self.open_order.is_none() && now >= self.backoff_until
+        self.account.next_number().is_some()
+            && self.open_order.is_none()
+            && now >= self.backoff_until
     }
 
     /// Whether the open order is so recent that its answer should arrive shortly.
     fn has_recent_order(&self, now: Duration) -> bool {
-        self.sequence.is_some()
+        self.account.next_number().is_some()
             && self.open_order.as_ref().is_some_and(|it| now < it.at + ANSWER_TIME)
     }
 
@@ -154,7 +141,7 @@
 
     /// Returns what the next order rests on.
     pub(crate) fn basis(&self, engine: Option<&Engine>) -> Basis {
-        let (report, report_orders) = self.applied;
+        let (report, report_orders) = self.account.newest();
         let slots = engine.map_or(0, |it| self.max_adapters(it));
         Basis { report, report_orders, held: self.adapters(), slots }
     }
@@ -205,107 +192,35 @@
         }
     }
 
-    /// Applies the effect of an order that was, or may be, executed.
-    pub(crate) fn apply_order(&mut self, now: Duration, order: &Order) {
-        let name = order.name();
-        if order.load {
-            let last_used = now;
-            let hash = adapter_hash(&name);
-            let replaces = self.held.get(&name).and_then(|it| match it.stage {
-                Stage::Ready => Some(it.version),
-                Stage::Loading | Stage::Unloading => it.replaces,
-            });
-            let held = HeldAdapter {
-                version: order.version,
-                stage: Stage::Loading,
-                since: now,
-                last_used,
-                hash,
-                replaces,
-            };
-            self.held.insert(name, held);
-        } else if let Some(held) = self.held.get_mut(&name) {
-            held.stage = Stage::Unloading;
-            held.since = now;
-        }
-    }
-
-    /// Removes a model or adapter that is gone. An adapter counts as cached from then on.
-    pub(crate) fn remove_adapter(&mut self, now: Duration, name: &str) {
-        if self.held.remove(name).is_some() && name.contains('/') {
-            self.removed.insert(name.to_owned(), now);
-            self.add_cached(name);
-        }
-    }
-
-    /// Whether a report names an adapter that was removed within the last `lag`. It is out of date
-    /// then, and so is its count of accepted orders.
-    pub(crate) fn is_stale(&mut self, now: Duration, report: &Report, lag: Duration) -> bool {
-        self.removed.retain(|_, at| now < *at + lag);
-        let there = report.loaded.iter().map(|(name, _)| name).chain(&report.pending);
-        there.into_iter().any(|name| self.removed.contains_key(name))
-    }
-
-    /// Applies a report. It may be up to `lag` old on arrival, so entries that changed stage within
-    /// that time are not removed. Returns what became ready and what is gone.
-    pub(crate) fn apply_report(
-        &mut self,
-        now: Duration,
-        report: &Report,
-        lag: Duration,
-    ) -> ReportChanges {
+    /// Takes over the entries of the account. Returns what became ready and what no longer is.
+    pub(crate) fn refresh(&mut self, now: Duration) -> RowChanges {
         let (mut added, mut gone) = (Vec::new(), Vec::new());
-        self.stored = report.stored.clone();
-        for name in &report.pending {
-            let hash = adapter_hash(name);
-            let loading = HeldAdapter {
-                version: 0,
-                stage: Stage::Loading,
-                since: now,
-                last_used: Duration::ZERO,
-                hash,
-                replaces: None,
-            };
-            self.held.entry(name.clone()).or_insert(loading);
-        }
-        for (name, version) in &report.loaded {
-            let hash = adapter_hash(name);
-            let ready = HeldAdapter {
-                version: *version,
-                stage: Stage::Ready,
-                since: now,
-                last_used: Duration::ZERO,
-                hash,
-                replaces: None,
-            };
-            let held = self.held.entry(name.clone()).or_insert(ready);
-            match held.stage {
-                Stage::Loading if held.version <= *version => {
-                    *held = HeldAdapter { last_used: held.last_used, ..ready };
-                    added.push((name.clone(), *version));
-                }
-                Stage::Loading => {}
-                Stage::Unloading => {}
-                Stage::Ready => {
-                    if held.since == now || held.version != *version {
-                        held.version = *version;
-                        added.push((name.clone(), *version));
-                    }
-                }
+        let entries = self.account.entries(self.open_order.as_ref().map(|it| &it.order));
+        let former = std::mem::take(&mut self.held);
+        for (name, held) in &former {
+            let entry = entries.get(name);
+            if held.stage == Stage::Ready && entry.is_none_or(|it| it.stage != Stage::Ready) {
+                gone.push((name.clone(), held.version));
             }
-        }
-        let mut absent = Vec::new();
-        for (name, held) in &self.held {
-            let there = report.loaded.iter().any(|(it, _)| it == name)
-                || report.pending.iter().any(|it| it == name);
-            if !there && now >= held.since + lag {
-                absent.push(name.clone());
+            if entry.is_none() && held.stage != Stage::Loading && name.contains('/') {
+                self.add_cached(name);
             }
         }
-        for name in absent {
-            let version = self.held.get(&name).map_or(0, |it| it.version);
-            self.remove_adapter(now, &name);
-            gone.push((name, version));
+        for (name, entry) in entries {
+            let known = former.get(&name);
+            let is_new =
+                known.is_none_or(|it| (it.stage, it.version) != (entry.stage, entry.version));
+            if is_new && entry.stage == Stage::Ready {
+                added.push((name.clone(), entry.version));
+            }
+            let ordered_at = if entry.is_ordered { now } else { Duration::ZERO };
+            let held = HeldAdapter {
+                version: entry.version,
+                stage: entry.stage,
+                last_used: known.map_or(ordered_at, |it| it.last_used),
+                hash: known.map_or_else(|| adapter_hash(&name), |it| it.hash),
+            };
+            self.held.insert(name, held);
         }
         (added, gone)
     }
