Give a target no orders while a model is being loaded there

A report doesn't name a model before it is ready; it says that an order is in progress, which was read and not used. A load takes 2.5 s and more, so the row lost the model after the first report, counted the target as empty, and ordered another model the moment the first was ready: both were there, 250 of 200 MB. Deployments with one model are spared, since the second order is for the same one.

--- a/coordination/fleet/src/account.rs
+++ b/coordination/fleet/src/account.rs
@@ -83,7 +83,15 @@
 impl Account {
     /// Returns the number that the next order has to expect; `None` while a report must show it.
     pub(crate) fn next_number(&self) -> Option<u64> {
-        (self.newest.is_some() && self.doubted.is_none()).then_some(self.number)
+        let is_known = self.newest.is_some() && self.doubted.is_none() && !self.is_busy();
+        is_known.then_some(self.number)
+    }
+
+    /// Whether a model is being loaded or unloaded, whoever ordered it. The target accepts no order
+    /// meanwhile, and a report doesn't name a model before it is ready.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.newest.as_ref().is_some_and(|it| it.report.busy)
+            || self.accepted.iter().any(|it| it.order.adapter.is_none())
     }
 
     /// Returns request number and order number of the newest report.
@@ -219,8 +227,12 @@
 }
 
 impl AwaitedOrder {
-    /// Whether a report that covers the order doesn't show its end: requests still use the adapter.
+    /// Whether a report that covers the order doesn't show its end: the target still works on it, or
+    /// requests use the adapter.
     fn is_waiting(&self, report: &Report) -> bool {
+        if self.order.adapter.is_none() {
+            return report.busy;
+        }
         let name = self.order.name();
         let loaded = report.loaded.iter().find(|(it, _)| *it == name);
         loaded.is_some_and(|(_, version)| !self.order.load || *version < self.order.version)
--- a/coordination/fleet/src/row.rs
+++ b/coordination/fleet/src/row.rs
@@ -176,7 +176,8 @@
 
     /// Whether a model is being loaded or unloaded.
     pub(crate) fn is_model_changing(&self) -> bool {
-        self.held.iter().any(|(name, it)| !name.contains('/') && it.stage != Stage::Ready)
+        self.account.is_busy()
+            || self.held.iter().any(|(name, it)| !name.contains('/') && it.stage != Stage::Ready)
     }
 
     /// Whether the target is assumed to have an adapter cached in its own memory.
