Ignore late news of a target's former process in the placement table

A message that a target's former process has ended was applied to the row of its present process: the row was replaced and removed, and the target got no orders until its next heartbeat. Whatever started earlier is older, whenever it arrives. The table of all hosts already compared start times. late_news_of_the_former_process_does_not_remove_a_target failed before.

--- a/coordination/fleet/src/placement.rs
+++ b/coordination/fleet/src/placement.rs
@@ -229,8 +229,10 @@
                     self.rehome(now, &record.id);
                 }
             }
-            Some(_) => {
-                let number = self.rows[&record.id].number;
+            // News of the target's former process that arrives late.
+            Some(row) if row.record.started_at > record.started_at => return,
+            Some(row) => {
+                let number = row.number;
                 self.insert_row(now, record, number);
             }
             None if record.state == TargetState::Gone => {}
--- a/coordination/fleet/tests/account.rs
+++ b/coordination/fleet/tests/account.rs
@@ -3,14 +3,16 @@
 
 mod engines;
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use engines::{Faults, World, model, ms};
-use fleet::Engine;
+use fleet::{Demand, Engine, Order, PlacementStep, PlacementTable, Report};
+use wire::{TargetRecord, TargetState};
 
 const ADAPTER_SLOTS: usize = 6;
 const SEEDS: u64 = 20;
 const RUN: Duration = ms(40_000);
+const NOW: Duration = ms(10_000);
 
 fn one_model() -> Engine {
     Engine {
@@ -164,3 +166,45 @@
     }
     assert!(overfilled.is_empty(), "{overfilled:#?}");
 }
+
+/// Returns a table with one target, and the target's record.
+fn table_with_target() -> (PlacementTable, TargetRecord) {
+    let mut table = engines::placement_table();
+    table.configure(BTreeMap::from([("s".to_owned(), one_model())]), BTreeMap::new());
+    let record = engines::record("t0", 1);
+    table.update_target(NOW, &record);
+    (table, record)
+}
+
+/// Ticks, and returns the number of the report request and the order that the table sends, if any.
+fn tick(table: &mut PlacementTable) -> (Option<u64>, Option<Order>) {
+    table.tick(NOW, Some(7));
+    let (mut request, mut order) = (None, None);
+    for step in table.take_steps() {
+        match step {
+            PlacementStep::FetchReport { request: number, .. } => request = Some(number),
+            PlacementStep::Order(sent) => order = Some(sent),
+            _ => {}
+        }
+    }
+    (request, order)
+}
+
+fn report(started_at: u64, accepted_orders: u64) -> Report {
+    let loaded = vec![("m".to_owned(), 1)];
+    Report { loaded, accepted_orders, started_at: Some(started_at), ..Report::default() }
+}
+
+/// Guards against a restarted target that is dropped because news of its former process arrives late.
+#[test]
+fn late_news_of_the_former_process_does_not_remove_a_target() {
+    let (mut table, record) = table_with_target();
+    table.update_target(NOW, &TargetRecord { started_at: 2, ..record.clone() });
+    for state in [TargetState::Ready, TargetState::Leaving, TargetState::Gone] {
+        table.update_target(NOW, &TargetRecord { state, ..record.clone() });
+    }
+    let request = tick(&mut table).0.expect("a report is requested");
+    table.handle_report(NOW, "t0", request, Some(&report(2, 0)));
+    table.record_demand(NOW, 1, "s", Demand::anywhere("m/a1"), 1);
+    assert!(tick(&mut table).1.is_some());
+}
--- a/coordination/fleet/tests/engines/mod.rs
+++ b/coordination/fleet/tests/engines/mod.rs
@@ -115,17 +115,7 @@
     }
 
     fn record(&self, id: &str) -> TargetRecord {
-        TargetRecord {
-            id: id.to_owned(),
-            started_at: self.targets[id].started_at,
-            sequence: 1,
-            service: "s".to_owned(),
-            addr: format!("{id}:1"),
-            domain: "d".to_owned(),
-            slots: 64,
-            software: "v1".to_owned(),
-            state: TargetState::Ready,
-        }
+        record(id, self.targets[id].started_at)
     }
 
     pub fn change_holder(&mut self) {
@@ -344,7 +334,22 @@
     }
 }
 
-fn placement_table() -> PlacementTable {
+/// Returns the record of a ready target of the service `s`.
+pub fn record(id: &str, started_at: u64) -> TargetRecord {
+    TargetRecord {
+        id: id.to_owned(),
+        started_at,
+        sequence: 1,
+        service: "s".to_owned(),
+        addr: format!("{id}:1"),
+        domain: "d".to_owned(),
+        slots: 64,
+        software: "v1".to_owned(),
+        state: TargetState::Ready,
+    }
+}
+
+pub fn placement_table() -> PlacementTable {
     PlacementTable::new(PlacementSettings {
         domain: "d".to_owned(),
         window: ms(5000),
