Ignore answers to report requests that went to a target's former process

A report of another process of a target took the target for replaced and silent, also when the request had been sent before the target's present process was known: its row was dropped and published as silent until the next heartbeat. A row takes answers only to requests of its own; their numbers are unique over holders, so that an answer to a former table of the same host isn't taken for a newer one either. a_report_of_the_former_process_does_not_silence_a_target failed before.

--- a/coordination/fleet/src/holder.rs
+++ b/coordination/fleet/src/holder.rs
@@ -99,6 +99,7 @@
             domain: domain.clone(),
             window: self.settings.bounds.load_window,
             silence: self.settings.heartbeat * MISSED_HEARTBEATS,
+            fence: holder.fence,
         });
         for target in self.targets.iter().filter(|it| it.record.domain == domain) {
             placement.update_target(now, &target.record);
--- a/coordination/fleet/src/placement.rs
+++ b/coordination/fleet/src/placement.rs
@@ -27,6 +27,9 @@
 const UNANSWERED_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout of a report request.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Bits of the number of a report request that count the requests of one holder; the bits above hold its
+/// fencing number.
+const REQUEST_BITS: u32 = 32;
 /// Interval between checks for adapters that need a further copy.
 const COPY_INTERVAL: Duration = Duration::from_millis(250);
 /// Lifetime of a host's status unless it is repeated.
@@ -41,6 +44,8 @@
     pub window: Duration,
     /// A target counts as silent after this time without a heartbeat or report.
     pub silence: Duration,
+    /// Fencing number of the holder. Report requests of later holders have higher numbers.
+    pub fence: Fence,
 }
 
 /// An action that the placement table requests from the host.
@@ -112,7 +117,7 @@
     /// Adapters with requests in progress, by target.
     pub(crate) in_use: BTreeSet<(TargetNumber, AdapterHash)>,
     next_number: TargetNumber,
-    /// Number of report requests so far.
+    /// Number of the last report request.
     pub(crate) report_requests: u64,
     pub(crate) store_loads: VecDeque<Duration>,
     copies_checked: Duration,
@@ -123,6 +128,7 @@
 impl PlacementTable {
     /// Creates an empty table.
     pub fn new(settings: PlacementSettings) -> PlacementTable {
+        let report_requests = settings.fence << REQUEST_BITS;
         PlacementTable {
             settings,
             rows: BTreeMap::new(),
@@ -135,7 +141,7 @@
             since: None,
             in_use: BTreeSet::new(),
             next_number: 1,
-            report_requests: 0,
+            report_requests,
             store_loads: VecDeque::new(),
             copies_checked: Duration::ZERO,
             unplaced_logged: Duration::ZERO,
@@ -260,7 +266,8 @@
     }
 
     fn insert_row(&mut self, now: Duration, record: &TargetRecord, number: TargetNumber) {
-        self.rows.insert(record.id.clone(), TargetRow::new(now, record.clone(), number));
+        let row = TargetRow::new(now, record.clone(), number, self.report_requests);
+        self.rows.insert(record.id.clone(), row);
         self.steps.push(PlacementStep::Publish(FeedChange::Target(number, record.clone())));
     }
 
@@ -377,7 +384,9 @@
         request: u64,
         report: Option<&Report>,
     ) {
-        let Some(row) = self.rows.get_mut(id) else { return };
+        let Some(row) = self.rows.get_mut(id).filter(|it| request > it.requests_before) else {
+            return;
+        };
         let requested_at = row.requested_at.take().unwrap_or(now);
         let Some(report) = report else {
             row.report_due = Some(now + REPORT_INTERVAL * 4);
--- a/coordination/fleet/src/row.rs
+++ b/coordination/fleet/src/row.rs
@@ -76,6 +76,9 @@
     pub(crate) stored: Vec<String>,
     /// When the next report request is due.
     pub(crate) report_due: Option<Duration>,
+    /// Number of the last report request before this row was made: earlier ones went to a former process
+    /// or were sent by a former holder.
+    pub(crate) requests_before: u64,
     /// When the unanswered report request was sent, if there is one.
     pub(crate) requested_at: Option<Duration>,
     /// It receives no orders before this time.
@@ -87,7 +90,12 @@
 }
 
 impl TargetRow {
-    pub(crate) fn new(now: Duration, record: TargetRecord, number: TargetNumber) -> TargetRow {
+    pub(crate) fn new(
+        now: Duration,
+        record: TargetRecord,
+        number: TargetNumber,
+        requests_before: u64,
+    ) -> TargetRow {
         TargetRow {
             software: stable_hash(&record.software),
             record,
@@ -98,6 +106,7 @@
             cached: VecDeque::new(),
             stored: Vec::new(),
             report_due: Some(now),
+            requests_before,
             requested_at: None,
             backoff_until: Duration::ZERO,
             last_heard: now,
--- a/coordination/fleet/tests/account.rs
+++ b/coordination/fleet/tests/account.rs
@@ -7,7 +7,7 @@
 
 use engines::{Faults, World, model, ms};
 use fleet::{Demand, Engine, Order, PlacementStep, PlacementTable, Report};
-use wire::{TargetRecord, TargetState};
+use wire::{FeedChange, TargetRecord, TargetState};
 
 const ADAPTER_SLOTS: usize = 6;
 const SEEDS: u64 = 20;
@@ -195,6 +195,21 @@
     Report { loaded, accepted_orders, started_at: Some(started_at), ..Report::default() }
 }
 
+/// Guards against a restarted target that is taken for silent, because the answer to a report request to
+/// its former process arrives after its first heartbeat.
+#[test]
+fn a_report_of_the_former_process_does_not_silence_a_target() {
+    let (mut table, record) = table_with_target();
+    let request = tick(&mut table).0.expect("a report is requested");
+    table.update_target(NOW, &TargetRecord { started_at: 2, ..record });
+    table.handle_report(NOW, "t0", request, Some(&report(1, 5)));
+    let silent = table.take_steps().into_iter().any(|step| {
+        matches!(step, PlacementStep::Publish(FeedChange::Target(_, it)) if it.state == TargetState::Silent)
+    });
+    assert!(!silent);
+    assert!(tick(&mut table).0.is_some(), "the present process is asked for its report");
+}
+
 /// Guards against a restarted target that is dropped because news of its former process arrives late.
 #[test]
 fn late_news_of_the_former_process_does_not_remove_a_target() {
--- a/coordination/fleet/tests/engines/mod.rs
+++ b/coordination/fleet/tests/engines/mod.rs
@@ -354,5 +354,6 @@
         domain: "d".to_owned(),
         window: ms(5000),
         silence: Duration::from_secs(1000),
+        fence: 7,
     })
 }
