Take the answer to an order for that order only

The outcome of an order was applied to whatever order was open at its target. After a target's restart, or a change of holders on one host, the answer to an earlier order ended the open one: what the target had accepted counted as not sent, and its own answer was ignored. An order names the target's process, and its outcome names the order. an_answer_to_an_order_of_the_former_process_is_ignored failed before.

--- a/coordination/fleet/src/io.rs
+++ b/coordination/fleet/src/io.rs
@@ -18,6 +18,8 @@
 pub struct Order {
     /// Name of the target.
     pub target: String,
+    /// Start time of the target's process, in milliseconds since the epoch.
+    pub started_at: u64,
     /// IP address and port of the target.
     pub addr: String,
     /// Whether to load; `false` unloads.
@@ -128,8 +130,8 @@
     },
     /// An order has ended.
     OrderEnded {
-        /// Name of the target.
-        target: String,
+        /// The order.
+        order: Order,
         /// Result of the order.
         outcome: OrderOutcome,
     },
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -165,9 +165,9 @@
             Input::Deregistered { id } => self.handle_deregistration(now, &id),
             Input::Change { tag, command } => self.operator_calls.change(now, tag, command),
             Input::Read { tag } => self.operator_calls.read(now, tag),
-            Input::OrderEnded { target, outcome } => {
-                if let Some(placement) = self.placement_of(&target) {
-                    placement.handle_outcome(now, &target, outcome);
+            Input::OrderEnded { order, outcome } => {
+                if let Some(placement) = self.placement_of(&order.target) {
+                    placement.handle_outcome(now, &order, outcome);
                 }
                 self.tick_placement(now);
             }
--- a/coordination/fleet/src/orders.rs
+++ b/coordination/fleet/src/orders.rs
@@ -19,10 +19,13 @@
 const FAILED_BACKOFF: Duration = Duration::from_millis(700);
 
 impl PlacementTable {
-    /// Handles the outcome of the order that was sent to a target.
-    pub fn handle_outcome(&mut self, now: Duration, id: &str, outcome: OrderOutcome) {
+    /// Handles the outcome of an order. It has no effect if the target's process has been replaced since,
+    /// or the order is of a former holder.
+    pub fn handle_outcome(&mut self, now: Duration, order: &Order, outcome: OrderOutcome) {
+        let id = order.target.as_str();
         let Some(row) = self.rows.get_mut(id) else { return };
-        let Some(SentOrder { order, at, basis }) = row.open_order.take() else { return };
+        let Some(sent) = row.open_order.take_if(|it| it.order == *order) else { return };
+        let SentOrder { order, at, basis } = sent;
         let name = order.name();
         let took = now.saturating_sub(at);
         self.steps.push(PlacementStep::Log(Event::Ordered {
@@ -86,6 +89,7 @@
         let Some(expected_orders) = row.account.next_number() else { return false };
         let order = Order {
             target: id.to_owned(),
+            started_at: row.record.started_at,
             addr: row.record.addr.clone(),
             load,
             model: model.to_owned(),
--- a/coordination/fleet/tests/account.rs
+++ b/coordination/fleet/tests/account.rs
@@ -6,7 +6,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use engines::{Faults, World, model, ms};
-use fleet::{Demand, Engine, Order, PlacementStep, PlacementTable, Report};
+use fleet::{Demand, Engine, Order, OrderOutcome, PlacementStep, PlacementTable, Report};
 use wire::{FeedChange, TargetRecord, TargetState};
 
 const ADAPTER_SLOTS: usize = 6;
@@ -210,6 +210,26 @@
     assert!(tick(&mut table).0.is_some(), "the present process is asked for its report");
 }
 
+/// Guards against an order that counts as refused or accepted because the answer to an order to the
+/// target's former process arrives while it is open.
+#[test]
+fn an_answer_to_an_order_of_the_former_process_is_ignored() {
+    let (mut table, record) = table_with_target();
+    let request = tick(&mut table).0.expect("a report is requested");
+    table.handle_report(NOW, "t0", request, Some(&report(1, 0)));
+    table.record_demand(NOW, 1, "s", Demand::anywhere("m/a1"), 1);
+    let former = tick(&mut table).1.expect("an adapter is ordered");
+    table.update_target(NOW, &TargetRecord { started_at: 2, ..record });
+    let request = tick(&mut table).0.expect("a report is requested");
+    table.handle_report(NOW, "t0", request, Some(&report(2, 0)));
+    let order = tick(&mut table).1.expect("the adapter is ordered again");
+    table.handle_outcome(NOW, &former, OrderOutcome::NotSent);
+    table.handle_outcome(NOW, &order, OrderOutcome::Accepted);
+    table.record_demand(NOW, 1, "s", Demand::anywhere("m/a2"), 1);
+    let next = tick(&mut table).1.expect("the next one is ordered");
+    assert_eq!((next.adapter.as_deref(), next.expected_orders), (Some("a2"), 1));
+}
+
 /// Guards against a restarted target that is dropped because news of its former process arrives late.
 #[test]
 fn late_news_of_the_former_process_does_not_remove_a_target() {
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -407,8 +407,7 @@
                     machine.orders.push((now, order.clone()));
                     let outcome =
                         self.targets.entry(order.target.clone()).or_default().order(&order);
-                    let target = order.target;
-                    let input = Input::OrderEnded { target, outcome };
+                    let input = Input::OrderEnded { order, outcome };
                     self.schedule(ms(4), Scheduled::Input(host, incarnation, Box::new(input)));
                 }
                 Output::FetchReport { target, request, .. } => {
--- a/coordination/fleet/tests/engines/mod.rs
+++ b/coordination/fleet/tests/engines/mod.rs
@@ -230,7 +230,7 @@
                 }
             }
             Arrival::Outcome(holder, order, outcome) if holder == self.holder => {
-                self.table.handle_outcome(now, &order.target, outcome);
+                self.table.handle_outcome(now, &order, outcome);
             }
             Arrival::Report(holder, target, request, report) if holder == self.holder => {
                 self.table.handle_report(now, &target, request, Some(&report));
--- a/coordination/fleet/tests/placement.rs
+++ b/coordination/fleet/tests/placement.rs
@@ -200,7 +200,7 @@
                     _ => "other",
                 };
                 *self.outcomes.entry(word).or_default() += 1;
-                self.table.handle_outcome(now, &order.target, outcome);
+                self.table.handle_outcome(now, &order, outcome);
             }
             PlacementStep::FetchReport { target, request, .. } => {
                 let report = self.targets.get_mut(&target).expect("the target exists").report(now);
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -191,13 +191,12 @@
     fn start_order(self: &Rc<Edge>, order: Order) {
         let edge = self.clone();
         tokio::task::spawn_local(async move {
-            let target = order.target.clone();
             let outcome = match timeout(ORDER_TIMEOUT, edge.send_order(&order)).await {
                 Ok(outcome) => outcome,
                 Err(_) => OrderOutcome::Unknown,
             };
             edge.metrics.order_ended(order.load, outcome);
-            edge.step(Input::OrderEnded { target, outcome });
+            edge.step(Input::OrderEnded { order, outcome });
         });
     }
 
