Keep in the account only what it uses of a report; log orders that never came about

The newest report's own order stays known as the holder's when the report overtakes the order's answer, so that an unload at once needs no further report. A report line names what was ordered and isn't there.

--- a/coordination/fleet/src/account.rs
+++ b/coordination/fleet/src/account.rs
@@ -55,11 +55,17 @@
     reports: u32,
 }
 
-/// The newest report.
+/// The newest report: what the target held after a number of orders.
 #[derive(Debug)]
 struct NumberedReport {
+    /// Number of the request.
     request: u64,
-    report: Report,
+    /// Number of accepted orders.
+    number: u64,
+    loaded: Vec<(String, u64)>,
+    pending: Vec<String>,
+    /// Whether an order for a model was in progress.
+    busy: bool,
 }
 
 /// The account of one process of a target.
@@ -90,13 +96,13 @@
     /// Whether a model is being loaded or unloaded, whoever ordered it. The target accepts no order
     /// meanwhile, and a report doesn't name a model before it is ready.
     pub(crate) fn is_busy(&self) -> bool {
-        self.newest.as_ref().is_some_and(|it| it.report.busy)
+        self.newest.as_ref().is_some_and(|it| it.busy)
             || self.accepted.iter().any(|it| it.order.adapter.is_none())
     }
 
     /// Returns request number and order number of the newest report.
     pub(crate) fn newest(&self) -> (u64, u64) {
-        self.newest.as_ref().map_or((0, 0), |it| (it.request, it.report.accepted_orders))
+        self.newest.as_ref().map_or((0, 0), |it| (it.request, it.number))
     }
 
     /// Whether an order without an answer may still be accepted.
@@ -109,22 +115,27 @@
         self.doubted.get_or_insert(0);
     }
 
+    /// Records that an order was not accepted, since the target was busy or had accepted another one.
+    pub(crate) fn record_busy(&mut self) {
+        self.is_own = false;
+    }
+
     /// Records that an order was accepted. `is_done` tells whether it has taken effect.
     pub(crate) fn accept(&mut self, order: Order, is_done: bool) {
         let number = order.expected_orders;
         let is_contested = !self.is_own || self.unanswered.iter().any(|it| it.is_of(number));
-        if is_done && is_contested {
-            // An unload of what had just ended by itself is answered like this, too, and takes no
-            // number: another order may still be accepted at it.
-            self.doubt();
-        }
         if !is_done {
             self.unanswered.retain(|it| it.order.expected_orders > number);
             self.is_own = true;
         }
-        if self.newest.as_ref().is_some_and(|it| it.report.accepted_orders > number) {
+        if self.newest.as_ref().is_some_and(|it| it.number > number) {
             return self.await_end(order, is_done);
         }
+        if is_done && is_contested {
+            // An unload of what had just ended by itself is answered like this, too, and takes no
+            // number: another order may still be accepted at it.
+            self.doubt();
+        }
         self.number = self.number.max(number + 1);
         self.accepted.push(AcceptedOrder { order, is_done });
     }
@@ -136,14 +147,24 @@
         }
     }
 
-    /// Records a report, the answer to the request of the given number. Returns whether it is the
-    /// newest one.
-    pub(crate) fn record_report(&mut self, request: u64, report: &Report) -> bool {
+    /// Records a report, the answer to the request of the given number. `open` is the order that is not
+    /// answered yet. Returns whether the report is the newest one.
+    pub(crate) fn record_report(
+        &mut self,
+        request: u64,
+        report: &Report,
+        open: Option<&Order>,
+    ) -> bool {
         let number = report.accepted_orders;
         if self.newest.is_some() && (number, request) < (self.newest().1, self.newest().0) {
             return false;
         }
-        self.newest = Some(NumberedReport { request, report: report.clone() });
+        let (loaded, pending) = (report.loaded.clone(), report.pending.clone());
+        self.newest = Some(NumberedReport { request, number, loaded, pending, busy: report.busy });
+        let is_taken = number > self.number;
+        if is_taken && open.is_none_or(|it| it.expected_orders + 1 != number) {
+            self.is_own = false;
+        }
         self.check_number(number);
         self.unanswered.retain(|it| it.order.expected_orders >= number);
         for awaited in self.awaited.values_mut() {
@@ -155,15 +176,14 @@
                 false => self.accepted.push(AcceptedOrder { order, is_done }),
             }
         }
-        self.awaited.retain(|_, it| it.reports < AWAITED_REPORTS && it.is_waiting(report));
+        if let Some(newest) = &self.newest {
+            self.awaited.retain(|_, it| it.reports < AWAITED_REPORTS && it.is_waiting(newest));
+        }
         true
     }
 
     /// Compares the number of accepted orders with that of a new report.
     fn check_number(&mut self, number: u64) {
-        if number > self.number {
-            self.is_own = false;
-        }
         if number >= self.number {
             self.number = number;
             self.doubted = None;
@@ -184,8 +204,7 @@
         let name = order.name();
         self.awaited.remove(&name);
         let awaited = AwaitedOrder { order, reports: 0 };
-        let newest = self.newest.as_ref();
-        if !is_done && newest.is_some_and(|it| awaited.is_waiting(&it.report)) {
+        if !is_done && self.newest.as_ref().is_some_and(|it| awaited.is_waiting(it)) {
             self.awaited.insert(name, awaited);
         }
     }
@@ -194,7 +213,7 @@
     /// order that is not answered yet.
     pub(crate) fn entries(&self, open: Option<&Order>) -> BTreeMap<String, Entry> {
         let mut entries = BTreeMap::new();
-        let Some(NumberedReport { request, report }) = &self.newest else { return entries };
+        let Some(report) = &self.newest else { return entries };
         let shown = |version, stage| Entry { version, stage, is_ordered: false };
         for (name, version) in &report.loaded {
             entries.insert(name.clone(), shown(*version, Stage::Ready));
@@ -210,10 +229,10 @@
         }
         // A later report shows whether an order without an answer was carried out so far. If it still is
         // to be, the next order either precludes it or is not accepted.
-        for unanswered in self.unanswered.iter().filter(|it| it.request >= *request) {
+        for unanswered in self.unanswered.iter().filter(|it| it.request >= report.request) {
             apply(&mut entries, &unanswered.order, false);
         }
-        if let Some(open) = open.filter(|it| it.expected_orders >= report.accepted_orders) {
+        if let Some(open) = open.filter(|it| it.expected_orders >= report.number) {
             apply(&mut entries, open, false);
         }
         entries
@@ -229,7 +248,7 @@
 impl AwaitedOrder {
     /// Whether a report that covers the order doesn't show its end: the target still works on it, or
     /// requests use the adapter.
-    fn is_waiting(&self, report: &Report) -> bool {
+    fn is_waiting(&self, report: &NumberedReport) -> bool {
         if self.order.adapter.is_none() {
             return report.busy;
         }
--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -231,8 +231,10 @@
         known: Option<u64>,
         /// Models and adapters that became ready.
         ready: Vec<String>,
-        /// Models and adapters that are gone.
+        /// Models and adapters that are no longer ready.
         gone: Vec<String>,
+        /// Models and adapters that were ordered and are not there.
+        missing: Vec<String>,
         /// What the report was taken for.
         verdict: ReportVerdict,
     },
--- a/coordination/fleet/src/orders.rs
+++ b/coordination/fleet/src/orders.rs
@@ -53,7 +53,10 @@
                     row.report_due = Some(now);
                 }
             }
-            OrderOutcome::Busy => self.require_report(now, id, BUSY_BACKOFF),
+            OrderOutcome::Busy => {
+                row.account.record_busy();
+                self.require_report(now, id, BUSY_BACKOFF);
+            }
             OrderOutcome::Elsewhere => return self.mark_silent(id),
             OrderOutcome::Refused | OrderOutcome::NotSent => {
                 self.require_report(now, id, FAILED_BACKOFF);
--- a/coordination/fleet/src/placement.rs
+++ b/coordination/fleet/src/placement.rs
@@ -393,7 +393,7 @@
             return;
         };
         let known = row.account.next_number();
-        let log = |verdict, ready: &[(String, u64)], gone: &[(String, u64)]| {
+        let log = |verdict, changes: &RowChanges| {
             let names = |of: &[(String, u64)]| of.iter().map(|it| it.0.clone()).collect();
             PlacementStep::Log(Event::Reported {
                 target: id.to_owned(),
@@ -401,25 +401,27 @@
                 took_ms: now.saturating_sub(requested_at).as_millis() as u64,
                 orders: report.accepted_orders,
                 known,
-                ready: names(ready),
-                gone: names(gone),
+                ready: names(&changes.ready),
+                gone: names(&changes.gone),
+                missing: names(&changes.missing),
                 verdict,
             })
         };
         if report.started_at.is_some_and(|started_at| started_at != row.record.started_at) {
             // The address belongs to another process, or to the target's next incarnation.
-            self.steps.push(log(ReportVerdict::OtherProcess, &[], &[]));
+            self.steps.push(log(ReportVerdict::OtherProcess, &RowChanges::default()));
             return self.mark_silent(id);
         }
         row.last_heard = now;
-        if !row.account.record_report(request, report) {
-            self.steps.push(log(ReportVerdict::OutOfDate, &[], &[]));
+        let open = row.open_order.as_ref().map(|it| &it.order);
+        if !row.account.record_report(request, report, open) {
+            self.steps.push(log(ReportVerdict::OutOfDate, &RowChanges::default()));
             return self.plan_report(now, id);
         }
         row.stored = report.stored.clone();
-        let (ready, gone) = self.publish_changes(now, id);
-        if !ready.is_empty() || !gone.is_empty() || known != Some(report.accepted_orders) {
-            self.steps.push(log(ReportVerdict::Applied, &ready, &gone));
+        let changes = self.publish_changes(now, id);
+        if !changes.is_empty() || known != Some(report.accepted_orders) {
+            self.steps.push(log(ReportVerdict::Applied, &changes));
         }
         self.plan_report(now, id);
     }
@@ -435,16 +437,16 @@
         }
     }
 
-    /// Publishes what changed in a target's account. Returns what became ready and what no longer is.
+    /// Publishes what changed in a target's account.
     pub(crate) fn publish_changes(&mut self, now: Duration, id: &str) -> RowChanges {
         let Some(row) = self.rows.get_mut(id) else { return RowChanges::default() };
-        let (ready, gone) = row.refresh(now);
+        let changes = row.refresh(now);
         let (number, software) = (row.number, row.software);
-        for (name, version) in &gone {
+        for (name, version) in &changes.gone {
             let change = FeedChange::Removed(placement(number, name, *version));
             self.steps.push(PlacementStep::Publish(change));
         }
-        for (name, version) in &ready {
+        for (name, version) in &changes.ready {
             let arrival = placement(number, name, *version);
             for software in [None, Some(software)] {
                 let demand = Demand { adapter: name.clone(), software };
@@ -454,7 +456,7 @@
             }
             self.steps.push(PlacementStep::Publish(FeedChange::Placed(arrival)));
         }
-        (ready, gone)
+        changes
     }
 }
 
--- a/coordination/fleet/src/row.rs
+++ b/coordination/fleet/src/row.rs
@@ -46,8 +46,22 @@
     pub(crate) hash: AdapterHash,
 }
 
-/// Models and adapters that became ready, and those that no longer are, with their versions.
-pub(crate) type RowChanges = (Vec<(String, u64)>, Vec<(String, u64)>);
+/// Changes of a row's models and adapters, with their versions.
+#[derive(Debug, Default)]
+pub(crate) struct RowChanges {
+    /// Those that became ready.
+    pub(crate) ready: Vec<(String, u64)>,
+    /// Those that were ready and no longer are.
+    pub(crate) gone: Vec<(String, u64)>,
+    /// Those that were ordered and are not there.
+    pub(crate) missing: Vec<(String, u64)>,
+}
+
+impl RowChanges {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.ready.is_empty() && self.gone.is_empty() && self.missing.is_empty()
+    }
+}
 
 /// An order that was sent and is not answered yet.
 #[derive(Debug, Clone)]
@@ -202,17 +216,19 @@
         }
     }
 
-    /// Takes over the entries of the account. Returns what became ready and what no longer is.
+    /// Takes over the entries of the account.
     pub(crate) fn refresh(&mut self, now: Duration) -> RowChanges {
-        let (mut added, mut gone) = (Vec::new(), Vec::new());
+        let mut changes = RowChanges::default();
         let entries = self.account.entries(self.open_order.as_ref().map(|it| &it.order));
         let former = std::mem::take(&mut self.held);
         for (name, held) in &former {
             let entry = entries.get(name);
             if held.stage == Stage::Ready && entry.is_none_or(|it| it.stage != Stage::Ready) {
-                gone.push((name.clone(), held.version));
+                changes.gone.push((name.clone(), held.version));
             }
-            if entry.is_none() && held.stage != Stage::Loading && name.contains('/') {
+            if entry.is_none() && held.stage == Stage::Loading {
+                changes.missing.push((name.clone(), held.version));
+            } else if entry.is_none() && name.contains('/') {
                 self.add_cached(name);
             }
         }
@@ -221,7 +237,7 @@
             let is_new =
                 known.is_none_or(|it| (it.stage, it.version) != (entry.stage, entry.version));
             if is_new && entry.stage == Stage::Ready {
-                added.push((name.clone(), entry.version));
+                changes.ready.push((name.clone(), entry.version));
             }
             let ordered_at = if entry.is_ordered { now } else { Duration::ZERO };
             let held = HeldAdapter {
@@ -232,6 +248,6 @@
             };
             self.held.insert(name, held);
         }
-        (added, gone)
+        changes
     }
 }
