Believe only the present holder that an adapter is ready

A holder tells hosts that wait for an adapter at once that it is ready, by the number that it gave the target. A host applied the message whoever sent it: one of a former holder, on another connection than the new holder's feed, marked whatever target has that number now, and requests went where the adapter isn't. an_adapter_named_by_a_former_holder_is_not_believed failed before.

--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -388,9 +388,11 @@
                 self.send_permits(granted, self.prefill.backlog(&target));
             }
             FleetMsg::Feed(feed) => self.handle_feed(now, from, &feed),
-            FleetMsg::AdapterReady { domain, placement } => {
+            // A former holder's numbers stand for other targets.
+            FleetMsg::AdapterReady { domain, placement } if self.holder(&domain) == Some(from) => {
                 self.apply_placement(&domain, &placement)
             }
+            FleetMsg::AdapterReady { .. } => {}
             FleetMsg::Resync(topic) => self.send_table(from, &topic),
             FleetMsg::TargetEnding(record) => self.update_target(now, &record),
             FleetMsg::TargetAlive(record) => self.handle_alive(now, &record),
--- a/coordination/fleet/tests/holders.rs
+++ b/coordination/fleet/tests/holders.rs
@@ -9,7 +9,7 @@
 use fleet::Input;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use wire::{HostId, TargetState};
+use wire::{FleetMsg, HostId, PeerMsg, Placement, TargetState};
 
 const LEASE: Duration = Duration::from_millis(3000);
 const TARGETS: u64 = 6;
@@ -254,3 +254,26 @@
     }
     assert!(changes > 30, "{changes} changes of a holder");
 }
+
+/// Guards against requests that are sent to a target without their adapter, because a message of a former
+/// holder arrives after the new one has numbered the targets anew.
+#[test]
+fn an_adapter_named_by_a_former_holder_is_not_believed() {
+    let mut world = world(1);
+    let view = |world: &World, host: HostId| {
+        let target = world.machines[&host].host.as_ref()?.targets().get("t0")?;
+        Some((target.number?, target.adapters.contains_key("m/a7")))
+    };
+    let holder = world.machines[&1].host.as_ref().and_then(|it| it.holder("d0"));
+    let holder = holder.expect("a holder");
+    let mut others = world.running().into_iter().filter(|it| *it != holder);
+    let (observer, former) = others.next().zip(others.next()).expect("two other hosts");
+    let (target, _) = view(&world, observer).expect("a numbered target");
+    let placement = Placement { target, adapter: "m/a7".to_owned(), version: 1 };
+    for (from, is_believed) in [(former, false), (holder, true)] {
+        let domain = "d0".to_owned();
+        let ready = FleetMsg::AdapterReady { domain, placement: placement.clone() };
+        world.input(observer, Input::Peer { from, msg: PeerMsg::Fleet(Box::new(ready)) });
+        assert_eq!(view(&world, observer), Some((target, is_believed)));
+    }
+}
