--- a/coordination/fleet/tests/account.rs
+++ b/coordination/fleet/tests/account.rs
@@ -3,14 +3,13 @@
 
 mod engines;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, ops::RangeInclusive, time::Duration};
 
 use engines::{Faults, World, model, ms};
 use fleet::{Demand, Engine, Order, OrderOutcome, PlacementStep, PlacementTable, Report};
 use wire::{FeedChange, TargetRecord, TargetState};
 
 const ADAPTER_SLOTS: usize = 6;
-const SEEDS: u64 = 20;
 const RUN: Duration = ms(40_000);
 const NOW: Duration = ms(10_000);
 
@@ -24,10 +23,17 @@
     }
 }
 
+/// Returns the seeds: `ACCOUNT_SEEDS`, as `FIRST-LAST`, or 0 to 19.
+fn seeds() -> RangeInclusive<u64> {
+    let range = std::env::var("ACCOUNT_SEEDS").unwrap_or_else(|_| "0-19".to_owned());
+    let (first, last) = range.split_once('-').expect("FIRST-LAST");
+    first.parse().expect("a number")..=last.parse().expect("a number")
+}
+
 /// Two targets with one model; runs all seeds and checks that no target is overfilled.
 fn check(name: &str, faults: &Faults) {
     let mut overfilled = Vec::new();
-    for seed in 0..SEEDS {
+    for seed in seeds() {
         let mut world = World::new(seed, one_model(), &[&["m"], &["m"]], faults.clone());
         world.run(RUN, &["m"]);
         overfilled.extend(world.overfilled().into_iter().map(|it| format!("seed {seed}, {it}")));
@@ -77,7 +83,7 @@
 fn wanted_adapters_are_placed_once_nothing_is_lost() {
     for executed in [0.0, 0.7] {
         let mut unplaced = Vec::new();
-        for seed in 0..SEEDS {
+        for seed in seeds() {
             let faults = Faults {
                 report_delay: ms(700),
                 order_delay: ms(300),
@@ -86,7 +92,8 @@
                 lost: 0.3,
                 versions: 0.02,
                 requests: 0.02,
-                ..Faults::default()
+                restarts: 0.001,
+                holders: 0.002,
             };
             let mut world = World::new(seed, one_model(), &[&["m"], &["m"]], faults);
             world.run(ms(20_000), &["m"]);
@@ -122,7 +129,7 @@
 #[test]
 fn models_that_are_being_loaded_keep_their_memory() {
     let mut overfilled = Vec::new();
-    for seed in 0..SEEDS {
+    for seed in seeds() {
         let engine = Engine { models: vec![model("m", 100.0), model("n", 150.0)], ..one_model() };
         let faults = Faults {
             report_delay: ms(700),
@@ -147,7 +154,7 @@
 #[test]
 fn two_models_at_one_target_share_its_memory() {
     let mut overfilled = Vec::new();
-    for seed in 0..SEEDS {
+    for seed in seeds() {
         let engine = Engine {
             weights_mb: 254.0,
             models: vec![model("m", 100.0), model("n", 150.0)],
