--- a/coordination/fleet/src/account.rs
+++ b/coordination/fleet/src/account.rs
@@ -16,7 +16,7 @@
 
 /// Number of reports, since the number of accepted orders came into doubt, that state a lower one before
 /// it is lowered.
-const DOUBTED_REPORTS: u32 = 5;
+const DOUBTED_REPORTS: u32 = 10;
 /// Number of reports after which an accepted order no longer hides an adapter, if none shows its end.
 const AWAITED_REPORTS: u32 = 250;
 
@@ -161,8 +161,8 @@
         }
         let (loaded, pending) = (report.loaded.clone(), report.pending.clone());
         self.newest = Some(NumberedReport { request, number, loaded, pending, busy: report.busy });
-        let is_taken = number > self.number;
-        if is_taken && open.is_none_or(|it| it.expected_orders + 1 != number) {
+        let is_own_order = open.is_some_and(|it| it.expected_orders + 1 == number);
+        if number > self.number && !is_own_order {
             self.is_own = false;
         }
         self.check_number(number);
