--- a/coordination/fleet/tests/account.rs
+++ b/coordination/fleet/tests/account.rs
@@ -23,6 +23,19 @@
     }
 }
 
+/// Reports and orders are late, and orders get no answer; `executed` is the share of these that is carried
+/// out at once.
+fn late_and_lost(executed: f64) -> Faults {
+    Faults {
+        report_delay: ms(700),
+        order_delay: ms(300),
+        unanswered: 0.3,
+        executed,
+        lost: 0.3,
+        ..Faults::default()
+    }
+}
+
 /// Returns the seeds: `ACCOUNT_SEEDS`, as `FIRST-LAST`, or 0 to 19.
 fn seeds() -> RangeInclusive<u64> {
     let range = std::env::var("ACCOUNT_SEEDS").unwrap_or_else(|_| "0-19".to_owned());
@@ -55,15 +68,7 @@
 #[test]
 fn late_reports_and_unanswered_orders_do_not_overfill() {
     for executed in [0.0, 0.7] {
-        let faults = Faults {
-            report_delay: ms(700),
-            order_delay: ms(300),
-            unanswered: 0.3,
-            executed,
-            lost: 0.3,
-            ..Faults::default()
-        };
-        check(&format!("{executed} executed"), &faults);
+        check(&format!("{executed} executed"), &late_and_lost(executed));
     }
 }
 
@@ -85,15 +90,11 @@
         let mut unplaced = Vec::new();
         for seed in seeds() {
             let faults = Faults {
-                report_delay: ms(700),
-                order_delay: ms(300),
-                unanswered: 0.3,
-                executed,
-                lost: 0.3,
                 versions: 0.02,
                 requests: 0.02,
                 restarts: 0.001,
                 holders: 0.002,
+                ..late_and_lost(executed)
             };
             let mut world = World::new(seed, one_model(), &[&["m"], &["m"]], faults);
             world.run(ms(20_000), &["m"]);
--- a/coordination/fleet/tests/engines/mod.rs
+++ b/coordination/fleet/tests/engines/mod.rs
@@ -5,7 +5,10 @@
 
 pub mod target;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use fleet::{
     Demand, Engine, Model, Order, OrderOutcome, PlacementSettings, PlacementStep, PlacementTable,
@@ -68,6 +71,10 @@
     pub newest: BTreeMap<String, u64>,
     /// What the table publishes as ready: versions by target number and adapter.
     pub placements: BTreeMap<(u16, String), u64>,
+    /// Time of one step.
+    pub tick: Duration,
+    /// Real time that the table has taken for ticks, reports and outcomes of orders.
+    pub spent: Duration,
     /// Number of the holder: answers to a former one don't arrive.
     holder: u64,
     arrivals: Vec<(Duration, Arrival)>,
@@ -90,6 +97,8 @@
             engine,
             newest: BTreeMap::new(),
             placements: BTreeMap::new(),
+            tick: STEP,
+            spent: Duration::ZERO,
             holder: 1,
             arrivals: Vec::new(),
         };
@@ -196,8 +205,22 @@
         self.table.record_status(self.now, 1, &status);
     }
 
+    /// Lets each target hold a number of adapters that no one else does.
+    pub fn fill(&mut self, adapters: usize) {
+        for (id, target) in &mut self.targets {
+            target.fill("m", id, adapters);
+        }
+    }
+
+    /// Calls the table, and counts the time that it takes.
+    fn timed(&mut self, call: impl FnOnce(&mut PlacementTable)) {
+        let start = Instant::now();
+        call(&mut self.table);
+        self.spent += start.elapsed();
+    }
+
     pub fn step(&mut self) {
-        self.now += STEP;
+        self.now += self.tick;
         let now = self.now;
         self.strike();
         for target in self.targets.values_mut() {
@@ -212,7 +235,7 @@
                 false => self.arrive(arrival),
             }
         }
-        self.table.tick(now, Some(7));
+        self.timed(|table| table.tick(now, Some(7)));
         for step in self.table.take_steps() {
             self.execute(step);
         }
@@ -230,10 +253,10 @@
                 }
             }
             Arrival::Outcome(holder, order, outcome) if holder == self.holder => {
-                self.table.handle_outcome(now, &order, outcome);
+                self.timed(|table| table.handle_outcome(now, &order, outcome));
             }
             Arrival::Report(holder, target, request, report) if holder == self.holder => {
-                self.table.handle_report(now, &target, request, Some(&report));
+                self.timed(|table| table.handle_report(now, &target, request, Some(&report)));
             }
             Arrival::Outcome(..) | Arrival::Report(..) => {}
             Arrival::Heartbeat(id) => self.table.update_target(now, &self.record(&id)),
--- a/coordination/fleet/tests/engines/target.rs
+++ b/coordination/fleet/tests/engines/target.rs
@@ -54,6 +54,20 @@
         }
     }
 
+    /// Lets the target hold adapters of a model, named after `owner`.
+    pub fn fill(&mut self, model: &str, owner: &str, adapters: usize) {
+        for number in 0..adapters {
+            let held = Held {
+                version: 1,
+                ready_at: Duration::ZERO,
+                next: None,
+                leaves: false,
+                used_until: Duration::ZERO,
+            };
+            self.adapters.insert(format!("{model}/{owner}-{number}"), held);
+        }
+    }
+
     /// Lets a request run, if the adapter is ready.
     pub fn run(&mut self, now: Duration, adapter: &str, until: Duration) {
         if let Some(held) = self.adapters.get_mut(adapter)
--- a/coordination/fleet/tests/placement.rs
+++ b/coordination/fleet/tests/placement.rs
@@ -1,13 +1,16 @@
 //! A holder's placement table against targets whose reports lag.
 
+mod engines;
+
 use std::{
     collections::{BTreeMap, VecDeque},
     time::Duration,
 };
 
+use engines::{model, ms, placement_table};
 use fleet::{
-    Demand, Engine, Model, Order, OrderOutcome, PlacementSettings, PlacementStep, PlacementTable,
-    Report, Targets, stable_hash,
+    Demand, Engine, Order, OrderOutcome, PlacementStep, PlacementTable, Report, Targets,
+    stable_hash,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -17,10 +20,6 @@
 const REPORT_LAG: Duration = Duration::from_millis(200);
 const STEP: Duration = Duration::from_millis(10);
 
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
 /// A simulated engine target, as the published protocol describes it.
 #[derive(Default)]
 struct Target {
@@ -86,45 +85,28 @@
     load_time: Duration,
 }
 
-fn placement_table() -> PlacementTable {
-    let settings = PlacementSettings {
-        domain: "d".to_owned(),
-        window: ms(5000),
-        silence: Duration::from_secs(1000),
-        fence: 7,
-    };
-    let mut table = PlacementTable::new(settings);
-    let model = Model { name: "m".to_owned(), weights_mb: 100.0, adapter_mb: 1.0 };
+fn table() -> PlacementTable {
+    let mut table = placement_table();
     let engine = Engine {
         slots: 64,
         weights_mb: 200.0,
         adapter_slots: ADAPTER_SLOTS,
         loads_per_s: 3.0,
-        models: vec![model],
+        models: vec![model("m", 100.0)],
     };
     table.configure(BTreeMap::from([("s".to_owned(), engine)]), BTreeMap::new());
     table
 }
 
 fn record(id: &str) -> TargetRecord {
-    TargetRecord {
-        id: id.to_owned(),
-        started_at: 1,
-        sequence: 1,
-        service: "s".to_owned(),
-        addr: format!("{id}:1"),
-        domain: "d".to_owned(),
-        slots: 64,
-        software: "v1".to_owned(),
-        state: TargetState::Ready,
-    }
+    engines::record(id, 1)
 }
 
 impl World {
     fn new(seed: u64, targets: usize) -> World {
         let mut world = World {
             now: ms(10_000),
-            table: placement_table(),
+            table: table(),
             targets: BTreeMap::new(),
             late_orders: Vec::new(),
             placements: BTreeMap::new(),
@@ -149,7 +131,7 @@
     }
 
     fn change_holder(&mut self) {
-        self.table = placement_table();
+        self.table = table();
         self.placements.clear();
         self.add_targets();
     }
