--- a/coordination/fleet/tests/account.rs
+++ b/coordination/fleet/tests/account.rs
@@ -251,3 +251,27 @@
     table.record_demand(NOW, 1, "s", Demand::anywhere("m/a1"), 1);
     assert!(tick(&mut table).1.is_some());
 }
+
+/// Guards against a slot that a former holder's late order takes: an unload that is answered as done may
+/// have found the adapter gone, and then that order may still be accepted with its number.
+#[test]
+fn the_first_unload_of_a_holder_frees_no_slot_before_a_report() {
+    let (mut table, _) = table_with_target();
+    let request = tick(&mut table).0.expect("a report is requested");
+    let mut full = report(1, 4);
+    full.loaded.extend((0..ADAPTER_SLOTS).map(|it| (format!("m/old{it}"), 1)));
+    table.handle_report(NOW, "t0", request, Some(&full));
+    table.record_demand(NOW, 1, "s", Demand::anywhere("m/a1"), 1);
+    let unload = tick(&mut table).1.expect("an adapter is evicted");
+    assert!(!unload.load);
+    table.handle_outcome(NOW, &unload, OrderOutcome::Done);
+    let (request, order) = tick(&mut table);
+    assert!(order.is_none(), "{order:?}");
+    // The former holder's order was accepted with the number of the unload.
+    let mut late = report(1, 5);
+    late.loaded.extend(full.loaded.into_iter().filter(|(name, _)| *name != unload.name()).skip(1));
+    late.pending.push("m/late".to_owned());
+    table.handle_report(NOW, "t0", request.expect("a report is requested"), Some(&late));
+    let order = tick(&mut table).1.expect("an order");
+    assert!(!order.load, "all slots are taken: {order:?}");
+}
