Drop a needless copy of an order's name; say all that an awaited order may wait for

Left by the account: the name was only needed for the log line. Behaviour is unchanged. Formatter, linter of fleet and its tests account, holders and placement pass.

--- a/coordination/fleet/src/account.rs
+++ b/coordination/fleet/src/account.rs
@@ -74,7 +74,7 @@
     newest: Option<NumberedReport>,
     /// Orders accepted at the newest report's number and above, the oldest first.
     accepted: Vec<AcceptedOrder>,
-    /// Orders accepted below that number that wait for requests to end, by name.
+    /// Orders accepted below that number that wait for requests to end or are still carried out, by name.
     awaited: BTreeMap<String, AwaitedOrder>,
     unanswered: Vec<UnansweredOrder>,
     /// Number of orders that the target has accepted.
--- a/coordination/fleet/src/orders.rs
+++ b/coordination/fleet/src/orders.rs
@@ -26,12 +26,11 @@
         let Some(row) = self.rows.get_mut(id) else { return };
         let Some(sent) = row.open_order.take_if(|it| it.order == *order) else { return };
         let SentOrder { order, at, basis } = sent;
-        let name = order.name();
         let took = now.saturating_sub(at);
         self.steps.push(PlacementStep::Log(Event::Ordered {
             target: id.to_owned(),
             load: order.load,
-            adapter: name.clone(),
+            adapter: order.name(),
             expect: order.expected_orders,
             fence: order.fence,
             outcome,
