Log which hosts a change waits for and why, and which messages were not sent

The logs named the hosts without which a change was acknowledged, and nothing else: a lost confirmation, a host that lags and a link that drops its queue looked alike. unconfirmed and the new confirmed_late say how far each host has confirmed, how long it has been silent and what it hasn't answered; unsent names dropped messages by receiver, kind and reason, one line a second.

--- a/coordination/fleet/src/confirm.rs
+++ b/coordination/fleet/src/confirm.rs
@@ -14,11 +14,15 @@
 use replog::Input as LogInput;
 use wire::{FleetMsg, HostId, Index, encode};
 
-use crate::{Event, Host, io::Tag};
+use crate::{Event, Host, LateHost, io::Tag};
 
 /// Time that a change waits for the hosts that have not confirmed it: within the second after which
 /// operators call another host.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
+/// Wait of a change from which on the hosts that it waits for are noted, to be logged.
+const LATE: Duration = Duration::from_millis(150);
+/// Most hosts that a log line about a late confirmation names.
+pub const LATE_HOSTS: usize = 8;
 /// Time between two proposals of changes of the list of hosts.
 const LIST_INTERVAL: Duration = Duration::from_millis(100);
 /// Silence after which a host is dropped from the list.
@@ -31,6 +35,8 @@
     tag: Tag,
     index: Index,
     since: Duration,
+    /// The hosts that it waited for after [`LATE`], and how many more there were.
+    late: Option<(Vec<LateHost>, usize)>,
 }
 
 /// A leader's changes that wait for hosts to confirm them.
@@ -46,7 +52,7 @@
     /// Adds a change in force, unless it is waiting already.
     pub(crate) fn add(&mut self, now: Duration, host: HostId, tag: Tag, index: Index) {
         if !self.pending.iter().any(|it| (it.host, it.tag) == (host, tag)) {
-            self.pending.push_back(PendingChange { host, tag, index, since: now });
+            self.pending.push_back(PendingChange { host, tag, index, since: now, late: None });
         }
     }
 }
@@ -72,13 +78,22 @@
             };
             let missing: Vec<HostId> =
                 behind.into_iter().filter(|it| !lapsed.contains(it) && !ended(it)).collect();
-            if !missing.is_empty() && now < change.since + CONFIRM_TIMEOUT {
+            let waited = now.saturating_sub(change.since);
+            let (is_late, is_noted) = (waited >= LATE, change.late.is_some());
+            if !missing.is_empty() && waited < CONFIRM_TIMEOUT {
+                if is_late && !is_noted {
+                    self.note_late(now, &missing);
+                }
                 return;
             }
             lapsed.extend(missing.iter().copied());
             let Some(change) = pending.pop_front() else { return };
+            let (index, waited_ms) = (change.index, waited.as_millis() as u64);
             if !missing.is_empty() {
-                self.log(Event::Unconfirmed { index: change.index, hosts: missing });
+                let (hosts, left_out) = self.late_hosts(now, &missing);
+                self.log(Event::Unconfirmed { index, waited_ms, hosts, left_out });
+            } else if let Some((hosts, left_out)) = change.late {
+                self.log(Event::ConfirmedLate { index, waited_ms, hosts, left_out });
             }
             if change.host == self.settings.host {
                 self.operator_calls.confirm(change.tag);
@@ -88,6 +103,32 @@
         }
     }
 
+    /// Notes which hosts the oldest pending change waits for.
+    fn note_late(&mut self, now: Duration, missing: &[HostId]) {
+        let late = self.late_hosts(now, missing);
+        let leading = self.leading.as_mut();
+        if let Some(change) = leading.and_then(|it| it.confirmations.pending.front_mut()) {
+            change.late = Some(late);
+        }
+    }
+
+    /// Describes some of the hosts for the log, and returns how many more there are.
+    fn late_hosts(&self, now: Duration, hosts: &[HostId]) -> (Vec<LateHost>, usize) {
+        let mut named = Vec::new();
+        for &host in hosts.iter().take(LATE_HOSTS) {
+            let progress = self.replica.progress(host);
+            let silent = progress.map(|it| now.saturating_sub(it.last_contact));
+            named.push(LateHost {
+                host,
+                confirmed: progress.map(|it| it.confirmed),
+                silent_ms: silent.map(|it| it.as_millis() as u64),
+                unanswered: progress.map_or(0, |it| it.unanswered),
+                snapshot: progress.is_some_and(|it| it.installing),
+            });
+        }
+        (named, hosts.len().saturating_sub(LATE_HOSTS))
+    }
+
     /// Proposes to list the live hosts that the log lacks, and to drop those that are silent.
     pub(crate) fn update_list(&mut self, now: Duration) {
         let Some(leading) = &mut self.leading else { return };
--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -31,6 +31,35 @@
     OtherProcess,
 }
 
+/// A host that has not confirmed a change, as its leader sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct LateHost {
+    /// The host.
+    pub host: HostId,
+    /// The log index up to which it has confirmed that it obeys; `None` if the leader sends it no
+    /// log.
+    pub confirmed: Option<Index>,
+    /// Time in milliseconds since it last answered.
+    pub silent_ms: Option<u64>,
+    /// Number of messages with entries that it has not answered.
+    pub unanswered: usize,
+    /// Whether it is being sent a snapshot.
+    pub snapshot: bool,
+}
+
+/// Messages to another host that were dropped before they were sent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct UnsentMessages {
+    /// The receiver.
+    pub peer: HostId,
+    /// Kind of the messages.
+    pub kind: &'static str,
+    /// Why they were dropped.
+    pub reason: &'static str,
+    /// Number of messages.
+    pub messages: u64,
+}
+
 /// A log line.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -119,8 +148,31 @@
     Unconfirmed {
         /// Log index that contains the change.
         index: Index,
-        /// The hosts.
-        hosts: Vec<HostId>,
+        /// Time in milliseconds that the change has waited.
+        waited_ms: u64,
+        /// The hosts, at most [`LATE_HOSTS`](crate::LATE_HOSTS) of them.
+        hosts: Vec<LateHost>,
+        /// Number of hosts that are not named.
+        left_out: usize,
+    },
+    /// The leader acknowledges a change that waited long for these hosts to confirm it.
+    ConfirmedLate {
+        /// Log index that contains the change.
+        index: Index,
+        /// Time in milliseconds that the change has waited.
+        waited_ms: u64,
+        /// The hosts that it waited for when it became late, at most
+        /// [`LATE_HOSTS`](crate::LATE_HOSTS) of them.
+        hosts: Vec<LateHost>,
+        /// Number of hosts that are not named.
+        left_out: usize,
+    },
+    /// Messages to other hosts were dropped before they were sent.
+    Unsent {
+        /// The messages, most first.
+        messages: Vec<UnsentMessages>,
+        /// Number of dropped messages that are not named.
+        left_out: u64,
     },
     /// A host joined, its readiness or incarnation changed, or it announced its end, as seen by the
     /// host that logs this.
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -7,7 +7,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use fleet::{Event, Host, Input, Settings};
+use fleet::{Event, Host, Input, Settings, UnsentMessages};
 use peer::{Hub, Peers};
 use platform::settings::SETTINGS_VARIABLE;
 use store::{KeptRecords, RecordFile};
@@ -34,8 +34,11 @@
 
 /// Time between two ticks of the host.
 const TICK: Duration = Duration::from_millis(50);
-/// Ticks between two removals of expired idle connections.
+/// Ticks between two removals of expired idle connections, and between two log lines about
+/// messages that were not sent.
 const CLEANUP_TICKS: u64 = 20;
+/// Receivers that a log line about messages that were not sent names.
+const NAMED_RECEIVERS: usize = 8;
 /// How long callers are still accepted after SIGTERM: the entry addresses that the directory gave
 /// them stay valid for up to `MAX_ENTRY_TTL_S`, and 0.5 s are added.
 const LISTEN_AFTER_STOP: Duration = Duration::from_millis(2500);
@@ -184,10 +187,28 @@
         count += 1;
         if count.is_multiple_of(CLEANUP_TICKS) {
             edge.client.remove_expired();
+            log_unsent(&edge);
         }
     }
 }
 
+/// Logs the messages to other hosts that were dropped since the last call, most first.
+fn log_unsent(edge: &Edge) {
+    let mut rows = edge.hub.stats().take_unsent();
+    if rows.is_empty() {
+        return;
+    }
+    rows.sort_by_key(|it| std::cmp::Reverse(it.messages));
+    let left_out = rows.iter().skip(NAMED_RECEIVERS).map(|it| it.messages).sum();
+    let named = rows.iter().take(NAMED_RECEIVERS).map(|it| UnsentMessages {
+        peer: it.host,
+        kind: it.kind,
+        reason: it.reason.as_str(),
+        messages: it.messages,
+    });
+    edge.log.event(&Event::Unsent { messages: named.collect(), left_out });
+}
+
 fn reload(edge: &Rc<Edge>, path: &Path) {
     match read_settings(path) {
         Ok(settings) => edge.step(Input::Reload(Box::new(settings))),
--- a/state/replog/src/io.rs
+++ b/state/replog/src/io.rs
@@ -135,3 +135,16 @@
     /// followed the leader at that time. `None` on other replicas and before the first such round.
     pub quorum_at: Option<Duration>,
 }
+
+/// How far a host has confirmed its leader's log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Progress {
+    /// The last index that it has confirmed.
+    pub confirmed: Index,
+    /// When its latest valid reply arrived, or when the leader began to send to it.
+    pub last_contact: Duration,
+    /// Number of messages with entries that it has not answered.
+    pub unanswered: usize,
+    /// Whether it is being sent a snapshot.
+    pub installing: bool,
+}
--- a/state/replog/src/lib.rs
+++ b/state/replog/src/lib.rs
@@ -18,6 +18,6 @@
 
 pub use crate::{
     disk::{HardState, Op, Recovered, Write},
-    io::{Alarm, Input, Output, Settings, Status},
+    io::{Alarm, Input, Output, Progress, Settings, Status},
     replica::Replica,
 };
--- a/state/replog/src/replica.rs
+++ b/state/replog/src/replica.rs
@@ -11,7 +11,7 @@
 use wire::{DiskId, Entry, EntryBody, GroupId, HostId, Index, LogBody, LogMsg, Snapshot, Term};
 
 use crate::{
-    Alarm, HardState, Input, Op, Output, Recovered, Settings, Status,
+    Alarm, HardState, Input, Op, Output, Progress, Recovered, Settings, Status,
     founding::FreshHost,
     group::{is_voter, member, within},
     lead::{LeaderState, NON_MEMBER_INTERVAL},
@@ -193,6 +193,19 @@
         behind.map(|(&host, _)| host).collect()
     }
 
+    /// On a leader: returns how far a host that it sends the log to has confirmed it. `None` for
+    /// other hosts and on other replicas.
+    pub fn progress(&self, host: HostId) -> Option<Progress> {
+        let Role::Leader(lead) = &self.role else { return None };
+        let peer = lead.peers.get(&host)?;
+        Some(Progress {
+            confirmed: peer.match_index,
+            last_contact: peer.last_contact,
+            unanswered: peer.unacked.len(),
+            installing: peer.install.is_some(),
+        })
+    }
+
     /// On a leader: returns the hosts that should vote but are no members and have reported no data
     /// folder to this leader for as long as a silent non-member is kept as a peer. On a new leader,
     /// a host counts as missing until it reports one. Empty on other replicas.
--- a/transport/peer/src/hub.rs
+++ b/transport/peer/src/hub.rs
@@ -25,7 +25,7 @@
     frame::{DATAGRAM_OVERHEAD, Datagram, FRAME_OVERHEAD, MAX_DATAGRAM_BYTES, ReplayWindow},
     link::Link,
     listen,
-    stats::{DropReason, Stats},
+    stats::{self, DropReason, Stats},
 };
 
 /// Maximum number of peers that are tracked if any host may connect ([`Peers::ByAddress`]).
@@ -220,12 +220,12 @@
     pub fn send(&self, to: HostId, msg: &PeerMsg) {
         let stats = &self.shared.stats;
         let Some(link) = self.link(to) else {
-            stats.count_dropped(DropReason::Unknown, 1);
+            stats.count_unsent(to, stats::kind(msg), DropReason::Unknown);
             return;
         };
         let payload = wire::encode(msg);
         if payload.len() > MAX_FRAME_BYTES {
-            stats.count_dropped(DropReason::TooLong, 1);
+            stats.count_unsent(to, stats::kind(msg), DropReason::TooLong);
             link.overflow(msg);
             return;
         }
@@ -247,7 +247,9 @@
         let bytes = datagram.encode(&self.shared.key);
         match self.udp.send_to(&bytes, SocketAddr::new(ip, config.port)) {
             Ok(_) => self.shared.stats.count_sent(msg, bytes.len()),
-            Err(_) => self.shared.stats.count_dropped(DropReason::Overflow, 1),
+            Err(_) => {
+                self.shared.stats.count_unsent(to, stats::kind(msg), DropReason::Overflow);
+            }
         }
     }
 
--- a/transport/peer/src/lib.rs
+++ b/transport/peer/src/lib.rs
@@ -16,5 +16,5 @@
 pub use crate::{
     hub::{Config, Event, Hub, Inbox, PeerError, Peers},
     link::{QUEUE_BYTES, detect_dead_peer},
-    stats::{DropReason, KindCount, Stats},
+    stats::{DropReason, KindCount, Stats, Unsent},
 };
--- a/transport/peer/src/link.rs
+++ b/transport/peer/src/link.rs
@@ -23,7 +23,7 @@
     auth::Nonce,
     frame::{GREETING_BYTES, Greeting, Session},
     hub::{Event, Shared},
-    stats::DropReason,
+    stats::{self, DropReason},
 };
 
 /// Maximum number of bytes queued for one peer.
@@ -49,6 +49,8 @@
 #[derive(Debug)]
 struct Queued {
     payload: Vec<u8>,
+    /// The kind's name in metrics.
+    kind: &'static str,
     class: LossClass,
 }
 
@@ -102,6 +104,7 @@
 /// The handle that sends messages to one peer.
 #[derive(Debug)]
 pub(crate) struct Link {
+    peer: HostId,
     channel: Arc<Channel>,
     shared: Arc<Shared>,
     task: JoinHandle<()>,
@@ -123,7 +126,7 @@
     pub(crate) fn start(shared: Arc<Shared>, peer: HostId) -> Link {
         let channel = Arc::new(Channel::default());
         let task = tokio::spawn(run_link(shared.clone(), peer, channel.clone()));
-        Link { channel, shared, task }
+        Link { peer, channel, shared, task }
     }
 
     /// Queues a message. If the queue is full, a repeated message is dropped, and any other
@@ -135,12 +138,12 @@
         // An empty queue accepts a frame of any length, or the longest could never be sent.
         if queue.bytes + payload.len() > limit && !queue.frames.is_empty() {
             drop(queue);
-            self.shared.stats.count_dropped(DropReason::Overflow, 1);
+            self.shared.stats.count_unsent(self.peer, stats::kind(msg), DropReason::Overflow);
             self.overflow(msg);
             return;
         }
         queue.bytes += payload.len();
-        queue.frames.push_back(Queued { payload, class });
+        queue.frames.push_back(Queued { payload, kind: stats::kind(msg), class });
         drop(queue);
         self.channel.wake.notify_one();
     }
@@ -222,9 +225,9 @@
 /// queue has overflowed.
 async fn discard_queue(shared: &Shared, to: HostId, channel: &Channel) -> bool {
     let queue = std::mem::take(&mut *channel.lock());
-    shared.stats.count_dropped(DropReason::Broken, queue.frames.len() as u64);
     let mut other_lost = queue.overflow;
     for queued in &queue.frames {
+        shared.stats.count_unsent(to, queued.kind, DropReason::Broken);
         match queued.class {
             LossClass::Repeated => {}
             LossClass::Forward(request) => {
--- a/transport/peer/src/stats.rs
+++ b/transport/peer/src/stats.rs
@@ -1,11 +1,17 @@
 //! Counters of the peer layer.
 
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+};
 
-use wire::PeerMsg;
+use wire::{HostId, PeerMsg};
 
 /// Why a datagram, handshake or frame was dropped.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DropReason {
     /// The sender, receiver or address is not that of a configured host, or the table of links was
     /// full when a message was sent.
@@ -71,6 +77,11 @@
     "fleet",
 ];
 
+/// Returns the name of a message's kind in metrics.
+pub(crate) fn kind(msg: &PeerMsg) -> &'static str {
+    KINDS[kind_index(msg)]
+}
+
 fn kind_index(msg: &PeerMsg) -> usize {
     match msg {
         PeerMsg::Log(_) => 0,
@@ -115,12 +126,27 @@
     pub bytes: u64,
 }
 
+/// Messages to one host that were dropped before they were sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unsent {
+    /// The receiver.
+    pub host: HostId,
+    /// The kind's name in metrics.
+    pub kind: &'static str,
+    /// Why they were dropped.
+    pub reason: DropReason,
+    /// Number of messages.
+    pub messages: u64,
+}
+
 /// Counters of sent, received and dropped frames since the start.
 #[derive(Debug, Default)]
 pub struct Stats {
     sent: [Counter; KINDS.len()],
     received: [Counter; KINDS.len()],
     dropped: [AtomicU64; DropReason::ALL.len()],
+    /// Messages dropped before they were sent since the last [`Stats::take_unsent`].
+    unsent: Mutex<BTreeMap<(HostId, &'static str, DropReason), u64>>,
 }
 
 impl Stats {
@@ -136,6 +162,24 @@
         self.dropped[reason as usize].fetch_add(frames, Relaxed);
     }
 
+    /// Counts a message to a host that is dropped before it is sent.
+    pub(crate) fn count_unsent(&self, host: HostId, kind: &'static str, reason: DropReason) {
+        self.count_dropped(reason, 1);
+        let mut unsent = self.unsent.lock().expect("the lock is not poisoned");
+        *unsent.entry((host, kind, reason)).or_default() += 1;
+    }
+
+    /// Returns the messages that were dropped before they were sent since the last call, by
+    /// receiver, kind and reason.
+    pub fn take_unsent(&self) -> Vec<Unsent> {
+        let unsent = std::mem::take(&mut *self.unsent.lock().expect("the lock is not poisoned"));
+        let mut rows = Vec::with_capacity(unsent.len());
+        for ((host, kind, reason), messages) in unsent {
+            rows.push(Unsent { host, kind, reason, messages });
+        }
+        rows
+    }
+
     /// Returns what was queued for sending or sent as datagrams, by kind.
     pub fn sent_by_kind(&self) -> Vec<KindCount> {
         by_kind(&self.sent)
--- a/transport/peer/tests/hubs.rs
+++ b/transport/peer/tests/hubs.rs
@@ -127,6 +127,10 @@
     // Dropping the repeated message delivers no event, and an undelivered request does not
     // deliver `Lost`.
     assert!(events.try_recv().is_err());
+    let unsent = one.stats().take_unsent();
+    let rows: Vec<_> = unsent.iter().map(|it| (it.host, it.kind, it.messages)).collect();
+    assert_eq!(rows, [(3, "cancel", 1), (3, "forward", 1), (3, "wants", 1)]);
+    assert_eq!(one.stats().take_unsent(), []);
 }
 
 #[tokio::test]
