--- a/coordination/fleet/tests/answers.rs
+++ b/coordination/fleet/tests/answers.rs
@@ -184,7 +184,7 @@
     let mut said = (0, 0);
     for seed in 0..12 {
         let mut model = Model::new(seed);
-        model.world.loss = 0.02;
+        model.world.network.loss = 0.02;
         for _ in 0..12 {
             let span = ms(model.rng.random_range(500..4000));
             model.run(span);
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Simulation of several hosts in one process with virtual time and a network that can be cut.
 #![allow(dead_code)]
 
+pub mod network;
 pub mod records;
 
 use std::{
@@ -11,15 +12,18 @@
 use bytes::Bytes;
 use desired::Command;
 use fleet::{
-    Admission, Bounds, Config, Engine, Host, Input, Limits, Model, Order, OrderOutcome, Output,
-    Reply, Report, Service, Settings, Tag,
+    Admission, Bounds, Config, Engine, Event, Host, Input, Limits, Model, Order, OrderOutcome,
+    Output, Reply, Report, RequestKind, Route, Service, Settings, Tag,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use replog::{HardState, Op, Recovered, Write};
-use wire::{FeedChange, FleetMsg, HostId, PeerMsg, Suspect};
+use wire::{HostId, PeerMsg, Suspect};
 
-use self::records::{query, seen_crash};
+use self::{
+    network::{Network, is_about_places, topic},
+    records::{query, seen_crash},
+};
 
 /// Retries that all hosts together may send in a window beside a share of the requests.
 pub const RETRY_ALLOWANCE: f64 = 60.0;
@@ -73,8 +77,9 @@
     /// The targets, by name.
     pub targets: BTreeMap<String, SimTarget>,
     pub seeds: Vec<HostId>,
-    /// Probability that a message is lost.
-    pub loss: f64,
+    pub network: Network,
+    /// Changes acknowledged without the confirmation of some host.
+    pub unconfirmed: u64,
     /// Messages sent about request limits and places.
     pub place_messages: u64,
     /// If set, counts the messages and their bytes by what they are about.
@@ -136,29 +141,19 @@
     };
     let service = Service { name: "s".to_owned(), engine: Some(engine) };
     let services = BTreeMap::from([("s".to_owned(), service)]);
-    Config { number: 1, routes: Vec::new(), services, limits }
-}
-
-fn is_about_places(msg: &PeerMsg) -> bool {
-    let PeerMsg::Fleet(msg) = msg else { return false };
-    matches!(
-        **msg,
-        FleetMsg::PlaceRequest(_)
-            | FleetMsg::PlaceReply(_)
-            | FleetMsg::PlacesUnused { .. }
-            | FleetMsg::LimitNamed { .. }
-    )
-}
-
-fn topic(msg: &PeerMsg) -> &'static str {
-    let PeerMsg::Fleet(msg) = msg else { return "log" };
-    let is_reach = |change: &FeedChange| matches!(change, FeedChange::Reach(..));
-    match &**msg {
-        FleetMsg::Reach { .. } => "reach",
-        FleetMsg::Feed(feed) if feed.changes.iter().any(is_reach) => "feed of reach",
-        FleetMsg::Confirmed { .. } => "confirmed",
-        _ => "other",
-    }
+    let route = Route {
+        name: "r".to_owned(),
+        host: "known".to_owned(),
+        prefix: "/".to_owned(),
+        kind: RequestKind::Repeatable,
+        timeout: ms(1000),
+        latency_objective: ms(500),
+        max_pause: Duration::ZERO,
+        priority: 0,
+        attempts: 2,
+        split: vec![("s".to_owned(), 1)],
+    };
+    Config { number: 1, routes: vec![route], services, limits }
 }
 
 fn apply(disk: &mut Recovered, op: &Op) {
@@ -209,7 +204,8 @@
             pathless: BTreeSet::new(),
             targets: BTreeMap::new(),
             seeds: seeds.to_vec(),
-            loss: 0.0,
+            network: Network::default(),
+            unconfirmed: 0,
             place_messages: 0,
             traffic: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -382,11 +378,10 @@
                         *messages += 1;
                         *bytes += wire::encode(&msg).len() as u64;
                     }
-                    if self.rng.random_bool(self.loss) {
-                        continue;
+                    let delay = self.network.delay(now, host, to, &msg, &mut self.rng);
+                    if let Some(delay) = delay {
+                        self.schedule(delay, Scheduled::Msg(host, to, Box::new(msg)));
                     }
-                    let delay = ms(self.rng.random_range(3..6));
-                    self.schedule(delay, Scheduled::Msg(host, to, Box::new(msg)));
                 }
                 Output::Write(write) => {
                     let ticket = write.ticket;
@@ -425,6 +420,7 @@
                         state.set_config(config());
                     }
                 }
+                Output::Log(Event::Unconfirmed { .. }) => self.unconfirmed += 1,
                 _ => {}
             }
         }
--- a/coordination/fleet/tests/hosts.rs
+++ b/coordination/fleet/tests/hosts.rs
@@ -307,7 +307,7 @@
 fn hosts_agree_on_targets_over_a_link_that_loses_messages() {
     let mut world = World::new(4, 3, 4, &[1, 2, 3]);
     world.run(ms(5000));
-    world.loss = 0.05;
+    world.network.loss = 0.05;
     for sequence in 1..=6 {
         for number in 0..60 {
             let record = target(&format!("t{number}"), 5, sequence, TargetState::Ready);
--- a/coordination/fleet/tests/limits.rs
+++ b/coordination/fleet/tests/limits.rs
@@ -261,7 +261,7 @@
 fn limits_hold_through_faults() {
     for seed in 0..16 {
         let mut model = Model::new(200 + seed, 10, &[Some(1400), Some(6000), None], 50.0);
-        model.world.loss = if seed % 2 == 0 { 0.02 } else { 0.0 };
+        model.world.network.loss = if seed % 2 == 0 { 0.02 } else { 0.0 };
         model.run(ms(6000 + seed * 200));
         for round in 0..4 {
             let victim = match (seed + round) % 3 {
--- a/coordination/fleet/tests/quarantine.rs
+++ b/coordination/fleet/tests/quarantine.rs
@@ -129,11 +129,11 @@
 #[test]
 fn reports_are_repeated_until_they_are_counted() {
     let mut world = world(13);
-    world.loss = 0.8;
+    world.network.loss = 0.8;
     world.crashed(4, &[CAUSE], "t1");
     world.crashed(5, &[CAUSE], "t2");
     world.run(ms(100));
-    world.loss = 0.0;
+    world.network.loss = 0.0;
     world.run(ms(2000));
     assert_eq!(senders(&mut world, CAUSE), []);
 }
--- a/coordination/fleet/tests/stream_records.rs
+++ b/coordination/fleet/tests/stream_records.rs
@@ -256,7 +256,7 @@
 fn versions_are_never_wrong_through_faults() {
     for seed in 0..16 {
         let mut model = Model::new(200 + seed);
-        model.world.loss = if seed % 2 == 0 { 0.03 } else { 0.0 };
+        model.world.network.loss = if seed % 2 == 0 { 0.03 } else { 0.0 };
         model.run(ms(2000), 20.0);
         model.release("v2");
         for round in 0..6 {
