Repeat lost entries and confirmations at the pace of the promise

Callers saw a host obey a configuration older than one acknowledged 2 s before, and operators waited 0.86 s for one lost datagram. Cause: a host without a vote was asked only each tenth heartbeat (1.5 s), a resend waited 0.45 s, doubling to 3.6 s, and a change was acknowledged after 0.8 s all the same; a voter that held an entry counted as obeying it. Now a peer that lacks something is asked again half a heartbeat interval after the last append, in a round of its own, so that each question gets an answer; a rejection counts if the host was asked a pause after the entry was sent (half an interval, doubled twice at most), and a voter obeys what a round that it answered named as committed. No message or file format changes.

--- a/coordination/fleet/tests/confirmations.rs
+++ b/coordination/fleet/tests/confirmations.rs
@@ -19,6 +19,9 @@
 const CONTACT_TIME: Duration = Duration::from_millis(3000);
 /// Time after which an operator gives a call up.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time within which 99 of 100 changes are acknowledged if they aren't held up: half of the time for
+/// which a leader waits for a host.
+const UNNOTICED: Duration = Duration::from_millis(400);
 const DISKS: HostId = 6;
 const HOSTS: HostId = 100;
 /// How long changes are sent, one after another.
@@ -253,13 +256,12 @@
 /// Guards against one lost confirmation that holds a change up until the leader gives up waiting.
 #[test]
 fn a_lost_message_in_a_hundred_does_not_hold_operators_up() {
-    let calm = play("calm", Trouble::default());
     let datagrams = Trouble { datagram_loss: 0.01, ..Trouble::default() };
     let all = Trouble { loss: 0.01, ..Trouble::default() };
     for (name, trouble) in [("datagrams 1 %", datagrams), ("messages 1 %", all)] {
-        for (seen, calm) in play(name, trouble).iter().zip(&calm) {
+        for seen in play(name, trouble) {
             assert_eq!((seen.late, seen.refusing, seen.unconfirmed), (0, 0, 0), "{name}: {seen:?}");
-            assert!(seen.changes * 4 > calm.changes, "{name}: {seen:?}");
+            assert!(seen.slow <= UNNOTICED, "{name}: {seen:?}");
         }
     }
 }
--- a/state/replog/src/lead.rs
+++ b/state/replog/src/lead.rs
@@ -11,7 +11,7 @@
 use crate::{
     Replica,
     group::{is_voter, member, quorum_value, voters, within},
-    peer::{Peer, SnapshotTransfer},
+    peer::{Peer, ResendPace, SnapshotTransfer},
     replica::Role,
 };
 
@@ -19,12 +19,14 @@
 const MAX_BATCH_BYTES: usize = 1024 * 1024;
 /// Most bytes of a snapshot in one message.
 const CHUNK_BYTES: u64 = 256 * 1024;
-/// Heartbeat rounds whose send times are kept.
+/// Rounds that are kept.
 const MAX_ROUNDS: usize = 256;
-/// Heartbeat rounds from one empty append to a non-member to the next.
+/// Heartbeats from one empty append to a non-member to the next.
 pub(crate) const NON_MEMBER_INTERVAL: u32 = 10;
-/// Heartbeat rounds of a new leader that are sent to all hosts.
-const INITIAL_ROUNDS: u64 = 2;
+/// Heartbeats of a new leader that are sent to all hosts.
+const INITIAL_HEARTBEATS: u64 = 2;
+/// A peer that lacks entries is asked again after the heartbeat interval divided by this.
+const ASK_DIVISOR: u32 = 2;
 /// Election timeouts after which a silent non-member is no longer a peer.
 pub(crate) const NON_MEMBER_EXPIRY: u32 = 10;
 
@@ -35,10 +37,12 @@
     pub(crate) first_index: Index,
     /// When the replica became leader.
     elected_at: Duration,
-    /// The current heartbeat round, counted from 1.
+    /// Number of heartbeats.
+    heartbeats: u64,
+    /// Number of the current round, counted from 1.
     round: u64,
-    /// The latest rounds and when they were sent.
-    round_times: VecDeque<(u64, Duration)>,
+    /// The latest rounds in order of their numbers; the current one is the last.
+    rounds: VecDeque<Round>,
     next_heartbeat: Duration,
     pub(crate) peers: BTreeMap<HostId, Peer>,
     /// The commit index at the last heartbeat, or `Index::MAX` if the term's first entry was not
@@ -50,6 +54,15 @@
     pub(crate) non_members: BTreeMap<HostId, NonMember>,
 }
 
+/// The appends that a leader sends from one time to the next. A reply names its round.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Round {
+    /// When the round began; none of its appends was sent before.
+    pub(crate) sent_at: Duration,
+    /// The commit index then; all its appends name at least this one.
+    commit: Index,
+}
+
 /// A data folder that a host reported and that is not a member.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct NonMember {
@@ -67,10 +80,19 @@
 }
 
 impl LeaderState {
-    /// Returns when a round was sent, or `None` if that is no longer known.
-    fn sent_at(&self, round: u64) -> Option<Duration> {
-        let found = self.round_times.iter().find(|&&(r, _)| r == round);
-        found.map(|&(_, at)| at)
+    /// Returns a round, or `None` if it is no longer known.
+    fn round(&self, number: u64) -> Option<Round> {
+        let age = self.round.checked_sub(number)?;
+        let place = self.rounds.len().checked_sub(1 + age as usize)?;
+        self.rounds.get(place).copied()
+    }
+
+    fn begin_round(&mut self, now: Duration, commit: Index) {
+        self.round += 1;
+        self.rounds.push_back(Round { sent_at: now, commit });
+        if self.rounds.len() > MAX_ROUNDS {
+            self.rounds.pop_front();
+        }
     }
 }
 
@@ -82,8 +104,9 @@
         self.role = Role::Leader(Box::new(LeaderState {
             first_index: self.log.last() + 1,
             elected_at: self.now,
+            heartbeats: 0,
             round: 0,
-            round_times: VecDeque::new(),
+            rounds: VecDeque::new(),
             next_heartbeat: self.now,
             peers: BTreeMap::new(),
             catchup_index: Index::MAX,
@@ -161,6 +184,7 @@
         if self.now >= lead.next_heartbeat {
             self.heartbeat();
         }
+        self.ask_late_peers();
         self.advance_membership();
     }
 
@@ -177,18 +201,15 @@
         quorum_value(times).flatten()
     }
 
-    /// Starts a heartbeat round and drops non-members that have been silent too long.
+    /// Sends a heartbeat and drops non-members that have been silent too long.
     fn heartbeat(&mut self) {
-        let now = self.now;
+        let (now, commit) = (self.now, self.commit);
         let silent = self.settings.election * NON_MEMBER_EXPIRY;
         let Role::Leader(lead) = &mut self.role else {
             return;
         };
-        lead.round += 1;
-        lead.round_times.push_back((lead.round, now));
-        if lead.round_times.len() > MAX_ROUNDS {
-            lead.round_times.pop_front();
-        }
+        lead.heartbeats += 1;
+        lead.begin_round(now, commit);
         lead.next_heartbeat = now + self.settings.heartbeat;
         lead.catchup_index = if self.commit >= lead.first_index { self.commit } else { Index::MAX };
         lead.peers.retain(|_, p| p.role.is_some() || within(now, p.last_contact, silent));
@@ -200,16 +221,42 @@
         }
     }
 
-    /// Returns whether a host receives the current round even without entries. Non-members receive
-    /// few of these rounds: they neither vote nor count for a quorum, and entries are sent to them
+    /// Asks the peers that have not confirmed all that they are due, and that nothing was sent to
+    /// for a while, how far their log goes: entries or their reply may have been lost.
+    fn ask_late_peers(&mut self) {
+        let pause = self.settings.heartbeat / ASK_DIVISOR;
+        let (now, commit, last) = (self.now, self.commit, self.log.last());
+        let Role::Leader(lead) = &self.role else {
+            return;
+        };
+        let is_late = |peer: &Peer| {
+            let lacks_entries = peer.role.is_some() && peer.match_index < last;
+            let is_silent = peer.appended_at.is_none_or(|at| now >= at + pause);
+            (lacks_entries || peer.obeyed < commit) && is_silent && peer.install.is_none()
+        };
+        let late = |(_, peer): &(&HostId, &Peer)| is_late(peer) && self.is_reachable(peer);
+        let hosts: Vec<HostId> = lead.peers.iter().filter(late).map(|(&host, _)| host).collect();
+        if hosts.is_empty() {
+            return;
+        }
+        if let Role::Leader(lead) = &mut self.role {
+            lead.begin_round(now, commit);
+        }
+        for host in hosts {
+            self.send_empty_append(host);
+        }
+    }
+
+    /// Returns whether a host receives the current heartbeat even without entries. Non-members
+    /// receive few of them: they neither vote nor count for a quorum, and entries are sent to them
     /// at once.
     fn gets_empty_append(&self, host: HostId) -> bool {
         let Role::Leader(lead) = &self.role else {
             return false;
         };
         let is_member = lead.peers.get(&host).is_some_and(|peer| peer.role.is_some());
-        let phase = (lead.round + u64::from(host)) % u64::from(NON_MEMBER_INTERVAL);
-        is_member || lead.round <= INITIAL_ROUNDS || phase == 0
+        let phase = (lead.heartbeats + u64::from(host)) % u64::from(NON_MEMBER_INTERVAL);
+        is_member || lead.heartbeats <= INITIAL_HEARTBEATS || phase == 0
     }
 
     /// Sends entries until there are no more or the limit of unanswered messages is reached.
@@ -241,8 +288,7 @@
         }
         let entries = self.log.slice(peer.next_index, limit, MAX_BATCH_BYTES);
         let last = prev + entries.len() as u64;
-        peer.next_index = last + 1;
-        peer.unacked.push_back(last);
+        peer.record_sent(self.now, last);
         let (round, commit) = (lead.round, self.commit);
         self.send(host, LogBody::Append { round, prev, prev_term, entries, commit });
         true
@@ -250,16 +296,17 @@
 
     /// Sends the current round and the commit index without entries.
     pub(crate) fn send_empty_append(&mut self, host: HostId) {
-        let Role::Leader(lead) = &self.role else {
+        let Role::Leader(lead) = &mut self.role else {
             return;
         };
-        let Some(peer) = lead.peers.get(&host) else {
+        let Some(peer) = lead.peers.get_mut(&host) else {
             return;
         };
         let prev = (peer.next_index - 1).max(self.log.base());
         let Some(prev_term) = self.log.term_at(prev) else {
             return;
         };
+        peer.appended_at = Some(self.now);
         let (round, commit) = (lead.round, self.commit);
         self.send(host, LogBody::Append { round, prev, prev_term, entries: Vec::new(), commit });
     }
@@ -278,7 +325,7 @@
         let Role::Leader(lead) = &mut self.role else {
             return false;
         };
-        let sent = lead.sent_at(reply.round);
+        let sent = lead.round(reply.round).map(|it| it.sent_at);
         let Some(peer) = lead.peers.get_mut(&from) else {
             return false;
         };
@@ -304,19 +351,24 @@
             return;
         }
         let (base, last) = (self.log.base(), self.log.last());
-        let (now, pause) = (self.now, self.settings.election / 2);
+        let pace = ResendPace {
+            now: self.now,
+            first: self.settings.heartbeat / ASK_DIVISOR,
+            longest: self.settings.election / 2,
+        };
         let Role::Leader(lead) = &mut self.role else {
             return;
         };
+        let round = lead.round(reply.round);
         let Some(peer) = lead.peers.get_mut(&from) else {
             return;
         };
         let mut retry = false;
         if taken && index <= last {
-            peer.advance(index);
+            peer.advance(index, round.map_or(0, |it| it.commit));
             peer.install.take_if(|_| index >= base);
         } else if peer.install.is_none() {
-            retry = peer.rewind(now, index, pause);
+            retry = peer.rewind(pace, index, round.map(|it| it.sent_at));
         }
         if retry {
             self.send_append(from);
@@ -416,7 +468,7 @@
             peer.install = None;
             peer.next_index = index + 1;
             peer.unacked.clear();
-            peer.advance(index);
+            peer.advance(index, index);
         } else {
             transfer.offset = offset;
             self.send_chunk(from);
@@ -446,6 +498,10 @@
             return;
         }
         self.commit = index;
+        let now = self.now;
+        if let Role::Leader(lead) = &mut self.role {
+            lead.begin_round(now, index);
+        }
         self.announce_commit();
         self.advance_membership();
         self.step_down_if_removed();
--- a/state/replog/src/peer.rs
+++ b/state/replog/src/peer.rs
@@ -6,8 +6,26 @@
 
 /// Most messages with entries that may be unanswered at a time.
 const MAX_UNACKED: usize = 4;
-/// Most times that the pause between resends is doubled.
-const MAX_DOUBLINGS: u32 = 3;
+/// Most times that the pause before entries are resent is doubled.
+const MAX_DOUBLINGS: u32 = 2;
+
+/// How soon entries are resent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ResendPace {
+    pub(crate) now: Duration,
+    /// How long the first time after they were sent.
+    pub(crate) first: Duration,
+    /// How long at most.
+    pub(crate) longest: Duration,
+}
+
+/// A message with entries that is not answered.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Unanswered {
+    /// Its last index.
+    last: Index,
+    sent_at: Duration,
+}
 
 /// Replication progress of one host.
 #[derive(Debug)]
@@ -20,18 +38,24 @@
     pub(crate) next_index: Index,
     /// The last index that it has acknowledged; a member has it on disk.
     pub(crate) match_index: Index,
+    /// The last index that it is known to have applied.
+    pub(crate) obeyed: Index,
     /// Whether it is still unknown up to where its log agrees with the leader's.
     pub(crate) probing: bool,
-    /// The last index of each unanswered message with entries.
-    pub(crate) unacked: VecDeque<Index>,
+    /// The unanswered messages with entries.
+    pub(crate) unacked: VecDeque<Unanswered>,
+    /// When an append was last sent to it.
+    pub(crate) appended_at: Option<Duration>,
     /// When the newest round that it has answered was sent.
     pub(crate) acked_at: Option<Duration>,
     /// When its latest valid reply arrived, or when the peer was created.
     pub(crate) last_contact: Duration,
     /// The snapshot being sent to it, if any.
     pub(crate) install: Option<SnapshotTransfer>,
-    /// The time before which entries are not resent, and how many times the next pause is doubled.
-    resend_backoff: (Duration, u32),
+    /// How many times the pause before entries are resent is doubled.
+    doublings: u32,
+    /// The last index that has been resent.
+    resent: Index,
 }
 
 /// A snapshot being sent in chunks.
@@ -57,12 +81,15 @@
             role,
             next_index: last + 1,
             match_index: 0,
+            obeyed: 0,
             probing: true,
             unacked: VecDeque::new(),
+            appended_at: None,
             acked_at: None,
             last_contact: now,
             install: None,
-            resend_backoff: (Duration::ZERO, 0),
+            doublings: 0,
+            resent: 0,
         }
     }
 
@@ -73,15 +100,25 @@
         self.unacked.len() < limit
     }
 
-    /// Records that the host holds all entries up to `index`.
-    pub(crate) fn advance(&mut self, index: Index) {
+    /// Records that entries up to `last` were sent.
+    pub(crate) fn record_sent(&mut self, now: Duration, last: Index) {
+        self.next_index = last + 1;
+        self.unacked.push_back(Unanswered { last, sent_at: now });
+        self.appended_at = Some(now);
+    }
+
+    /// Records that the host holds all entries up to `index`, and was told that those up to
+    /// `commit` are committed. A non-member is sent committed entries only.
+    pub(crate) fn advance(&mut self, index: Index, commit: Index) {
         self.probing = false;
-        if index > self.match_index {
-            self.resend_backoff = (Duration::ZERO, 0);
+        if index > self.resent {
+            self.doublings = 0;
         }
+        let obeyed = if self.role.is_some() { index.min(commit) } else { index };
+        self.obeyed = self.obeyed.max(obeyed);
         self.match_index = self.match_index.max(index);
         self.next_index = self.next_index.max(self.match_index + 1);
-        while self.unacked.front().is_some_and(|&last| last <= self.match_index) {
+        while self.unacked.front().is_some_and(|it| it.last <= self.match_index) {
             self.unacked.pop_front();
         }
     }
@@ -89,7 +126,7 @@
     /// Forgets the messages with entries after `last`, which may no longer be sent to the host.
     pub(crate) fn forget_after(&mut self, last: Index) {
         self.next_index = self.next_index.min(last + 1);
-        while self.unacked.back().is_some_and(|&sent| sent >= self.next_index) {
+        while self.unacked.back().is_some_and(|it| it.last >= self.next_index) {
             self.unacked.pop_back();
         }
     }
@@ -99,20 +136,34 @@
     /// ignored.
     ///
     /// Entries that are still in transit must not be resent: heartbeats overtake them and are
-    /// rejected because these entries are missing. Outside of probing, each further rewind
-    /// therefore waits for `pause`, which doubles each time, at most [`MAX_DOUBLINGS`] times.
-    pub(crate) fn rewind(&mut self, now: Duration, index: Index, pause: Duration) -> bool {
+    /// rejected because these entries are missing. Outside of probing, a rejection counts only if
+    /// the host was `asked` for a pause after the entry that it lacks was sent, or that is long ago.
+    /// The pause doubles, at most [`MAX_DOUBLINGS`] times, until the host confirms entries that were
+    /// sent once.
+    pub(crate) fn rewind(
+        &mut self,
+        pace: ResendPace,
+        index: Index,
+        asked: Option<Duration>,
+    ) -> bool {
         if self.role.is_none() {
             self.match_index = self.match_index.min(index);
+            self.obeyed = self.obeyed.min(index);
         }
         if index < self.match_index || index + 1 >= self.next_index {
             return false;
         }
-        let (until, times) = self.resend_backoff;
-        if now < until && !self.probing {
+        let lacking = self.unacked.iter().find(|it| it.last > index);
+        let pause = pace.first * 2u32.pow(self.doublings);
+        let is_due = lacking.is_none_or(|it| {
+            asked.is_some_and(|at| at >= it.sent_at + pause)
+                || pace.now >= it.sent_at + pace.longest
+        });
+        if !is_due && !self.probing {
             return false;
         }
-        self.resend_backoff = (now + pause * 2u32.pow(times), (times + 1).min(MAX_DOUBLINGS));
+        self.doublings = (self.doublings + 1).min(MAX_DOUBLINGS);
+        self.resent = self.resent.max(self.next_index - 1);
         self.next_index = index + 1;
         self.unacked.clear();
         true
--- a/state/replog/src/replica.rs
+++ b/state/replog/src/replica.rs
@@ -184,12 +184,11 @@
         members.iter().filter(|it| self.is_responsive(lead, it)).map(|it| it.host).collect()
     }
 
-    /// On a leader: returns the hosts that it sends the log to and that have not confirmed the entry
-    /// at `index`. A host without a disk has applied what it confirms, a member has it on disk.
-    /// Empty on other replicas.
+    /// On a leader: returns the hosts that it sends the log to and that have not confirmed that they
+    /// applied the entry at `index`. Empty on other replicas.
     pub fn hosts_behind(&self, index: Index) -> Vec<HostId> {
         let Role::Leader(lead) = &self.role else { return Vec::new() };
-        let behind = lead.peers.iter().filter(|(_, peer)| peer.match_index < index);
+        let behind = lead.peers.iter().filter(|(_, peer)| peer.obeyed < index);
         behind.map(|(&host, _)| host).collect()
     }
 
@@ -199,7 +198,7 @@
         let Role::Leader(lead) = &self.role else { return None };
         let peer = lead.peers.get(&host)?;
         Some(Progress {
-            confirmed: peer.match_index,
+            confirmed: peer.obeyed,
             last_contact: peer.last_contact,
             unanswered: peer.unacked.len(),
             installing: peer.install.is_some(),
