Wait again for a host that missed one confirmation as soon as it answers

Callers at a host whose messages come late were served by a configuration older than one acknowledged 2 s before. Cause: a host that did not confirm a change within 0.8 s was not waited for until it had caught up, which one that lags never does while changes go on; nothing bounded how far it fell behind. A host that the log lists but that the leader does not send to counted as obeying. Now a host is waited for again once it has answered after that change, and listed hosts count whether they are sent to or not. One that is cut off still delays one change.

--- a/coordination/fleet/src/confirm.rs
+++ b/coordination/fleet/src/confirm.rs
@@ -2,11 +2,11 @@
 //!
 //! The log lists all hosts, so that a leader that has just started knows whom to tell and for whom to
 //! wait. A host accepts callers once it is listed. A change is acknowledged when every listed host
-//! has confirmed it, or has been sent it for [`CONFIRM_TIMEOUT`]; a host that did not answer in that
-//! time is not waited for again until it has caught up.
+//! has confirmed it, or has been sent it for [`CONFIRM_TIMEOUT`]; a host that did not confirm it in
+//! that time is waited for again once it answers, so that one that is slow does not fall behind.
 
 use std::{
-    collections::{BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -43,8 +43,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Confirmations {
     pending: VecDeque<PendingChange>,
-    /// Hosts that did not confirm an earlier change in time, and have not caught up since.
-    lapsed: BTreeSet<HostId>,
+    /// Hosts that did not confirm an earlier change in time, and when it was acknowledged.
+    lapsed: BTreeMap<HostId, Duration>,
     listed_at: Duration,
 }
 
@@ -66,18 +66,20 @@
     /// Acknowledges the changes that all hosts have confirmed that may be waited for.
     pub(crate) fn confirm_changes(&mut self, now: Duration) {
         loop {
+            let Some(index) = self.oldest_change() else { return };
+            let behind = self.hosts_behind(index);
             let Some(leading) = &mut self.leading else { return };
             let Confirmations { pending, lapsed, .. } = &mut leading.confirmations;
-            let Some(change) = pending.front() else { return };
-            let behind: BTreeSet<HostId> =
-                self.replica.hosts_behind(change.index).into_iter().collect();
-            lapsed.retain(|host| behind.contains(host));
-            let ended = |host: &HostId| {
+            lapsed.retain(|host, _| behind.contains(host));
+            let is_excused = |host: &HostId| {
                 let record = self.hosts.record(*host);
-                record.is_some_and(|it| leading.ended.contains(&(*host, it.incarnation)))
+                let ended =
+                    record.is_some_and(|it| leading.ended.contains(&(*host, it.incarnation)));
+                let contact = self.replica.progress(*host).map(|it| it.last_contact);
+                ended || lapsed.get(host).is_some_and(|at| contact <= Some(*at))
             };
-            let missing: Vec<HostId> =
-                behind.into_iter().filter(|it| !lapsed.contains(it) && !ended(it)).collect();
+            let missing: Vec<HostId> = behind.into_iter().filter(|it| !is_excused(it)).collect();
+            let Some(change) = pending.front() else { return };
             let waited = now.saturating_sub(change.since);
             let (is_late, is_noted) = (waited >= LATE, change.late.is_some());
             if !missing.is_empty() && waited < CONFIRM_TIMEOUT {
@@ -86,7 +88,7 @@
                 }
                 return;
             }
-            lapsed.extend(missing.iter().copied());
+            lapsed.extend(missing.iter().map(|host| (*host, now)));
             let Some(change) = pending.pop_front() else { return };
             let (index, waited_ms) = (change.index, waited.as_millis() as u64);
             if !missing.is_empty() {
@@ -103,6 +105,22 @@
         }
     }
 
+    fn oldest_change(&self) -> Option<Index> {
+        self.leading.as_ref()?.confirmations.pending.front().map(|it| it.index)
+    }
+
+    /// Returns the other hosts that have not confirmed that they obey the log up to an index: those
+    /// that the log lists, and those that it is sent to.
+    fn hosts_behind(&self, index: Index) -> BTreeSet<HostId> {
+        let mut behind: BTreeSet<HostId> = self.replica.hosts_behind(index).into_iter().collect();
+        for &host in &self.desired.hosts {
+            if host != self.settings.host && self.replica.progress(host).is_none() {
+                behind.insert(host);
+            }
+        }
+        behind
+    }
+
     /// Notes which hosts the oldest pending change waits for.
     fn note_late(&mut self, now: Duration, missing: &[HostId]) {
         let late = self.late_hosts(now, missing);
