A host that may lack an overdue change knows it, and takes no requests by older content

Callers at a host that hears its leader but whose connections are broken were served by an older configuration than one acknowledged 2 s before. Cause: after 0.8 s the leader acknowledges, and nothing told the host that it lacked entries. Now a host's state counts as current for configApplyMs from the time at which it sent a renewal whose answer named no commit index beyond what it applied, or at which it began to follow a leader. After that a host that still hears its leader refuses (503, outdated) and isn't ready; one that hears none goes on with the routes that it has, as before, but doesn't answer that there is no route. A renewal without answer, or at a host that may be outdated, is repeated after 250 ms. No message changes.

Tried and reverted: a renewal to each new leader at once.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -144,6 +144,18 @@
         /// Whether it is cut off.
         cut: bool,
     },
+    /// This host's state may lack a change that should be in force, although the leader is heard, so
+    /// that it takes no requests; or it has caught up.
+    Behind {
+        /// Whether it is behind.
+        behind: bool,
+        /// Age in milliseconds of the state that is known to be complete.
+        confirmed_ms: Option<u64>,
+        /// The last index applied here.
+        applied: Index,
+        /// The leader's commit index, as far as this host has heard.
+        commit: Index,
+    },
     /// The leader acknowledges a change without these hosts, which have not confirmed it in time.
     Unconfirmed {
         /// Log index that contains the change.
--- a/coordination/fleet/src/holder.rs
+++ b/coordination/fleet/src/holder.rs
@@ -30,7 +30,8 @@
 pub(crate) const HOLD_LEASES: u32 = 2;
 /// Margin between the orders of two holders, for clock drift and queued work.
 pub(crate) const HOLDER_MARGIN: Duration = Duration::from_millis(300);
-/// Interval between renewals of a holder.
+/// Interval between renewals of a holder, and of a host whose last one was not answered or whose
+/// state may be outdated.
 const RENEW_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between renewals of a host that holds no failure domain.
 const IDLE_RENEW_INTERVAL: Duration = Duration::from_millis(1000);
@@ -39,6 +40,11 @@
 /// Retry interval of the command that ends the wait of a new holder.
 const BEGIN_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// A time as renewals carry it.
+fn whole_ms(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
 /// State of a holder for one failure domain.
 #[derive(Debug)]
 pub(crate) struct HeldDomain {
@@ -152,7 +158,10 @@
 
     /// Sends a renewal to the leader if one is due.
     pub(crate) fn renew(&mut self, now: Duration) {
-        let span = if self.held_domains.is_empty() { IDLE_RENEW_INTERVAL } else { RENEW_INTERVAL };
+        let is_answered = self.renewed_at.map(whole_ms) >= self.renewal_sent.map(whole_ms);
+        let is_current = is_answered && !self.may_be_outdated(now);
+        let is_idle = self.held_domains.is_empty() && is_current;
+        let span = if is_idle { IDLE_RENEW_INTERVAL } else { RENEW_INTERVAL };
         if self.renewal_sent.is_some_and(|at| now < at + span) {
             return;
         }
@@ -161,13 +170,13 @@
         let own = self.settings.host;
         let Some(leader) = self.leader else { return };
         if leader != own {
-            let sent_ms = now.as_millis() as u64;
+            let sent_ms = whole_ms(now);
             let renewal =
                 Renewal { incarnation: self.incarnation, ready: self.is_ready(), sent_ms };
             self.send(leader, FleetMsg::Renew(renewal));
         } else if self.grant_renewal(now, own) {
             self.renewed_at = Some(now);
-            self.record_view(now, self.replica.status().commit);
+            self.record_view(now, now, self.replica.status().commit);
         }
     }
 
@@ -181,10 +190,10 @@
     }
 
     /// Handles a leader's answer to the renewal that was sent at `sent_ms`, in milliseconds.
-    pub(crate) fn handle_renewed(&mut self, sent_ms: u64, commit: Index) {
+    pub(crate) fn handle_renewed(&mut self, now: Duration, sent_ms: u64, commit: Index) {
         let sent = Duration::from_millis(sent_ms);
         self.renewed_at = self.renewed_at.max(Some(sent));
-        self.record_view(sent, commit);
+        self.record_view(now, sent, commit);
     }
 
     /// Ticks all placement tables.
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -49,6 +49,7 @@
 mod stream_records;
 mod suspects;
 mod targets;
+mod view;
 
 pub use crate::{
     budget::RetryBudget,
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -24,6 +24,7 @@
     request::Requests,
     row_limits::BrittleReport,
     stream_records::StreamRecords,
+    view::View,
 };
 
 /// Number of missed heartbeats after which a target counts as lost.
@@ -56,8 +57,7 @@
     pub(crate) renewal_sent: Option<Duration>,
     pub(crate) quarantine: Quarantine,
     pub(crate) records: StreamRecords,
-    /// When a leader confirmed all that this host had applied: the time of its answered renewal.
-    pub(crate) view_at: Option<Duration>,
+    pub(crate) view: View,
     /// When the host started.
     pub(crate) started_at: Duration,
     pub(crate) requests: Requests,
@@ -119,7 +119,7 @@
             renewal_sent: None,
             quarantine: Quarantine::default(),
             records: StreamRecords::default(),
-            view_at: None,
+            view: View::default(),
             started_at: now,
             requests: Requests::default(),
             reach: Reach::default(),
@@ -202,7 +202,7 @@
 
     /// Whether the host accepts callers' requests.
     pub fn is_ready(&self) -> bool {
-        self.knows_config() && !self.stopping
+        self.knows_config() && !self.view.is_behind && !self.stopping
     }
 
     /// Whether the host knows the configuration in force: it has one, its state has caught up with a
@@ -258,6 +258,7 @@
 
     pub(crate) fn finish(&mut self, now: Duration) -> Vec<Output> {
         self.send_leader_requests(now);
+        self.update_view();
         self.update_leading(now);
         self.run_placement_steps();
         self.flush_feeds(now);
@@ -270,6 +271,7 @@
 
     fn tick(&mut self, now: Duration) {
         self.step_log(now, LogInput::Tick);
+        self.watch_view(now);
         self.update_readiness();
         self.join(now);
         self.renew(now);
@@ -360,7 +362,7 @@
             }
             FleetMsg::Renew(renewal) => self.handle_renewal(now, from, &renewal),
             FleetMsg::Renewed { sent_ms, epoch, last, commit } => {
-                self.handle_renewed(sent_ms, commit);
+                self.handle_renewed(now, sent_ms, commit);
                 self.check_position(now, from, Position { epoch, last });
             }
             FleetMsg::Status(status) => self.handle_status(now, from, &status),
--- a/coordination/fleet/src/replicated.rs
+++ b/coordination/fleet/src/replicated.rs
@@ -55,6 +55,9 @@
                 LogOutput::Leader { leader, term } => {
                     self.leader = leader;
                     self.leader_since = Some(now);
+                    if leader.is_some() {
+                        self.view.follow(now, term);
+                    }
                     self.leader_changed();
                     self.log(Event::Leader { leader, term });
                     self.operator_calls.resend_all();
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -29,6 +29,8 @@
 pub enum NoRoute {
     /// The configuration in force is not known yet.
     Unknown,
+    /// A newer configuration may be in force.
+    Outdated,
     /// The configuration has no route, or no service, for the request.
     None,
 }
@@ -148,6 +150,7 @@
     /// Finds the route of a request and chooses its service; `draw` is a random number.
     pub fn route(
         &self,
+        now: Duration,
         host: &str,
         path: &str,
         draw: u64,
@@ -155,7 +158,13 @@
         if !self.knows_config() {
             return Err(NoRoute::Unknown);
         }
-        let route = self.routes.find(host, path).ok_or(NoRoute::None)?;
+        if self.is_behind(now) {
+            return Err(NoRoute::Outdated);
+        }
+        let Some(route) = self.routes.find(host, path) else {
+            let outdated = self.may_be_outdated(now);
+            return Err(if outdated { NoRoute::Outdated } else { NoRoute::None });
+        };
         let service = route.service(draw).ok_or(NoRoute::None)?.to_owned();
         Ok((route, service))
     }
--- a/coordination/fleet/src/stream_records.rs
+++ b/coordination/fleet/src/stream_records.rs
@@ -410,15 +410,7 @@
 
     /// Whether this host's state contains all that was committed `age` ago.
     fn has_view(&self, now: Duration, age: Duration) -> bool {
-        self.caught_up && self.view_at.is_some_and(|at| now < at + age)
-    }
-
-    /// Records that a leader with a quorum had committed up to `commit` when it answered the renewal
-    /// that was sent at `sent`.
-    pub(crate) fn record_view(&mut self, sent: Duration, commit: wire::Index) {
-        if self.replica.status().applied >= commit {
-            self.view_at = self.view_at.max(Some(sent));
-        }
+        self.caught_up && self.view.confirmed_at.is_some_and(|at| now < at + age)
     }
 
     pub(crate) fn log_default_software(&mut self, service: &str) {
--- a/coordination/fleet/tests/config.rs
+++ b/coordination/fleet/tests/config.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use common::{World, ms};
 use desired::Command;
-use fleet::{Input, Reply};
+use fleet::{Input, NoRoute, Reply};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use wire::HostId;
@@ -242,3 +242,40 @@
         assert!(storm.acknowledged.len() > 100, "seed {seed}: {}", storm.acknowledged.len());
     }
 }
+
+/// Guards against a host that answers that there is no route while a newer configuration may have
+/// added it, and against hosts that refuse the routes that they know because nobody leads.
+#[test]
+fn hosts_that_hear_no_leader_serve_their_routes_and_deny_none() {
+    for seed in 0..5 {
+        let mut world = World::new(seed, 4, 6, &[1, 2, 3]);
+        world.run(ms(6000));
+        assert!(put_within(&mut world, 7, 1, ms(8000)), "seed {seed}");
+        let decisions = |world: &World, host: HostId| {
+            let state = world.machines[&host].host.as_ref().expect("it runs");
+            let routed = ["known", "other"].map(|it| state.route(world.now, it, "/", 0));
+            (state.is_ready(), routed.map(|it| it.map(|(route, _)| route.name.clone())))
+        };
+        let known = || Ok("r".to_owned());
+        assert_eq!(decisions(&world, 9), (true, [known(), Err(NoRoute::None)]), "seed {seed}");
+        world.cut.insert(9);
+        for host in 1..=4 {
+            world.kill(host);
+        }
+        for step in 0..60 {
+            world.run(ms(100));
+            for host in [7, 9] {
+                let (ready, [served, denied]) = decisions(&world, host);
+                assert_eq!((ready, served), (true, known()), "seed {seed}, step {step}");
+                let is_denied = denied == Err(NoRoute::None);
+                assert!(!is_denied || step < 25, "seed {seed}, step {step}: host {host}");
+            }
+        }
+        world.cut.clear();
+        for host in 1..=4 {
+            world.start(host);
+        }
+        world.run(ms(6000));
+        assert_eq!(decisions(&world, 9), (true, [known(), Err(NoRoute::None)]), "seed {seed}");
+    }
+}
--- a/coordination/fleet/tests/confirmations.rs
+++ b/coordination/fleet/tests/confirmations.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use common::{World, ms};
 use desired::Command;
-use fleet::{Input, Reply};
+use fleet::{Input, NoRoute, Reply};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use wire::HostId;
@@ -40,6 +40,9 @@
     connecting: Duration,
     /// When each tenth host is cut off, and when it is back.
     cut: Option<(u64, u64)>,
+    /// When connections with each tenth host break, and when they are open again. Datagrams arrive
+    /// meanwhile.
+    unconnected: Option<(u64, u64)>,
     /// When the leader stands still, and when it goes on.
     frozen: Option<(u64, u64)>,
 }
@@ -149,6 +152,12 @@
                 self.troubled.extend(tenth.iter().map(|host| (*host, now)));
             }
         }
+        if let Some((from, to)) = self.trouble.unconnected
+            && self.is_now(from)
+        {
+            let until = self.started + ms(to);
+            self.world.network.connecting.extend(tenth.iter().map(|host| (*host, until)));
+        }
         if let Some((from, to)) = self.trouble.frozen {
             if self.is_now(from) {
                 self.frozen = self.world.leader();
@@ -217,8 +226,9 @@
     /// Whether a host sends requests by its configuration, or answers that there is no route.
     fn decides(&self, host: HostId) -> bool {
         let state = self.world.machines[&host].host.as_ref().expect("it runs");
-        let routed = [state.route("known", "/", 0), state.route("other", "/", 0)];
-        !matches!(routed, [Err(fleet::NoRoute::Unknown), Err(fleet::NoRoute::Unknown)])
+        let now = self.world.now;
+        let routed = ["known", "other"].map(|it| state.route(now, it, "/", 0));
+        !matches!(routed, [Err(NoRoute::Outdated), Err(NoRoute::Outdated)])
     }
 
     fn obeyed(&self, host: HostId) -> u64 {
@@ -308,3 +318,14 @@
     let frozen = Trouble { frozen: Some((5000, 8000)), loss: 0.01, ..Trouble::default() };
     assert_none_late("frozen leader", frozen);
 }
+
+/// Guards against a host that hears its leader, lacks what was acknowledged, and decides by an older
+/// configuration: its connections are broken while datagrams arrive.
+#[test]
+fn a_host_that_lacks_entries_refuses_to_decide() {
+    let trouble = Trouble { unconnected: Some((3000, 9000)), ..Trouble::default() };
+    for seen in play("connections broken", trouble) {
+        assert_eq!(seen.late, 0, "{seen:?}");
+        assert!(seen.refusing > 0, "{seen:?}");
+    }
+}
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -73,12 +73,15 @@
     let host = host.or(parts.uri.host()).unwrap_or_default().to_owned();
     // All attempts at one stream go to the same service of a split route.
     let draw = first_attempt(&parts.headers).map_or_else(rand::random, |it| stable_hash(&it));
-    let routed = edge.host.borrow().route(&host, parts.uri.path(), draw);
+    let routed = edge.host.borrow().route(arrived, &host, parts.uri.path(), draw);
     let (route, service) = match routed {
         Ok(routed) => routed,
         Err(NoRoute::Unknown) => {
             return reject(edge, &parts, "no_config", not_run(RETRY_DELAY, RETRY_DELAY_SPREAD));
         }
+        Err(NoRoute::Outdated) => {
+            return reject(edge, &parts, "outdated", not_run(RETRY_DELAY, RETRY_DELAY_SPREAD));
+        }
         Err(NoRoute::None) => {
             return reject(edge, &parts, "no_route", empty(StatusCode::NOT_FOUND));
         }
--- a/state/replog/src/replica.rs
+++ b/state/replog/src/replica.rs
@@ -175,6 +175,11 @@
         }
     }
 
+    /// Returns when a message from a leader last arrived; the time of the start before that.
+    pub fn leader_contact(&self) -> Duration {
+        self.leader_contact
+    }
+
     /// On a leader: returns the hosts of the members whose data folder replied to a heartbeat round
     /// sent within the last election timeout, and which have not reported another data folder
     /// within that time. Empty on other replicas.
