Connect anew at once when a peer has connected to this host

Entries for hosts that had just started were dropped for up to 1.5 s: a link that waits to connect again drops all that is queued, although the peer is back. Cause: the wait ended by time only, and a connection to a peer's former process stood until the kernel gave it up. Now a peer's own connection ends the wait, restarts an attempt that hangs, and ends a connection to a former process. Test: a_host_that_connects_is_connected_to_at_once, which fails without the change.

--- a/transport/peer/src/hub.rs
+++ b/transport/peer/src/hub.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 use tokio::{
     net::{TcpListener, UdpSocket},
+    sync::Notify,
     task::JoinHandle,
 };
 use wire::{HostId, Incarnation, MAX_FRAME_BYTES, PeerMsg, RequestId};
@@ -140,6 +141,28 @@
     pub(crate) inbox: Arc<dyn Inbox>,
     pub(crate) stats: Arc<Stats>,
     windows: Mutex<BTreeMap<HostId, ReplayWindow>>,
+    contacts: Mutex<BTreeMap<HostId, Arc<Contact>>>,
+}
+
+/// The latest process of a peer that has connected to this host.
+#[derive(Debug, Default)]
+pub(crate) struct Contact {
+    incarnation: AtomicU64,
+    /// Notified when it connects.
+    pub(crate) connected: Notify,
+}
+
+impl Contact {
+    /// Records that a process of the peer has connected.
+    pub(crate) fn record(&self, incarnation: Incarnation) {
+        self.incarnation.fetch_max(incarnation, Relaxed);
+        self.connected.notify_one();
+    }
+
+    /// Whether a later process of the peer than this one has connected.
+    pub(crate) fn is_later(&self, incarnation: Incarnation) -> bool {
+        self.incarnation.load(Relaxed) > incarnation
+    }
 }
 
 impl Shared {
@@ -151,6 +174,12 @@
         self.config.peers.ip(host)
     }
 
+    /// Returns the record of the connections that a peer opens to this host.
+    pub(crate) fn contact(&self, host: HostId) -> Arc<Contact> {
+        let mut contacts = self.contacts.lock().expect("the lock is not poisoned");
+        contacts.entry(host).or_default().clone()
+    }
+
     /// Applies `update` to the replay window of a peer; none if too many peers are tracked.
     pub(crate) fn with_window<T>(
         &self,
@@ -189,6 +218,7 @@
             inbox,
             stats: Arc::new(Stats::default()),
             windows: Mutex::default(),
+            contacts: Mutex::default(),
             own_ip: ip,
             config,
         });
--- a/transport/peer/src/link.rs
+++ b/transport/peer/src/link.rs
@@ -17,12 +17,12 @@
     task::JoinHandle,
     time::timeout,
 };
-use wire::{HostId, PeerMsg, RequestId};
+use wire::{HostId, Incarnation, PeerMsg, RequestId};
 
 use crate::{
     auth::Nonce,
     frame::{GREETING_BYTES, Greeting, Session},
-    hub::{Event, Shared},
+    hub::{Contact, Event, Shared},
     stats::{self, DropReason},
 };
 
@@ -164,22 +164,32 @@
     }
 }
 
-/// Connects whenever messages are queued, and sends them until the connection breaks.
+/// Connects whenever messages are queued, and sends them until the connection breaks. Connects anew
+/// at once when the peer has connected to this host.
 async fn run_link(shared: Arc<Shared>, peer: HostId, channel: Arc<Channel>) {
+    let contact = shared.contact(peer);
     let mut backoff = MIN_BACKOFF;
     loop {
         wait_for_work(&channel).await;
-        match connect(&shared, peer).await {
-            Ok((stream, session)) => {
+        let connected = tokio::select! {
+            biased;
+            connected = connect(&shared, peer) => connected,
+            () = contact.connected.notified() => continue,
+        };
+        match connected {
+            Ok((stream, session, incarnation)) => {
                 backoff = MIN_BACKOFF;
-                // Always ends with an error, since only a broken connection ends it.
-                let _ = send_frames(stream, session, &channel).await;
+                tokio::select! {
+                    // Always ends with an error, since only a broken connection ends it.
+                    _ = send_frames(stream, session, &channel) => {}
+                    () = wait_for_later(&contact, incarnation) => {}
+                }
                 discard_queue(&shared, peer, &channel).await;
                 shared.inbox.deliver(Event::ConnectionLost(peer)).await;
             }
             Err(_) => {
                 report_loss(&shared, peer, &channel).await;
-                wait_backoff(&shared, peer, &channel, backoff).await;
+                wait_backoff(&shared, peer, &channel, &contact, backoff).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
             }
         }
@@ -198,14 +208,29 @@
     }
 }
 
-/// Waits for the jittered backoff before the next attempt to connect. Messages queued
-/// meanwhile fail at once.
-async fn wait_backoff(shared: &Shared, peer: HostId, channel: &Channel, backoff: Duration) {
+/// Waits until a later process of the peer than the given one has connected to this host.
+async fn wait_for_later(contact: &Contact, incarnation: Incarnation) {
+    while !contact.is_later(incarnation) {
+        contact.connected.notified().await;
+    }
+}
+
+/// Waits for the jittered backoff before the next attempt to connect, or until the peer has
+/// connected to this host. Messages queued meanwhile fail at once.
+async fn wait_backoff(
+    shared: &Shared,
+    peer: HostId,
+    channel: &Channel,
+    contact: &Contact,
+    backoff: Duration,
+) {
     let wait = backoff.mul_f64(rand::rng().random_range(0.5..1.5));
     let backoff_end = tokio::time::sleep(wait);
     tokio::pin!(backoff_end);
     loop {
         tokio::select! {
+            biased;
+            () = contact.connected.notified() => return,
             () = &mut backoff_end => return,
             () = channel.wake.notified() => report_loss(shared, peer, channel).await,
         }
@@ -239,8 +264,9 @@
     other_lost
 }
 
-/// Opens a connection from this host's own address and performs the handshake.
-async fn connect(shared: &Shared, peer: HostId) -> io::Result<(TcpStream, Session)> {
+/// Opens a connection from this host's own address and performs the handshake. Returns the
+/// incarnation of the peer's process too.
+async fn connect(shared: &Shared, peer: HostId) -> io::Result<(TcpStream, Session, Incarnation)> {
     let config = &shared.config;
     let ip = shared.peer_ip(peer).ok_or(io::ErrorKind::NotFound)?;
     let own = shared.own_ip;
@@ -250,8 +276,9 @@
     let mut stream = timeout(CONNECT_TIMEOUT, connecting).await??;
     stream.set_nodelay(true)?;
     detect_dead_peer(&stream)?;
-    let session = timeout(HANDSHAKE_TIMEOUT, handshake(shared, peer, &mut stream)).await??;
-    Ok((stream, session))
+    let greeted = timeout(HANDSHAKE_TIMEOUT, handshake(shared, peer, &mut stream)).await??;
+    let (session, incarnation) = greeted;
+    Ok((stream, session, incarnation))
 }
 
 /// Sets the TCP user timeout and keepalive, so that a connection to an unresponsive host fails
@@ -267,7 +294,11 @@
 }
 
 /// Performs the client's side of the handshake.
-async fn handshake(shared: &Shared, peer: HostId, stream: &mut TcpStream) -> io::Result<Session> {
+async fn handshake(
+    shared: &Shared,
+    peer: HostId,
+    stream: &mut TcpStream,
+) -> io::Result<(Session, Incarnation)> {
     let config = &shared.config;
     let nonce: Nonce = rand::rng().random();
     let client = Greeting { from: config.host, to: peer, incarnation: config.incarnation, nonce };
@@ -285,7 +316,7 @@
     }
     let session = Session::new(&shared.key, &client, &server);
     stream.write_all(&session.proof()).await?;
-    Ok(session)
+    Ok((session, server.incarnation))
 }
 
 /// Sends frames until the connection breaks, and returns why it did.
--- a/transport/peer/src/listen.rs
+++ b/transport/peer/src/listen.rs
@@ -121,6 +121,7 @@
     if shared.with_window(client.from, |it| it.reset(client.incarnation)).is_none() {
         return Err(reject(shared, DropReason::Overflow));
     }
+    shared.contact(client.from).record(client.incarnation);
     Ok((client.from, stream, session))
 }
 
--- a/transport/peer/tests/hubs.rs
+++ b/transport/peer/tests/hubs.rs
@@ -98,6 +98,35 @@
     }
 }
 
+/// Guards against messages that are dropped because the host waits to connect, although the peer is
+/// back and has connected itself.
+#[tokio::test]
+async fn a_host_that_connects_is_connected_to_at_once() {
+    let (one, mut events) = start(config(12, 1)).await;
+    let listener = TcpListener::bind(addr(12, 3)).await.expect("the address is free");
+    // Each connection that breaks doubles the time before the next attempt.
+    for _ in 0..6 {
+        let sending = async {
+            loop {
+                one.send(3, &numbered(1));
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::select! {
+            () = sending => unreachable!(),
+            accepted = listener.accept() => drop(accepted.expect("a connection")),
+        }
+    }
+    drop(listener);
+    while events.try_recv().is_ok() {}
+    let (three, mut arrived) = start(config(12, 3)).await;
+    three.send(1, &numbered(2));
+    let message = Event::Message { from: 3, msg: numbered(2) };
+    while next(&mut events).await != message {}
+    one.send(3, &numbered(3));
+    assert_eq!(next(&mut arrived).await, Event::Message { from: 1, msg: numbered(3) });
+}
+
 fn forward(request: u64) -> PeerMsg {
     PeerMsg::Forward(Box::new(wire::Forward {
         request,
