Look for listed hosts without a peer only once all peers have confirmed; a host behind has had an answer

A leader looked up each listed host with each input while a change waited: n lookups times 2 n messages a change. It does so now when no peer is missing any more. A host is behind only under a leader that has answered one of its renewals: one of answers in a form that can't be read, and all hosts of a later build would refuse under it. The world of the tests keeps the hosts that unconfirmed names, and a test checks them.

--- a/coordination/fleet/src/confirm.rs
+++ b/coordination/fleet/src/confirm.rs
@@ -6,7 +6,7 @@
 //! that time is waited for again once it answers, so that one that is slow does not fall behind.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     time::Duration,
 };
 
@@ -66,59 +66,74 @@
     /// Acknowledges the changes that all hosts have confirmed that may be waited for.
     pub(crate) fn confirm_changes(&mut self, now: Duration) {
         loop {
-            let Some(index) = self.oldest_change() else { return };
-            let behind = self.hosts_behind(index);
-            let Some(leading) = &mut self.leading else { return };
-            let Confirmations { pending, lapsed, .. } = &mut leading.confirmations;
-            lapsed.retain(|host, _| behind.contains(host));
-            let is_excused = |host: &HostId| {
-                let record = self.hosts.record(*host);
-                let ended =
-                    record.is_some_and(|it| leading.ended.contains(&(*host, it.incarnation)));
-                let contact = self.replica.progress(*host).map(|it| it.last_contact);
-                ended || lapsed.get(host).is_some_and(|at| contact <= Some(*at))
+            let leading = self.leading.as_ref();
+            let Some(change) = leading.and_then(|it| it.confirmations.pending.front()) else {
+                return;
             };
-            let missing: Vec<HostId> = behind.into_iter().filter(|it| !is_excused(it)).collect();
-            let Some(change) = pending.front() else { return };
+            let (index, is_noted) = (change.index, change.late.is_some());
             let waited = now.saturating_sub(change.since);
-            let (is_late, is_noted) = (waited >= LATE, change.late.is_some());
-            if !missing.is_empty() && waited < CONFIRM_TIMEOUT {
-                if is_late && !is_noted {
-                    self.note_late(now, &missing);
-                }
-                return;
-            }
-            lapsed.extend(missing.iter().map(|host| (*host, now)));
-            let Some(change) = pending.pop_front() else { return };
-            let (index, waited_ms) = (change.index, waited.as_millis() as u64);
-            if !missing.is_empty() {
-                let (hosts, left_out) = self.late_hosts(now, &missing);
-                self.log(Event::Unconfirmed { index, waited_ms, hosts, left_out });
-            } else if let Some((hosts, left_out)) = change.late {
-                self.log(Event::ConfirmedLate { index, waited_ms, hosts, left_out });
+            let missing = self.hosts_missing(index);
+            if missing.is_empty() || waited >= CONFIRM_TIMEOUT {
+                self.acknowledge(now, waited, missing);
+                continue;
             }
-            if change.host == self.settings.host {
-                self.operator_calls.confirm(change.tag);
-            } else {
-                self.send(change.host, FleetMsg::Confirmed { tag: change.tag });
+            if waited >= LATE && !is_noted {
+                self.note_late(now, &missing);
             }
+            return;
         }
     }
 
-    fn oldest_change(&self) -> Option<Index> {
-        self.leading.as_ref()?.confirmations.pending.front().map(|it| it.index)
+    /// Acknowledges the oldest change without the confirmation of the hosts that are `missing`.
+    fn acknowledge(&mut self, now: Duration, waited: Duration, missing: Vec<HostId>) {
+        let Some(leading) = &mut self.leading else { return };
+        let Confirmations { pending, lapsed, .. } = &mut leading.confirmations;
+        let Some(change) = pending.pop_front() else { return };
+        let obeys = |host: HostId| {
+            self.replica.progress(host).is_some_and(|it| it.confirmed >= change.index)
+        };
+        lapsed.retain(|&host, _| !obeys(host));
+        lapsed.extend(missing.iter().map(|host| (*host, now)));
+        let (index, waited_ms) = (change.index, waited.as_millis() as u64);
+        if !missing.is_empty() {
+            let (hosts, left_out) = self.late_hosts(now, &missing);
+            self.log(Event::Unconfirmed { index, waited_ms, hosts, left_out });
+        } else if let Some((hosts, left_out)) = change.late {
+            self.log(Event::ConfirmedLate { index, waited_ms, hosts, left_out });
+        }
+        if change.host == self.settings.host {
+            self.operator_calls.confirm(change.tag);
+        } else {
+            self.send(change.host, FleetMsg::Confirmed { tag: change.tag });
+        }
     }
 
-    /// Returns the other hosts that have not confirmed that they obey the log up to an index: those
-    /// that the log lists, and those that it is sent to.
-    fn hosts_behind(&self, index: Index) -> BTreeSet<HostId> {
-        let mut behind: BTreeSet<HostId> = self.replica.hosts_behind(index).into_iter().collect();
+    /// Returns the hosts that a change at an index still waits for: those that the log is sent to, or
+    /// else those that it lists but that are sent nothing.
+    fn hosts_missing(&self, index: Index) -> Vec<HostId> {
+        let mut missing = self.replica.hosts_behind(index);
+        missing.retain(|host| !self.is_excused(*host));
+        if !missing.is_empty() {
+            return missing;
+        }
         for &host in &self.desired.hosts {
-            if host != self.settings.host && self.replica.progress(host).is_none() {
-                behind.insert(host);
+            let is_sent_to = host == self.settings.host || self.replica.progress(host).is_some();
+            if !is_sent_to && !self.is_excused(host) {
+                missing.push(host);
             }
         }
-        behind
+        missing
+    }
+
+    /// Whether changes don't wait for a host: it has ended, or it missed a change and has not answered
+    /// since.
+    fn is_excused(&self, host: HostId) -> bool {
+        let Some(leading) = &self.leading else { return false };
+        let record = self.hosts.record(host);
+        let ended = record.is_some_and(|it| leading.ended.contains(&(host, it.incarnation)));
+        let contact = self.replica.progress(host).map(|it| it.last_contact);
+        let lapsed = leading.confirmations.lapsed.get(&host);
+        ended || lapsed.is_some_and(|at| contact <= Some(*at))
     }
 
     /// Notes which hosts the oldest pending change waits for.
--- a/coordination/fleet/src/view.rs
+++ b/coordination/fleet/src/view.rs
@@ -78,11 +78,14 @@
         now >= self.current_until()
     }
 
-    /// Whether the state may lack a change that should be in force, although the leader is heard.
+    /// Whether the state may lack a change that should be in force, although the leader is heard and
+    /// answers renewals in a form that this host reads.
     pub(crate) fn is_behind(&self, now: Duration) -> bool {
         let follows = self.leader.is_some_and(|it| it != self.settings.host);
+        let is_answered = self.view.answered_at > self.view.followed.1;
         let heard_at = self.replica.leader_contact().max(self.view.answered_at);
-        follows && self.may_be_outdated(now) && heard_at >= self.current_until()
+        let is_heard = follows && is_answered && heard_at >= self.current_until();
+        is_heard && self.may_be_outdated(now)
     }
 
     /// Logs when this host falls behind, and when it has caught up.
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -78,8 +78,8 @@
     pub targets: BTreeMap<String, SimTarget>,
     pub seeds: Vec<HostId>,
     pub network: Network,
-    /// Changes acknowledged without the confirmation of some host.
-    pub unconfirmed: u64,
+    /// The hosts without whose confirmation changes were acknowledged, for each such change.
+    pub unconfirmed: Vec<Vec<HostId>>,
     /// Messages sent about request limits and places.
     pub place_messages: u64,
     /// If set, counts the messages and their bytes by what they are about.
@@ -205,7 +205,7 @@
             targets: BTreeMap::new(),
             seeds: seeds.to_vec(),
             network: Network::default(),
-            unconfirmed: 0,
+            unconfirmed: Vec::new(),
             place_messages: 0,
             traffic: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -420,7 +420,9 @@
                         state.set_config(config());
                     }
                 }
-                Output::Log(Event::Unconfirmed { .. }) => self.unconfirmed += 1,
+                Output::Log(Event::Unconfirmed { hosts, .. }) => {
+                    self.unconfirmed.push(hosts.iter().map(|it| it.host).collect());
+                }
                 _ => {}
             }
         }
--- a/coordination/fleet/tests/config.rs
+++ b/coordination/fleet/tests/config.rs
@@ -74,7 +74,9 @@
         world.run(ms(6000));
         assert!(put_within(&mut world, 7, 1, ms(8000)), "seed {seed}");
         world.cut.insert(9);
+        world.unconfirmed.clear();
         assert!(put_within(&mut world, 7, 2, ms(1000)), "seed {seed}: the first change");
+        assert_eq!(world.unconfirmed, [[9]], "seed {seed}: the log names the host");
         for number in 3..8 {
             assert!(put_within(&mut world, 7, number, ms(200)), "seed {seed}: change {number}");
         }
--- a/coordination/fleet/tests/confirmations.rs
+++ b/coordination/fleet/tests/confirmations.rs
@@ -57,7 +57,7 @@
     /// Hosts in touch that did not obey a change in time and refused to decide, over all changes.
     refusing: usize,
     /// Changes that were acknowledged without the confirmation of some host.
-    unconfirmed: u64,
+    unconfirmed: usize,
     /// The longest time until a change was acknowledged.
     slowest: Duration,
     /// The time within which 99 of 100 changes were acknowledged.
@@ -86,7 +86,7 @@
     fn new(seed: u64, trouble: Trouble) -> Play {
         let mut world = World::new(seed, DISKS, HOSTS - DISKS, &[1, 2, 3]);
         world.run(ms(4000));
-        let unconfirmed = world.unconfirmed;
+        let unconfirmed = world.unconfirmed.len();
         world.network.loss = trouble.loss;
         world.network.datagram_loss = trouble.datagram_loss;
         for host in (1..=HOSTS).filter(|it| it % 10 == 7) {
@@ -120,7 +120,7 @@
         let rank = self.waits.len() * 99 / 100;
         let slow = self.waits.get(rank).copied().unwrap_or_default();
         let slowest = self.waits.last().copied().unwrap_or_default();
-        let unconfirmed = self.world.unconfirmed - self.seen.unconfirmed;
+        let unconfirmed = self.world.unconfirmed.len() - self.seen.unconfirmed;
         Seen { changes: self.waits.len(), unconfirmed, slow, slowest, ..self.seen }
     }
 
