--- a/state/replog/src/lead.rs
+++ b/state/replog/src/lead.rs
@@ -6,19 +6,17 @@
 };
 
 use bytes::Bytes;
-use wire::{DiskId, EntryBody, HostId, Index, LogBody, Snapshot, Term};
+use wire::{DiskId, EntryBody, HostId, Index, LogBody, Term};
 
 use crate::{
     Replica,
     group::{is_voter, member, quorum_value, voters, within},
-    peer::{Peer, ResendPace, SnapshotTransfer},
+    peer::{Peer, ResendPace},
     replica::Role,
 };
 
 /// Most bytes of entries in one message, unless a single entry is larger.
 const MAX_BATCH_BYTES: usize = 1024 * 1024;
-/// Most bytes of a snapshot in one message.
-const CHUNK_BYTES: u64 = 256 * 1024;
 /// Rounds that are kept.
 const MAX_ROUNDS: usize = 256;
 /// Heartbeats from one empty append to a non-member to the next.
@@ -40,7 +38,7 @@
     /// Number of heartbeats.
     heartbeats: u64,
     /// Number of the current round, counted from 1.
-    round: u64,
+    pub(crate) round: u64,
     /// The latest rounds in order of their numbers; the current one is the last.
     rounds: VecDeque<Round>,
     next_heartbeat: Duration,
@@ -260,7 +258,7 @@
     }
 
     /// Sends entries until there are no more or the limit of unanswered messages is reached.
-    fn replicate(&mut self, host: HostId) {
+    pub(crate) fn replicate(&mut self, host: HostId) {
         while self.send_entries(host) {}
     }
 
@@ -313,7 +311,7 @@
 
     /// Records a host's reply. Returns whether it is valid: sent in the current term by the data
     /// folder that the peer stands for.
-    fn record_reply(&mut self, from: HostId, reply: ReplyHeader) -> bool {
+    pub(crate) fn record_reply(&mut self, from: HostId, reply: ReplyHeader) -> bool {
         if reply.term > self.hard.term && self.is_from_voter(from, reply.disk) {
             self.enter_term(reply.term);
         }
@@ -380,7 +378,7 @@
 
     /// Returns whether a valid reply of a peer arrived, or the peer was created, within the timeout
     /// for its role.
-    fn is_reachable(&self, peer: &Peer) -> bool {
+    pub(crate) fn is_reachable(&self, peer: &Peer) -> bool {
         let timeout = match peer.role {
             Some(_) => self.settings.election,
             None => self.non_member_timeout(),
@@ -388,96 +386,6 @@
         within(self.now, peer.last_contact, timeout)
     }
 
-    fn start_install(&mut self, host: HostId) {
-        let Some(snapshot) = self.log.snapshot().cloned() else {
-            return;
-        };
-        let now = self.now;
-        let Role::Leader(lead) = &self.role else {
-            return;
-        };
-        if !lead.peers.get(&host).is_some_and(|peer| self.is_reachable(peer)) {
-            return;
-        }
-        let Role::Leader(lead) = &mut self.role else {
-            return;
-        };
-        let Some(peer) = lead.peers.get_mut(&host) else {
-            return;
-        };
-        peer.install = Some(SnapshotTransfer { snapshot, offset: 0, sent_at: now });
-        self.send_chunk(host);
-    }
-
-    fn send_chunk(&mut self, host: HostId) {
-        let now = self.now;
-        let Role::Leader(lead) = &mut self.role else {
-            return;
-        };
-        let round = lead.round;
-        let Some(transfer) = lead.peers.get_mut(&host).and_then(|p| p.install.as_mut()) else {
-            return;
-        };
-        transfer.sent_at = now;
-        let state = &transfer.snapshot.state;
-        let total = state.len() as u64;
-        let offset = transfer.offset.min(total);
-        let end = total.min(offset + CHUNK_BYTES);
-        let chunk = state.slice(offset as usize..end as usize);
-        let head = Snapshot { state: Bytes::new(), ..transfer.snapshot.clone() };
-        let commit = self.commit;
-        self.send(host, LogBody::Install { round, head, total, offset, chunk, commit });
-    }
-
-    /// Resends the last chunk to a reachable host that has not replied to it for half an election
-    /// timeout.
-    fn resend_chunk(&mut self, host: HostId) {
-        let Role::Leader(lead) = &self.role else {
-            return;
-        };
-        let election = self.settings.election;
-        let peer = lead.peers.get(&host).filter(|peer| self.is_reachable(peer));
-        let Some(transfer) = peer.and_then(|p| p.install.as_ref()) else {
-            return;
-        };
-        if !within(self.now, transfer.sent_at, election / 2) {
-            self.send_chunk(host);
-        }
-    }
-
-    pub(crate) fn on_installed(
-        &mut self,
-        from: HostId,
-        reply: ReplyHeader,
-        index: Index,
-        offset: u64,
-    ) {
-        if !self.record_reply(from, reply) {
-            return;
-        }
-        let Role::Leader(lead) = &mut self.role else {
-            return;
-        };
-        let Some(peer) = lead.peers.get_mut(&from) else {
-            return;
-        };
-        let Some(transfer) = peer.install.as_mut().filter(|t| t.snapshot.index == index) else {
-            return;
-        };
-        if offset >= transfer.snapshot.state.len() as u64 {
-            peer.install = None;
-            peer.next_index = index + 1;
-            peer.unacked.clear();
-            peer.advance(index, index);
-        } else {
-            transfer.offset = offset;
-            self.send_chunk(from);
-        }
-        self.replicate(from);
-        self.advance_commit();
-        self.advance_membership();
-    }
-
     /// Commits the entries that a quorum has on disk, if the last of them is of the current term.
     pub(crate) fn advance_commit(&mut self) {
         let Role::Leader(lead) = &self.role else {
--- a/state/replog/src/lib.rs
+++ b/state/replog/src/lib.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod founding;
 mod group;
+mod install;
 mod io;
 mod lead;
 mod log;
