Simplify: one function begins a round, and whether a host is behind needs no time

A leader began rounds in three places with the same arguments taken apart, the pause before a peer is asked again was computed twice, and is_behind compared the present time with a time that is already known to be before it.

--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -158,7 +158,7 @@
         if !self.knows_config() {
             return Err(NoRoute::Unknown);
         }
-        if self.is_behind(now) {
+        if self.is_behind() {
             return Err(NoRoute::Outdated);
         }
         let Some(route) = self.routes.find(host, path) else {
--- a/coordination/fleet/src/view.rs
+++ b/coordination/fleet/src/view.rs
@@ -80,17 +80,16 @@
 
     /// Whether the state may lack a change that should be in force, although the leader is heard and
     /// answers renewals in a form that this host reads.
-    pub(crate) fn is_behind(&self, now: Duration) -> bool {
+    pub(crate) fn is_behind(&self) -> bool {
         let follows = self.leader.is_some_and(|it| it != self.settings.host);
         let is_answered = self.view.answered_at > self.view.followed.1;
         let heard_at = self.replica.leader_contact().max(self.view.answered_at);
-        let is_heard = follows && is_answered && heard_at >= self.current_until();
-        is_heard && self.may_be_outdated(now)
+        follows && is_answered && heard_at >= self.current_until()
     }
 
     /// Logs when this host falls behind, and when it has caught up.
     pub(crate) fn watch_view(&mut self, now: Duration) {
-        let is_behind = self.is_behind(now);
+        let is_behind = self.is_behind();
         if std::mem::replace(&mut self.view.is_behind, is_behind) == is_behind {
             return;
         }
--- a/state/replog/src/lead.rs
+++ b/state/replog/src/lead.rs
@@ -84,14 +84,6 @@
         let place = self.rounds.len().checked_sub(1 + age as usize)?;
         self.rounds.get(place).copied()
     }
-
-    fn begin_round(&mut self, now: Duration, commit: Index) {
-        self.round += 1;
-        self.rounds.push_back(Round { sent_at: now, commit });
-        if self.rounds.len() > MAX_ROUNDS {
-            self.rounds.pop_front();
-        }
-    }
 }
 
 impl Replica {
@@ -199,15 +191,32 @@
         quorum_value(times).flatten()
     }
 
+    fn begin_round(&mut self) {
+        let round = Round { sent_at: self.now, commit: self.commit };
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        lead.round += 1;
+        lead.rounds.push_back(round);
+        if lead.rounds.len() > MAX_ROUNDS {
+            lead.rounds.pop_front();
+        }
+    }
+
+    /// Returns how long a peer has to answer before it is asked again.
+    fn ask_pause(&self) -> Duration {
+        self.settings.heartbeat / ASK_DIVISOR
+    }
+
     /// Sends a heartbeat and drops non-members that have been silent too long.
     fn heartbeat(&mut self) {
-        let (now, commit) = (self.now, self.commit);
+        self.begin_round();
+        let now = self.now;
         let silent = self.settings.election * NON_MEMBER_EXPIRY;
         let Role::Leader(lead) = &mut self.role else {
             return;
         };
         lead.heartbeats += 1;
-        lead.begin_round(now, commit);
         lead.next_heartbeat = now + self.settings.heartbeat;
         lead.catchup_index = if self.commit >= lead.first_index { self.commit } else { Index::MAX };
         lead.peers.retain(|_, p| p.role.is_some() || within(now, p.last_contact, silent));
@@ -222,7 +231,7 @@
     /// Asks the peers that have not confirmed all that they are due, and that nothing was sent to
     /// for a while, how far their log goes: entries or their reply may have been lost.
     fn ask_late_peers(&mut self) {
-        let pause = self.settings.heartbeat / ASK_DIVISOR;
+        let pause = self.ask_pause();
         let (now, commit, last) = (self.now, self.commit, self.log.last());
         let Role::Leader(lead) = &self.role else {
             return;
@@ -237,9 +246,7 @@
         if hosts.is_empty() {
             return;
         }
-        if let Role::Leader(lead) = &mut self.role {
-            lead.begin_round(now, commit);
-        }
+        self.begin_round();
         for host in hosts {
             self.send_empty_append(host);
         }
@@ -351,7 +358,7 @@
         let (base, last) = (self.log.base(), self.log.last());
         let pace = ResendPace {
             now: self.now,
-            first: self.settings.heartbeat / ASK_DIVISOR,
+            first: self.ask_pause(),
             longest: self.settings.election / 2,
         };
         let Role::Leader(lead) = &mut self.role else {
@@ -406,10 +413,7 @@
             return;
         }
         self.commit = index;
-        let now = self.now;
-        if let Role::Leader(lead) = &mut self.role {
-            lead.begin_round(now, index);
-        }
+        self.begin_round();
         self.announce_commit();
         self.advance_membership();
         self.step_down_if_removed();
