--- a/coordination/fleet/benches/changes.rs
+++ b/coordination/fleet/benches/changes.rs
@@ -6,9 +6,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use bytes::Bytes;
-use common::{World, ms};
-use desired::Command;
+use common::{World, documents::replace, ms};
 use fleet::{Input, Reply};
 
 const CHANGES: u64 = 200;
@@ -40,10 +38,9 @@
     let mut waits: Vec<u128> = Vec::new();
     for number in 1..=CHANGES {
         let tag = world.tag();
-        let command = Command::Replace { number, body: Bytes::from(format!("document {number}")) };
         let host = 1 + (number as u32 * 7) % hosts;
         let sent = world.now;
-        world.input(host, Input::Change { tag, command });
+        world.input(host, Input::Change { tag, command: replace(number) });
         while world.machines[&host].replies.get(&tag) != Some(&Reply::InForce) {
             world.run(ms(1));
         }
--- a/coordination/fleet/tests/common/network.rs
+++ b/coordination/fleet/tests/common/network.rs
@@ -19,21 +19,18 @@
     pub lateness: BTreeMap<HostId, Duration>,
     /// Until when connections with a host are not open: messages other than datagrams are lost.
     pub connecting: BTreeMap<HostId, Duration>,
-    /// Number of messages sent.
-    pub sent: u64,
 }
 
 impl Network {
     /// Returns the time that a message takes; `None` if it is lost.
     pub fn delay(
-        &mut self,
+        &self,
         now: Duration,
         from: HostId,
         to: HostId,
         msg: &PeerMsg,
         rng: &mut ChaCha8Rng,
     ) -> Option<Duration> {
-        self.sent += 1;
         if rng.random_bool(self.loss) {
             return None;
         }
--- a/coordination/fleet/tests/config.rs
+++ b/coordination/fleet/tests/config.rs
@@ -4,9 +4,11 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use bytes::Bytes;
-use common::{World, ms};
-use desired::Command;
+use common::{
+    World,
+    documents::{last_number, replace},
+    ms,
+};
 use fleet::{Input, NoRoute, Reply};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -15,10 +17,6 @@
 /// Time after an acknowledgement within which hosts in touch obey the configuration.
 const APPLY_TIME: Duration = Duration::from_millis(2000);
 
-fn replace(number: u64) -> Command {
-    Command::Replace { number, body: Bytes::from(format!("document {number}")) }
-}
-
 /// Submits a change at a host, repeatedly as an operator does, until it is acknowledged or `span` is
 /// over. Returns whether it was.
 fn put_within(world: &mut World, host: HostId, number: u64, span: Duration) -> bool {
@@ -217,9 +215,7 @@
         let due = self.acknowledged.iter().filter(|(at, _)| self.world.now > *at + APPLY_TIME);
         let Some(number) = due.map(|(_, number)| *number).max() else { return };
         for host in (1..=HOSTS).filter(|it| self.is_calm(*it)) {
-            let document = self.world.machines[&host].configs.last().expect("a configuration");
-            let text = std::str::from_utf8(document).expect("a text");
-            let obeyed: u64 = text.trim_start_matches("document ").parse().expect("a number");
+            let obeyed = last_number(&self.world.machines[&host].configs);
             let now = self.world.now;
             assert!(
                 obeyed >= number,
--- a/coordination/fleet/tests/confirmations.rs
+++ b/coordination/fleet/tests/confirmations.rs
@@ -5,9 +5,12 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use bytes::Bytes;
-use common::{World, ms, records::target};
-use desired::Command;
+use common::{
+    World,
+    documents::{last_number, replace},
+    ms,
+    records::target,
+};
 use fleet::{Input, NoRoute, Reply};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -71,8 +74,9 @@
     /// When trouble of each host last began or ended.
     troubled: BTreeMap<HostId, Duration>,
     started: Duration,
-    /// The unanswered change: host, tag, number, and when it was first sent.
+    /// The unanswered call: host, tag, and when it was sent.
     change: Option<(HostId, u64, Duration)>,
+    /// The number of the change, and when it was first sent.
     number: u64,
     first_sent: Duration,
     /// Numbers acknowledged and not checked yet, and when that was.
@@ -86,7 +90,7 @@
     fn new(seed: u64, trouble: Trouble) -> Play {
         let mut world = World::new(seed, DISKS, HOSTS - DISKS, &[1, 2, 3]);
         world.run(ms(4000));
-        let unconfirmed = world.unconfirmed.len();
+        world.unconfirmed.clear();
         world.network.loss = trouble.loss;
         world.network.datagram_loss = trouble.datagram_loss;
         for host in (1..=HOSTS).filter(|it| it % 10 == 7) {
@@ -104,7 +108,7 @@
             unchecked: Vec::new(),
             waits: Vec::new(),
             frozen: None,
-            seen: Seen { unconfirmed, ..Seen::default() },
+            seen: Seen::default(),
         }
     }
 
@@ -120,7 +124,7 @@
         let rank = self.waits.len() * 99 / 100;
         let slow = self.waits.get(rank).copied().unwrap_or_default();
         let slowest = self.waits.last().copied().unwrap_or_default();
-        let unconfirmed = self.world.unconfirmed.len() - self.seen.unconfirmed;
+        let unconfirmed = self.world.unconfirmed.len();
         Seen { changes: self.waits.len(), unconfirmed, slow, slowest, ..self.seen }
     }
 
@@ -191,9 +195,7 @@
         let running = self.world.running();
         let host = running[self.rng.random_range(0..running.len())];
         let tag = self.world.tag();
-        let body = Bytes::from(format!("document {}", self.number));
-        let command = Command::Replace { number: self.number, body };
-        self.world.input(host, Input::Change { tag, command });
+        self.world.input(host, Input::Change { tag, command: replace(self.number) });
         self.change = Some((host, tag, now));
     }
 
@@ -232,9 +234,7 @@
     }
 
     fn obeyed(&self, host: HostId) -> u64 {
-        let Some(document) = self.world.machines[&host].configs.last() else { return 0 };
-        let text = std::str::from_utf8(document).expect("a text");
-        text.trim_start_matches("document ").parse().expect("a number")
+        last_number(&self.world.machines[&host].configs)
     }
 }
 
--- a/coordination/fleet/tests/hosts.rs
+++ b/coordination/fleet/tests/hosts.rs
@@ -4,15 +4,11 @@
 mod common;
 
 use bytes::Bytes;
-use common::{World, ms, records::target};
+use common::{World, documents::replace, ms, records::target};
 use desired::Command;
 use fleet::{Input, Reply};
 use wire::{HostId, TargetState};
 
-fn replace(number: u64) -> Command {
-    Command::Replace { number, body: Bytes::from(format!("document {number}")) }
-}
-
 /// Submits a change at a host, repeatedly as an operator does, until the reply says that it is in
 /// force.
 fn put(world: &mut World, host: HostId, command: &Command) {
@@ -355,7 +351,7 @@
                 });
             }
         }
-        let allowed = common::RETRY_ALLOWANCE;
+        let allowed = common::settings::RETRY_ALLOWANCE;
         assert!(taken > 0, "seed {seed}: no host takes retries");
         assert!(f64::from(taken) <= allowed, "seed {seed}: {taken} retries, {allowed} allowed");
     }
