Limit the loads of adapters to what the store carries out at full speed

In bursts of rare adapters all callers were late. Each target may load four adapters at once, so nine targets had 36 loads on their way from a store that carries out eight at full speed: each took 1.1 s in place of 0.25, with an objective of 0.5 s, and no load ended sooner for it. The estimate of when to ask for the end of a load followed these times upwards, and came down so slowly that later loads, which took 0.25 s, were known to have ended after 0.8 s.

Each holder now limits its loads at once by their times (one more after as many loads as it allows took the usual time, a fifth fewer after a slow one), and gives the next one to requests that can still be on time. The estimate of the usual time falls fast and hardly grows.

Load pattern of the test: 40 rare adapters a second at nine targets, a store of eight at once.

--- a/coordination/fleet/src/holder.rs
+++ b/coordination/fleet/src/holder.rs
@@ -144,8 +144,16 @@
                 engines.insert(service.name.clone(), engine.clone());
             }
         }
+        let mut objectives: BTreeMap<String, Duration> = BTreeMap::new();
+        for route in config.routes.iter().filter(|it| it.kind.is_stream()) {
+            for (service, _) in &route.split {
+                let least = objectives.entry(service.clone()).or_insert(route.latency_objective);
+                *least = route.latency_objective.min(*least);
+            }
+        }
         for held in self.held_domains.values_mut() {
             held.placement.configure(engines.clone(), self.desired.versions.clone());
+            held.placement.set_objectives(objectives.clone());
         }
     }
 
--- a/coordination/fleet/src/homes.rs
+++ b/coordination/fleet/src/homes.rs
@@ -2,6 +2,7 @@
 //! victims, and further copies of the adapters with the highest request rate.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
@@ -38,6 +39,9 @@
 const COPY_SLACK: f64 = 1.6;
 /// Minimum requests per second for a second copy.
 const COPY_RATE: f64 = 0.8;
+/// Share of a request's latency objective within which its adapter has to be loaded, so that the request
+/// can be on time.
+const LOADED_SHARE: f64 = 0.8;
 /// Lifetime of a host's adapter demand unless it is repeated.
 const DEMAND_TTL: Duration = Duration::from_millis(1200);
 /// Waiting time of an adapter after which the log states why it is not placed.
@@ -93,22 +97,31 @@
 
     pub(crate) fn serve_demands(&mut self, now: Duration, fence: Fence) {
         let mut pending = Vec::new();
+        let load_time = self.store.present_time();
         self.demands.retain(|_, demand| {
             demand.hosts.retain(|_, (_, at)| now < *at + DEMAND_TTL);
             !demand.hosts.is_empty()
         });
         for (wanted, demand) in &self.demands {
             let waiting: u32 = demand.hosts.values().map(|(count, _)| u32::from(*count)).sum();
-            pending.push((waiting, demand.since, demand.service.clone(), wanted.clone()));
+            let objective = self.objectives.get(&demand.service).copied().unwrap_or_default();
+            let latest = demand.since + objective.mul_f64(LOADED_SHARE);
+            let is_late = now + load_time >= latest;
+            let order = (is_late, Reverse(waiting), demand.since);
+            pending.push((order, demand.service.clone(), wanted.clone()));
         }
         if pending.is_empty() {
             return;
         }
         self.log_unplaced(now);
-        // Adapters with the most waiting requests go first, then the oldest demands.
-        pending.sort_by_key(|(waiting, since, ..)| (std::cmp::Reverse(*waiting), *since));
+        // Adapters whose requests can still be on time go first, then those with the most waiting
+        // requests, then the oldest demands.
+        pending.sort_by_key(|(order, ..)| *order);
         let mut survey = self.survey(now);
-        for (_, _, service, wanted) in pending {
+        for (_, service, wanted) in pending {
+            if !self.may_load_adapter() {
+                return;
+            }
             if self.is_placed(now, &survey, &wanted) || !self.has_free(now, &service) {
                 continue;
             }
@@ -298,7 +311,7 @@
                 let quota = copies_of(&name, wanted, &sizes, &domain);
                 let lacking =
                     all > 0 && all < wanted.min(count) && here < quota.min(sizes[&domain]);
-                if lacking && !survey.loading.contains(&hash) {
+                if lacking && !survey.loading.contains(&hash) && self.may_load_adapter() {
                     let wanted = Demand::anywhere(&name);
                     self.place_adapter(now, fence, &mut survey, &service, &wanted, 0);
                 }
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -47,6 +47,7 @@
 mod row_limits;
 mod settings;
 mod software;
+mod store;
 mod stream_records;
 mod suspects;
 mod targets;
--- a/coordination/fleet/src/load_checks.rs
+++ b/coordination/fleet/src/load_checks.rs
@@ -18,66 +18,16 @@
     io::{Order, OrderOutcome},
 };
 
-/// First estimate of the time that a load from the store takes.
-const STORE_LOAD: Duration = Duration::from_millis(250);
-/// Bounds of this estimate.
-const MIN_STORE_LOAD: Duration = Duration::from_millis(20);
-const MAX_STORE_LOAD: Duration = Duration::from_secs(2);
-/// Change of the estimate with each load that had or had not ended by then, as a share of it.
-const STEP: f64 = 0.01;
-/// Number of results in a row after which the change doubles with each further one, and how often it does.
-const STEADY_RESULTS: u32 = 2;
-const MAX_DOUBLINGS: u32 = 4;
-/// Time that a load from a target's own memory takes, as a share of one from the store: a tenth, and a
-/// margin.
-const MEMORY_LOAD_SHARE: f64 = 0.11;
 /// Bounds of the time between two questions about a load that lasts longer than estimated.
 const MIN_INTERVAL: Duration = Duration::from_millis(10);
 const MAX_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between these questions, as a share of the time since the estimated end.
-const INTERVAL_SHARE: f64 = 0.1;
+const INTERVAL_SHARE: f64 = 0.07;
 /// Time to the next question if one could not be asked or was not answered.
 const UNANSWERED_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of questions about one load; reports show its end in any case.
 const MAX_QUESTIONS: u32 = 60;
 
-/// Estimate of the time that a load from the store takes, which half of the loads don't exceed.
-#[derive(Debug)]
-pub(crate) struct LoadTime {
-    estimate: Duration,
-    changed_at: Duration,
-    /// Whether the last load had ended by then, and the number of loads in a row of which that holds.
-    last: (bool, u32),
-}
-
-impl Default for LoadTime {
-    fn default() -> LoadTime {
-        LoadTime { estimate: STORE_LOAD, changed_at: Duration::ZERO, last: (true, 0) }
-    }
-}
-
-impl LoadTime {
-    /// Returns when a load from a target's own memory should have ended, after its beginning.
-    fn from_memory(&self) -> Duration {
-        self.estimate.mul_f64(MEMORY_LOAD_SHARE)
-    }
-
-    /// Takes into account whether a load that began at `accepted_at` had ended after the estimated time.
-    /// Loads that began before the estimate last changed say nothing of it.
-    fn learn(&mut self, now: Duration, accepted_at: Duration, has_ended: bool) {
-        if accepted_at < self.changed_at {
-            return;
-        }
-        self.changed_at = now;
-        let in_row = if self.last.0 == has_ended { self.last.1 + 1 } else { 1 };
-        self.last = (has_ended, in_row);
-        let doublings = in_row.saturating_sub(STEADY_RESULTS).min(MAX_DOUBLINGS);
-        let step = STEP * f64::from(1 << doublings);
-        let factor = if has_ended { 1.0 - step } else { 1.0 + step };
-        self.estimate = self.estimate.mul_f64(factor).clamp(MIN_STORE_LOAD, MAX_STORE_LOAD);
-    }
-}
-
 /// An accepted load of an adapter whose end is not known.
 #[derive(Debug)]
 pub(crate) struct LoadCheck {
@@ -85,11 +35,13 @@
     /// The newest version of the adapter that was known when the order was sent; zero if none was.
     newest: u64,
     accepted_at: Duration,
-    /// When the load should have ended if it is from the store.
+    /// When the load may first have ended if it is from the store.
     expected_at: Duration,
     questions: u32,
-    /// Whether the answer to the next question tells whether the estimate was right.
-    is_estimate: bool,
+    /// Whether it went on after a load from the target's own memory would have ended.
+    is_from_store: bool,
+    /// Number of questions, from the expected time on, whose answer was that it goes on.
+    store_questions: u32,
 }
 
 impl PlacementTable {
@@ -102,11 +54,12 @@
             order: order.clone(),
             newest,
             accepted_at: now,
-            expected_at: now + self.load_time.estimate,
+            expected_at: now + self.store.expected_time(),
             questions: 0,
-            is_estimate: false,
+            is_from_store: false,
+            store_questions: 0,
         });
-        let after = self.load_time.from_memory();
+        let after = self.store.memory_time();
         self.steps.push(PlacementStep::CheckLoad { order, after });
     }
 
@@ -123,27 +76,17 @@
         let Some(at) = row.load_checks.iter().position(|it| it.order == *order) else { return };
         let check = &mut row.load_checks[at];
         check.questions += 1;
-        let was_estimate = std::mem::take(&mut check.is_estimate);
         let after = match outcome {
-            OrderOutcome::Busy | OrderOutcome::Done => {
-                if was_estimate {
-                    self.load_time.learn(now, check.accepted_at, true);
-                }
-                return self.end_load(now, id, at);
-            }
+            OrderOutcome::Busy | OrderOutcome::Done => return self.end_load(now, id, at),
             OrderOutcome::Elsewhere => return self.mark_silent(id),
             OrderOutcome::Refused => None,
             OrderOutcome::NotSent | OrderOutcome::Unknown => Some(UNANSWERED_INTERVAL),
-            OrderOutcome::Accepted if now < check.expected_at => {
-                check.is_estimate = true;
-                Some(check.expected_at - now)
-            }
             OrderOutcome::Accepted => {
-                if was_estimate {
-                    self.load_time.learn(now, check.accepted_at, false);
-                }
-                let late = now - check.expected_at;
-                Some(late.mul_f64(INTERVAL_SHARE).clamp(MIN_INTERVAL, MAX_INTERVAL))
+                check.is_from_store = true;
+                check.store_questions += u32::from(now >= check.expected_at);
+                let late = now.saturating_sub(check.expected_at);
+                let interval = late.mul_f64(INTERVAL_SHARE).clamp(MIN_INTERVAL, MAX_INTERVAL);
+                Some(interval.max(check.expected_at.saturating_sub(now)))
             }
         };
         let may_ask = fence == Some(order.fence) && check.questions < MAX_QUESTIONS;
@@ -158,15 +101,31 @@
         }
     }
 
+    /// Whether the store can carry out one more load of an adapter.
+    pub(crate) fn may_load_adapter(&self) -> bool {
+        let mut loads = 0;
+        for row in self.rows.values() {
+            let open = row.open_order.as_ref().map(|it| &it.order);
+            let is_load = open.is_some_and(|it| it.load && it.adapter.is_some());
+            loads += row.load_checks.len() + usize::from(is_load);
+        }
+        self.store.takes_more(loads)
+    }
+
     /// Records that a load has ended, and publishes its adapter.
     fn end_load(&mut self, now: Duration, id: &str, at: usize) {
         let Some(row) = self.rows.get_mut(id) else { return };
         let check = row.load_checks.remove(at);
+        let took = now.saturating_sub(check.accepted_at);
+        if check.is_from_store {
+            let exact = check.store_questions > 0;
+            self.store.record(now, check.accepted_at, took, exact);
+        }
         self.steps.push(PlacementStep::Log(Event::Loaded {
             target: id.to_owned(),
             adapter: check.order.name(),
             expect: check.order.expected_orders,
-            took_ms: now.saturating_sub(check.accepted_at).as_millis() as u64,
+            took_ms: took.as_millis() as u64,
             questions: check.questions,
         }));
         row.account.end_load(&check.order, check.newest.max(check.order.version));
--- a/coordination/fleet/src/placement.rs
+++ b/coordination/fleet/src/placement.rs
@@ -15,10 +15,10 @@
 use crate::{
     Engine, Event, ReportVerdict,
     io::{Order, Report},
-    load_checks::LoadTime,
     other_domains::OtherDomains,
     rates::RequestRates,
     row::{RowChanges, Stage, TargetRow},
+    store::AdapterStore,
     targets::stable_hash,
 };
 
@@ -116,6 +116,8 @@
     pub(crate) rows: BTreeMap<String, TargetRow>,
     pub(crate) engines: BTreeMap<String, Engine>,
     pub(crate) versions: BTreeMap<String, u64>,
+    /// The shortest latency objective of each service's routes.
+    pub(crate) objectives: BTreeMap<String, Duration>,
     pub(crate) demands: BTreeMap<Demand, AdapterDemand>,
     pub(crate) rates: RequestRates,
     /// The last status of each host, and when it was received.
@@ -130,7 +132,7 @@
     /// Number of the last report request.
     pub(crate) report_requests: u64,
     pub(crate) store_loads: VecDeque<Duration>,
-    pub(crate) load_time: LoadTime,
+    pub(crate) store: AdapterStore,
     copies_checked: Duration,
     pub(crate) unplaced_logged: Duration,
     pub(crate) steps: Vec<PlacementStep>,
@@ -145,6 +147,7 @@
             rows: BTreeMap::new(),
             engines: BTreeMap::new(),
             versions: BTreeMap::new(),
+            objectives: BTreeMap::new(),
             demands: BTreeMap::new(),
             rates: RequestRates::default(),
             statuses: BTreeMap::new(),
@@ -154,7 +157,7 @@
             next_number: 1,
             report_requests,
             store_loads: VecDeque::new(),
-            load_time: LoadTime::default(),
+            store: AdapterStore::default(),
             copies_checked: Duration::ZERO,
             unplaced_logged: Duration::ZERO,
             steps: Vec::new(),
@@ -176,6 +179,11 @@
         self.versions = versions;
     }
 
+    /// Replaces the shortest latency objective of each service's routes.
+    pub fn set_objectives(&mut self, objectives: BTreeMap<String, Duration>) {
+        self.objectives = objectives;
+    }
+
     /// Replaces the summary of the targets of other failure domains.
     pub fn set_other_domains(&mut self, other_domains: OtherDomains) {
         self.other_domains = other_domains;
--- /dev/null
+++ b/coordination/fleet/src/store.rs
@@ -0,0 +1,106 @@
+//! The adapter store, as a holder sees it: how long a load from it takes, and how many loads it can carry
+//! out at once. Beyond that number each load takes longer in proportion, so that further loads delay all
+//! others and none ends sooner. Neither figure is announced; each holder learns them from its own loads.
+
+use std::time::Duration;
+
+/// First estimate of the time that a load takes while few are carried out.
+const USUAL_TIME: Duration = Duration::from_millis(250);
+/// Bounds of this estimate.
+const MIN_TIME: Duration = Duration::from_millis(20);
+const MAX_TIME: Duration = Duration::from_secs(5);
+/// Weight of a load that took less than the estimate.
+const SHORTER_WEIGHT: f64 = 0.25;
+/// Share of the time that a load took at most by which the estimate falls if the load had ended when it
+/// was first asked about.
+const UNKNOWN_SHARE: f64 = 0.85;
+/// Growth of the estimate with a load that took longer. It is small, since most of these took longer
+/// because many were carried out.
+const LONGER_GROWTH: f64 = 0.002;
+/// Share of the estimated time after which a load is first expected to have ended.
+const EXPECTED_SHARE: f64 = 0.98;
+/// Time that a load from a target's own memory takes, as a share of one from the store: a tenth, and a
+/// margin.
+const MEMORY_SHARE: f64 = 0.11;
+/// Time of a load, in estimates, from which on too many are carried out.
+const SLOW_LOAD: f64 = 1.2;
+/// Weight of the newest load in the time that loads take at present.
+const PRESENT_WEIGHT: f64 = 0.2;
+/// Bounds of the number of loads at once, for one failure domain, and its first value.
+const MIN_AT_ONCE: f64 = 3.0;
+const MAX_AT_ONCE: f64 = 64.0;
+const FIRST_AT_ONCE: f64 = 4.0;
+/// Factor by which the number shrinks when a load was slow.
+const SHRINK: f64 = 0.8;
+
+/// What a holder knows of the adapter store.
+#[derive(Debug)]
+pub(crate) struct AdapterStore {
+    /// Time of a load while few are carried out.
+    usual_time: Duration,
+    /// Time of a load at present.
+    present_time: Duration,
+    at_once: f64,
+    /// When the number of loads at once last shrank. Loads that began earlier don't shrink it again.
+    shrunk_at: Duration,
+}
+
+impl Default for AdapterStore {
+    fn default() -> AdapterStore {
+        AdapterStore {
+            usual_time: USUAL_TIME,
+            present_time: USUAL_TIME,
+            at_once: FIRST_AT_ONCE,
+            shrunk_at: Duration::ZERO,
+        }
+    }
+}
+
+impl AdapterStore {
+    /// Returns the time after which a load from the store may have ended.
+    pub(crate) fn expected_time(&self) -> Duration {
+        self.usual_time.mul_f64(EXPECTED_SHARE)
+    }
+
+    /// Returns the time that a load takes at present.
+    pub(crate) fn present_time(&self) -> Duration {
+        self.present_time
+    }
+
+    /// Returns the time after which a load from a target's own memory has ended.
+    pub(crate) fn memory_time(&self) -> Duration {
+        self.usual_time.mul_f64(MEMORY_SHARE)
+    }
+
+    /// Whether one more load may begin beside so many others.
+    pub(crate) fn takes_more(&self, loads: usize) -> bool {
+        (loads as f64) < self.at_once.floor()
+    }
+
+    /// Records how long a load from the store took that began at `begun_at`. If that is the longest
+    /// time that it may have taken, it is not `exact`.
+    pub(crate) fn record(
+        &mut self,
+        now: Duration,
+        begun_at: Duration,
+        took: Duration,
+        exact: bool,
+    ) {
+        let change = took.as_secs_f64() - self.present_time.as_secs_f64();
+        let present = self.present_time.as_secs_f64() + PRESENT_WEIGHT * change;
+        self.present_time = Duration::from_secs_f64(present);
+        if took <= self.usual_time.mul_f64(SLOW_LOAD) {
+            self.at_once = (self.at_once + 1.0 / self.at_once).min(MAX_AT_ONCE);
+        } else if begun_at >= self.shrunk_at {
+            self.at_once = (self.at_once * SHRINK).max(MIN_AT_ONCE);
+            self.shrunk_at = now;
+        }
+        let usual = self.usual_time.as_secs_f64();
+        let next = match took < self.usual_time {
+            _ if !exact => (took.as_secs_f64() * UNKNOWN_SHARE).min(usual),
+            true => usual + SHORTER_WEIGHT * (took.as_secs_f64() - usual),
+            false => (usual * (1.0 + LONGER_GROWTH)).min(took.as_secs_f64()),
+        };
+        self.usual_time = Duration::from_secs_f64(next).clamp(MIN_TIME, MAX_TIME);
+    }
+}
--- a/coordination/fleet/tests/engines/mod.rs
+++ b/coordination/fleet/tests/engines/mod.rs
@@ -23,6 +23,8 @@
 const STEP: Duration = Duration::from_millis(10);
 /// Time after which an order without an answer counts as unanswered.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Latency objective of the requests.
+pub const OBJECTIVE: Duration = Duration::from_millis(500);
 /// Interval between the statuses of hosts.
 const STATUS_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -76,6 +78,9 @@
     pub placements: BTreeMap<(u16, String), u64>,
     /// The names of targets by the numbers that the table published.
     numbers: BTreeMap<u16, String>,
+    /// Number of loads that the store carries out at once at full speed; beyond it each takes longer in
+    /// proportion.
+    pub store_loads: usize,
     /// Time of one step.
     pub tick: Duration,
     /// For each adapter that was published as ready, the time since it was.
@@ -105,6 +110,7 @@
             newest: BTreeMap::new(),
             placements: BTreeMap::new(),
             numbers: BTreeMap::new(),
+            store_loads: usize::MAX,
             tick: STEP,
             delays: Vec::new(),
             spent: Duration::ZERO,
@@ -130,6 +136,7 @@
     fn configure(&mut self) {
         let engines = BTreeMap::from([("s".to_owned(), self.engine.clone())]);
         self.table.configure(engines, self.newest.clone());
+        self.table.set_objectives(BTreeMap::from([("s".to_owned(), OBJECTIVE)]));
     }
 
     fn record(&self, id: &str) -> TargetRecord {
@@ -232,6 +239,7 @@
         self.now += self.tick;
         let now = self.now;
         self.strike();
+        self.slow_loads();
         for target in self.targets.values_mut() {
             target.advance(now);
         }
@@ -250,6 +258,18 @@
         }
     }
 
+    /// Holds up the loads in progress if there are more than the store carries out at full speed.
+    fn slow_loads(&mut self) {
+        let begun = self.now - self.tick;
+        let loads: usize = self.targets.values().map(|it| it.loading(begun)).sum();
+        if loads > self.store_loads {
+            let by = self.tick.mul_f64(1.0 - self.store_loads as f64 / loads as f64);
+            for target in self.targets.values_mut() {
+                target.prolong_loads(begun, by);
+            }
+        }
+    }
+
     fn arrive(&mut self, arrival: Arrival) {
         let now = self.now;
         match arrival {
--- a/coordination/fleet/tests/engines/target.rs
+++ b/coordination/fleet/tests/engines/target.rs
@@ -100,6 +100,18 @@
         self.adapters.get(adapter).map(|it| it.ready_at)
     }
 
+    /// Returns the number of adapters that are being loaded.
+    pub fn loading(&self, now: Duration) -> usize {
+        self.adapters.values().filter(|it| it.ready_at > now).count()
+    }
+
+    /// Lets all loads in progress last longer by this time.
+    pub fn prolong_loads(&mut self, now: Duration, by: Duration) {
+        for held in self.adapters.values_mut().filter(|it| it.ready_at > now) {
+            held.ready_at += by;
+        }
+    }
+
     /// Carries out what waited for requests to end, and records the state for later reports.
     pub fn advance(&mut self, now: Duration) {
         self.adapters.retain(|_, it| !it.leaves || it.used_until > now);
--- a/coordination/fleet/tests/load_checks.rs
+++ b/coordination/fleet/tests/load_checks.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use engines::{Faults, World, model, ms};
+use engines::{Faults, OBJECTIVE, World, model, ms};
 use fleet::{Demand, Engine, Order, OrderOutcome, PlacementStep, PlacementTable, Report};
 use wire::FeedChange;
 
@@ -192,3 +192,38 @@
     let is_question = |step: &PlacementStep| matches!(step, PlacementStep::CheckLoad { .. });
     assert!(!table.take_steps().iter().any(is_question));
 }
+
+/// Guards against callers who are all served late because more adapters are loaded at once than the store
+/// carries out at full speed: each load then takes several times as long. Load pattern: 40 rare adapters
+/// a second at nine targets, from a store that takes 250 ms and carries out 8 loads at once, so that it
+/// can serve 32 of them. Half of the callers who can be served are served on time.
+#[test]
+fn more_rare_adapters_than_the_store_can_load_do_not_make_all_late() {
+    let held: Vec<&[&str]> = vec![&["m"]; 9];
+    let (mut asked, mut on_time) = (0, 0);
+    for seed in 0..4 {
+        let mut world = World::new(seed, engine(), &held, Faults::default());
+        (world.tick, world.store_loads) = (ms(5), 8);
+        for target in world.targets.values_mut() {
+            target.load_times = vec![ms(250)];
+        }
+        let mut waiting: Vec<(String, Duration)> = Vec::new();
+        let end = world.now + ms(20_000);
+        while world.now < end {
+            if world.now.as_millis().is_multiple_of(25) {
+                let adapter = format!("m/a{asked}");
+                world.demand(&adapter);
+                waiting.push((adapter, world.now));
+                asked += 1;
+            }
+            world.step();
+            let now = world.now;
+            waiting.retain(|(adapter, since)| {
+                let is_placed = world.placements.keys().any(|(_, name)| name == adapter);
+                on_time += usize::from(is_placed);
+                !is_placed && now < *since + OBJECTIVE
+            });
+        }
+    }
+    assert!(on_time * 10 > asked * 4, "{on_time} of {asked} on time");
+}
