Contradict hosts that take a target that has left for ready

A host that had restarted used a target again that had left, for as long as it ran: a heartbeat that was delayed arrived there, the host knew nothing of the end, and the holder, which did, kept silent. Nobody else's feed names such a target, so nothing ever removed it. If the holder restarts, it even publishes the target to all hosts until it is silent for four heartbeats.

Whoever is told that a target is ready whose process is known to leave or to have ended, by a host that passes a heartbeat on or by a holder's feed, tells the sender so.

Test: one host of each kind, or all with disks, restart after a target left; a late heartbeat arrives. After a loss of all hosts nobody knows of the end; such a target is used until it is silent.

--- a/coordination/fleet/src/follow.rs
+++ b/coordination/fleet/src/follow.rs
@@ -33,6 +33,9 @@
         }
         for change in &feed.changes {
             self.apply_change(now, &feed.topic, change);
+            if let FeedChange::Target(_, record) = change {
+                self.contradict(from, record);
+            }
         }
     }
 
--- a/coordination/fleet/src/heartbeats.rs
+++ b/coordination/fleet/src/heartbeats.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wire::{FleetMsg, TargetRecord, TargetState};
+use wire::{FleetMsg, HostId, TargetRecord, TargetState};
 
 use crate::{Event, Host, io::Output};
 
@@ -93,9 +93,18 @@
         }
     }
 
-    pub(crate) fn handle_alive(&mut self, now: Duration, record: &TargetRecord) {
+    pub(crate) fn handle_alive(&mut self, now: Duration, from: HostId, record: &TargetRecord) {
         self.merge_target(record);
         self.refresh_held(now, &record.id);
+        self.contradict(from, record);
+    }
+
+    /// Tells a host that takes a target for ready that the target's process leaves or has ended, if that is
+    /// known here. A host that has restarted doesn't know it, and a delayed heartbeat may tell it otherwise.
+    pub(crate) fn contradict(&mut self, from: HostId, record: &TargetRecord) {
+        let ending = self.targets.ending(&record.id, record.started_at);
+        let Some(state) = ending.filter(|_| record.state == TargetState::Ready) else { return };
+        self.send(from, FleetMsg::TargetEnding(TargetRecord { state, ..record.clone() }));
     }
 
     /// Records in the placement table that a target is alive. Returns `false` if this host doesn't
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -406,7 +406,7 @@
             FleetMsg::AdapterReady { .. } => {}
             FleetMsg::Resync(topic) => self.send_table(from, &topic),
             FleetMsg::TargetEnding(record) => self.update_target(now, &record),
-            FleetMsg::TargetAlive(record) => self.handle_alive(now, &record),
+            FleetMsg::TargetAlive(record) => self.handle_alive(now, from, &record),
             FleetMsg::AdapterDemand { domain, service, adapter, software, waiting } => {
                 let demand = Demand { adapter, software };
                 self.handle_demand(now, from, &domain, &service, demand, waiting);
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -292,17 +292,29 @@
 
     /// Whether a process of a target is known to leave, or to have ended.
     pub(crate) fn is_ending(&self, id: &str, started_at: u64) -> bool {
-        match self.by_id.get(id) {
-            Some(target) if target.record.started_at == started_at => {
-                target.record.state == TargetState::Leaving
-            }
+        self.ending(id, started_at).is_some()
+    }
+
+    /// Returns `Leaving` or `Gone` if a process of a target is known to leave or to have ended.
+    pub(crate) fn ending(&self, id: &str, started_at: u64) -> Option<TargetState> {
+        let has_ended = match self.by_id.get(id) {
             Some(target) => target.record.started_at > started_at,
+            None => self.ended.get(id).is_some_and(|ended| *ended >= started_at),
+        };
+        if has_ended {
+            return Some(TargetState::Gone);
+        }
+        let leaves = match self.by_id.get(id) {
+            Some(target) => {
+                target.record.started_at == started_at
+                    && target.record.state == TargetState::Leaving
+            }
             None => {
                 let silent = self.silent.get(id).filter(|it| it.started_at == started_at);
                 silent.is_some_and(|it| it.is_leaving)
-                    || self.ended.get(id).is_some_and(|ended| *ended >= started_at)
             }
-        }
+        };
+        leaves.then_some(TargetState::Leaving)
     }
 
     /// Ends the target that is known at the address of a new one. Returns false, and changes
