Ignore replies to a former process: renewals, operators' calls, prefill permits

A renewal carries a time of its sender's process, which begins at zero with each start. The answer to a renewal of the former process, late from a slow leader, was taken for one of this process: a host just restarted took its lease for valid until the time that the former process had reached, for hours, and its state for current as long. Operators' calls and permits were counted from one in each process, so that a reply to a former call could acknowledge another change, or answer a read with an older index.

The times in renewals get an offset of the process, calls and permits begin at a random number.

Test: a restarted host that is cut off gets such answers.

--- a/coordination/fleet/src/holder.rs
+++ b/coordination/fleet/src/holder.rs
@@ -25,6 +25,7 @@
     other_domains::OtherDomains,
     placement::{Demand, PlacementSettings, PlacementTable},
     places::PlaceScheduler,
+    targets::stable_hash,
 };
 
 /// Lease times for which a holder may send orders after its last answered renewal was sent.
@@ -41,6 +42,10 @@
 /// Retry interval of the command that ends the wait of a new holder.
 const BEGIN_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// Number of bits of a hash that the offset of the times in renewals leaves out: it has 52 bits, far more
+/// than any such time.
+const RENEWAL_OFFSET_SHIFT: u32 = 12;
+
 /// A time as renewals carry it.
 fn whole_ms(time: Duration) -> u64 {
     time.as_millis() as u64
@@ -179,7 +184,7 @@
         let own = self.settings.host;
         let Some(leader) = self.leader else { return };
         if leader != own {
-            let sent_ms = whole_ms(now);
+            let sent_ms = self.renewal_offset() + whole_ms(now);
             let renewal =
                 Renewal { incarnation: self.incarnation, ready: self.is_ready(), sent_ms };
             self.send(leader, FleetMsg::Renew(renewal));
@@ -198,9 +203,20 @@
         }
     }
 
-    /// Handles a leader's answer to the renewal that was sent at `sent_ms`, in milliseconds.
+    /// Returns what is added to the times in this process' renewals, so that answers to a former process
+    /// are recognised.
+    fn renewal_offset(&self) -> u64 {
+        stable_hash(&self.incarnation) >> RENEWAL_OFFSET_SHIFT
+    }
+
+    /// Handles a leader's answer to the renewal that carried the time `sent_ms`. Answers to renewals of a
+    /// former process have no effect.
     pub(crate) fn handle_renewed(&mut self, now: Duration, sent_ms: u64, commit: Index) {
+        let Some(sent_ms) = sent_ms.checked_sub(self.renewal_offset()) else { return };
         let sent = Duration::from_millis(sent_ms);
+        if sent > now {
+            return;
+        }
         self.renewed_at = self.renewed_at.max(Some(sent));
         self.record_view(now, sent, commit);
     }
--- a/coordination/fleet/tests/restarts.rs
+++ b/coordination/fleet/tests/restarts.rs
@@ -1,4 +1,4 @@
-//! What hosts that have restarted believe of targets that left.
+//! What hosts that have restarted believe: targets that left, and answers to their former processes.
 
 mod common;
 
@@ -6,7 +6,7 @@
 
 use common::{World, ms, records::target};
 use fleet::Input;
-use wire::{HostId, TargetState};
+use wire::{FleetMsg, HostId, PeerMsg, TargetState};
 
 /// Time within which hosts stop using a target that has left.
 const DRAIN: Duration = Duration::from_millis(2_000);
@@ -69,3 +69,25 @@
         }
     }
 }
+
+/// Guards against a lease that a restarted host takes for granted, because the answer to a renewal of its
+/// former process arrives: the host would go on giving orders after another holder was named.
+#[test]
+fn an_answer_to_a_renewal_of_a_former_process_grants_nothing() {
+    let mut world = World::new(3, 3, 2, &[1, 2, 3]);
+    world.run(ms(5000));
+    let leader = world.leader().expect("a leader");
+    let host = world.running().into_iter().find(|it| *it != leader).expect("another host");
+    world.kill(host);
+    world.cut.insert(host);
+    world.start(host);
+    for sent_ms in [100, 4_900, 500_000] {
+        let renewed = FleetMsg::Renewed { sent_ms, epoch: (1, 1), last: 0, commit: 0 };
+        let msg = PeerMsg::Fleet(Box::new(renewed));
+        world.input(host, Input::Peer { from: leader, msg });
+    }
+    let now = world.now;
+    let ages = world.machines[&host].host.as_ref().expect("it runs").view_ages(now);
+    let renewal = ages.into_iter().find(|(name, _)| name == "renewal");
+    assert_eq!(renewal, None, "no renewal of this process was answered");
+}
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -36,6 +36,9 @@
 /// Time limit for a target's report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Number of bits that are left for the operators' calls of one process.
+const FIRST_TAG_SHIFT: u32 = 24;
+
 /// A running host and the resources of its process.
 pub(crate) struct Edge {
     pub(crate) host: RefCell<Host>,
@@ -73,6 +76,12 @@
     time.map(Duration::from).unwrap_or_default()
 }
 
+/// Returns the number of the first operator's call. It differs from process to process, so that a late
+/// reply to a former one answers no call of this one, and is far from the numbers that the host assigns.
+fn first_tag() -> Tag {
+    u64::from(rand::random::<u32>()) << FIRST_TAG_SHIFT
+}
+
 impl Edge {
     pub(crate) fn new(
         host: Host,
@@ -89,7 +98,7 @@
             wake: Notify::new(),
             closing: Notify::new(),
             pending_calls: RefCell::default(),
-            next_tag: Cell::new(1),
+            next_tag: Cell::new(first_tag()),
             permits: Default::default(),
             crash_checks: CrashChecks::default(),
             streams: StreamWaits::default(),
--- a/edge/src/permit.rs
+++ b/edge/src/permit.rs
@@ -34,12 +34,19 @@
 }
 
 /// The permits that this host's requests hold or wait for, by id.
-#[derive(Default)]
 pub(crate) struct PermitTable {
     states: RefCell<HashMap<u64, Rc<PermitState>>>,
     next: Cell<u64>,
 }
 
+impl Default for PermitTable {
+    /// Returns an empty table. Its first id differs from process to process, so that a late reply to a
+    /// former one grants no permit of this one.
+    fn default() -> PermitTable {
+        PermitTable { states: RefCell::default(), next: Cell::new(rand::random::<u32>().into()) }
+    }
+}
+
 impl PermitTable {
     /// Records a scheduler's reply. Replies for unknown permits are ignored.
     pub(crate) fn update(&self, permit_id: u64, granted: bool, backlog: u32) {
--- a/protocol/wire/src/fleet.rs
+++ b/protocol/wire/src/fleet.rs
@@ -168,7 +168,7 @@
     pub incarnation: Incarnation,
     /// Whether the host accepts callers.
     pub ready: bool,
-    /// When the renewal was sent, in milliseconds of the sender's clock.
+    /// When the renewal was sent, in milliseconds of the sender's clock plus an offset of its process.
     pub sent_ms: u64,
 }
 
