Give orders and report requests connections of their own

Orders, reports and callers' requests shared the idle connections to a target. Targets may send a second copy of an answer when the next request arrives on a connection; callers' requests tell it by its attempt id, but answers to orders and reports carry none: a copy of a caller's answer counted as an order that was carried out, and the order's own answer came to the next caller. The order numbers kept targets from being overfilled by it.

They have a pool of their own now, and an answer there that names an attempt is none.

Test over sockets: twelve streams with loads between them.

--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -47,7 +47,11 @@
     pub(crate) hub: Hub,
     /// None on a host without a data folder.
     pub(crate) disk: Option<DiskQueue>,
+    /// Connections for callers' requests.
     pub(crate) client: Client,
+    /// Connections for orders and report requests. Their answers carry no id, so that an answer to a
+    /// caller's request that comes a second time must not arrive on one of them.
+    pub(crate) control_client: Client,
     /// Wakes requests that wait for a target.
     pub(crate) wake: Notify,
     /// Closes the callers' listener, and every connection once its current request is answered.
@@ -95,6 +99,7 @@
             hub,
             disk,
             client: Client::default(),
+            control_client: Client::default(),
             wake: Notify::new(),
             closing: Notify::new(),
             pending_calls: RefCell::default(),
@@ -171,7 +176,10 @@
                 Output::StreamSoftware { stream, software } => {
                     self.streams.found(stream, software);
                 }
-                Output::DropConnections => self.client.drop_idle(),
+                Output::DropConnections => {
+                    self.client.drop_idle();
+                    self.control_client.drop_idle();
+                }
                 Output::ProbePath { target, addr } => self.probe(target, addr),
                 Output::RetryWaiting => self.wake.notify_waiters(),
                 Output::Log(event) => self.log.event(&event),
@@ -238,7 +246,7 @@
         let Some(request) = request else { return OrderOutcome::NotSent };
         // A pooled connection that has closed meanwhile gives `NotSent`; the order is then sent
         // over a new one.
-        let mut reused = self.client.reuse(&order.target);
+        let mut reused = self.control_client.reuse(&order.target);
         loop {
             let open = match reused.take() {
                 Some(open) => open,
@@ -263,16 +271,20 @@
     }
 
     /// Sends a control request, and puts the connection into the pool after a complete answer.
-    /// The body is none if it is truncated or too long.
+    /// The body is none if it is truncated or too long. An answer that names an attempt belongs to a
+    /// caller's request.
     async fn exchange(
         &self,
         mut open: Connection,
         request: Request<Full<Bytes>>,
     ) -> Result<(StatusCode, HeaderMap, Option<Bytes>), SendError> {
         let (parts, body) = open.send(request).await?.into_parts();
-        let body = self.client.collect(body).await;
+        if !platform::request::names_no_attempt(&parts.headers) {
+            return Err(SendError::Lost);
+        }
+        let body = self.control_client.collect(body).await;
         if body.is_some() {
-            self.client.keep(open, &parts.headers);
+            self.control_client.keep(open, &parts.headers);
         }
         Ok((parts.status, parts.headers, body))
     }
@@ -295,7 +307,7 @@
             addr,
             Vec::new(),
         )?;
-        let open = match self.client.reuse(target) {
+        let open = match self.control_client.reuse(target) {
             Some(open) => open,
             None => self.open_directly(target, addr).await?,
         };
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -187,6 +187,7 @@
         count += 1;
         if count.is_multiple_of(CLEANUP_TICKS) {
             edge.client.remove_expired();
+            edge.control_client.remove_expired();
             log_unsent(&edge);
         }
     }
--- a/edge/tests/common/target.rs
+++ b/edge/tests/common/target.rs
@@ -66,6 +66,9 @@
     /// Start time of its process.
     started_at: u64,
     says: Says,
+    /// Connections that carried callers' requests and then orders or report requests, or the other way
+    /// round.
+    mixed_connections: usize,
 }
 
 /// A stand-in target: it loads and unloads adapters as ordered, records orders and requests, and
@@ -155,6 +158,11 @@
         self.state().max_adapters
     }
 
+    /// Returns how many connections carried callers' requests as well as orders or report requests.
+    pub fn mixed_connections(&self) -> usize {
+        self.state().mixed_connections
+    }
+
     /// Returns how many fencing numbers the orders that it accepted had.
     pub fn fence_count(&self) -> usize {
         self.state().fences.len()
@@ -164,8 +172,17 @@
         loop {
             let Ok((stream, _)) = listener.accept().await else { continue };
             let target = self.clone();
-            let service = service_fn(move |request| {
+            let carried = Arc::new(Mutex::new(BTreeSet::new()));
+            let service = service_fn(move |request: Request<Incoming>| {
                 let target = target.clone();
+                let path = request.uri().path();
+                let is_control =
+                    [platform::target::ORDER_PATH, platform::target::REPORT_PATH].contains(&path);
+                let mut carried = carried.lock().expect("the lock is not poisoned");
+                if carried.insert(is_control) && carried.len() == 2 {
+                    target.state().mixed_connections += 1;
+                }
+                drop(carried);
                 async move { Ok::<_, std::convert::Infallible>(target.answer(request).await) }
             });
             tokio::spawn(async move {
--- a/edge/tests/sessions.rs
+++ b/edge/tests/sessions.rs
@@ -74,6 +74,19 @@
     assert_eq!(models.fence_count(), 1, "all orders came from one holder");
 }
 
+/// Guards against an order that takes a caller's answer for its own: targets may send a second copy of an
+/// answer when the next request arrives on a connection, and answers to orders carry no id.
+#[tokio::test]
+async fn orders_and_reports_have_connections_of_their_own() {
+    let (cluster, models, _app) = start_cluster(6, 3).await;
+    for number in 0..12 {
+        let (attempt, adapter) = (format!("s{number}"), format!("m/a{}", number % 4));
+        until_served(&cluster, 1, "/stream/x", &stream_headers(&attempt, &adapter)).await;
+    }
+    assert!(models.orders().len() > 4, "adapters were loaded in between");
+    assert_eq!(models.mixed_connections(), 0);
+}
+
 #[tokio::test]
 async fn invalid_input_is_rejected_without_effects() {
     let (cluster, _models, app) = start_cluster(2, 3).await;
