Take no refusal of another attempt for that of a request

A 503 or 421 that says "not run" counted whatever attempt it named. A late copy of another request's refusal, on a connection in use again, made a request that runs count as not run: the caller was told so, and the attempt wasn't counted. Now one that names another attempt is a foreign answer.

Test: a target answers with such a refusal. Before: 503 for the caller; after: 502.

--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use platform::request::{
     RequestHead, SystemHeaders, answer_headers, forward_headers, is_encoded, is_not_run, is_signed,
-    matches_attempt,
+    matches_attempt, names_no_attempt,
 };
 use tokio::time::timeout;
 use wire::Suspect;
@@ -254,12 +254,13 @@
         if edge.host.borrow().is_replaced(&reservation.reservation) {
             return self.fail_send(reservation, "replaced", StatusCode::BAD_GATEWAY);
         }
-        if is_not_run(status, response.headers()) {
+        let headers = response.headers();
+        let is_own = matches_attempt(headers, &self.head.attempt);
+        // A refusal may name no attempt, but one that names another belongs to that.
+        if is_not_run(status, headers) && (is_own || names_no_attempt(headers)) {
             return self.handle_refusal(reservation, connection, response).await;
         }
-        if !matches_attempt(response.headers(), &self.head.attempt)
-            || is_encoded(response.headers())
-        {
+        if !is_own || is_encoded(headers) {
             return self.fail_send(reservation, "foreign", StatusCode::BAD_GATEWAY);
         }
         SendOutcome::Head(Box::new((response, connection, reservation, delay)))
--- a/edge/tests/answers.rs
+++ b/edge/tests/answers.rs
@@ -114,6 +114,10 @@
             let more = head("200 OK", "another", "Content-Length: 7\r\n") + "foreign";
             (whole(&own) + &more, AfterAnswer::Keep)
         }
+        "foreign-refusal" => {
+            let more = "Not-Executed: 1\r\nContent-Length: 0\r\n";
+            (head("503 Full", "another", more), AfterAnswer::Keep)
+        }
         "encoded" => (
             whole(&own).replace("\r\n\r\n", "\r\nContent-Encoding: gzip\r\n\r\n"),
             AfterAnswer::Keep,
@@ -180,8 +184,20 @@
     let entry = cluster.addr(1, ENTRY);
     let mut seen = String::new();
     for what in [
-        "whole", "cut", "unsigned", "foreign", "garbage", "extra", "whole", "encoded", "unframed",
-        "bare", "failed", "nothing", "whole",
+        "whole",
+        "cut",
+        "unsigned",
+        "foreign",
+        "foreign-refusal",
+        "garbage",
+        "extra",
+        "whole",
+        "encoded",
+        "unframed",
+        "bare",
+        "failed",
+        "nothing",
+        "whole",
     ] {
         let attempt = format!("a-{what}");
         let headers = [("attempt-id", attempt.as_str()), ("deadline-ms", "3000")];
