A planned stop waits until answers are taken, and serves what the kernel has accepted

A request counted as ended when its answer was handed to the connection, and the process exited once no request was active: what the caller had not taken was lost. Callers whose connections lay in the kernel's accept queue when the listener closed were reset.

The process now waits, within the grace time, until the callers' connections that have carried a request are closed, and accepts what is in the queue before it drops the listener.

--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -66,6 +66,9 @@
     pub(crate) metrics: Metrics,
     /// Callers' requests in progress.
     pub(crate) active: Cell<usize>,
+    /// Callers' connections that have carried a request. An answer may still be on its way to the caller
+    /// after its request has ended.
+    pub(crate) used_connections: Cell<usize>,
     /// Connections to targets that are passed on for other hosts.
     pub(crate) passed_on: Cell<usize>,
     pub(crate) stopping: Cell<bool>,
@@ -110,6 +113,7 @@
             log,
             metrics: Metrics::new(),
             active: Cell::new(0),
+            used_connections: Cell::new(0),
             passed_on: Cell::new(0),
             stopping: Cell::new(false),
             started,
--- a/edge/src/listen.rs
+++ b/edge/src/listen.rs
@@ -1,6 +1,7 @@
 //! Accepts connections and serves the requests on them.
 
 use std::{
+    cell::Cell,
     convert::Infallible,
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -10,7 +11,10 @@
 use http::Request;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 
 use crate::{answer::Answer, edge::Edge, error::EdgeError};
 
@@ -19,6 +23,7 @@
 /// Minimum size of a connection's buffer, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+
 /// The IP address from which a request came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) struct Caller(IpAddr);
@@ -68,49 +73,87 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = edge.closing.notified(), if until == Until::Closing => return,
+                () = edge.closing.notified(), if until == Until::Closing => break,
             };
             let Ok((stream, peer)) = accepted else {
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
-            let limits = limits(&edge);
-            tokio::task::spawn_local(serve_connection(edge.clone(), stream, peer, limits, handler));
+            let connection = CallerConnection { stream, peer, until, limits: limits(&edge) };
+            tokio::task::spawn_local(connection.serve(edge.clone(), handler));
+        }
+        // Callers whose connections the kernel has accepted already are still served: to drop the listener
+        // resets them.
+        while let Ok(Ok((stream, peer))) = timeout(Duration::ZERO, listener.accept()).await {
+            let connection = CallerConnection { stream, peer, until, limits: limits(&edge) };
+            tokio::task::spawn_local(connection.serve(edge.clone(), handler));
         }
     });
 }
 
-async fn serve_connection<H, F>(
-    edge: Rc<Edge>,
+/// An accepted connection.
+struct CallerConnection {
     stream: TcpStream,
     peer: SocketAddr,
+    until: Until,
     limits: ConnectionLimits,
-    handler: H,
-) where
-    H: Fn(Rc<Edge>, Request<Incoming>) -> F + Copy + 'static,
-    F: Future<Output = Answer> + 'static,
-{
-    if stream.set_nodelay(true).is_err() {
-        return;
+}
+
+/// Counts a connection among those that have carried a request, once it has, until this is dropped.
+struct UsedConnection {
+    edge: Rc<Edge>,
+    is_used: Cell<bool>,
+}
+
+impl UsedConnection {
+    fn mark(&self) {
+        if !self.is_used.replace(true) {
+            self.edge.used_connections.set(self.edge.used_connections.get() + 1);
+        }
     }
-    let own = edge.clone();
-    let service = service_fn(move |mut request: Request<Incoming>| {
-        request.extensions_mut().insert(Caller(peer.ip()));
-        let answer = handler(own.clone(), request);
-        async move { Ok::<_, Infallible>(answer.await) }
-    });
-    let mut serving = std::pin::pin!(
-        http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(limits.idle)
-            .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-            .serve_connection(TokioIo::new(stream), service)
-    );
-    // An error concerns only this connection, and its other end sees it as well.
-    loop {
-        tokio::select! {
-            _ = &mut serving => return,
-            () = edge.closing.notified() => serving.as_mut().graceful_shutdown(),
+}
+
+impl Drop for UsedConnection {
+    fn drop(&mut self) {
+        if self.is_used.get() {
+            self.edge.used_connections.set(self.edge.used_connections.get() - 1);
+        }
+    }
+}
+
+impl CallerConnection {
+    async fn serve<H, F>(self, edge: Rc<Edge>, handler: H)
+    where
+        H: Fn(Rc<Edge>, Request<Incoming>) -> F + Copy + 'static,
+        F: Future<Output = Answer> + 'static,
+    {
+        let CallerConnection { stream, peer, until, limits } = self;
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let used = UsedConnection { edge: edge.clone(), is_used: Cell::new(false) };
+        let own = edge.clone();
+        let service = service_fn(|mut request: Request<Incoming>| {
+            if until == Until::Closing {
+                used.mark();
+            }
+            request.extensions_mut().insert(Caller(peer.ip()));
+            let answer = handler(own.clone(), request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let mut serving = std::pin::pin!(
+            http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(limits.idle)
+                .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+                .serve_connection(TokioIo::new(stream), service)
+        );
+        // An error concerns only this connection, and its other end sees it as well.
+        loop {
+            tokio::select! {
+                _ = &mut serving => return,
+                () = edge.closing.notified() => serving.as_mut().graceful_shutdown(),
+            }
         }
     }
 }
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -234,7 +234,8 @@
     }
 }
 
-/// Stops the host. Returns once no caller's request is active, or the grace period is nearly over.
+/// Stops the host. Returns once no caller's request is active and all answers were taken, or the grace
+/// period is nearly over.
 async fn stop(edge: &Rc<Edge>) {
     edge.stopping.set(true);
     edge.step(Input::Stop);
@@ -243,7 +244,7 @@
     let draining = async {
         sleep(LISTEN_AFTER_STOP.min(limit)).await;
         edge.closing.notify_waiters();
-        while edge.active.get() > 0 {
+        while edge.active.get() > 0 || edge.used_connections.get() > 0 {
             sleep(TICK).await;
         }
     };
--- a/edge/tests/answers.rs
+++ b/edge/tests/answers.rs
@@ -20,12 +20,16 @@
 use platform::stand_in;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     time::sleep,
 };
 
 /// Bytes that a stand-in sends at a time when it sends without end.
 const FILLER_BYTES: usize = 16 * 1024;
+/// Size of an answer that the kernel's buffers don't hold whole.
+const BIG_BYTES: usize = 12 * 1024 * 1024;
+/// Size of a slow caller's receive buffer.
+const SMALL_BUFFER: u32 = 4096;
 /// Memory of the smallest machine that the program is made for, in kilobytes.
 const MACHINE_KB: u64 = 160 * 1024;
 
@@ -114,6 +118,7 @@
             let more = head("200 OK", "another", "Content-Length: 7\r\n") + "foreign";
             (whole(&own) + &more, AfterAnswer::Keep)
         }
+        "big" => (whole(&"b".repeat(BIG_BYTES)), AfterAnswer::Keep),
         "foreign-refusal" => {
             let more = "Not-Executed: 1\r\nContent-Length: 0\r\n";
             (head("503 Full", "another", more), AfterAnswer::Keep)
@@ -248,6 +253,34 @@
     until(async || target.abandoned.load(Ordering::SeqCst) == 1).await;
 }
 
+/// Guards against answers that are cut off by a planned stop, because their requests have ended while the
+/// caller has not taken all bytes. Load pattern: a caller that begins to read 12 MB three and a half
+/// seconds after SIGTERM, when no caller is accepted any more.
+#[tokio::test]
+async fn a_planned_stop_waits_until_answers_are_taken() {
+    let (mut cluster, _target) = start_cluster(11).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(SMALL_BUFFER).expect("it can be set");
+    let mut stream = socket.connect(cluster.addr(1, ENTRY)).await.expect("it listens");
+    let request = format!(
+        "POST /odd/big HTTP/1.1\r\nHost: a.example\r\n{}: b\r\nContent-Length: 2\r\n\r\n{{}}",
+        stand_in::ATTEMPT
+    );
+    stream.write_all(request.as_bytes()).await.expect("it reads");
+    stream.readable().await.expect("it answers");
+    let reading = async {
+        sleep(Duration::from_millis(3500)).await;
+        let mut bytes = Vec::new();
+        let _ = stream.read_to_end(&mut bytes).await;
+        bytes
+    };
+    let (has_ended, bytes) = tokio::join!(cluster.terminate(1), reading);
+    assert!(has_ended, "it exits by itself, with success");
+    let text = String::from_utf8_lossy(&bytes);
+    let body = text.split_once("\r\n\r\n").expect("a head").1;
+    assert_eq!(body.len(), BIG_BYTES);
+}
+
 /// Guards against targets whose heads, bodies or events never end: requests that wait for ever, and
 /// hosts that run out of memory.
 #[tokio::test]
