End callers that take an answer a few bytes at a time; let slow bodies use their deadline

A body was cut off after 10 s, whatever time the request had, and one with less time was read on after its deadline. It now has the time until the deadline. An answer that a caller takes a byte now and then was kept in memory without end; what is written at once has to be taken within 60 s.

--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -25,8 +25,6 @@
 const RETRY_DELAY_SPREAD: Duration = Duration::from_millis(800);
 /// Time until the deadline of a request whose caller gives none.
 const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(60);
-/// Time limit for receiving a body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Returns the limits of the configuration in force, or the defaults if it is not known yet.
 fn config_limits(edge: &Edge) -> Limits {
@@ -89,12 +87,12 @@
     let Some(head) = read_head(&parts.headers) else {
         return reject(edge, &parts, "no_id", empty(StatusCode::BAD_REQUEST));
     };
-    let body = match read_body(edge, body).await {
+    let left = head.time_left.unwrap_or(DEFAULT_TIME_LEFT).min(route.timeout);
+    let body = match read_body(edge, body, left).await {
         Ok(body) => body,
         Err(status) => return reject(edge, &parts, "body", empty(status)),
     };
-    let left = head.time_left.unwrap_or(DEFAULT_TIME_LEFT);
-    let deadline = arrived + left.min(route.timeout);
+    let deadline = arrived + left;
     let query = TargetQuery {
         route,
         service,
@@ -122,9 +120,10 @@
     answer
 }
 
-async fn read_body(edge: &Edge, body: Incoming) -> Result<Bytes, StatusCode> {
+/// Reads the body of a request that has so much time left. A slow one may take all of it.
+async fn read_body(edge: &Edge, body: Incoming, left: Duration) -> Result<Bytes, StatusCode> {
     let limit = config_limits(edge).body_bytes;
-    match timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await {
+    match timeout(left, Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
         Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
--- a/edge/src/listen.rs
+++ b/edge/src/listen.rs
@@ -16,13 +16,15 @@
     time::timeout,
 };
 
-use crate::{answer::Answer, edge::Edge, error::EdgeError};
+use crate::{answer::Answer, edge::Edge, error::EdgeError, stall::StallLimit};
 
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Minimum size of a connection's buffer, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Time limit for the other end to take what was written at once.
+const TAKE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// The IP address from which a request came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -141,6 +143,7 @@
             let answer = handler(own.clone(), request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
+        let stream = StallLimit::new(stream, TAKE_TIMEOUT);
         let mut serving = std::pin::pin!(
             http1::Builder::new()
                 .timer(TokioTimer::new())
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -18,6 +18,7 @@
 mod reservation;
 mod run;
 mod software;
+mod stall;
 mod stream;
 mod way;
 
