Choose again if the process stood still between the choice of a target and the send

A target was chosen, then a connection opened, and what was checked before the send was what this process knew, not what had arrived while it stood still: a target that had left, a place or a route of five seconds ago. A reservation whose target was last found fit more than 1.5 s ago (a connection takes 1.2 s at most) is given back, after 50 ms in which messages are handled.

--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -12,7 +12,7 @@
     RequestHead, SystemHeaders, answer_headers, forward_headers, is_encoded, is_not_run, is_signed,
     matches_attempt, names_no_attempt,
 };
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use wire::Suspect;
 
 use crate::{
@@ -28,6 +28,8 @@
 /// Time limit for the answer to a repeatable request, in latency objectives, after which it is
 /// sent to another target.
 const ANSWER_TIMEOUT_OBJECTIVES: f64 = 1.5;
+/// Time in which a host that stood still takes in what other hosts have sent it meanwhile.
+const SETTLE_TIME: Duration = Duration::from_millis(50);
 /// Minimum time left for a further send, in latency objectives.
 const MIN_RETRY_OBJECTIVES: f64 = 0.3;
 /// Minimum `Retry-After` for a request that found no free target. It has missed its latency
@@ -223,6 +225,13 @@
                 None => return self.handle_unreached(reservation),
             },
         };
+        if reservation.is_stale() {
+            self.add_step("stood still before", &id);
+            reservation.end(Outcome::Left);
+            // What arrived meanwhile is handled first.
+            sleep(SETTLE_TIME).await;
+            return SendOutcome::Retry;
+        }
         if !edge.host.borrow().may_send(edge.now(), &reservation.reservation) {
             self.add_step("no place at", &id);
             reservation.end(Outcome::Left);
--- a/edge/src/reservation.rs
+++ b/edge/src/reservation.rs
@@ -25,6 +25,8 @@
 /// Time between two attempts to reserve while this host has no place at a target with a request
 /// limit; `Edge::wake` triggers further ones.
 const PLACE_RETRY_INTERVAL: Duration = Duration::from_millis(160);
+/// Time for which a target that was found fit may be sent the request. Within it the connection is opened.
+const MAX_CHECK_AGE: Duration = Duration::from_millis(1500);
 /// How often a request may move to another target while it waits for a prefill permit.
 const MAX_MOVES: u32 = 2;
 /// Why a request got no reservation.
@@ -52,6 +54,8 @@
     pub(crate) permit: Option<Permit>,
     /// Whether the outcome was recorded.
     pub(crate) ended: bool,
+    /// When the target was last found fit for the request, by [`Edge::now`].
+    checked_at: Duration,
 }
 
 impl ReservationGuard {
@@ -60,6 +64,12 @@
         &self.reservation.target
     }
 
+    /// Whether the reservation was made so long ago that its target may be fit no more: the process stood
+    /// still, and has not heard what happened meanwhile.
+    pub(crate) fn is_stale(&self) -> bool {
+        self.edge.now() > self.checked_at + MAX_CHECK_AGE
+    }
+
     /// Gives the prefill permit back, because the target has prefilled the prompt.
     pub(crate) fn prompt_prefilled(&mut self) {
         if let Some(permit) = self.permit.take() {
@@ -159,6 +169,7 @@
                         reservation,
                         permit: None,
                         ended: false,
+                        checked_at: now,
                     });
                 }
                 Choice::Wait => {
@@ -271,6 +282,7 @@
                 }
             }
             if self.edge.host.borrow().is_usable(&reservation.reservation, &self.query) {
+                reservation.checked_at = self.edge.now();
                 return Ok(reservation);
             }
             self.add_step("gone", reservation.target());
