--- a/coordination/fleet/src/holder.rs
+++ b/coordination/fleet/src/holder.rs
@@ -282,8 +282,7 @@
         }
         held.begin_proposed = Some(now);
         let command = Command::StartOrders { domain: domain.to_owned(), fence: held.fence };
-        // Tags from the top of the range do not collide with operators' calls, which count from
-        // one.
+        // Tags from the top of the range do not collide with operators' calls, which are far below.
         let tag = u64::MAX - held.fence;
         self.forward_command(now, tag, command);
     }
--- a/coordination/fleet/tests/engines/mod.rs
+++ b/coordination/fleet/tests/engines/mod.rs
@@ -3,6 +3,7 @@
 //! progress; targets restart; versions change in place; holders change.
 #![allow(dead_code)]
 
+pub mod simple;
 pub mod target;
 
 use std::{
--- a/coordination/fleet/tests/holders.rs
+++ b/coordination/fleet/tests/holders.rs
@@ -63,6 +63,29 @@
     orders.filter(|(at, to, _)| *at >= since && in_domain(to)).map(|(at, ..)| at).collect()
 }
 
+/// Guards against an order that is written after the holder's lease has run out: its process stood still
+/// after the table had given the order, or the connection took long to open. Load pattern: a holder of
+/// orders is frozen for longer than its lease, while another one takes over.
+#[test]
+fn an_order_of_a_lease_that_has_run_out_is_not_written() {
+    for seed in 0..4 {
+        let mut world = world(seed);
+        request_adapters(&mut world, ms(2000), &mut 0);
+        let holder = last_holder(&world, "t0").expect("a holder");
+        let order = world.machines[&holder].orders.last().expect("an order").1.clone();
+        let may = |world: &mut World| {
+            world.call(holder, |state, now| (state.may_order(now, &order), Vec::new()))
+        };
+        assert!(may(&mut world), "seed {seed}: with its lease");
+        world.frozen.insert(holder);
+        world.run(LEASE * 3);
+        assert!(!may(&mut world), "seed {seed}: after it stood still");
+        world.frozen.remove(&holder);
+        world.run(ms(1000));
+        assert!(!may(&mut world), "seed {seed}: as its successor gives orders");
+    }
+}
+
 /// The leader is killed, cut off or frozen. The holders keep sending orders without it.
 #[test]
 fn orders_continue_without_a_leader() {
--- a/coordination/fleet/tests/placement.rs
+++ b/coordination/fleet/tests/placement.rs
@@ -2,12 +2,12 @@
 
 mod engines;
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
-use engines::{model, ms, placement_table};
+use engines::{
+    model, ms, placement_table,
+    simple::{ADAPTER_SLOTS, SimpleTarget},
+};
 use fleet::{
     Demand, Engine, Order, OrderOutcome, PlacementStep, PlacementTable, Report, Targets,
     stable_hash,
@@ -16,71 +16,12 @@
 use rand_chacha::ChaCha8Rng;
 use wire::{FeedChange, HostStatus, RequestLimit, Running, TargetRecord, TargetState};
 
-const ADAPTER_SLOTS: usize = 6;
-const REPORT_LAG: Duration = Duration::from_millis(200);
 const STEP: Duration = Duration::from_millis(10);
 
-/// A simulated engine target, as the published protocol describes it.
-#[derive(Default)]
-struct Target {
-    adapters: BTreeMap<String, Duration>,
-    /// Number of orders that were accepted before each adapter was loaded.
-    numbers: BTreeMap<String, u64>,
-    sequence: u64,
-    crashed: bool,
-    history: VecDeque<(Duration, Report)>,
-}
-
-impl Target {
-    fn order(&mut self, now: Duration, order: &Order, load_time: Duration) -> OrderOutcome {
-        let name = order.name();
-        if order.expected_orders != self.sequence {
-            let is_loading = self.adapters.get(&name).is_some_and(|ready| *ready > now);
-            let is_repeated = self.numbers.get(&name) == Some(&order.expected_orders);
-            return if is_loading && is_repeated {
-                OrderOutcome::Accepted
-            } else {
-                OrderOutcome::Busy
-            };
-        }
-        if order.load == self.adapters.contains_key(&name) {
-            return OrderOutcome::Done;
-        }
-        self.sequence += 1;
-        if !order.load {
-            self.adapters.remove(&name);
-            return OrderOutcome::Done;
-        }
-        self.numbers.insert(name.clone(), order.expected_orders);
-        self.adapters.insert(name, now + load_time);
-        self.crashed |= self.adapters.len() > ADAPTER_SLOTS;
-        OrderOutcome::Accepted
-    }
-
-    fn current(&self, now: Duration) -> Report {
-        let mut report = Report { accepted_orders: self.sequence, ..Report::default() };
-        report.loaded.push(("m".to_owned(), 1));
-        for (name, ready) in &self.adapters {
-            match *ready <= now {
-                true => report.loaded.push((name.clone(), 1)),
-                false => report.pending.push(name.clone()),
-            }
-        }
-        report
-    }
-
-    fn report(&mut self, now: Duration) -> Report {
-        while self.history.len() > 1 && self.history[1].0 + REPORT_LAG <= now {
-            self.history.pop_front();
-        }
-        self.history.front().map_or_else(|| self.current(now), |(_, report)| report.clone())
-    }
-}
-
 struct World {
     now: Duration,
     table: PlacementTable,
-    targets: BTreeMap<String, Target>,
+    targets: BTreeMap<String, SimpleTarget>,
     /// Orders without an answer that are executed later.
     late_orders: Vec<(Duration, Order)>,
     /// Questions whether loads have ended.
@@ -129,7 +70,7 @@
             load_time: ms(250),
         };
         for number in 0..targets {
-            world.targets.insert(format!("t{number}"), Target::default());
+            world.targets.insert(format!("t{number}"), SimpleTarget::default());
         }
         world.add_targets();
         world
@@ -413,7 +354,7 @@
         }
         if announced {
             let successor = TargetRecord { id: "new".to_owned(), started_at: 2, ..record("t0") };
-            world.targets.insert("new".to_owned(), Target::default());
+            world.targets.insert("new".to_owned(), SimpleTarget::default());
             world.table.update_target(world.now, &successor);
         } else {
             let report = Report { started_at: Some(2), ..Report::default() };
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -222,7 +222,8 @@
                 Ok(outcome) => outcome,
                 Err(_) => OrderOutcome::Unknown,
             };
-            edge.metrics.order_ended(order.load, outcome);
+            let kind = if order.load { "load" } else { "unload" };
+            edge.metrics.order_ended(kind, outcome);
             edge.step(Input::OrderEnded { order, outcome });
         });
     }
@@ -234,6 +235,7 @@
             sleep(after).await;
             let asked = timeout(CHECK_TIMEOUT, edge.send_order(&order)).await;
             let outcome = asked.unwrap_or(OrderOutcome::Unknown);
+            edge.metrics.order_ended("check", outcome);
             edge.step(Input::LoadChecked { order, outcome });
         });
     }
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -98,9 +98,8 @@
         self.seconds.with_label_values(&[part]).observe(seconds);
     }
 
-    /// Counts the outcome of an order.
-    pub(crate) fn order_ended(&self, load: bool, outcome: OrderOutcome) {
-        let kind = if load { "load" } else { "unload" };
+    /// Counts the outcome of an order; `kind` is `load`, `unload` or `check`.
+    pub(crate) fn order_ended(&self, kind: &str, outcome: OrderOutcome) {
         let outcome = format!("{outcome:?}").to_lowercase();
         self.orders.with_label_values(&[kind, &outcome]).inc();
     }
--- a/edge/tests/answers.rs
+++ b/edge/tests/answers.rs
@@ -253,6 +253,32 @@
     until(async || target.abandoned.load(Ordering::SeqCst) == 1).await;
 }
 
+/// Guards against a request that is held after its deadline, because its body arrives a byte at a time.
+/// It has not run, and the caller is told so. Load pattern: five bytes, one a second, of a request that has
+/// two seconds.
+#[tokio::test]
+async fn a_body_is_awaited_until_the_deadline_only() {
+    let (cluster, _target) = start_cluster(12).await;
+    let stream = TcpStream::connect(cluster.addr(1, ENTRY)).await.expect("it listens");
+    let (mut reader, mut writer) = stream.into_split();
+    let head = format!(
+        "POST /odd/whole HTTP/1.1\r\nHost: a.example\r\n{}: slow\r\nDeadline-Ms: 2000\r\n\
+         Content-Length: 5\r\n\r\n",
+        stand_in::ATTEMPT
+    );
+    let writing = async {
+        writer.write_all(head.as_bytes()).await.expect("it reads");
+        for _ in 0..5 {
+            sleep(Duration::from_secs(1)).await;
+            let _ = writer.write_all(b"x").await;
+        }
+    };
+    let mut bytes = [0; 64];
+    let ((), count) = tokio::join!(writing, reader.read(&mut bytes));
+    let text = String::from_utf8_lossy(&bytes[..count.expect("it answers")]);
+    assert!(text.starts_with("HTTP/1.1 408"), "{text}");
+}
+
 /// Guards against answers that are cut off by a planned stop, because their requests have ended while the
 /// caller has not taken all bytes. Load pattern: a caller that begins to read 12 MB three and a half
 /// seconds after SIGTERM, when no caller is accepted any more.
