Simplify: one way to send an order, one lookup of a target's table, room at the store counted after each order

Sending an order with a time limit and counting its end stood twice, as did starting an accepted connection, whose type is now named after what it is: operators' and targets' connections are served by it too. The answer about a load looked its table up by the fence beside the lookup that orders and reports use, and passed the fence where a yes or no suffices. Whether the store takes another load was computed, over all targets, for each adapter in demand, and after the survey of the table; it changes only with an order, and nothing is surveyed while there is no room. A count that was only compared with zero is a flag, the estimate of the store's time is an if in three steps, and the two lookups of what is known to have ended are one.

Behaviour is unchanged; assertions are the same.

--- a/coordination/fleet/src/holder.rs
+++ b/coordination/fleet/src/holder.rs
@@ -20,7 +20,7 @@
 use crate::{
     Event, Host, Target,
     feed::{FeedWriter, Position},
-    io::{Order, OrderOutcome},
+    io::Order,
     machine::MISSED_HEARTBEATS,
     other_domains::OtherDomains,
     placement::{Demand, PlacementSettings, PlacementTable},
@@ -321,20 +321,6 @@
         held.any(|(domain, _)| self.order_fence(now, domain).is_some())
     }
 
-    pub(crate) fn handle_load_check(
-        &mut self,
-        now: Duration,
-        order: &Order,
-        outcome: OrderOutcome,
-    ) {
-        let is_of = |it: &&mut HeldDomain| it.fence == order.fence;
-        let may_order = self.may_order(now, order);
-        if let Some(held) = self.held_domains.values_mut().find(is_of) {
-            let fence = may_order.then_some(order.fence);
-            held.placement.handle_load_check(now, order, outcome, fence);
-        }
-    }
-
     /// Returns the placement table that contains a target, if this host holds it.
     pub(crate) fn placement_of(&mut self, target: &str) -> Option<&mut PlacementTable> {
         self.held_domains.values_mut().map(|it| &mut it.placement).find(|it| it.contains(target))
--- a/coordination/fleet/src/homes.rs
+++ b/coordination/fleet/src/homes.rs
@@ -114,18 +114,21 @@
             return;
         }
         self.log_unplaced(now);
+        if !self.may_load_adapter(now) {
+            return;
+        }
         // Adapters with the most waiting requests go first, then those whose first request can still be
         // on time, then the oldest demands.
         pending.sort_by_key(|(order, ..)| *order);
         let mut survey = self.survey(now);
         for (_, service, wanted) in pending {
-            if !self.may_load_adapter(now) {
-                return;
-            }
             if self.is_placed(now, &survey, &wanted) || !self.has_free(now, &service) {
                 continue;
             }
-            self.place_adapter(now, fence, &mut survey, &service, &wanted, 0);
+            let is_ordered = self.place_adapter(now, fence, &mut survey, &service, &wanted, 0);
+            if is_ordered && !self.may_load_adapter(now) {
+                return;
+            }
         }
     }
 
--- a/coordination/fleet/src/load_checks.rs
+++ b/coordination/fleet/src/load_checks.rs
@@ -6,13 +6,11 @@
 //! holds already. It accepts no second order with that number, so such a question changes nothing, however
 //! late it arrives; at a restarted process it is one more order that the account doesn't know.
 //!
-//! Two questions usually suffice: one when a load from the target's own memory would have ended, one when a
-//! load from the store should have. Later ones come at growing intervals.
+//! The first question comes when a load from the target's own memory would have ended, the next one when a
+//! load from the store may first have, and later ones at growing intervals.
 
 use std::time::Duration;
 
-use wire::Fence;
-
 use crate::{
     Event, PlacementStep, PlacementTable,
     io::{Order, OrderOutcome},
@@ -42,8 +40,8 @@
     is_from_store: bool,
     /// Whether the last question got no answer, so that it may have ended long ago.
     is_unheard: bool,
-    /// Number of questions, from the expected time on, whose answer was that it goes on.
-    store_questions: u32,
+    /// Whether it went on at the expected time or later.
+    is_longer: bool,
 }
 
 impl PlacementTable {
@@ -60,19 +58,20 @@
             questions: 0,
             is_from_store: false,
             is_unheard: false,
-            store_questions: 0,
+            is_longer: false,
         });
         let after = self.store.memory_time();
         self.steps.push(PlacementStep::CheckLoad { order, after });
     }
 
-    /// Handles a target's answer to the question whether a load has ended.
+    /// Handles a target's answer to the question whether a load has ended. Without `may_order` the target
+    /// is not asked again.
     pub fn handle_load_check(
         &mut self,
         now: Duration,
         order: &Order,
         outcome: OrderOutcome,
-        fence: Option<Fence>,
+        may_order: bool,
     ) {
         let id = order.target.as_str();
         let Some(row) = self.rows.get_mut(id) else { return };
@@ -89,13 +88,13 @@
             }
             OrderOutcome::Accepted => {
                 check.is_from_store = true;
-                check.store_questions += u32::from(now >= check.expected_at);
+                check.is_longer |= now >= check.expected_at;
                 let late = now.saturating_sub(check.expected_at);
                 let interval = late.mul_f64(INTERVAL_SHARE).clamp(MIN_INTERVAL, MAX_INTERVAL);
                 Some(interval.max(check.expected_at.saturating_sub(now)))
             }
         };
-        let may_ask = fence == Some(order.fence) && check.questions < MAX_QUESTIONS;
+        let may_ask = may_order && check.questions < MAX_QUESTIONS;
         match after.filter(|_| may_ask) {
             Some(after) => {
                 self.steps.push(PlacementStep::CheckLoad { order: order.clone(), after });
@@ -126,8 +125,7 @@
         let check = row.load_checks.remove(at);
         let took = now.saturating_sub(check.accepted_at);
         if check.is_from_store {
-            let exact = check.store_questions > 0;
-            self.store.record(now, check.accepted_at, took, exact, targets);
+            self.store.record(now, check.accepted_at, took, check.is_longer, targets);
         }
         self.steps.push(PlacementStep::Log(Event::Loaded {
             target: id.to_owned(),
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -176,7 +176,10 @@
                 self.tick_placement(now);
             }
             Input::LoadChecked { order, outcome } => {
-                self.handle_load_check(now, &order, outcome);
+                let may_order = self.may_order(now, &order);
+                if let Some(placement) = self.placement_of(&order.target) {
+                    placement.handle_load_check(now, &order, outcome, may_order);
+                }
                 self.tick_placement(now);
             }
             Input::ReportReceived { target, request, report } => {
--- a/coordination/fleet/src/store.rs
+++ b/coordination/fleet/src/store.rs
@@ -12,8 +12,8 @@
 const MAX_TIME: Duration = Duration::from_secs(5);
 /// Weight of a load that took less than the estimate.
 const SHORTER_WEIGHT: f64 = 0.25;
-/// Share of the time that a load took at most by which the estimate falls if the load had ended when it
-/// was first asked about.
+/// If a load had ended when it was first asked about, it took this share of the time since then at most, as
+/// far as the estimate is concerned: so the next ones are asked about earlier.
 const UNKNOWN_SHARE: f64 = 0.95;
 /// Growth of the estimate with a load that took longer. It is small, since most of these took longer
 /// because many were carried out.
@@ -121,11 +121,13 @@
             self.shrunk_at = Some(now);
             self.recent.clear();
         }
-        let usual = self.usual_time.as_secs_f64();
-        let next = match took < self.usual_time {
-            _ if !exact => (took.as_secs_f64() * UNKNOWN_SHARE).min(usual),
-            true => usual + SHORTER_WEIGHT * (took.as_secs_f64() - usual),
-            false => (usual * (1.0 + LONGER_GROWTH)).min(took.as_secs_f64()),
+        let (usual, took) = (self.usual_time.as_secs_f64(), took.as_secs_f64());
+        let next = if !exact {
+            usual.min(took * UNKNOWN_SHARE)
+        } else if took < usual {
+            usual + SHORTER_WEIGHT * (took - usual)
+        } else {
+            took.min(usual * (1.0 + LONGER_GROWTH))
         };
         self.usual_time = Duration::from_secs_f64(next).clamp(MIN_TIME, MAX_TIME);
     }
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -297,24 +297,22 @@
 
     /// Returns `Leaving` or `Gone` if a process of a target is known to leave or to have ended.
     pub(crate) fn ending(&self, id: &str, started_at: u64) -> Option<TargetState> {
-        let has_ended = match self.by_id.get(id) {
-            Some(target) => target.record.started_at > started_at,
-            None => self.ended.get(id).is_some_and(|ended| *ended >= started_at),
-        };
-        if has_ended {
-            return Some(TargetState::Gone);
-        }
-        let leaves = match self.by_id.get(id) {
-            Some(target) => {
-                target.record.started_at == started_at
-                    && target.record.state == TargetState::Leaving
+        let (has_ended, is_leaving) = match self.by_id.get(id).map(|it| &it.record) {
+            Some(known) => {
+                let is_same = known.started_at == started_at;
+                (known.started_at > started_at, is_same && known.state == TargetState::Leaving)
             }
             None => {
                 let silent = self.silent.get(id).filter(|it| it.started_at == started_at);
-                silent.is_some_and(|it| it.is_leaving)
+                let has_ended = self.ended.get(id).is_some_and(|ended| *ended >= started_at);
+                (has_ended, silent.is_some_and(|it| it.is_leaving))
             }
         };
-        leaves.then_some(TargetState::Leaving)
+        match (has_ended, is_leaving) {
+            (true, _) => Some(TargetState::Gone),
+            (false, true) => Some(TargetState::Leaving),
+            (false, false) => None,
+        }
     }
 
     /// Ends the target that is known at the address of a new one. Returns false, and changes
--- a/coordination/fleet/tests/account.rs
+++ b/coordination/fleet/tests/account.rs
@@ -5,8 +5,8 @@
 
 use std::{collections::BTreeMap, ops::RangeInclusive, time::Duration};
 
-use engines::{Faults, World, model, ms};
-use fleet::{Demand, Engine, Order, OrderOutcome, PlacementStep, PlacementTable, Report};
+use engines::{Faults, World, model, ms, tick};
+use fleet::{Demand, Engine, OrderOutcome, PlacementStep, PlacementTable, Report};
 use wire::{FeedChange, TargetRecord, TargetState};
 
 const ADAPTER_SLOTS: usize = 6;
@@ -184,20 +184,6 @@
     (table, record)
 }
 
-/// Ticks, and returns the number of the report request and the order that the table sends, if any.
-fn tick(table: &mut PlacementTable) -> (Option<u64>, Option<Order>) {
-    table.tick(NOW, Some(7));
-    let (mut request, mut order) = (None, None);
-    for step in table.take_steps() {
-        match step {
-            PlacementStep::FetchReport { request: number, .. } => request = Some(number),
-            PlacementStep::Order(sent) => order = Some(sent),
-            _ => {}
-        }
-    }
-    (request, order)
-}
-
 fn report(started_at: u64, accepted_orders: u64) -> Report {
     let loaded = vec![("m".to_owned(), 1)];
     Report { loaded, accepted_orders, started_at: Some(started_at), ..Report::default() }
@@ -208,14 +194,14 @@
 #[test]
 fn a_report_of_the_former_process_does_not_silence_a_target() {
     let (mut table, record) = table_with_target();
-    let request = tick(&mut table).0.expect("a report is requested");
+    let request = tick(&mut table, NOW).0.expect("a report is requested");
     table.update_target(NOW, &TargetRecord { started_at: 2, ..record });
     table.handle_report(NOW, "t0", request, Some(&report(1, 5)));
     let silent = table.take_steps().into_iter().any(|step| {
         matches!(step, PlacementStep::Publish(FeedChange::Target(_, it)) if it.state == TargetState::Silent)
     });
     assert!(!silent);
-    assert!(tick(&mut table).0.is_some(), "the present process is asked for its report");
+    assert!(tick(&mut table, NOW).0.is_some(), "the present process is asked for its report");
 }
 
 /// Guards against an order that counts as refused or accepted because the answer to an order to the
@@ -223,18 +209,18 @@
 #[test]
 fn an_answer_to_an_order_of_the_former_process_is_ignored() {
     let (mut table, record) = table_with_target();
-    let request = tick(&mut table).0.expect("a report is requested");
+    let request = tick(&mut table, NOW).0.expect("a report is requested");
     table.handle_report(NOW, "t0", request, Some(&report(1, 0)));
     table.record_demand(NOW, 1, "s", Demand::anywhere("m/a1"), 1);
-    let former = tick(&mut table).1.expect("an adapter is ordered");
+    let former = tick(&mut table, NOW).1.expect("an adapter is ordered");
     table.update_target(NOW, &TargetRecord { started_at: 2, ..record });
-    let request = tick(&mut table).0.expect("a report is requested");
+    let request = tick(&mut table, NOW).0.expect("a report is requested");
     table.handle_report(NOW, "t0", request, Some(&report(2, 0)));
-    let order = tick(&mut table).1.expect("the adapter is ordered again");
+    let order = tick(&mut table, NOW).1.expect("the adapter is ordered again");
     table.handle_outcome(NOW, &former, OrderOutcome::NotSent);
     table.handle_outcome(NOW, &order, OrderOutcome::Accepted);
     table.record_demand(NOW, 1, "s", Demand::anywhere("m/a2"), 1);
-    let next = tick(&mut table).1.expect("the next one is ordered");
+    let next = tick(&mut table, NOW).1.expect("the next one is ordered");
     assert_eq!((next.adapter.as_deref(), next.expected_orders), (Some("a2"), 1));
 }
 
@@ -246,10 +232,10 @@
     for state in [TargetState::Ready, TargetState::Leaving, TargetState::Gone] {
         table.update_target(NOW, &TargetRecord { state, ..record.clone() });
     }
-    let request = tick(&mut table).0.expect("a report is requested");
+    let request = tick(&mut table, NOW).0.expect("a report is requested");
     table.handle_report(NOW, "t0", request, Some(&report(2, 0)));
     table.record_demand(NOW, 1, "s", Demand::anywhere("m/a1"), 1);
-    assert!(tick(&mut table).1.is_some());
+    assert!(tick(&mut table, NOW).1.is_some());
 }
 
 /// Guards against a slot that a former holder's late order takes: an unload that is answered as done may
@@ -257,21 +243,21 @@
 #[test]
 fn the_first_unload_of_a_holder_frees_no_slot_before_a_report() {
     let (mut table, _) = table_with_target();
-    let request = tick(&mut table).0.expect("a report is requested");
+    let request = tick(&mut table, NOW).0.expect("a report is requested");
     let mut full = report(1, 4);
     full.loaded.extend((0..ADAPTER_SLOTS).map(|it| (format!("m/old{it}"), 1)));
     table.handle_report(NOW, "t0", request, Some(&full));
     table.record_demand(NOW, 1, "s", Demand::anywhere("m/a1"), 1);
-    let unload = tick(&mut table).1.expect("an adapter is evicted");
+    let unload = tick(&mut table, NOW).1.expect("an adapter is evicted");
     assert!(!unload.load);
     table.handle_outcome(NOW, &unload, OrderOutcome::Done);
-    let (request, order) = tick(&mut table);
+    let (request, order) = tick(&mut table, NOW);
     assert!(order.is_none(), "{order:?}");
     // The former holder's order was accepted with the number of the unload.
     let mut late = report(1, 5);
     late.loaded.extend(full.loaded.into_iter().filter(|(name, _)| *name != unload.name()).skip(1));
     late.pending.push("m/late".to_owned());
     table.handle_report(NOW, "t0", request.expect("a report is requested"), Some(&late));
-    let order = tick(&mut table).1.expect("an order");
+    let order = tick(&mut table, NOW).1.expect("an order");
     assert!(!order.load, "all slots are taken: {order:?}");
 }
--- a/coordination/fleet/tests/engines/mod.rs
+++ b/coordination/fleet/tests/engines/mod.rs
@@ -292,7 +292,7 @@
             }
             Arrival::Check(holder, order) => self.check(holder, order),
             Arrival::Checked(holder, order, outcome) if holder == self.holder => {
-                self.timed(|table| table.handle_load_check(now, &order, outcome, Some(7)));
+                self.timed(|table| table.handle_load_check(now, &order, outcome, true));
             }
             Arrival::Outcome(..) | Arrival::Report(..) | Arrival::Checked(..) => {}
             Arrival::Heartbeat(id) => self.table.update_target(now, &self.record(&id)),
@@ -442,6 +442,20 @@
     }
 }
 
+/// Ticks a table, and returns the number of the report request and the order that it sends, if any.
+pub fn tick(table: &mut PlacementTable, now: Duration) -> (Option<u64>, Option<Order>) {
+    table.tick(now, Some(7));
+    let (mut request, mut order) = (None, None);
+    for step in table.take_steps() {
+        match step {
+            PlacementStep::FetchReport { request: number, .. } => request = Some(number),
+            PlacementStep::Order(sent) => order = Some(sent),
+            _ => {}
+        }
+    }
+    (request, order)
+}
+
 pub fn placement_table() -> PlacementTable {
     PlacementTable::new(PlacementSettings {
         domain: "d".to_owned(),
--- a/coordination/fleet/tests/load_checks.rs
+++ b/coordination/fleet/tests/load_checks.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use engines::{Faults, OBJECTIVE, World, model, ms};
+use engines::{Faults, OBJECTIVE, World, model, ms, tick};
 use fleet::{Demand, Engine, Order, OrderOutcome, PlacementStep, PlacementTable, Report};
 use wire::FeedChange;
 
@@ -104,28 +104,16 @@
     let mut table = engines::placement_table();
     table.configure(BTreeMap::from([("s".to_owned(), engine())]), BTreeMap::new());
     table.update_target(NOW, &engines::record("t0", 1));
-    let request = steps(&mut table).into_iter().find_map(|step| match step {
-        PlacementStep::FetchReport { request, .. } => Some(request),
-        _ => None,
-    });
+    let request = tick(&mut table, NOW).0.expect("a report is requested");
     let loaded = vec![("m".to_owned(), 1)];
     let report = Report { loaded, started_at: Some(1), ..Report::default() };
-    table.handle_report(NOW, "t0", request.expect("a report is requested"), Some(&report));
+    table.handle_report(NOW, "t0", request, Some(&report));
     table.record_demand(NOW, 1, "s", Demand::anywhere("m/a1"), 1);
-    let order = steps(&mut table).into_iter().find_map(|step| match step {
-        PlacementStep::Order(order) => Some(order),
-        _ => None,
-    });
-    let order = order.expect("the adapter is ordered");
+    let order = tick(&mut table, NOW).1.expect("the adapter is ordered");
     table.handle_outcome(NOW, &order, OrderOutcome::Accepted);
     (table, order)
 }
 
-fn steps(table: &mut PlacementTable) -> Vec<PlacementStep> {
-    table.tick(NOW, Some(7));
-    table.take_steps()
-}
-
 /// Returns the adapters that the table publishes in its next steps: those that become ready, and those
 /// that no longer are.
 fn published(table: &mut PlacementTable) -> (Vec<String>, Vec<String>) {
@@ -146,7 +134,7 @@
 fn an_older_report_does_not_take_a_loaded_adapter_back() {
     let (mut table, order) = accepted_load();
     table.take_steps();
-    table.handle_load_check(NOW, &order, OrderOutcome::Busy, Some(7));
+    table.handle_load_check(NOW, &order, OrderOutcome::Busy, true);
     assert_eq!(published(&mut table), (vec!["m/a1".to_owned()], vec![]));
     let mut report = Report {
         loaded: vec![("m".to_owned(), 1)],
@@ -170,10 +158,10 @@
     let (mut table, order) = accepted_load();
     table.update_target(NOW, &engines::record("t0", 2));
     table.take_steps();
-    table.handle_load_check(NOW, &order, OrderOutcome::Busy, Some(7));
+    table.handle_load_check(NOW, &order, OrderOutcome::Busy, true);
     assert_eq!(published(&mut table), (vec![], vec![]), "of a former process");
     let (mut table, order) = accepted_load();
-    table.handle_load_check(NOW, &order, OrderOutcome::Busy, Some(7));
+    table.handle_load_check(NOW, &order, OrderOutcome::Busy, true);
     let empty = Report {
         loaded: vec![("m".to_owned(), 1)],
         accepted_orders: 2,
@@ -182,7 +170,7 @@
     };
     table.handle_report(NOW, "t0", u64::MAX, Some(&empty));
     table.take_steps();
-    table.handle_load_check(NOW, &order, OrderOutcome::Busy, Some(7));
+    table.handle_load_check(NOW, &order, OrderOutcome::Busy, true);
     assert_eq!(published(&mut table), (vec![], vec![]), "a second time");
 }
 
@@ -191,7 +179,7 @@
 fn a_holder_without_a_lease_asks_no_target() {
     let (mut table, order) = accepted_load();
     table.take_steps();
-    table.handle_load_check(NOW, &order, OrderOutcome::Accepted, None);
+    table.handle_load_check(NOW, &order, OrderOutcome::Accepted, false);
     let is_question = |step: &PlacementStep| matches!(step, PlacementStep::CheckLoad { .. });
     assert!(!table.take_steps().iter().any(is_question));
 }
--- a/coordination/fleet/tests/placement.rs
+++ b/coordination/fleet/tests/placement.rs
@@ -111,7 +111,7 @@
             }
             let target = self.targets.get_mut(&order.target).expect("the target exists");
             let outcome = target.order(now, &order, self.load_time);
-            self.table.handle_load_check(now, &order, outcome, Some(7));
+            self.table.handle_load_check(now, &order, outcome, true);
         }
         self.table.tick(now, Some(7));
         for step in self.table.take_steps() {
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -218,12 +218,8 @@
     fn start_order(self: &Rc<Edge>, order: Order) {
         let edge = self.clone();
         tokio::task::spawn_local(async move {
-            let outcome = match timeout(ORDER_TIMEOUT, edge.send_order(&order)).await {
-                Ok(outcome) => outcome,
-                Err(_) => OrderOutcome::Unknown,
-            };
             let kind = if order.load { "load" } else { "unload" };
-            edge.metrics.order_ended(kind, outcome);
+            let outcome = edge.send_order_within(&order, kind, ORDER_TIMEOUT).await;
             edge.step(Input::OrderEnded { order, outcome });
         });
     }
@@ -233,13 +229,24 @@
         let edge = self.clone();
         tokio::task::spawn_local(async move {
             sleep(after).await;
-            let asked = timeout(CHECK_TIMEOUT, edge.send_order(&order)).await;
-            let outcome = asked.unwrap_or(OrderOutcome::Unknown);
-            edge.metrics.order_ended("check", outcome);
+            let outcome = edge.send_order_within(&order, "check", CHECK_TIMEOUT).await;
             edge.step(Input::LoadChecked { order, outcome });
         });
     }
 
+    /// Sends an order, and counts its outcome under `kind`.
+    async fn send_order_within(
+        self: &Rc<Edge>,
+        order: &Order,
+        kind: &str,
+        limit: Duration,
+    ) -> OrderOutcome {
+        let sent = timeout(limit, self.send_order(order)).await;
+        let outcome = sent.unwrap_or(OrderOutcome::Unknown);
+        self.metrics.order_ended(kind, outcome);
+        outcome
+    }
+
     async fn send_order(self: &Rc<Edge>, order: &Order) -> OrderOutcome {
         let body = platform::target::order_body(order, &self.name);
         let request = self.control_request(
--- a/edge/src/listen.rs
+++ b/edge/src/listen.rs
@@ -22,7 +22,6 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Minimum size of a connection's buffer, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
-
 /// Time limit for the other end to take what was written at once.
 const TAKE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -72,29 +71,30 @@
 {
     let edge = edge.clone();
     tokio::task::spawn_local(async move {
+        let start = |(stream, peer)| {
+            let connection = AcceptedConnection { stream, peer, until, limits: limits(&edge) };
+            tokio::task::spawn_local(connection.serve(edge.clone(), handler));
+        };
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 () = edge.closing.notified(), if until == Until::Closing => break,
             };
-            let Ok((stream, peer)) = accepted else {
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            };
-            let connection = CallerConnection { stream, peer, until, limits: limits(&edge) };
-            tokio::task::spawn_local(connection.serve(edge.clone(), handler));
+            match accepted {
+                Ok(accepted) => start(accepted),
+                Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            }
         }
         // Callers whose connections the kernel has accepted already are still served: to drop the listener
         // resets them.
-        while let Ok(Ok((stream, peer))) = timeout(Duration::ZERO, listener.accept()).await {
-            let connection = CallerConnection { stream, peer, until, limits: limits(&edge) };
-            tokio::task::spawn_local(connection.serve(edge.clone(), handler));
+        while let Ok(Ok(accepted)) = timeout(Duration::ZERO, listener.accept()).await {
+            start(accepted);
         }
     });
 }
 
 /// An accepted connection.
-struct CallerConnection {
+struct AcceptedConnection {
     stream: TcpStream,
     peer: SocketAddr,
     until: Until,
@@ -123,13 +123,13 @@
     }
 }
 
-impl CallerConnection {
+impl AcceptedConnection {
     async fn serve<H, F>(self, edge: Rc<Edge>, handler: H)
     where
         H: Fn(Rc<Edge>, Request<Incoming>) -> F + Copy + 'static,
         F: Future<Output = Answer> + 'static,
     {
-        let CallerConnection { stream, peer, until, limits } = self;
+        let AcceptedConnection { stream, peer, until, limits } = self;
         if stream.set_nodelay(true).is_err() {
             return;
         }
