--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -188,7 +188,12 @@
             let mut state = self.state.lock().unwrap();
             match state.adapters.get_mut(adapter) {
                 Some(held) if held.ready_at <= now && !held.leaving => held.running += 1,
-                _ => return refused,
+                // An order that concerns it isn't complete.
+                Some(_) => {
+                    let headers = format!("{echo}Not-Executed: 1\r\n");
+                    return respond("503 Service Unavailable", &headers, "");
+                }
+                None => return refused,
             }
         }
         self.record.note(&format!("{} runs {attempt} ({adapter})", self.id));
