fleet: a deregistration ends the process that it names, known or not

Cause: a host kept what a target's process said last only while it had the target in use. A target whose heartbeats were cut off is dropped as silent; when it then deregistered, handle_deregistration returned without a trace and the call was acknowledged, and a heartbeat that the cut had held up brought the target back on all hosts. The start of the process that the call names wasn't read, so that a deregistration of a former process ended its successor for good.

Change: the host reads the start, tells all hosts, and each keeps the end, whether it knows the target or not; one that names no start ends the process that is or was known. A deregistration that can't be read gets 400. It is logged.

Why it works: whatever path a late heartbeat takes, it meets a record of an end at least as new as its process, on the host or on those that contradict it. No message changed its form.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -217,6 +217,16 @@
         /// Name of the target.
         target: String,
     },
+    /// A target deregistered with this host.
+    Deregistered {
+        /// Name of the target.
+        target: String,
+        /// Start of the process that has ended, in milliseconds since the Unix epoch; 0 if neither the target
+        /// named it nor this host knows it.
+        started_at: u64,
+        /// Whether this host had the target in use.
+        known: bool,
+    },
     /// A target said in an answer that it leaves.
     LeavesByAnswer {
         /// Name of the target.
--- a/coordination/fleet/src/follow.rs
+++ b/coordination/fleet/src/follow.rs
@@ -54,7 +54,7 @@
             FeedChange::Reach(host, cut) => self.hosts.set_cut(*host, *cut),
             FeedChange::Cleared(suspect) => self.clear_suspect(suspect),
             FeedChange::Target(number, record) => {
-                if self.merge_target(record) {
+                if self.merge_target(now, record) {
                     self.out.push(Output::RetryWaiting);
                 }
                 if let Some(target) = self.targets.get_mut(&record.id) {
--- a/coordination/fleet/src/heartbeats.rs
+++ b/coordination/fleet/src/heartbeats.rs
@@ -24,7 +24,7 @@
 impl Host {
     /// Handles a heartbeat that this host received from a target.
     pub(crate) fn handle_heartbeat(&mut self, now: Duration, record: TargetRecord) {
-        if self.merge_target(&record) {
+        if self.merge_target(now, &record) {
             if record.state != TargetState::Ready {
                 self.broadcast_seen(now, &record);
             }
@@ -44,15 +44,22 @@
         self.caught_up
     }
 
-    /// Whether this host can tell all others that a target has ended. It must know the target, or that
-    /// no host does.
-    pub fn can_deregister(&self, id: &str) -> bool {
-        self.can_announce() && (self.targets.get(id).is_some() || self.feeds_missing().is_empty())
+    /// Whether this host can tell all others that a target has ended. If the target names no start of its
+    /// process (0), the host must know the target, or that no host does.
+    pub fn can_deregister(&self, id: &str, started_at: u64) -> bool {
+        let is_named = started_at > 0 || self.targets.get(id).is_some();
+        self.can_announce() && (is_named || self.feeds_missing().is_empty())
     }
 
-    pub(crate) fn handle_deregistration(&mut self, now: Duration, id: &str) {
-        let Some(target) = self.targets.get(id) else { return };
-        let record = TargetRecord { state: TargetState::Gone, ..target.record.clone() };
+    /// Ends a target. That a process has ended is kept by all hosts, whether they know it or not: they may
+    /// have dropped it as silent, and its last heartbeats may still be on their way.
+    pub(crate) fn handle_deregistration(&mut self, now: Duration, id: &str, started_at: u64) {
+        let record = self.targets.complete_ending(id, started_at);
+        self.log(Event::Deregistered {
+            target: id.to_owned(),
+            started_at: record.started_at,
+            known: self.targets.get(id).is_some(),
+        });
         self.broadcast_seen(now, &record);
         self.update_target(now, &record);
     }
@@ -86,15 +93,20 @@
 
     /// Applies a target's record, whatever host it comes from.
     pub(crate) fn update_target(&mut self, now: Duration, record: &TargetRecord) {
-        let changed = self.merge_target(record);
-        self.update_held_target(now, record);
+        let mut record = record.clone();
+        if record.state == TargetState::Gone {
+            // The host at which the target deregistered may not have known it.
+            record = self.targets.complete_ending(&record.id, record.started_at);
+        }
+        let changed = self.merge_target(now, &record);
+        self.update_held_target(now, &record);
         if changed {
             self.out.push(Output::RetryWaiting);
         }
     }
 
     pub(crate) fn handle_alive(&mut self, now: Duration, from: HostId, record: &TargetRecord) {
-        self.merge_target(record);
+        self.merge_target(now, record);
         self.refresh_held(now, &record.id);
         self.contradict(from, record);
     }
@@ -115,8 +127,8 @@
     }
 
     /// Merges a target's record. Returns whether anything changed.
-    pub(crate) fn merge_target(&mut self, record: &TargetRecord) -> bool {
-        let changed = self.targets.merge(record);
+    pub(crate) fn merge_target(&mut self, now: Duration, record: &TargetRecord) -> bool {
+        let changed = self.targets.merge(now, record);
         if changed {
             self.log(Event::Target {
                 target: record.id.clone(),
--- a/coordination/fleet/src/io.rs
+++ b/coordination/fleet/src/io.rs
@@ -115,6 +115,8 @@
     Deregistered {
         /// Name of the target.
         id: String,
+        /// When its process started, in milliseconds since the Unix epoch; 0 if it names no start.
+        started_at: u64,
     },
     /// An operator submits a change.
     Change {
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod exchange;
 mod feed;
 mod follow;
+mod former;
 mod heartbeats;
 mod holder;
 mod homes;
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -166,7 +166,9 @@
             Input::SyncFailed(reason) => self.sync_failed(now, reason),
             Input::Reopened(disk) => self.reopened(now, *disk),
             Input::Heartbeat { record } => self.handle_heartbeat(now, record),
-            Input::Deregistered { id } => self.handle_deregistration(now, &id),
+            Input::Deregistered { id, started_at } => {
+                self.handle_deregistration(now, &id, started_at);
+            }
             Input::Change { tag, command } => self.operator_calls.change(now, tag, command),
             Input::Read { tag } => self.operator_calls.read(now, tag),
             Input::OrderEnded { order, outcome } => {
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -8,11 +8,10 @@
 
 use siphasher::sip::SipHasher13;
 use wire::{
-    AdapterHash, DomainLoads, RequestLimit, Running, SoftwareHash, TargetNumber, TargetRecord,
-    TargetState,
+    AdapterHash, DomainLoads, Running, SoftwareHash, TargetNumber, TargetRecord, TargetState,
 };
 
-use crate::LimitView;
+use crate::{LimitView, former::FormerTargets};
 
 /// Weight of the newest answer in the moving averages of a target's health.
 const NEWEST_WEIGHT: f64 = 0.15;
@@ -21,8 +20,6 @@
 const MIN_AVOIDED: Duration = Duration::from_millis(250);
 /// Maximum time for which a target is avoided.
 const MAX_AVOIDED: Duration = Duration::from_secs(4);
-/// Maximum number of ended targets, and of silent ones, that are kept.
-const MAX_ENDED: usize = 4096;
 
 /// Returns a hash that is the same on all hosts: SipHash-1-3 with an all-zero key.
 pub fn stable_hash(value: &impl Hash) -> u64 {
@@ -148,23 +145,12 @@
     }
 }
 
-/// What holds again if a silent target comes back as the same process.
-#[derive(Debug, Clone)]
-struct SilentTarget {
-    started_at: u64,
-    limit: RequestLimit,
-    pause: Option<Pause>,
-    is_leaving: bool,
-}
-
 /// All targets that a host knows.
 #[derive(Debug, Clone, Default)]
 pub struct Targets {
     by_id: BTreeMap<String, Target>,
-    /// Start time of each ended target, by name.
-    ended: BTreeMap<String, u64>,
-    /// Silent targets that named a limit, asked for a pause or leave, by name.
-    silent: BTreeMap<String, SilentTarget>,
+    /// Targets that have ended or are silent.
+    former: FormerTargets,
 }
 
 impl Targets {
@@ -203,46 +189,22 @@
     /// Merges a target's record, from the target or another host. Returns whether anything but its
     /// sequence changed. Records of an earlier incarnation or with an old sequence have no effect.
     /// A leaving target does not become ready again under its name unless its process restarted.
-    pub fn merge(&mut self, record: &TargetRecord) -> bool {
-        if self.ended.get(&record.id).is_some_and(|&started_at| started_at >= record.started_at) {
-            return false;
-        }
+    pub fn merge(&mut self, now: Duration, record: &TargetRecord) -> bool {
         let Some(known) = self.by_id.get_mut(&record.id) else {
-            match record.state {
-                TargetState::Gone => {
-                    self.end(&record.id, record.started_at);
-                    return false;
-                }
-                TargetState::Silent => return false,
-                TargetState::Ready | TargetState::Leaving => {}
-            }
-            if !self.claim_addr(record) {
-                return false;
-            }
-            let mut target = Target::new(record.clone());
-            if let Some(silent) = self.silent.remove(&record.id)
-                && silent.started_at == record.started_at
-            {
-                target.limit = LimitView::known(silent.limit);
-                target.pause = silent.pause;
-                if silent.is_leaving {
-                    target.record.state = TargetState::Leaving;
-                }
-            }
-            self.by_id.insert(record.id.clone(), target);
-            return true;
+            return self.merge_unknown(now, record);
         };
         if record.started_at < known.record.started_at {
             return false;
         }
         if record.state == TargetState::Gone {
-            self.end(&record.id, record.started_at);
+            self.by_id.remove(&record.id);
+            self.former.keep_ended(now, record.clone());
             return true;
         }
         if record.state == TargetState::Silent {
             let silent = record.sequence >= known.record.sequence;
-            if silent {
-                self.silence(&record.id);
+            if silent && let Some(target) = self.by_id.remove(&record.id) {
+                self.former.keep_silent(now, target);
             }
             return silent;
         }
@@ -272,21 +234,62 @@
         changed
     }
 
-    /// Removes a target that is silent. What it said of itself holds if the same process comes back.
-    fn silence(&mut self, id: &str) {
-        let Some(target) = self.by_id.remove(id) else { return };
-        let is_leaving = target.record.state == TargetState::Leaving;
-        if target.limit.is_limited() || target.pause.is_some() || is_leaving {
-            let silent = SilentTarget {
-                started_at: target.record.started_at,
-                limit: target.limit.limit,
-                pause: target.pause,
-                is_leaving,
-            };
-            self.silent.insert(id.to_owned(), silent);
+    /// Merges the record of a target that is not in use.
+    fn merge_unknown(&mut self, now: Duration, record: &TargetRecord) -> bool {
+        self.former.expire(now, &record.id);
+        match record.state {
+            TargetState::Gone => {
+                self.former.keep_ended(now, record.clone());
+                return false;
+            }
+            TargetState::Silent => return false,
+            TargetState::Ready | TargetState::Leaving => {}
         }
-        while self.silent.len() > MAX_ENDED {
-            self.silent.pop_first();
+        if self.former.get(&record.id).is_some_and(|it| it.has_ended(record.started_at)) {
+            return false;
+        }
+        if !self.claim_addr(now, record) {
+            return false;
+        }
+        let mut target = Target::new(record.clone());
+        if let Some(former) = self.former.remove(&record.id)
+            && former.record.started_at == record.started_at
+        {
+            target.limit = LimitView::known(former.limit);
+            target.pause = former.pause;
+            if former.record.state == TargetState::Leaving {
+                target.record.state = TargetState::Leaving;
+            }
+        }
+        self.by_id.insert(record.id.clone(), target);
+        true
+    }
+
+    /// Returns what a target's process said last, whether it is in use, silent or has ended.
+    pub(crate) fn last_record(&self, id: &str) -> Option<&TargetRecord> {
+        let known = self.by_id.get(id).map(|it| &it.record);
+        known.or_else(|| self.former.get(id).map(|it| &it.record))
+    }
+
+    /// Returns the record that ends a target's process, with what is known here in place of what it
+    /// leaves out: a deregistration names the target, and at most the start of its process. One that
+    /// names no start ends the process that is known.
+    pub(crate) fn complete_ending(&self, id: &str, started_at: u64) -> TargetRecord {
+        let last = self.last_record(id);
+        if let Some(last) = last.filter(|it| started_at == 0 || it.started_at <= started_at) {
+            let started_at = started_at.max(last.started_at);
+            return TargetRecord { started_at, state: TargetState::Gone, ..last.clone() };
+        }
+        TargetRecord {
+            id: id.to_owned(),
+            started_at,
+            sequence: 0,
+            service: String::new(),
+            addr: String::new(),
+            domain: String::new(),
+            slots: 0,
+            software: String::new(),
+            state: TargetState::Gone,
         }
     }
 
@@ -297,46 +300,30 @@
 
     /// Returns `Leaving` or `Gone` if a process of a target is known to leave or to have ended.
     pub(crate) fn ending(&self, id: &str, started_at: u64) -> Option<TargetState> {
-        let (has_ended, is_leaving) = match self.by_id.get(id).map(|it| &it.record) {
-            Some(known) => {
-                let is_same = known.started_at == started_at;
-                (known.started_at > started_at, is_same && known.state == TargetState::Leaving)
-            }
-            None => {
-                let silent = self.silent.get(id).filter(|it| it.started_at == started_at);
-                let has_ended = self.ended.get(id).is_some_and(|ended| *ended >= started_at);
-                (has_ended, silent.is_some_and(|it| it.is_leaving))
-            }
+        let Some(known) = self.by_id.get(id).map(|it| &it.record) else {
+            return self.former.get(id)?.ending(started_at);
         };
-        match (has_ended, is_leaving) {
-            (true, _) => Some(TargetState::Gone),
-            (false, true) => Some(TargetState::Leaving),
-            (false, false) => None,
+        if known.started_at > started_at {
+            return Some(TargetState::Gone);
         }
+        let is_leaving = known.started_at == started_at && known.state == TargetState::Leaving;
+        is_leaving.then_some(TargetState::Leaving)
     }
 
     /// Ends the target that is known at the address of a new one. Returns false, and changes
     /// nothing, if the known one started later.
-    fn claim_addr(&mut self, record: &TargetRecord) -> bool {
+    fn claim_addr(&mut self, now: Duration, record: &TargetRecord) -> bool {
         let same = self.by_id.values().find(|it| it.record.addr == record.addr);
         let Some(other) = same else { return true };
         if other.record.started_at > record.started_at {
             return false;
         }
-        let (id, started_at) = (other.record.id.clone(), other.record.started_at);
-        self.end(&id, started_at);
+        let ended = other.record.clone();
+        self.by_id.remove(&ended.id);
+        self.former.keep_ended(now, ended);
         true
     }
 
-    /// Removes a target that ended; `started_at` is its start time in milliseconds since the epoch.
-    pub fn end(&mut self, id: &str, started_at: u64) {
-        self.by_id.remove(id);
-        self.ended.insert(id.to_owned(), started_at);
-        while self.ended.len() > MAX_ENDED {
-            self.ended.pop_first();
-        }
-    }
-
     /// Drops the state from a failure domain's feed, before a new feed begins.
     pub fn clear_feed(&mut self, domain: &str) {
         for target in self.by_id.values_mut().filter(|it| it.record.domain == domain) {
--- a/coordination/fleet/tests/hosts.rs
+++ b/coordination/fleet/tests/hosts.rs
@@ -267,7 +267,7 @@
         world.start(7);
         let may = |world: &World| {
             let state = world.machines[&7].host.as_ref().expect("it runs");
-            (state.can_announce(), state.can_deregister("t1"))
+            (state.can_announce(), state.can_deregister("t1", 0))
         };
         assert_eq!(may(&world), (false, false), "seed {seed}");
         let mut waited = ms(0);
@@ -276,7 +276,7 @@
             waited += ms(10);
             assert!(waited < ms(3000), "seed {seed}");
         }
-        world.input(7, Input::Deregistered { id: "t1".to_owned() });
+        world.input(7, Input::Deregistered { id: "t1".to_owned(), started_at: 0 });
         world.run(ms(100));
         for host in world.running() {
             assert!(!sees_target(&world, host, "t1"), "seed {seed}, host {host}");
--- a/coordination/fleet/tests/placement.rs
+++ b/coordination/fleet/tests/placement.rs
@@ -438,14 +438,14 @@
 #[test]
 fn a_limit_outlives_the_silence_of_its_target() {
     let mut targets = Targets::default();
-    targets.merge(&record("t0"));
+    targets.merge(ms(0), &record("t0"));
     let limit = RequestLimit::Rate(1400);
     targets.get_mut("t0").expect("it is known").limit.limit = limit;
-    targets.merge(&TargetRecord { state: TargetState::Silent, ..record("t0") });
+    targets.merge(ms(0), &TargetRecord { state: TargetState::Silent, ..record("t0") });
     assert!(targets.get("t0").is_none());
-    targets.merge(&TargetRecord { sequence: 2, ..record("t0") });
+    targets.merge(ms(0), &TargetRecord { sequence: 2, ..record("t0") });
     assert_eq!(targets.get("t0").expect("it is back").limit.limit, limit);
-    targets.merge(&TargetRecord { started_at: 2, ..record("t0") });
+    targets.merge(ms(0), &TargetRecord { started_at: 2, ..record("t0") });
     let limit = targets.get("t0").expect("it is new").limit.limit;
     assert_eq!(limit, RequestLimit::Unknown);
 }
--- a/coordination/fleet/tests/restarts.rs
+++ b/coordination/fleet/tests/restarts.rs
@@ -34,7 +34,7 @@
         let record = target("t1", 5, 9, TargetState::Leaving);
         world.input(6, Input::Heartbeat { record });
     } else {
-        world.input(6, Input::Deregistered { id: "t1".to_owned() });
+        world.input(6, Input::Deregistered { id: "t1".to_owned(), started_at: 0 });
     }
     // Longer than the news of its end is repeated.
     world.run(ms(3000));
--- a/edge/src/control.rs
+++ b/edge/src/control.rs
@@ -56,11 +56,7 @@
         return heartbeat(&edge, id, &body);
     }
     if let Some(id) = path.strip_prefix(registry::DEREGISTER_PATH) {
-        if !edge.host.borrow().can_deregister(id) {
-            return empty(StatusCode::SERVICE_UNAVAILABLE);
-        }
-        edge.step(Input::Deregistered { id: id.to_owned() });
-        return json(StatusCode::OK, "{}");
+        return deregister(&edge, id, &body);
     }
     empty(StatusCode::NOT_FOUND)
 }
@@ -119,11 +115,7 @@
 fn heartbeat(edge: &Rc<Edge>, id: &str, body: &[u8]) -> Answer {
     let record = match registry::read_heartbeat(id, body) {
         Ok(record) => record,
-        Err(cause) => {
-            let what = format!("heartbeat of {id}: {cause}");
-            edge.log.event(&Event::Alarm { what: what.clone() });
-            return error(StatusCode::BAD_REQUEST, &what);
-        }
+        Err(cause) => return reject_call(edge, &format!("heartbeat of {id}: {cause}")),
     };
     if record.state == TargetState::Leaving && !edge.host.borrow().can_announce() {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
@@ -136,6 +128,24 @@
     json(StatusCode::OK, registry::heartbeat_answer(next))
 }
 
+fn deregister(edge: &Rc<Edge>, id: &str, body: &[u8]) -> Answer {
+    let started_at = match registry::read_deregistration(body) {
+        Ok(started_at) => started_at,
+        Err(cause) => return reject_call(edge, &format!("deregistration of {id}: {cause}")),
+    };
+    if !edge.host.borrow().can_deregister(id, started_at) {
+        return empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    edge.step(Input::Deregistered { id: id.to_owned(), started_at });
+    json(StatusCode::OK, "{}")
+}
+
+/// Rejects a target's call that could not be read.
+fn reject_call(edge: &Edge, what: &str) -> Answer {
+    edge.log.event(&Event::Alarm { what: what.to_owned() });
+    error(StatusCode::BAD_REQUEST, what)
+}
+
 /// Answers whether the host accepts callers' requests.
 pub(crate) async fn ready(edge: Rc<Edge>, request: Request<Incoming>) -> Answer {
     if request.uri().path() != registry::READY_PATH {
--- a/edge/tests/sessions.rs
+++ b/edge/tests/sessions.rs
@@ -96,6 +96,7 @@
     let control = cluster.addr(2, CONTROL);
     let replace = platform::config::REPLACE_PATH;
     let heartbeat = format!("{}i-9", platform::registry::HEARTBEAT_PATH);
+    let deregister = format!("{}i-2", platform::registry::DEREGISTER_PATH);
     let long = "x".repeat(200_000);
     let invalid = document(9).replacen(r#""service":"app""#, r#""service":"nobody""#, 1);
     let truncated = &document(9)[..200];
@@ -106,6 +107,7 @@
         ("an invalid configuration", control, replace, vec![], invalid.as_str()),
         ("a truncated configuration", control, replace, vec![], truncated),
         ("a damaged heartbeat", control, heartbeat.as_str(), vec![], "{\"service\":5}"),
+        ("a damaged deregistration", control, deregister.as_str(), vec![], "{\"born\":\"x\"}"),
         ("an unknown call", control, "/poplarhollow/nothing", vec![], "{}"),
     ] {
         let answer = call(addr, Method::POST, path, &headers, body).await;
