fleet: a target that leaves by an answer while it is silent stays away

Callers could get a target that had said in an answer that it leaves.

A target may be dropped as silent while it works on a request; its word in the answer was then recorded by nobody, and its next heartbeat, which may still say ready, was believed. Evidence: the test, in which all hosts used it again.

Change: record_leaving takes the last record of the process, in use or silent, and tells all hosts, who keep that it leaves if it comes back.

a_silent_target_that_leaves_by_an_answer_stays_away failed before.

--- a/coordination/fleet/src/answers.rs
+++ b/coordination/fleet/src/answers.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use wire::{FleetMsg, HostId, TargetState};
+use wire::{FleetMsg, HostId, TargetRecord, TargetState};
 
 use crate::{Event, Host, Reservation, io::Output, targets::Pause};
 
@@ -33,13 +33,13 @@
         reservation: &Reservation,
         id: &str,
     ) -> Vec<Output> {
-        let process = self.targets.process_mut(&reservation.target, reservation.started_at);
-        let Some(target) = process else { return Vec::new() };
-        if target.record.state != TargetState::Ready {
-            return Vec::new();
-        }
-        let mut record = target.record.clone();
-        record.state = TargetState::Leaving;
+        // It may have been dropped as silent meanwhile, and come back.
+        let last = self.targets.last_record(&reservation.target);
+        let is_new = |it: &&TargetRecord| {
+            it.started_at == reservation.started_at && it.state == TargetState::Ready
+        };
+        let Some(last) = last.filter(is_new) else { return Vec::new() };
+        let record = TargetRecord { state: TargetState::Leaving, ..last.clone() };
         self.log(Event::LeavesByAnswer { target: record.id.clone(), id: id.to_owned() });
         self.broadcast_seen(now, &record);
         self.update_target(now, &record);
--- a/coordination/fleet/tests/departures.rs
+++ b/coordination/fleet/tests/departures.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
-use common::{World, ms, records::target};
-use fleet::{Input, Targets};
+use common::{
+    World, ms,
+    records::{query, target},
+};
+use fleet::{Choice, Input, TargetQuery, Targets};
 use wire::{HostId, TargetState};
 
 /// Longer than four heartbeats, after which a target counts as silent.
@@ -93,6 +96,29 @@
     }
 }
 
+/// Guards against a target that is used after it said in an answer that it leaves, because it was dropped as
+/// silent while it worked on the request: the word was kept by nobody, and its next heartbeat was believed.
+#[test]
+fn a_silent_target_that_leaves_by_an_answer_stays_away() {
+    for seed in 0..3 {
+        for late in [4, 6] {
+            let mut world = World::configured(seed);
+            world.input(4, heartbeat(START, 1));
+            world.run(ms(500));
+            let query = TargetQuery { adapter: None, ..query("") };
+            let choice = world.call(6, |it, now| it.choose(now, &query, 1));
+            let Choice::Send(reservation) = choice else { panic!("no target: {choice:?}") };
+            world.run(ms(SILENCE_MS));
+            assert_eq!(users(&world), [], "seed {seed}: it is silent");
+            world.call(6, |it, now| ((), it.record_leaving(now, &reservation, "a")));
+            world.run(ms(500));
+            world.input(late, heartbeat(START, 6));
+            world.run(ms(DRAIN_MS));
+            assert_eq!(users(&world), [], "seed {seed}, late at {late}");
+        }
+    }
+}
+
 /// Guards against ends that are forgotten in the order of the targets' names, and against names that can
 /// never be used again.
 #[test]
