edge: a stream is complete only if its writer says so

Cause: the end of the queue to the caller counted as the end of the stream, and what cuts a stream off had to be queued as well. When the deadline passed while the queue was full, the word of it was dropped (try_send), and so was the writer. The same held for each other way in which the writer's task may end: cancelled, or by a panic.

Change: the body of a stream ends as complete only after StreamWriter::finish; however else the writer goes, the caller's connection is broken off. That needs no room in the queue.

--- a/edge/src/answer.rs
+++ b/edge/src/answer.rs
@@ -1,7 +1,9 @@
 //! Answers to callers.
 
 use std::{
+    cell::Cell,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll},
     time::Duration,
 };
@@ -10,22 +12,67 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use hyper::body::{Body, Frame, SizeHint};
 use thiserror::Error;
-use tokio::sync::mpsc::Receiver;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
 
 /// An answer body ended before it was complete.
 #[derive(Debug, Clone, Copy, Error)]
 #[error("answer body truncated")]
 pub(crate) struct Truncated;
 
-/// A part of a streamed body, or the error that ends it early.
-pub(crate) type Chunk = Result<Bytes, Truncated>;
-
 /// The body of an answer to a caller.
 pub(crate) enum AnswerBody {
     /// A complete body, sent with its length.
     Whole(Bytes),
-    /// A stream of chunks; it is complete when the sender is dropped without an error.
-    Stream(Receiver<Chunk>),
+    /// A stream of chunks.
+    Stream(StreamBody),
+}
+
+/// A streamed body. It is complete only if its writer says so; however else the writer is dropped, the
+/// caller's connection is broken off.
+pub(crate) struct StreamBody {
+    chunks: Receiver<Bytes>,
+    is_complete: Rc<Cell<bool>>,
+}
+
+impl StreamBody {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        self.chunks.poll_recv(cx).map(|chunk| match chunk {
+            Some(chunk) => Some(Ok(Frame::data(chunk))),
+            None if self.is_complete.get() => None,
+            None => Some(Err(Truncated)),
+        })
+    }
+}
+
+/// Writes a streamed body.
+pub(crate) struct StreamWriter {
+    chunks: Sender<Bytes>,
+    is_complete: Rc<Cell<bool>>,
+}
+
+impl StreamWriter {
+    /// Returns a writer and its body, which holds up to `queued` chunks that the caller hasn't taken.
+    pub(crate) fn new(queued: usize) -> (StreamWriter, StreamBody) {
+        let (sender, chunks) = channel(queued);
+        let is_complete = Rc::new(Cell::new(false));
+        let writer = StreamWriter { chunks: sender, is_complete: is_complete.clone() };
+        (writer, StreamBody { chunks, is_complete })
+    }
+
+    /// Adds a chunk, once there is room for it. Returns `false` if the caller has left.
+    pub(crate) async fn write(&self, chunk: Bytes) -> bool {
+        self.chunks.send(chunk).await.is_ok()
+    }
+
+    /// Waits until the caller has left.
+    pub(crate) async fn closed(&self) {
+        self.chunks.closed().await;
+    }
+
+    /// Ends the body as complete.
+    pub(crate) fn finish(self) {
+        self.is_complete.set(true);
+    }
 }
 
 impl Body for AnswerBody {
@@ -39,9 +86,7 @@
         match &mut *self {
             AnswerBody::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
             AnswerBody::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            AnswerBody::Stream(chunks) => {
-                chunks.poll_recv(cx).map(|chunk| chunk.map(|it| it.map(Frame::data)))
-            }
+            AnswerBody::Stream(body) => body.poll(cx),
         }
     }
 
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -8,13 +8,10 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use platform::request::{answer_headers, is_signed};
-use tokio::{
-    sync::mpsc::{Sender, channel},
-    time::sleep,
-};
+use tokio::time::sleep;
 
 use crate::{
-    answer::{Answer, AnswerBody, Chunk, Truncated},
+    answer::{Answer, AnswerBody, StreamWriter},
     client::Connection,
     relay::{Job, SendOutcome},
     reservation::ReservationGuard,
@@ -107,15 +104,15 @@
     delay: Duration,
 ) -> Answer {
     let (parts, body) = response.into_parts();
-    let (sender, receiver) = channel(QUEUED_CHUNKS);
-    let mut answer = Response::new(AnswerBody::Stream(receiver));
+    let (writer, stream) = StreamWriter::new(QUEUED_CHUNKS);
+    let mut answer = Response::new(AnswerBody::Stream(stream));
     *answer.status_mut() = parts.status;
     *answer.headers_mut() = answer_headers(&parts.headers);
     job.edge.metrics.observe_part("first", delay.as_secs_f64());
     let source =
         Source { body, headers: parts.headers, connection, reservation, delay, begun: false };
     let events = EventBuffer { last_event: job.head.last_event, ..EventBuffer::default() };
-    tokio::task::spawn_local(forward_events(job, source, events, sender));
+    tokio::task::spawn_local(forward_events(job, source, events, writer));
     answer
 }
 
@@ -146,10 +143,10 @@
     mut job: Job,
     mut source: Source,
     mut events: EventBuffer,
-    sender: Sender<Chunk>,
+    writer: StreamWriter,
 ) {
     loop {
-        match forward_source(&mut job, &mut source, &mut events, &sender).await {
+        match forward_source(&mut job, &mut source, &mut events, &writer).await {
             StreamEnd::Complete => {
                 source.reservation.end(Outcome::Answered(source.delay));
                 job.edge.client.keep(source.connection, &source.headers);
@@ -162,6 +159,7 @@
                     );
                 }
                 job.complete("served", 200);
+                writer.finish();
                 return;
             }
             StreamEnd::CallerLeft => {
@@ -171,13 +169,11 @@
             }
             StreamEnd::DeadlinePassed => {
                 source.reservation.end(Outcome::Left);
-                let _ = sender.try_send(Err(Truncated));
                 job.complete("late", 0);
                 return;
             }
             StreamEnd::Unrecorded => {
                 source.reservation.end(Outcome::Left);
-                let _ = sender.try_send(Err(Truncated));
                 job.complete("unrecorded", 0);
                 return;
             }
@@ -195,13 +191,12 @@
         let next = if retry && job.is_resumable() {
             tokio::select! {
                 next = resume(&mut job, events.last_event) => next,
-                () = sender.closed() => None,
+                () = writer.closed() => None,
             }
         } else {
             None
         };
         let Some(next) = next else {
-            let _ = sender.send(Err(Truncated)).await;
             job.complete("broken_off", 0);
             return;
         };
@@ -256,14 +251,14 @@
     job: &mut Job,
     source: &mut Source,
     events: &mut EventBuffer,
-    sender: &Sender<Chunk>,
+    writer: &StreamWriter,
 ) -> StreamEnd {
     let left = job.deadline.saturating_sub(job.edge.now());
     let mut deadline = std::pin::pin!(sleep(left));
     loop {
         let frame = tokio::select! {
             frame = source.body.frame() => frame,
-            () = sender.closed() => return StreamEnd::CallerLeft,
+            () = writer.closed() => return StreamEnd::CallerLeft,
             () = &mut deadline => return StreamEnd::DeadlinePassed,
         };
         let bytes = match frame {
@@ -290,14 +285,14 @@
                         return StreamEnd::Unrecorded;
                     }
                 }
-                () = sender.closed() => return StreamEnd::CallerLeft,
+                () = writer.closed() => return StreamEnd::CallerLeft,
                 () = &mut deadline => return StreamEnd::DeadlinePassed,
             }
         }
         events.record_forwarded(job.edge.now());
         tokio::select! {
-            sent = sender.send(Ok(complete)) => {
-                if sent.is_err() {
+            is_taken = writer.write(complete) => {
+                if !is_taken {
                     return StreamEnd::CallerLeft;
                 }
             }
