edge: the end of an answer without a length is confirmed by its target

Callers got 2 of 5 events of a stream and a proper end (ORDER), and half of a body as a success, when the target gave no length and its process ended in the midst of the answer.

Cause: such a body ends with its connection, and the kernel of a machine whose process dies closes that in the ordinary way. Once an event had come, any end between two events counted as the stream's; a body that is no stream was taken as it was.

Change: after such an end the host asks the target for its report, on a new connection, from here or through another host, within 1.5 s and the deadline. The answer is complete if the same process answers; 421, another start, no connection or no answer count as cut off, so that a stream goes on at another target or the caller's connection is broken off. The log line says what the target showed, and a metric counts it. Weighed: the next heartbeat or report of a holder (up to 1.2 s, and the stream would end that much later).

The stand-in of answers.rs answers reports now, as all targets do.

--- a/edge/src/client.rs
+++ b/edge/src/client.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    body::Incoming,
+    body::{Body, Incoming},
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
@@ -224,3 +224,12 @@
     let value = headers.get(http::header::CONNECTION);
     value.is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"))
 }
+
+/// Whether an answer tells where its body ends, by a length or by chunks. The body of any other ends with its
+/// connection, whether it is complete or the target's process has ended.
+pub(crate) fn tells_end(headers: &HeaderMap, body: &Incoming) -> bool {
+    let coding = headers.get_all(http::header::TRANSFER_ENCODING).iter().next_back();
+    let coding = coding.and_then(|it| it.to_str().ok()).and_then(|it| it.rsplit(',').next());
+    let is_chunked = coding.is_some_and(|it| it.trim().eq_ignore_ascii_case("chunked"));
+    is_chunked || body.size_hint().exact().is_some()
+}
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -338,7 +338,8 @@
         }
     }
 
-    fn control_request(
+    /// Returns a request that is no caller's, meant for one target only.
+    pub(crate) fn control_request(
         &self,
         method: Method,
         path: &str,
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -7,6 +7,7 @@
 mod crash;
 mod disk;
 mod edge;
+mod ends;
 mod error;
 mod front;
 mod listen;
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -17,6 +17,7 @@
     requests: IntCounterVec,
     sends: IntCounterVec,
     orders: IntCounterVec,
+    unframed: IntCounterVec,
     seconds: HistogramVec,
     state: GaugeVec,
     ages: GaugeVec,
@@ -68,6 +69,12 @@
                 "Orders to targets by kind and answer",
                 &["kind", "outcome"],
             ),
+            unframed: counter(
+                &registry,
+                "poplarhollow_unframed_answers_total",
+                "Answers that don't tell their end, by what their target showed after it",
+                &["outcome"],
+            ),
             peer_bytes: counter(
                 &registry,
                 "poplarhollow_peer_bytes_total",
@@ -82,6 +89,11 @@
         }
     }
 
+    /// Counts an answer that didn't tell its end, by what its target showed after it.
+    pub(crate) fn unframed_ended(&self, outcome: &str) {
+        self.unframed.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts the end of a request, with the seconds since its arrival.
     pub(crate) fn request_ended(&self, outcome: &str, seconds: f64) {
         self.requests.with_label_values(&[outcome]).inc();
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     answer::{Answer, AnswerBody, empty, not_run},
-    client::{Connection, SendError},
+    client::{Connection, SendError, tells_end},
     crash::TrialGuard,
     edge::Edge,
     front::ActiveRequest,
@@ -363,8 +363,12 @@
         delay: Duration,
     ) -> Option<Answer> {
         let (parts, body) = response.into_parts();
+        let tells_end = tells_end(&parts.headers, &body);
         let left = self.deadline.saturating_sub(self.edge.now());
-        let body = timeout(left, self.edge.client.collect(body)).await.ok().flatten();
+        let mut body = timeout(left, self.edge.client.collect(body)).await.ok().flatten();
+        if body.is_some() && !tells_end && !self.confirm_end(&reservation).await {
+            body = None;
+        }
         let signed = is_signed(&parts.headers);
         let Some(body) = body.filter(|_| signed || !parts.status.is_success()) else {
             self.check_crash(&reservation).await;
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use fleet::Outcome;
-use http::{HeaderMap, Response, header};
+use http::{HeaderMap, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use platform::request::{answer_headers, is_signed};
@@ -12,7 +12,7 @@
 
 use crate::{
     answer::{Answer, AnswerBody, StreamWriter},
-    client::Connection,
+    client::{Connection, tells_end},
     relay::{Job, SendOutcome},
     reservation::ReservationGuard,
 };
@@ -109,8 +109,7 @@
     *answer.status_mut() = parts.status;
     *answer.headers_mut() = answer_headers(&parts.headers);
     job.edge.metrics.observe_part("first", delay.as_secs_f64());
-    let source =
-        Source { body, headers: parts.headers, connection, reservation, delay, begun: false };
+    let source = Source::new(body, parts.headers, connection, reservation, delay);
     let events = EventBuffer { last_event: job.head.last_event, ..EventBuffer::default() };
     tokio::task::spawn_local(forward_events(job, source, events, writer));
     answer
@@ -126,6 +125,21 @@
     delay: Duration,
     /// Whether a complete event has arrived from it.
     begun: bool,
+    /// Whether its answer tells where it ends.
+    tells_end: bool,
+}
+
+impl Source {
+    fn new(
+        body: Incoming,
+        headers: HeaderMap,
+        connection: Connection,
+        reservation: ReservationGuard,
+        delay: Duration,
+    ) -> Source {
+        let tells_end = tells_end(&headers, &body);
+        Source { body, headers, connection, reservation, delay, begun: false, tells_end }
+    }
 }
 
 /// Why reading from a source ended.
@@ -222,28 +236,18 @@
             }
         }
         job.add_step("resumed", reservation.target());
-        return Some(Source {
-            body,
-            headers: parts.headers,
-            connection,
-            reservation,
-            delay,
-            begun: false,
-        });
+        return Some(Source::new(body, parts.headers, connection, reservation, delay));
     }
 }
 
-/// Whether a stream that ended between two events is complete. Without a length or chunks a crash of
-/// the target may look like the end; if there was no event, only a resumed stream may be complete.
-async fn is_complete(job: &Job, source: &Source, events: &EventBuffer) -> bool {
-    let is_framed = source.headers.contains_key(header::CONTENT_LENGTH)
-        || source.headers.contains_key(header::TRANSFER_ENCODING);
-    if source.begun || is_framed {
+/// Whether a stream that ended between two events is complete. One whose end looks like that of its
+/// target's process has to be confirmed; without any event, only a stream that was resumed can be.
+async fn is_complete(job: &mut Job, source: &Source, events: &EventBuffer) -> bool {
+    if source.tells_end {
         return true;
     }
-    let reservation = &source.reservation.reservation;
-    events.last_event.is_some()
-        && !job.edge.refuses_connections(&reservation.target, &reservation.addr).await
+    let may_be_empty = source.begun || events.last_event.is_some();
+    may_be_empty && job.confirm_end(&source.reservation).await
 }
 
 /// Forwards the events of one source until it ends.
--- a/edge/src/way.rs
+++ b/edge/src/way.rs
@@ -188,6 +188,21 @@
         self.client.prepare(target, stream).await
     }
 
+    /// Opens a new connection to a target for a question, in any way that works: one that fails from here may
+    /// be due to the path.
+    pub(crate) async fn open_any_way(
+        self: &Rc<Edge>,
+        target: &str,
+        addr: &str,
+    ) -> Option<Connection> {
+        if let Some(opened) = self.open(target, addr).await {
+            return Some(opened);
+        }
+        let witnesses = self.by_hosts(self.host.borrow().witnesses(rand::random()));
+        let opened = witnesses.open(target, addr).await.ok()?;
+        self.client.prepare(target, opened).await
+    }
+
     /// Whether a target's address refuses connections, as it does after its process crashed. Refusals
     /// on the path from here don't count.
     pub(crate) async fn refuses_connections(self: &Rc<Edge>, target: &str, addr: &str) -> bool {
--- a/edge/tests/answers.rs
+++ b/edge/tests/answers.rs
@@ -102,6 +102,10 @@
         let length = format!("Content-Length: {}\r\n", body.len());
         head("200 OK", &request.attempt, &length) + body
     };
+    if request.path == platform::target::REPORT_PATH {
+        let report = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+        return (report.to_owned(), AfterAnswer::Keep);
+    }
     let own = format!("answer to {}", request.attempt);
     match request.path.rsplit('/').next().unwrap_or_default() {
         "whole" => (whole(&own), AfterAnswer::Keep),
--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -265,6 +265,8 @@
     pub last_event: u64,
     /// The parts of the prompt, as the caller listed them.
     pub prompt: String,
+    /// The target for which it is meant; empty if none is named.
+    pub target: String,
 }
 
 /// Reads the next request; none if the connection is closed.
@@ -287,7 +289,8 @@
                     .unwrap_or(0);
                 bytes.drain(..end + 4 + length);
                 let prompt = field(stand_in::PROMPT.as_str()).unwrap_or_default();
-                return Some(ReceivedRequest { path, attempt, last_event, prompt });
+                let target = field(stand_in::TARGET.as_str()).unwrap_or_default();
+                return Some(ReceivedRequest { path, attempt, last_event, prompt, target });
             }
         }
         let mut chunk = [0; 4096];
