edge: a connection that is passed on ends in the ordinary way only if its target ends it

Cause: a host that reaches no target goes through another one. If that ends, the kernel closes the connection between the two in the ordinary way, and an answer without a length looks complete. The target goes on, so asking it doesn't help. Evidence: the test, over real sockets.

Change: the host that passes a connection on has the kernel reset it (linger of zero) until the target has ended its side and all bytes are passed on, so that whatever else ends it is seen as a break.

--- a/edge/src/way.rs
+++ b/edge/src/way.rs
@@ -16,6 +16,7 @@
 
 use fleet::Way;
 use serde::{Deserialize, Serialize};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, copy},
     net::{TcpListener, TcpSocket, TcpStream},
@@ -390,17 +391,24 @@
 }
 
 /// Passes on the bytes of both sides until one of them ends. Both connections are closed then: a host
-/// that closes its side has left its request.
+/// that closes its side has left its request. The connection to the host is reset unless the target has ended
+/// its side and all its bytes are passed on; the kernel resets it also if this process ends.
 async fn pass_on(mut client: TcpStream, mut target: TcpStream) {
+    // Where that can't be set, the connections are closed at once.
+    if client.set_zero_linger().is_err() {
+        return;
+    }
     let (mut from_client, mut to_client) = client.split();
     let (mut from_target, mut to_target) = target.split();
-    let ended = tokio::select! {
-        ended = copy(&mut from_client, &mut to_target) => ended,
-        ended = copy(&mut from_target, &mut to_client) => ended,
+    let has_target_ended = tokio::select! {
+        _ = copy(&mut from_client, &mut to_target) => false,
+        ended = copy(&mut from_target, &mut to_client) => ended.is_ok(),
     };
-    if ended.is_err() {
+    if !has_target_ended {
         // The connections are closed in any case.
-        let _ = client.set_zero_linger();
         let _ = target.set_zero_linger();
+        return;
     }
+    // If this fails, the host takes the answer for cut off.
+    let _ = SockRef::from(&client).set_linger(None);
 }
--- a/edge/tests/cut_off.rs
+++ b/edge/tests/cut_off.rs
@@ -12,13 +12,13 @@
 };
 
 use common::{
-    CONTROL, Cluster, ENTRY, call, document, ip, read_request, send_heartbeats, signed_head,
-    target_record, until,
+    CONTROL, Cluster, ENTRY, ReceivedRequest, call, document, ip, read_request, send_heartbeats,
+    signed_head, target_record, until,
 };
 use http::Method;
 use socket2::{SockFilter, SockRef};
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     time::sleep,
 };
@@ -31,6 +31,8 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// First tries at each host.
 const TRIES: usize = 20;
+/// Number of events of a stream.
+const EVENTS: u64 = 5;
 
 /// Targets that can drop what comes from some hosts, as a partition does.
 #[derive(Clone)]
@@ -40,6 +42,8 @@
     connections: Arc<Mutex<Vec<Arc<TcpListener>>>>,
     /// Attempts that came on a connection which another host had used for a request before.
     reused: Arc<Mutex<Vec<String>>>,
+    /// The addresses from which streams were requested.
+    streams: Arc<Mutex<Vec<String>>>,
 }
 
 /// Returns a filter that drops packets from these hosts. Its first load is the IPv4 source address,
@@ -63,8 +67,8 @@
 impl Targets {
     async fn start(net: u8, control: Vec<SocketAddr>) -> Targets {
         let connections = Arc::default();
-        let (is_cut, reused) = (Arc::default(), Arc::default());
-        let targets = Targets { net, is_cut, connections, reused };
+        let (is_cut, reused, streams) = (Arc::default(), Arc::default(), Arc::default());
+        let targets = Targets { net, is_cut, connections, reused, streams };
         for number in 1..=TARGETS {
             let addr = format!("{}:8080", ip(net, 100 + number));
             let listener = Arc::new(TcpListener::bind(&addr).await.expect("the address is free"));
@@ -111,6 +115,10 @@
             while is_behind && self.is_cut.load(Ordering::SeqCst) {
                 sleep(Duration::from_millis(50)).await;
             }
+            if request.path.starts_with("/flow/") {
+                self.streams.lock().expect("not poisoned").push(from.ip().to_string());
+                return send_stream(stream, &request).await;
+            }
             let body = from.ip().to_string();
             let more = format!("Content-Length: {}\r\n", body.len());
             let answer = signed_head("200 OK", &request.attempt, &more) + &body;
@@ -121,6 +129,21 @@
     }
 }
 
+/// Sends a stream without a length: its first two events, after which it waits until the other side closes the
+/// connection, or those after the last one that the caller has.
+async fn send_stream(mut stream: TcpStream, request: &ReceivedRequest) {
+    let head = signed_head("200 OK", &request.attempt, "Connection: close\r\n");
+    let last = if request.last_event == 0 { 2 } else { EVENTS };
+    let _ = stream.write_all((head + &events(request.last_event + 1..=last)).as_bytes()).await;
+    if last < EVENTS {
+        let _ = stream.read(&mut [0]).await;
+    }
+}
+
+fn events(range: std::ops::RangeInclusive<u64>) -> String {
+    range.map(|number| format!("id: {number}\ndata: piece {number}\n\n")).collect()
+}
+
 /// Sends one request of each kind in turn to a host. Returns the addresses from which targets got
 /// those that were served.
 async fn first_tries(cluster: &Cluster, host: u8) -> Vec<String> {
@@ -147,13 +170,10 @@
     }
 }
 
-/// Guards against hosts that fail their callers because they reach no target themselves, while other
-/// hosts reach all of them.
-#[tokio::test]
-async fn hosts_that_reach_no_target_serve_through_others() {
-    let net = 17;
+/// Starts hosts and targets, and cuts some hosts off from the targets.
+async fn start(net: u8, document: &str) -> (Cluster, Targets) {
     let cluster = Cluster::start(net, HOSTS);
-    cluster.configure(1, &document(3)).await;
+    cluster.configure(1, document).await;
     let control: Vec<_> = (1..=3).map(|host| cluster.addr(host, CONTROL)).collect();
     let targets = Targets::start(net, control).await;
     for host in 1..=HOSTS {
@@ -161,6 +181,54 @@
     }
     until_served_directly(&cluster, net).await;
     targets.cut(true);
+    (cluster, targets)
+}
+
+/// Guards against a stream that ends as complete before its last event, because the host through which it
+/// comes ended: its target gave no length, and the kernel closes the connection between the hosts in the
+/// ordinary way. Load pattern: one stream, whose way is killed once two of its events have arrived.
+#[tokio::test]
+async fn a_stream_goes_on_if_the_host_that_passes_it_on_is_killed() {
+    let document = document(3).replace(r#""service":"odd""#, r#""service":"app""#);
+    let (mut cluster, targets) = start(34, &document).await;
+    let entry = cluster.addr(CUT[0], ENTRY);
+    let own = ip(34, CUT[0]);
+    let calling = tokio::spawn(async move {
+        loop {
+            let headers = [("attempt-id", "s"), ("deadline-ms", "9000")];
+            let answer = call(entry, Method::POST, "/flow/x", &headers, "{}").await;
+            if let Ok(answer) = answer
+                && answer.status.is_success()
+            {
+                return answer.body;
+            }
+        }
+    });
+    let way = async || {
+        let mut way = None;
+        until(async || {
+            let streams = targets.streams.lock().expect("not poisoned");
+            way = streams.iter().find(|it| **it != own).cloned();
+            way.is_some()
+        })
+        .await;
+        way.expect("it was found")
+    };
+    let way = way().await;
+    // Its first events arrive meanwhile.
+    sleep(Duration::from_millis(300)).await;
+    let host = (1..=HOSTS).find(|host| ip(34, *host) == way).expect("a host");
+    cluster.kill(host);
+    let body = calling.await.expect("the call ends");
+    assert_eq!(body.as_deref(), Some(events(1..=EVENTS).as_str()));
+}
+
+/// Guards against hosts that fail their callers because they reach no target themselves, while other
+/// hosts reach all of them.
+#[tokio::test]
+async fn hosts_that_reach_no_target_serve_through_others() {
+    let net = 17;
+    let (cluster, targets) = start(net, &document(3)).await;
     let callers = CUT.map(|host| first_tries(&cluster, host));
     for tries in callers {
         tries.await;
