web: an answer of status 409 without a length isn't whole

A caller of poplarhollowd got the beginning of a body as a whole answer, if a service answered with 409 and without a length, and its process ended.

Cause: all other answers without a length were refused; this one was read by another function.

Change: one check for both. The case "conflict without length" failed before: its piece counted as the last.

--- a/transport/web/src/target.rs
+++ b/transport/web/src/target.rs
@@ -202,8 +202,8 @@
         return handle_conflict(inbox, call, &parts.headers, body, credit).await;
     }
     deliver_head(inbox, call, parts.status, &parts.headers).await?;
-    if body.size_hint().exact().is_none() && !is_chunked(&parts.headers) {
-        return Err(wrong_answer("the answer does not tell its length"));
+    if !tells_length(&parts.headers, &body) {
+        return Err(no_length());
     }
     let mut reader = AnswerReader::new(call);
     // An error response to a streamed call has a plain body.
@@ -213,9 +213,14 @@
     Ok(())
 }
 
-fn is_chunked(headers: &HeaderMap) -> bool {
-    let value = headers.get(http::header::TRANSFER_ENCODING);
-    value.and_then(|value| value.to_str().ok()).is_some_and(|text| text.contains("chunked"))
+/// Whether an answer tells where its body ends. If not, it can't be told from one that was cut short.
+fn tells_length(headers: &HeaderMap, body: &Incoming) -> bool {
+    let value = headers.get(http::header::TRANSFER_ENCODING).and_then(|it| it.to_str().ok());
+    body.size_hint().exact().is_some() || value.is_some_and(|text| text.contains("chunked"))
+}
+
+fn no_length() -> CallFailure {
+    wrong_answer("the answer does not tell its length")
 }
 
 /// Handles the status 409: a refusal fails the call, any other answer is delivered.
@@ -226,11 +231,15 @@
     body: Incoming,
     credit: &Credit,
 ) -> Result<(), CallFailure> {
+    let tells_length = tells_length(headers, &body);
     let body = collect(body).await.ok_or(CallFailure::Lost)?;
     if let Some(reason) = refusal(&body) {
         return Err(CallFailure::Refused(reason));
     }
     deliver_head(inbox, call, StatusCode::CONFLICT, headers).await?;
+    if !tells_length {
+        return Err(no_length());
+    }
     let mut reader = AnswerReader { stream: false, ..AnswerReader::new(call) };
     reader.deliver_bytes(inbox, body, true, credit).await;
     Ok(())
--- a/transport/web/tests/targets.rs
+++ b/transport/web/tests/targets.rs
@@ -171,6 +171,7 @@
         ("refused", false, refusal("not_loaded")),
         ("refused stream", true, refusal("leaving")),
         ("conflict of the service itself", false, response(409, ECHO, "{\"taken\":true}")),
+        ("conflict without length", false, format!("HTTP/1.1 409 x\r\n{ECHO}\r\n{{\"taken\"")),
         ("unknown refusal", false, refusal("none")),
         ("closed", false, String::new()),
         ("no HTTP", false, "hello\r\n\r\n".to_owned()),
