fleet: a deregistration without a start ends what had started when it came

Cause: such a deregistration was referred to the process that is or was known, and where there was none, or an earlier one, to nothing that a late heartbeat could meet.

Change: it ends each process that had started when the call arrived, by the clock of the host that got it. Weighed: the known process where there is one (a later one, whose heartbeats are held up, would be believed); asking the holder (it doesn't know either). As a clock may be ahead, an end is kept for two minutes in place of ten; what a silent target said, for ten as before.

--- a/coordination/fleet/src/answers.rs
+++ b/coordination/fleet/src/answers.rs
@@ -11,7 +11,7 @@
 use crate::{Event, Host, Reservation, io::Output, targets::Pause};
 
 /// Maximum time for which a target gets nothing because it asked for that.
-const MAX_PAUSE: Duration = Duration::from_secs(600);
+pub(crate) const MAX_PAUSE: Duration = Duration::from_secs(600);
 
 impl Host {
     /// Whether a request may still be sent to its reserved target: the target neither leaves nor has
--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -221,8 +221,8 @@
     Deregistered {
         /// Name of the target.
         target: String,
-        /// Start of the process that has ended, in milliseconds since the Unix epoch; 0 if neither the target
-        /// named it nor this host knows it.
+        /// Start of the process that has ended, in milliseconds since the Unix epoch; the time of the call if
+        /// the target named none: any that had started then.
         started_at: u64,
         /// Whether this host had the target in use.
         known: bool,
--- a/coordination/fleet/src/former.rs
+++ b/coordination/fleet/src/former.rs
@@ -5,12 +5,17 @@
 
 use wire::{RequestLimit, TargetRecord, TargetState};
 
-use crate::targets::{Pause, Target};
+use crate::{
+    answers::MAX_PAUSE,
+    targets::{Pause, Target},
+};
 
 /// Maximum number of former targets that are kept; the oldest are dropped first.
 const MAX_FORMER: usize = 4096;
-/// How long a former target is kept: far longer than a heartbeat may be under way.
-const FORMER_LIFE: Duration = Duration::from_secs(600);
+/// How long it is kept that a process has ended: far longer than a heartbeat may be under way.
+const ENDED_LIFE: Duration = Duration::from_secs(120);
+/// How long a silent target is kept: as long as the pause that it may have asked for.
+const SILENT_LIFE: Duration = MAX_PAUSE;
 
 /// The process that last had a target's name.
 #[derive(Debug, Clone)]
@@ -32,6 +37,12 @@
         Some(self.record.state).filter(|it| *it != TargetState::Ready)
     }
 
+    /// Whether it has been kept for long enough.
+    fn is_expired(&self, now: Duration) -> bool {
+        let life = if self.record.state == TargetState::Gone { ENDED_LIFE } else { SILENT_LIFE };
+        now >= self.since + life
+    }
+
     /// Whether a process that started then is known to have ended.
     pub(crate) fn has_ended(&self, started_at: u64) -> bool {
         self.ending(started_at) == Some(TargetState::Gone)
@@ -55,7 +66,7 @@
 
     /// Drops what is kept of a target if it has been kept for long enough.
     pub(crate) fn expire(&mut self, now: Duration, id: &str) {
-        if self.by_id.get(id).is_some_and(|it| now >= it.since + FORMER_LIFE) {
+        if self.by_id.get(id).is_some_and(|it| it.is_expired(now)) {
             self.by_id.remove(id);
         }
     }
@@ -82,7 +93,7 @@
         if self.by_id.len() <= MAX_FORMER {
             return;
         }
-        self.by_id.retain(|_, it| now < it.since + FORMER_LIFE);
+        self.by_id.retain(|_, it| !it.is_expired(now));
         while self.by_id.len() > MAX_FORMER {
             let oldest = self.by_id.iter().min_by_key(|(_, it)| it.since);
             let Some(id) = oldest.map(|(id, _)| id.clone()) else { return };
--- a/coordination/fleet/src/heartbeats.rs
+++ b/coordination/fleet/src/heartbeats.rs
@@ -45,19 +45,30 @@
     }
 
     /// Whether this host can tell all others that a target has ended. If the target names no start of its
-    /// process (0), the host must know the target, or that no host does.
-    pub fn can_deregister(&self, id: &str, started_at: u64) -> bool {
-        let is_named = started_at > 0 || self.targets.get(id).is_some();
+    /// process, the host must know the target, or that no host does: others may know the start.
+    pub fn can_deregister(&self, id: &str, started_at: Option<u64>) -> bool {
+        let is_named = started_at.is_some() || self.targets.get(id).is_some();
         self.can_announce() && (is_named || self.feeds_missing().is_empty())
     }
 
     /// Ends a target. That a process has ended is kept by all hosts, whether they know it or not: they may
-    /// have dropped it as silent, and its last heartbeats may still be on their way.
-    pub(crate) fn handle_deregistration(&mut self, now: Duration, id: &str, started_at: u64) {
+    /// have dropped it as silent, or not have heard of it yet, while its last heartbeats are on their way.
+    ///
+    /// If the target names no start of its process, it is any that had started when the call arrived: the one
+    /// that is known, or a later one of which no heartbeat has arrived.
+    pub(crate) fn handle_deregistration(
+        &mut self,
+        now: Duration,
+        id: &str,
+        started_at: Option<u64>,
+        arrived_at: u64,
+    ) {
+        let last = self.targets.last_record(id).map_or(0, |it| it.started_at);
+        let started_at = started_at.unwrap_or(arrived_at.max(last));
         let record = self.targets.complete_ending(id, started_at);
         self.log(Event::Deregistered {
             target: id.to_owned(),
-            started_at: record.started_at,
+            started_at,
             known: self.targets.get(id).is_some(),
         });
         self.broadcast_seen(now, &record);
--- a/coordination/fleet/src/io.rs
+++ b/coordination/fleet/src/io.rs
@@ -115,8 +115,10 @@
     Deregistered {
         /// Name of the target.
         id: String,
-        /// When its process started, in milliseconds since the Unix epoch; 0 if it names no start.
-        started_at: u64,
+        /// When its process started, in milliseconds since the Unix epoch; `None` if it names no start.
+        started_at: Option<u64>,
+        /// When the call arrived, by the time of day in the same unit.
+        arrived_at: u64,
     },
     /// An operator submits a change.
     Change {
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -166,8 +166,8 @@
             Input::SyncFailed(reason) => self.sync_failed(now, reason),
             Input::Reopened(disk) => self.reopened(now, *disk),
             Input::Heartbeat { record } => self.handle_heartbeat(now, record),
-            Input::Deregistered { id, started_at } => {
-                self.handle_deregistration(now, &id, started_at);
+            Input::Deregistered { id, started_at, arrived_at } => {
+                self.handle_deregistration(now, &id, started_at, arrived_at);
             }
             Input::Change { tag, command } => self.operator_calls.change(now, tag, command),
             Input::Read { tag } => self.operator_calls.read(now, tag),
--- a/coordination/fleet/src/targets.rs
+++ b/coordination/fleet/src/targets.rs
@@ -271,13 +271,11 @@
         known.or_else(|| self.former.get(id).map(|it| &it.record))
     }
 
-    /// Returns the record that ends a target's process, with what is known here in place of what it
-    /// leaves out: a deregistration names the target, and at most the start of its process. One that
-    /// names no start ends the process that is known.
+    /// Returns the record that ends a target's process and those before it, with what is known here in place
+    /// of what a deregistration leaves out: it names the target, and at most the start of its process.
     pub(crate) fn complete_ending(&self, id: &str, started_at: u64) -> TargetRecord {
-        let last = self.last_record(id);
-        if let Some(last) = last.filter(|it| started_at == 0 || it.started_at <= started_at) {
-            let started_at = started_at.max(last.started_at);
+        let last = self.last_record(id).filter(|it| it.started_at <= started_at);
+        if let Some(last) = last {
             return TargetRecord { started_at, state: TargetState::Gone, ..last.clone() };
         }
         TargetRecord {
--- a/coordination/fleet/tests/common/records.rs
+++ b/coordination/fleet/tests/common/records.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use fleet::{RequestKind, Route, SeenCrash, TargetQuery};
+use fleet::{Input, RequestKind, Route, SeenCrash, TargetQuery};
 use wire::{Suspect, TargetRecord, TargetState};
 
 use super::ms;
@@ -49,3 +49,8 @@
         state,
     }
 }
+
+/// A deregistration that arrives when so many milliseconds have passed since the Unix epoch.
+pub fn deregistration(id: &str, started_at: Option<u64>, arrived_at: u64) -> Input {
+    Input::Deregistered { id: id.to_owned(), started_at, arrived_at }
+}
--- a/edge/src/control.rs
+++ b/edge/src/control.rs
@@ -1,6 +1,10 @@
 //! HTTP calls of operators and targets, readiness, the directory of entry hosts, and metrics.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, SystemTime},
+};
 
 use bytes::Bytes;
 use desired::Command;
@@ -136,7 +140,9 @@
     if !edge.host.borrow().can_deregister(id, started_at) {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     }
-    edge.step(Input::Deregistered { id: id.to_owned(), started_at });
+    let arrived_at = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let arrived_at = arrived_at.as_millis() as u64;
+    edge.step(Input::Deregistered { id: id.to_owned(), started_at, arrived_at });
     json(StatusCode::OK, "{}")
 }
 
