node: messages of other hosts have a file of their own

Functions were moved as they are; the publisher is locked by a function, as the other components are. No change of behaviour; all tests of the crate pass.

--- a/coordination/node/src/lib.rs
+++ b/coordination/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod leases;
 mod lifecycle;
 mod machine;
+mod messages;
 mod node;
 mod orders;
 mod owner;
--- a/coordination/node/src/node.rs
+++ b/coordination/node/src/node.rs
@@ -12,10 +12,7 @@
 use place::{PlannerSettings, PolicySettings, owner_policy};
 use replog::Replica;
 use route::Directory;
-use wire::{
-    Answer, Command, Credit, Fence, HostId, Incarnation, PeerMsg, Piece, Query, RequestId,
-    TargetReport,
-};
+use wire::{Command, Fence, HostId, Incarnation, PeerMsg, Piece, TargetReport};
 
 use crate::{
     Input, Output, Start,
@@ -169,6 +166,10 @@
         lock(&self.entry)
     }
 
+    pub(crate) fn publisher(&self) -> MutexGuard<'_, Publisher> {
+        lock(&self.publisher)
+    }
+
     pub(crate) fn lifecycle(&self) -> MutexGuard<'_, Lifecycle> {
         lock(&self.lifecycle)
     }
@@ -181,7 +182,7 @@
         read(&self.directory.read().unwrap_or_else(PoisonError::into_inner))
     }
 
-    fn change_directory(&self, change: impl FnOnce(&mut Directory)) {
+    pub(crate) fn change_directory(&self, change: impl FnOnce(&mut Directory)) {
         change(&mut self.directory.write().unwrap_or_else(PoisonError::into_inner));
     }
 
@@ -207,7 +208,11 @@
     }
 
     /// Calls `work` with the replicated state, then updates the view.
-    fn with_replicated(&self, fx: &mut Effects, work: impl FnOnce(&mut Replicated, &mut Effects)) {
+    pub(crate) fn with_replicated(
+        &self,
+        fx: &mut Effects,
+        work: impl FnOnce(&mut Replicated, &mut Effects),
+    ) {
         let mut replicated = self.replicated();
         work(&mut replicated, fx);
         let view = Arc::new(replicated.view());
@@ -257,116 +262,22 @@
             }
             Input::Publish { tag, publish } => {
                 let ctx = self.ctx(now);
-                lock(&self.publisher).publish(&ctx, tag, publish, fx);
+                self.publisher().publish(&ctx, tag, publish, fx);
             }
             Input::Shutdown => self.shutdown(now, fx),
         }
     }
 
-    fn with_entry(&self, work: impl FnOnce(&mut EntryHost, &Directory)) {
+    pub(crate) fn with_entry(&self, work: impl FnOnce(&mut EntryHost, &Directory)) {
         let mut entry = self.entry();
         let dir = self.directory.read().unwrap_or_else(PoisonError::into_inner);
         work(&mut entry, &dir);
     }
 
-    fn handle_message(&self, now: Duration, from: HostId, msg: PeerMsg, fx: &mut Effects) {
-        match msg {
-            PeerMsg::Log(msg) => {
-                self.with_replicated(fx, |state, fx| state.handle_message(now, from, msg, fx))
-            }
-            PeerMsg::Propose(proposal) => {
-                self.with_replicated(fx, |state, fx| state.append_proposal(now, &proposal, fx));
-            }
-            PeerMsg::Renew(renew) => {
-                let ctx = self.ctx(now);
-                self.leases().handle_renewal(&ctx, from, renew, fx);
-            }
-            PeerMsg::Grant(grant) => self.handle_grant(now, &grant, fx),
-            PeerMsg::Report(report) => self.handle_report(now, *report, fx),
-            PeerMsg::LoadRequests(load_requests) => {
-                self.leases().set_load_requests(now, from, load_requests)
-            }
-            PeerMsg::LoadEnded(done) => self.leases().slot_done(now, from, done),
-            PeerMsg::LoadGrants(grants) => {
-                let ctx = self.ctx(now);
-                self.owner().handle_slots(&ctx, from, grants, fx);
-            }
-            PeerMsg::Forward(forward) => {
-                let ctx = self.ctx(now);
-                self.owner().handle_forward(&ctx, from, forward, fx);
-            }
-            PeerMsg::Answer(answer) => self.handle_answer(now, from, answer, fx),
-            PeerMsg::Credit(credit) => self.add_credit(credit, fx),
-            PeerMsg::Cancel(request) => {
-                let ctx = self.ctx(now);
-                self.owner().cancel(&ctx, request, fx);
-            }
-            PeerMsg::Query(Query::InForce { index, tag }) => {
-                self.send_in_force(now, from, index, tag, fx)
-            }
-            // These messages are for hosts that send requests to targets of all owners. This one
-            // only sends requests to targets it owns.
-            PeerMsg::Fleet(_) => {}
-            PeerMsg::InForce { tag, commit: _, domains } => {
-                lock(&self.publisher).in_force_reply(tag, &domains, fx);
-                self.owner().strike_in_force(tag, &domains, fx);
-            }
-        }
-    }
-
-    fn handle_answer(&self, now: Duration, from: HostId, answer: Answer, fx: &mut Effects) {
-        let ctx = self.ctx(now);
-        self.with_entry(|entry, dir| entry.handle_answer(&ctx, dir, from, answer, fx));
-    }
-
-    fn add_credit(&self, credit: Credit, fx: &mut Effects) {
-        self.owner().add_credit(credit, fx);
-    }
-
-    fn send_in_force(&self, now: Duration, from: HostId, index: u64, tag: u64, fx: &mut Effects) {
-        let commit = self.view().commit;
-        if commit < index {
-            return;
-        }
-        let Some(domains) = self.leases().in_force(now, index) else { return };
-        fx.send(from, PeerMsg::InForce { tag, commit, domains });
-    }
-
-    fn handle_grant(&self, now: Duration, grant: &wire::Grant, fx: &mut Effects) {
-        let ctx = self.ctx(now);
-        if !self.leases().handle_grant(&ctx, grant, fx) {
-            return;
-        }
-        self.change_directory(|dir| dir.apply_grant(now, grant));
-        let lost = {
-            let mut lifecycle = self.lifecycle();
-            let before = std::mem::replace(&mut lifecycle.suspects, grant.unleased.clone());
-            let new = lifecycle.suspects.iter().filter(|host| !before.contains(host));
-            new.copied().collect::<Vec<_>>()
-        };
-        for host in lost {
-            let ctx = self.ctx(now);
-            self.with_entry(|entry, dir| entry.owner_lost(&ctx, dir, host, fx));
-        }
-    }
-
-    fn peer_lost(&self, now: Duration, host: HostId, fx: &mut Effects) {
-        let ctx = self.ctx(now);
-        self.change_directory(|dir| dir.mark_unreachable(now, host));
-        self.with_entry(|entry, dir| entry.owner_lost(&ctx, dir, host, fx));
-        self.owner().entry_lost(&ctx, host, fx);
-    }
-
-    fn undelivered(&self, now: Duration, to: HostId, request: RequestId, fx: &mut Effects) {
-        let ctx = self.ctx(now);
-        self.change_directory(|dir| dir.mark_unreachable(now, to));
-        self.with_entry(|entry, dir| entry.undelivered(&ctx, dir, to, request, fx));
-    }
-
     /// Registers the target of a report if needed, and passes the report to the target's owner.
-    fn handle_report(&self, now: Duration, report: TargetReport, fx: &mut Effects) {
+    pub(crate) fn handle_report(&self, now: Duration, report: TargetReport, fx: &mut Effects) {
         let ctx = self.ctx(now);
-        lock(&self.publisher).register(&ctx, &report.info, fx);
+        self.publisher().register(&ctx, &report.info, fx);
         let Some(target) = ctx.view.registry.by_name(&report.info.name) else { return };
         match target.owner {
             Some(owner) if owner == (self.host, self.incarnation) => {
@@ -385,7 +296,7 @@
         let digest = self.owner().digest(now);
         self.change_directory(|dir| dir.set_own_digest(self.host, digest.clone()));
         self.leases().tick(&ctx, &digest, fx);
-        lock(&self.publisher).tick(&ctx, fx);
+        self.publisher().tick(&ctx, fx);
         self.owner().tick(&ctx, fx);
         let ticks = {
             let mut lifecycle = self.lifecycle();
@@ -441,7 +352,7 @@
         let ctx = self.ctx(now);
         match (&proposal.command, &applied.result) {
             (Command::Publish(publish), CommandResult::Publish(result)) => {
-                lock(&self.publisher).published(&ctx, publish, result, fx);
+                self.publisher().published(&ctx, publish, result, fx);
             }
             (Command::Claim(claim), CommandResult::Claim(reply)) => {
                 self.with_entry(|entry, dir| entry.claim_applied(&ctx, dir, claim, reply, fx));
