edge: the test of a killed way begins with connections made after the cut

Four logged runs of the test as it was, beside load, spent the first send on a connection from before the cut (silent for 9 s); the route allows two sends, so I suppose that one that ended sooner left none for going on. The test now waits until requests go through other hosts and pooled connections have run out. What it asserts is the same.

--- a/edge/tests/cut_off.rs
+++ b/edge/tests/cut_off.rs
@@ -31,6 +31,8 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// First tries at each host.
 const TRIES: usize = 20;
+/// Longer than a connection to a target is kept for reuse.
+const POOLED: Duration = Duration::from_secs(1);
 /// Number of events of a stream.
 const EVENTS: u64 = 5;
 
@@ -193,6 +195,9 @@
     let (mut cluster, targets) = start(34, &document).await;
     let entry = cluster.addr(CUT[0], ENTRY);
     let own = ip(34, CUT[0]);
+    // Connections from before the cut would take one of the two sends.
+    until(async || first_tries(&cluster, CUT[0]).await.iter().any(|it| *it != own)).await;
+    sleep(POOLED).await;
     let calling = tokio::spawn(async move {
         loop {
             let headers = [("attempt-id", "s"), ("deadline-ms", "9000")];
