edge: one reading of the time of day, one way to ask witnesses

The time of day was read in control.rs as new_incarnation did it; both call unix_ms now. open_any_way and is_reached_elsewhere build the connections through witnesses in one function. may_be_empty is named has_events, which is what it says. No change of behaviour.

--- a/coordination/fleet/tests/departures_random.rs
+++ b/coordination/fleet/tests/departures_random.rs
@@ -108,10 +108,9 @@
     fn step(&mut self, has_trouble: bool) {
         self.world.run(STEP);
         let now = self.world.now;
-        let (due, held) =
+        let (due, held): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.held).into_iter().partition(|(at, _)| *at <= now);
         self.held = held;
-        let due: Vec<(Duration, TargetRecord)> = due;
         for (_, record) in due {
             let host = self.host();
             self.arrive(host, record);
--- a/edge/src/control.rs
+++ b/edge/src/control.rs
@@ -1,10 +1,6 @@
 //! HTTP calls of operators and targets, readiness, the directory of entry hosts, and metrics.
 
-use std::{
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, SystemTime},
-};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use desired::Command;
@@ -17,7 +13,7 @@
 
 use crate::{
     answer::{Answer, empty, error, json},
-    edge::Edge,
+    edge::{Edge, unix_ms},
     listen::ConnectionLimits,
 };
 
@@ -140,9 +136,7 @@
     if !edge.host.borrow().can_deregister(id, started_at) {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let arrived_at = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    let arrived_at = arrived_at.as_millis() as u64;
-    edge.step(Input::Deregistered { id: id.to_owned(), started_at, arrived_at });
+    edge.step(Input::Deregistered { id: id.to_owned(), started_at, arrived_at: unix_ms() });
     json(StatusCode::OK, "{}")
 }
 
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -5,7 +5,7 @@
     collections::HashMap,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     rc::Rc,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use bytes::Bytes;
@@ -83,6 +83,12 @@
     time.map(Duration::from).unwrap_or_default()
 }
 
+/// Returns the time of day, in milliseconds since the Unix epoch.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
+
 /// Returns the number of the first operator's call. It differs from process to process, so that a late
 /// reply to a former one answers no call of this one, and is far from the numbers that the host assigns.
 fn first_tag() -> Tag {
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -4,7 +4,7 @@
     path::{Path, PathBuf},
     rc::Rc,
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use fleet::{Event, Host, Input, Settings, UnsentMessages};
@@ -23,8 +23,7 @@
     control,
     disk::DiskQueue,
     disk::open,
-    edge::Edge,
-    edge::clock,
+    edge::{Edge, clock, unix_ms},
     error::EdgeError,
     front,
     listen::{self, Until},
@@ -83,13 +82,6 @@
     }
 }
 
-/// Returns the incarnation of this process, in milliseconds since the epoch: higher than earlier
-/// ones unless the system clock was set back.
-fn new_incarnation() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    since.as_millis() as u64
-}
-
 async fn serve(path: PathBuf, log_lines: bool) -> Result<(), EdgeError> {
     let mut term = signal(SignalKind::terminate())?;
     let mut hup = signal(SignalKind::hangup())?;
@@ -115,7 +107,8 @@
     log_lines: bool,
 ) -> Result<Rc<Edge>, EdgeError> {
     let log = Log::start(&settings.name, log_lines);
-    let incarnation = new_incarnation();
+    // Higher than those of earlier processes, unless the system clock was set back.
+    let incarnation = unix_ms();
     let (mut disk, mut recovered, mut kept) = (None, None, KeptRecords::default());
     if let Some(dir) = &settings.data_dir {
         let (files, state) = open(dir)?;
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -246,8 +246,8 @@
     if source.tells_end {
         return true;
     }
-    let may_be_empty = source.begun || events.last_event.is_some();
-    may_be_empty && job.confirm_end(&source.reservation).await
+    let has_events = source.begun || events.last_event.is_some();
+    has_events && job.confirm_end(&source.reservation).await
 }
 
 /// Forwards the events of one source until it ends.
--- a/edge/src/way.rs
+++ b/edge/src/way.rs
@@ -199,8 +199,7 @@
         if let Some(opened) = self.open(target, addr).await {
             return Some(opened);
         }
-        let witnesses = self.by_hosts(self.host.borrow().witnesses(rand::random()));
-        let opened = witnesses.open(target, addr).await.ok()?;
+        let opened = self.witnesses().open(target, addr).await.ok()?;
         self.client.prepare(target, opened).await
     }
 
@@ -222,7 +221,7 @@
     /// Whether another host can open a connection to a target that this host failed to reach. If so, the
     /// path from here is at fault.
     async fn is_reached_elsewhere(self: &Rc<Edge>, target: &str, addr: &str) -> bool {
-        let witnesses = self.by_hosts(self.host.borrow().witnesses(rand::random()));
+        let witnesses = self.witnesses();
         let opened = timeout(WITNESS_TIMEOUT, witnesses.open(target, addr)).await;
         let is_reached = matches!(opened, Ok(Ok(_)));
         if is_reached {
@@ -243,6 +242,11 @@
         Direct { own: self.own_ip(), limit }
     }
 
+    /// Opens connections through hosts that can tell whether the path from here is at fault.
+    fn witnesses(&self) -> ByHosts {
+        self.by_hosts(self.host.borrow().witnesses(rand::random()))
+    }
+
     fn by_hosts(&self, relays: Vec<HostId>) -> ByHosts {
         let port = self.host.borrow().settings().relay_port;
         ByHosts { own: self.own_ip(), relays, port }
