edge: logs tell which requests a stop cut off, and when requests were read

Cause: of a request that the end of a process cut off, no line said that it had been there. `stopped` gave a number; the requests' own lines are written when they end. Nor did any line say when a request's last byte had come, or that the host was stopping when it sent it on.

Change: `stopped` names the oldest 16 requests that it cuts, with route, age and how far each was; `stopping` says when the process ends; a request's line has a step `read` if its last byte came 50 ms or more after its head, and a step `stopping` with the time left before a send. Hosts of tests write their logs to the folder that EDGE_LOG_DIR names.

Result: no decision changes.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -60,6 +60,19 @@
     pub messages: u64,
 }
 
+/// A request that the end of the process cut off.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct CutRequest {
+    /// Identifier of the request.
+    pub id: String,
+    /// Name of its route.
+    pub route: String,
+    /// How far it was: `reading`, `waiting`, `sent` or `answering`.
+    pub stage: &'static str,
+    /// Time since it arrived, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// A log line.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -78,11 +91,16 @@
     /// The settings were reloaded.
     Reloaded,
     /// The process was told to end.
-    Stopping,
+    Stopping {
+        /// Time until it ends at the latest, in milliseconds.
+        ends_in_ms: u64,
+    },
     /// The process ends.
     Stopped {
         /// Number of requests that were cut off.
         cut: u64,
+        /// The oldest of them.
+        requests: Vec<CutRequest>,
         /// Uptime in milliseconds.
         up_ms: u64,
         /// Number of messages sent to other hosts.
--- a/coordination/fleet/src/holder.rs
+++ b/coordination/fleet/src/holder.rs
@@ -166,7 +166,7 @@
     pub(crate) fn order_fence(&self, now: Duration, domain: &str) -> Option<Fence> {
         let held = self.held_domains.get(domain)?;
         let lapses_at = self.renewed_at? + self.settings.bounds.lease * HOLD_LEASES;
-        (!self.stopping && !held.resigned && now >= held.orders_from && now < lapses_at)
+        (self.shutdown.is_none() && !held.resigned && now >= held.orders_from && now < lapses_at)
             .then_some(held.fence)
     }
 
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -220,7 +220,7 @@
     }
 
     fn has_ended(&self, host: HostId, run: Incarnation) -> bool {
-        let own = host == self.settings.host && self.stopping;
+        let own = host == self.settings.host && self.shutdown.is_some();
         let leading = self.leading.as_ref();
         own || leading.is_some_and(|it| it.ended.contains(&(host, run)))
     }
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -47,6 +47,7 @@
 mod row;
 mod row_limits;
 mod settings;
+mod shutdown;
 mod software;
 mod store;
 mod stream_records;
@@ -60,7 +61,7 @@
     config::{Config, ConfigError, Engine, Limits, Model, RequestKind, Route, Service},
     confirm::LATE_HOSTS,
     crash_reports::SeenCrash,
-    event::{Basis, Event, LateHost, ReportVerdict, UnsentMessages},
+    event::{Basis, CutRequest, Event, LateHost, ReportVerdict, UnsentMessages},
     io::{Input, Order, OrderOutcome, Output, Reply, Report, Tag},
     limit_view::LimitView,
     machine::Host,
@@ -73,6 +74,7 @@
     request::{Choice, NoRoute, Outcome, Reservation, TargetQuery},
     routes::Routes,
     settings::{Bounds, Settings},
+    shutdown::Shutdown,
     stream_records::stream_hash,
     targets::{Pause, Target, Targets, adapter_hash, stable_hash},
 };
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -24,6 +24,7 @@
     replicated::log_settings,
     request::Requests,
     row_limits::BrittleReport,
+    shutdown::Shutdown,
     stream_records::StreamRecords,
     view::View,
 };
@@ -70,7 +71,8 @@
     /// Whether the applied state has reached a leader's commit index since the start, and lists this
     /// host.
     pub(crate) caught_up: bool,
-    pub(crate) stopping: bool,
+    /// Set once the process was told to end.
+    pub(crate) shutdown: Option<Shutdown>,
     pub(crate) join_sent: Option<Duration>,
     pub(crate) statuses_sent: Duration,
     pub(crate) resync_sent: Option<Duration>,
@@ -130,7 +132,7 @@
             leading: None,
             operator_calls: OperatorCalls::default(),
             caught_up: false,
-            stopping: false,
+            shutdown: None,
             join_sent: None,
             statuses_sent: now,
             resync_sent: None,
@@ -215,7 +217,7 @@
 
     /// Whether the host accepts callers' requests.
     pub fn is_ready(&self) -> bool {
-        self.knows_config() && !self.view.is_behind && !self.stopping
+        self.knows_config() && !self.view.is_behind && self.shutdown.is_none()
     }
 
     /// Whether the host knows the configuration in force: it has one, its state has caught up with a
@@ -456,8 +458,7 @@
     }
 
     fn stop(&mut self, now: Duration) {
-        self.stopping = true;
-        self.log(Event::Stopping);
+        self.begin_shutdown(now);
         self.hosts.set_ready(false);
         let leaving = FleetMsg::Leaving { incarnation: self.incarnation };
         for host in self.hosts.live(now) {
--- a/edge/src/control.rs
+++ b/edge/src/control.rs
@@ -178,8 +178,12 @@
 
 /// Answers with the metrics in Prometheus' text format.
 pub(crate) async fn metrics(edge: Rc<Edge>, _: Request<Incoming>) -> Answer {
-    let text =
-        edge.metrics.render(edge.now(), &edge.host.borrow(), edge.active.get(), &edge.hub.stats());
+    let text = edge.metrics.render(
+        edge.now(),
+        &edge.host.borrow(),
+        edge.active.count(),
+        &edge.hub.stats(),
+    );
     let mut answer = empty(StatusCode::OK);
     *answer.body_mut() = crate::answer::AnswerBody::Whole(Bytes::from(text));
     answer
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -20,6 +20,7 @@
 use wire::HostId;
 
 use crate::{
+    active::ActiveRequests,
     client::{Client, Connection, SendError},
     crash::CrashChecks,
     disk::DiskQueue,
@@ -65,7 +66,7 @@
     pub(crate) log: Log,
     pub(crate) metrics: Metrics,
     /// Callers' requests in progress.
-    pub(crate) active: Cell<usize>,
+    pub(crate) active: ActiveRequests,
     /// Callers' connections that have carried a request. An answer may still be on its way to the caller
     /// after its request has ended.
     pub(crate) used_connections: Cell<usize>,
@@ -118,7 +119,7 @@
             streams: StreamWaits::default(),
             log,
             metrics: Metrics::new(),
-            active: Cell::new(0),
+            active: ActiveRequests::default(),
             used_connections: Cell::new(0),
             passed_on: Cell::new(0),
             stopping: Cell::new(false),
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    active::ActiveRequest,
     answer::{Answer, empty, not_run},
     edge::Edge,
     listen::ConnectionLimits,
@@ -23,6 +24,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(1800);
 /// Span over which the retries of several callers are spread.
 const RETRY_DELAY_SPREAD: Duration = Duration::from_millis(800);
+/// A request's log line says when its last byte came if it came so much later than its head.
+const SLOW_BODY: Duration = Duration::from_millis(50);
 /// Time until the deadline of a request whose caller gives none.
 const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(60);
 
@@ -37,25 +40,9 @@
     ConnectionLimits { idle: limits.idle, head_bytes: limits.head_bytes }
 }
 
-/// Counts a request as active until it is dropped.
-pub(crate) struct ActiveRequest(Rc<Edge>);
-
-impl ActiveRequest {
-    fn new(edge: &Rc<Edge>) -> ActiveRequest {
-        edge.active.set(edge.active.get() + 1);
-        ActiveRequest(edge.clone())
-    }
-}
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.0.active.set(self.0.active.get() - 1);
-    }
-}
-
 /// Serves one request; tells the caller to close the connection if the host is stopping.
 pub(crate) async fn serve(edge: Rc<Edge>, request: Request<Incoming>) -> Answer {
-    let active = ActiveRequest::new(&edge);
+    let active = ActiveRequest::begin(&edge);
     let mut answer = answer(&edge, active, request).await;
     if edge.stopping.get() {
         let close = HeaderValue::from_static("close");
@@ -87,6 +74,7 @@
     let Some(head) = read_head(&parts.headers) else {
         return reject(edge, &parts, "no_id", empty(StatusCode::BAD_REQUEST));
     };
+    active.name(&head.attempt, &route.name);
     let left = head.time_left.unwrap_or(DEFAULT_TIME_LEFT).min(route.timeout);
     let body = match read_body(edge, body, left).await {
         Ok(body) => body,
@@ -101,7 +89,12 @@
         arrived,
         software: None,
     };
-    relay(Job::new(edge, active, query, parts, head, body, arrived, deadline)).await
+    let read_bytes = body.len();
+    let mut job = Job::new(edge, active, query, parts, head, body, arrived, deadline);
+    if edge.now() >= arrived + SLOW_BODY {
+        job.add_step("read", &format!("{read_bytes} bytes"));
+    }
+    relay(job).await
 }
 
 /// Counts and logs a request that the host answers without sending it to a target.
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -1,6 +1,7 @@
 //! The process of one host on the deployment platform: it receives callers' requests, forwards
 //! them to targets, and keeps its part of the replicated state.
 
+mod active;
 mod answer;
 mod client;
 mod control;
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -16,11 +16,11 @@
 use wire::Suspect;
 
 use crate::{
+    active::{ActiveRequest, Stage},
     answer::{Answer, AnswerBody, empty, not_run},
     client::{Connection, SendError, tells_end},
     crash::TrialGuard,
     edge::Edge,
-    front::ActiveRequest,
     reservation::{NoReservation, ReservationGuard},
     stream,
 };
@@ -148,6 +148,13 @@
         self.active = None;
     }
 
+    /// Records how far the request is, for the process' last log line.
+    pub(crate) fn reach(&self, stage: Stage) {
+        if let Some(active) = &self.active {
+            active.reach(stage);
+        }
+    }
+
     pub(crate) fn objective(&self) -> Duration {
         self.query.route.latency_objective
     }
@@ -237,7 +244,9 @@
             reservation.end(Outcome::Left);
             return SendOutcome::Retry;
         }
+        self.note_stop();
         self.add_step("sent", &id);
+        self.reach(Stage::Sent);
         let started = edge.now();
         let request = self.request(&reservation, last_event);
         self.sends += 1;
@@ -275,6 +284,14 @@
         SendOutcome::Head(Box::new((response, connection, reservation, delay)))
     }
 
+    /// Adds to the log line that the process is being stopped, and the time that it has left.
+    fn note_stop(&mut self) {
+        let left = self.edge.host.borrow().time_to_end(self.edge.now());
+        if let Some(left) = left {
+            self.add_step("stopping", &format!("{} ms left", left.as_millis()));
+        }
+    }
+
     /// Sends a request over a new connection after it could not be sent on a pooled one.
     async fn resend(
         &mut self,
@@ -407,6 +424,7 @@
         }
     }
     loop {
+        job.reach(Stage::Waiting);
         let reservation = match job.reserve_with_permit().await {
             Ok(reservation) => reservation,
             Err(NoReservation::Busy) => return job.fail(StatusCode::SERVICE_UNAVAILABLE, "busy"),
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -38,11 +38,6 @@
 const CLEANUP_TICKS: u64 = 20;
 /// Receivers that a log line about messages that were not sent names.
 const NAMED_RECEIVERS: usize = 8;
-/// How long callers are still accepted after SIGTERM: the entry addresses that the directory gave
-/// them stay valid for up to `MAX_ENTRY_TTL_S`, and 0.5 s are added.
-const LISTEN_AFTER_STOP: Duration = Duration::from_millis(2500);
-/// The process exits this long before the grace period is over and it is killed.
-const KILL_MARGIN: Duration = Duration::from_millis(500);
 /// Time limit for sending the queued messages to other hosts before the process exits.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -218,7 +213,8 @@
     let (sent, sent_bytes) = stats.total_sent();
     let (received, received_bytes) = stats.total_received();
     Event::Stopped {
-        cut: edge.active.get() as u64,
+        cut: edge.active.count() as u64,
+        requests: edge.active.oldest(edge.now()),
         up_ms: edge.now().as_millis() as u64,
         sent,
         sent_bytes,
@@ -232,16 +228,15 @@
 async fn stop(edge: &Rc<Edge>) {
     edge.stopping.set(true);
     edge.step(Input::Stop);
-    let grace = edge.host.borrow().settings().bounds.shutdown_grace;
-    let limit = grace.saturating_sub(KILL_MARGIN);
+    let Some(shutdown) = edge.host.borrow().shutdown() else { return };
     let draining = async {
-        sleep(LISTEN_AFTER_STOP.min(limit)).await;
+        sleep(shutdown.listen_until.saturating_sub(edge.now())).await;
         edge.closing.notify_waiters();
-        while edge.active.get() > 0 || edge.used_connections.get() > 0 {
+        while edge.active.count() > 0 || edge.used_connections.get() > 0 {
             sleep(TICK).await;
         }
     };
-    let _ = timeout(limit, draining).await;
+    let _ = timeout(shutdown.ends_at.saturating_sub(edge.now()), draining).await;
     edge.hub.flush(FLUSH_TIMEOUT).await;
     edge.log.event(&stopped_event(edge));
     edge.log.flush();
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::{
+    active::Stage,
     answer::{Answer, AnswerBody, StreamWriter},
     client::{Connection, tells_end},
     relay::{Job, SendOutcome},
@@ -103,6 +104,7 @@
     reservation: ReservationGuard,
     delay: Duration,
 ) -> Answer {
+    job.reach(Stage::Answering);
     let (parts, body) = response.into_parts();
     let (writer, stream) = StreamWriter::new(QUEUED_CHUNKS);
     let mut answer = Response::new(AnswerBody::Stream(stream));
--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -93,13 +93,21 @@
         let child = Command::new(env!("CARGO_BIN_EXE_poplarhollow-edge"))
             .arg("--settings")
             .arg(path)
-            .stdout(if self.stall_logs { Stdio::piped() } else { Stdio::null() })
+            .stdout(if self.stall_logs { Stdio::piped() } else { self.log_output(host) })
             .stderr(Stdio::inherit())
             .spawn()
             .expect("the program starts");
         self.children.insert(host, child);
     }
 
+    /// Returns where a host's log goes: the folder that `EDGE_LOG_DIR` names, if it is set.
+    fn log_output(&self, host: u8) -> Stdio {
+        let Ok(dir) = std::env::var("EDGE_LOG_DIR") else { return Stdio::null() };
+        let path = format!("{dir}/{}-{host}.log", self.net);
+        let file = std::fs::File::options().create(true).append(true).open(path);
+        file.expect("the log can be written").into()
+    }
+
     /// Kills a host's process with SIGKILL.
     pub fn kill(&mut self, host: u8) {
         let Some(mut child) = self.children.remove(&host) else { return };
