--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Runs hosts as processes on loopback addresses, and a stand-in target.
 #![allow(dead_code)]
 
+pub mod paced;
 pub mod target;
 
 use std::{
