edge: the end of the process bounds each request, as its deadline does

Cause: work was accepted without regard to whether this process could still finish it. Nothing between the arrival of a request and its send asked whether the host was stopping and how long it had left. Evidence: the tests of edge/tests/stops.rs, whose host names eight requests in its last line, four of them `answering`, four `sent`.

Change: a host that was told to end knows until when answers may begin and when it ends. A request is sent, again or for the first time, only if its deadline comes before that, or if answers of its size on its route have lately taken no longer than is left: 95 of 100 of them while callers are accepted, all of them afterwards. Else it is refused at once, also while its body still comes (the rest is read, so that closing the connection doesn't destroy the answer), with a Retry-After that lets it go to another host. What waits when answers are due gets one: 503 if it has not run, else 504. The steps of a request's log line say `stopping` and `too late for`.

--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -74,7 +74,7 @@
     request::{Choice, NoRoute, Outcome, Reservation, TargetQuery},
     routes::Routes,
     settings::{Bounds, Settings},
-    shutdown::Shutdown,
+    shutdown::{AnswerTime, Shutdown},
     stream_records::stream_hash,
     targets::{Pause, Target, Targets, adapter_hash, stable_hash},
 };
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -24,7 +24,7 @@
     replicated::log_settings,
     request::Requests,
     row_limits::BrittleReport,
-    shutdown::Shutdown,
+    shutdown::{AnswerTimes, Shutdown},
     stream_records::StreamRecords,
     view::View,
 };
@@ -73,6 +73,7 @@
     pub(crate) caught_up: bool,
     /// Set once the process was told to end.
     pub(crate) shutdown: Option<Shutdown>,
+    pub(crate) answer_times: AnswerTimes,
     pub(crate) join_sent: Option<Duration>,
     pub(crate) statuses_sent: Duration,
     pub(crate) resync_sent: Option<Duration>,
@@ -133,6 +134,7 @@
             operator_calls: OperatorCalls::default(),
             caught_up: false,
             shutdown: None,
+            answer_times: AnswerTimes::default(),
             join_sent: None,
             statuses_sent: now,
             resync_sent: None,
@@ -470,6 +472,7 @@
 
     /// Uses the parsed configuration whose log entry was applied; [`Output::Config`] contained it.
     pub fn set_config(&mut self, config: Config) {
+        self.answer_times.keep_routes(config.routes.iter().map(|it| it.name.as_str()));
         self.routes = Arc::new(Routes::new(&config));
         self.config = Some(Arc::new(config));
         self.configure_placement();
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use fleet::{Event, Host, Input, Order, OrderOutcome, Output, Reply, Report, Tag};
+use fleet::{Event, Host, Input, Order, OrderOutcome, Output, Reply, Report, Route, Tag};
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::Full;
 use peer::Hub;
@@ -26,6 +26,7 @@
     disk::DiskQueue,
     log::Log,
     metrics::Metrics,
+    signal::Signal,
     software::StreamWaits,
 };
 
@@ -72,7 +73,8 @@
     pub(crate) used_connections: Cell<usize>,
     /// Connections to targets that are passed on for other hosts.
     pub(crate) passed_on: Cell<usize>,
-    pub(crate) stopping: Cell<bool>,
+    /// Set once the process was told to end.
+    pub(crate) stopping: Signal,
     /// When the process started, by [`clock`].
     started: Duration,
 }
@@ -122,7 +124,7 @@
             active: ActiveRequests::default(),
             used_connections: Cell::new(0),
             passed_on: Cell::new(0),
-            stopping: Cell::new(false),
+            stopping: Signal::default(),
             started,
             host: RefCell::new(host),
         })
@@ -133,6 +135,27 @@
         clock().saturating_sub(self.started)
     }
 
+    /// Waits until the process was told to end and answers have to be given.
+    pub(crate) async fn answers_due(&self) {
+        self.stopping.wait().await;
+        let shutdown = self.host.borrow().shutdown();
+        self.sleep_until(shutdown.map_or(Duration::ZERO, |it| it.answers_until)).await;
+    }
+
+    /// Waits until the process was told to end and it is too late to send a request.
+    pub(crate) async fn too_late(&self, route: &Route, tokens: u32, deadline: Duration) {
+        self.stopping.wait().await;
+        let last_start = self.host.borrow().last_start(route, tokens, deadline);
+        match last_start {
+            Some(at) => self.sleep_until(at).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    async fn sleep_until(&self, at: Duration) {
+        sleep(at.saturating_sub(self.now())).await;
+    }
+
     /// Passes an input to the host and carries out the outputs.
     pub(crate) fn step(self: &Rc<Edge>, input: Input) {
         let outputs = self.host.borrow_mut().handle(self.now(), input);
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -13,9 +13,10 @@
 use crate::{
     active::ActiveRequest,
     answer::{Answer, empty, not_run},
+    attempt::relay,
     edge::Edge,
     listen::ConnectionLimits,
-    relay::{Job, relay},
+    relay::Job,
 };
 
 /// Minimum `Retry-After` for a request that arrives before the host knows the configuration in
@@ -24,6 +25,10 @@
 const RETRY_DELAY: Duration = Duration::from_millis(1800);
 /// Span over which the retries of several callers are spread.
 const RETRY_DELAY_SPREAD: Duration = Duration::from_millis(800);
+/// Outcome of a request that can't be finished before the process ends.
+pub(crate) const STOPPING: &str = "stopping";
+/// Span over which the retries of callers are spread that may go to another host.
+const OTHER_HOST_SPREAD: Duration = Duration::from_millis(200);
 /// A request's log line says when its last byte came if it came so much later than its head.
 const SLOW_BODY: Duration = Duration::from_millis(50);
 /// Time until the deadline of a request whose caller gives none.
@@ -44,7 +49,7 @@
 pub(crate) async fn serve(edge: Rc<Edge>, request: Request<Incoming>) -> Answer {
     let active = ActiveRequest::begin(&edge);
     let mut answer = answer(&edge, active, request).await;
-    if edge.stopping.get() {
+    if edge.stopping.is_set() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
     }
@@ -76,11 +81,21 @@
     };
     active.name(&head.attempt, &route.name);
     let left = head.time_left.unwrap_or(DEFAULT_TIME_LEFT).min(route.timeout);
-    let body = match read_body(edge, body, left).await {
+    let deadline = arrived + left;
+    let mut reading = Box::pin(read_body(edge.clone(), body, left));
+    let read = tokio::select! {
+        biased;
+        read = &mut reading => read,
+        () = edge.too_late(&route, head.most_tokens(), deadline) => {
+            // Closing a connection with unread bytes would reset it, and the answer might be lost.
+            tokio::task::spawn_local(reading);
+            return reject(edge, &parts, STOPPING, not_run_in_stop(edge));
+        }
+    };
+    let body = match read {
         Ok(body) => body,
         Err(status) => return reject(edge, &parts, "body", empty(status)),
     };
-    let deadline = arrived + left;
     let query = TargetQuery {
         route,
         service,
@@ -97,6 +112,21 @@
     relay(job).await
 }
 
+/// Returns the answer to a request that has not run and can't be finished before the process ends. Other
+/// hosts serve it at once, if there are any.
+fn not_run_in_stop(edge: &Edge) -> Answer {
+    let (min_delay, spread) = retry_delay_in_stop(edge);
+    not_run(min_delay, spread)
+}
+
+/// Returns the minimum `Retry-After` of such an answer, and the span over which the retries are spread.
+pub(crate) fn retry_delay_in_stop(edge: &Edge) -> (Duration, Duration) {
+    match edge.host.borrow().has_other_entries() {
+        true => (Duration::ZERO, OTHER_HOST_SPREAD),
+        false => (RETRY_DELAY, RETRY_DELAY_SPREAD),
+    }
+}
+
 /// Counts and logs a request that the host answers without sending it to a target.
 fn reject(edge: &Edge, parts: &Parts, outcome: &'static str, answer: Answer) -> Answer {
     edge.metrics.request_ended(outcome, 0.0);
@@ -114,8 +144,8 @@
 }
 
 /// Reads the body of a request that has so much time left. A slow one may take all of it.
-async fn read_body(edge: &Edge, body: Incoming, left: Duration) -> Result<Bytes, StatusCode> {
-    let limit = config_limits(edge).body_bytes;
+async fn read_body(edge: Rc<Edge>, body: Incoming, left: Duration) -> Result<Bytes, StatusCode> {
+    let limit = config_limits(&edge).body_bytes;
     match timeout(left, Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -3,6 +3,7 @@
 
 mod active;
 mod answer;
+mod attempt;
 mod client;
 mod control;
 mod crash;
@@ -19,6 +20,7 @@
 mod relay;
 mod reservation;
 mod run;
+mod signal;
 mod software;
 mod stall;
 mod stream;
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -1,10 +1,10 @@
-//! Relays one caller's request: reserves a target, sends the request, retries within the limits,
-//! and forwards the answer.
+//! A caller's request that is being relayed: its sends, its retries within the limits, its answer, and
+//! its log line.
 
 use std::{cell::OnceCell, fmt::Write as _, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use fleet::{Event, Outcome, RequestKind, TargetQuery};
+use fleet::{AnswerTime, Event, Outcome, RequestKind, TargetQuery};
 use http::{Request, Response, StatusCode, request::Parts};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -21,8 +21,8 @@
     client::{Connection, SendError, tells_end},
     crash::TrialGuard,
     edge::Edge,
-    reservation::{NoReservation, ReservationGuard},
-    stream,
+    front::{STOPPING, retry_delay_in_stop},
+    reservation::ReservationGuard,
 };
 
 /// Time limit for the answer to a repeatable request, in latency objectives, after which it is
@@ -35,7 +35,7 @@
 /// Minimum `Retry-After` for a request that found no free target. It has missed its latency
 /// objective already, so the delay only has to let the next attempt find a free target. A longer
 /// delay would be ignored, since callers wait for at most a third of the time that they have left.
-const RETRY_DELAY: Duration = Duration::from_millis(1500);
+pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(1500);
 /// Span over which the retries of several callers are spread.
 const RETRY_DELAY_SPREAD: Duration = Duration::from_millis(2500);
 /// Replaces [`RETRY_DELAY`] while no holder is active: first a leader must be elected and the
@@ -57,6 +57,8 @@
     pub(crate) arrived: Duration,
     /// Latest time for the final answer.
     pub(crate) deadline: Duration,
+    /// When it was first sent to a target.
+    sent_at: Option<Duration>,
     /// Sends that a target may have started to run.
     sends: u32,
     may_have_run: bool,
@@ -72,10 +74,14 @@
     steps: String,
 }
 
+/// The head of an answer to a request that was sent, with its connection, the reservation at its target
+/// and the time it took.
+pub(crate) type Sent = (Response<Incoming>, Connection, ReservationGuard, Duration);
+
 /// How a send ended.
 pub(crate) enum SendOutcome {
-    /// The head of an answer to this request arrived; the duration is the time it took.
-    Head(Box<(Response<Incoming>, Connection, ReservationGuard, Duration)>),
+    /// The head of an answer to this request arrived.
+    Head(Box<Sent>),
     /// There is no usable answer, and the request may be sent to another target.
     Retry,
     /// There is no usable answer, and the request must not be sent again; the caller's status.
@@ -104,6 +110,7 @@
             body,
             arrived,
             deadline,
+            sent_at: None,
             sends: 0,
             may_have_run: false,
             contents: OnceCell::new(),
@@ -148,6 +155,31 @@
         self.active = None;
     }
 
+    /// Whether its answer can still end before the process does, if it is sent now.
+    pub(crate) fn may_begin(&self) -> bool {
+        self.last_start().is_none_or(|at| self.edge.now() < at)
+    }
+
+    /// Returns until when it may be sent, if the end of the process limits that.
+    pub(crate) fn last_start(&self) -> Option<Duration> {
+        let host = self.edge.host.borrow();
+        host.last_start(&self.query.route, self.head.most_tokens(), self.deadline)
+    }
+
+    /// Records how long its answer took, which ends now; `first_at` is when the first event of a stream was
+    /// forwarded. What takes up a stream is shorter than its number of tokens says.
+    pub(crate) fn record_answer(&self, first_at: Option<Duration>) {
+        let Some(sent_at) = self.sent_at.filter(|_| self.head.last_event.is_none()) else { return };
+        let now = self.edge.now();
+        let first_at = first_at.unwrap_or(now);
+        let time = AnswerTime {
+            first: first_at.saturating_sub(sent_at),
+            rest: now.saturating_sub(first_at),
+            tokens: self.head.most_tokens(),
+        };
+        self.edge.host.borrow_mut().record_answer(&self.query.route.name, time);
+    }
+
     /// Records how far the request is, for the process' last log line.
     pub(crate) fn reach(&self, stage: Stage) {
         if let Some(active) = &self.active {
@@ -239,6 +271,11 @@
             sleep(SETTLE_TIME).await;
             return SendOutcome::Retry;
         }
+        if !self.may_begin() {
+            self.add_step("too late for", &id);
+            reservation.end(Outcome::Left);
+            return SendOutcome::Retry;
+        }
         if !edge.host.borrow().may_send(edge.now(), &reservation.reservation) {
             self.add_step("no place at", &id);
             reservation.end(Outcome::Left);
@@ -248,6 +285,7 @@
         self.add_step("sent", &id);
         self.reach(Stage::Sent);
         let started = edge.now();
+        self.sent_at.get_or_insert(started);
         let request = self.request(&reservation, last_event);
         self.sends += 1;
         edge.host.borrow_mut().record_send(&reservation.reservation);
@@ -360,19 +398,36 @@
                 status
             };
             empty(status)
-        } else if let Some(due) = self.retry_due.take() {
-            not_run(due.min(MAX_RETRY_DELAY), RETRY_DELAY_SPREAD)
         } else {
-            let has_holder = self.edge.host.borrow().has_active_holder(self.edge.now());
-            let min_delay = if has_holder { RETRY_DELAY } else { RETRY_DELAY_NO_HOLDER };
-            not_run(min_delay, RETRY_DELAY_SPREAD)
+            let (min_delay, spread) = self.retry_delay(why);
+            not_run(min_delay, spread)
         };
         self.complete(why, answer.status().as_u16());
         answer
     }
 
+    /// Returns the minimum `Retry-After` of a request that has not run, and the span over which the retries
+    /// are spread.
+    fn retry_delay(&mut self, why: &'static str) -> (Duration, Duration) {
+        if why == STOPPING {
+            return retry_delay_in_stop(&self.edge);
+        }
+        if let Some(due) = self.retry_due.take() {
+            return (due.min(MAX_RETRY_DELAY), RETRY_DELAY_SPREAD);
+        }
+        let has_holder = self.edge.host.borrow().has_active_holder(self.edge.now());
+        (if has_holder { RETRY_DELAY } else { RETRY_DELAY_NO_HOLDER }, RETRY_DELAY_SPREAD)
+    }
+
+    /// Ends a request whose answer has not begun when the process is about to end.
+    pub(crate) fn end_in_stop(&mut self) -> Answer {
+        self.add_step("stopping", "no answer yet");
+        self.may_have_run |= self.sends > 0;
+        self.fail(StatusCode::GATEWAY_TIMEOUT, STOPPING)
+    }
+
     /// Reads a complete answer that is not a stream; none if the request has to be sent again.
-    async fn forward_whole(
+    pub(crate) async fn forward_whole(
         &mut self,
         response: Response<Incoming>,
         connection: Connection,
@@ -402,6 +457,7 @@
         let mut answer = Response::new(AnswerBody::Whole(body));
         *answer.status_mut() = if signed { parts.status } else { StatusCode::BAD_GATEWAY };
         *answer.headers_mut() = answer_headers(&parts.headers);
+        self.record_answer(None);
         if !failed {
             self.complete("served", parts.status.as_u16());
             return Some(answer);
@@ -413,57 +469,3 @@
         if self.may_retry(true) { None } else { Some(self.fail(StatusCode::BAD_GATEWAY, "failed")) }
     }
 }
-
-/// Relays a request and returns the answer for its caller.
-pub(crate) async fn relay(mut job: Job) -> Answer {
-    if let Some(event) = job.head.last_event.filter(|_| job.kind().is_stream()) {
-        let first = job.head.first_attempt.clone().unwrap_or_default();
-        job.add_step("takes up", &format!("{first} after {event}"));
-        if !job.find_software().await {
-            return job.fail(StatusCode::SERVICE_UNAVAILABLE, "unknown_version");
-        }
-    }
-    loop {
-        job.reach(Stage::Waiting);
-        let reservation = match job.reserve_with_permit().await {
-            Ok(reservation) => reservation,
-            Err(NoReservation::Busy) => return job.fail(StatusCode::SERVICE_UNAVAILABLE, "busy"),
-            Err(NoReservation::NoPermit) => {
-                return job.fail(StatusCode::SERVICE_UNAVAILABLE, "no_turn");
-            }
-            Err(NoReservation::NoTarget) => {
-                return job.fail(StatusCode::SERVICE_UNAVAILABLE, "no_target");
-            }
-            Err(NoReservation::Limited(due)) => {
-                job.retry_due = Some(due.max(RETRY_DELAY));
-                return job.fail(StatusCode::SERVICE_UNAVAILABLE, "limited");
-            }
-            Err(NoReservation::Quarantined(due)) => {
-                job.retry_due = Some(due);
-                return job.fail(StatusCode::SERVICE_UNAVAILABLE, "barred");
-            }
-            Err(NoReservation::DeadlinePassed) => {
-                return job.fail(StatusCode::GATEWAY_TIMEOUT, "late");
-            }
-        };
-        let last_event = job.head.last_event;
-        let (response, connection, reservation, delay) =
-            match job.send(reservation, last_event).await {
-                SendOutcome::Head(sent) => *sent,
-                SendOutcome::Retry => continue,
-                SendOutcome::Final(status) => return job.fail(status, "unanswered"),
-            };
-        if job.kind().is_stream() && response.status().is_success() {
-            if !is_signed(response.headers()) {
-                match job.fail_send(reservation, "unsigned", StatusCode::BAD_GATEWAY) {
-                    SendOutcome::Final(status) => return job.fail(status, "unsigned"),
-                    SendOutcome::Retry | SendOutcome::Head(_) => continue,
-                }
-            }
-            return stream::forward(job, response, connection, reservation, delay);
-        }
-        if let Some(answer) = job.forward_whole(response, connection, reservation, delay).await {
-            return answer;
-        }
-    }
-}
--- a/edge/src/reservation.rs
+++ b/edge/src/reservation.rs
@@ -38,6 +38,8 @@
     NoPermit,
     /// No target of the service accepts requests.
     NoTarget,
+    /// Its answer can't end before the process does.
+    Stopping,
     /// The request's deadline has passed.
     DeadlinePassed,
     /// The targets that could run it take no more requests; the next place is due after this time.
@@ -159,6 +161,10 @@
             if now >= self.deadline {
                 return Err(NoReservation::DeadlinePassed);
             }
+            let last_start = self.last_start();
+            if last_start.is_some_and(|at| now >= at) {
+                return Err(NoReservation::Stopping);
+            }
             let mut wake = std::pin::pin!(edge.wake.notified());
             wake.as_mut().enable();
             let (until, interval, why) = match self.choose(now, started, &mut waits)? {
@@ -192,7 +198,8 @@
             if now >= until || (why == NoReservation::NoTarget && !self.query.tried.is_empty()) {
                 return Err(why);
             }
-            let remaining = until.min(self.deadline).saturating_sub(now).min(interval);
+            let until = until.min(self.deadline).min(last_start.unwrap_or(Duration::MAX));
+            let remaining = until.saturating_sub(now).min(interval);
             tokio::select! {
                 () = wake => {}
                 () = sleep(remaining) => {}
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -226,8 +226,9 @@
 /// Stops the host. Returns once no caller's request is active and all answers were taken, or the grace
 /// period is nearly over.
 async fn stop(edge: &Rc<Edge>) {
-    edge.stopping.set(true);
     edge.step(Input::Stop);
+    edge.stopping.set();
+    edge.wake.notify_waiters();
     let Some(shutdown) = edge.host.borrow().shutdown() else { return };
     let draining = async {
         sleep(shutdown.listen_until.saturating_sub(edge.now())).await;
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -14,7 +14,7 @@
     active::Stage,
     answer::{Answer, AnswerBody, StreamWriter},
     client::{Connection, tells_end},
-    relay::{Job, SendOutcome},
+    relay::{Job, SendOutcome, Sent},
     reservation::ReservationGuard,
 };
 
@@ -34,6 +34,8 @@
     searched: usize,
     /// Id of the last event that was forwarded.
     last_event: Option<u64>,
+    /// When the first events were forwarded.
+    first_at: Option<Duration>,
     /// When events were last forwarded, by `Edge::now`.
     forwarded_at: Option<Duration>,
     /// Longest time between two forwarded chunks of events.
@@ -64,6 +66,7 @@
     fn record_forwarded(&mut self, now: Duration) {
         let pause = self.forwarded_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
         self.longest_pause = self.longest_pause.max(pause);
+        self.first_at.get_or_insert(now);
         self.forwarded_at = Some(now);
     }
 
@@ -97,13 +100,8 @@
 }
 
 /// Starts to forward a stream, and returns the answer that carries it.
-pub(crate) fn forward(
-    job: Job,
-    response: Response<Incoming>,
-    connection: Connection,
-    reservation: ReservationGuard,
-    delay: Duration,
-) -> Answer {
+pub(crate) fn forward(job: Job, sent: Sent) -> Answer {
+    let (response, connection, reservation, delay) = sent;
     job.reach(Stage::Answering);
     let (parts, body) = response.into_parts();
     let (writer, stream) = StreamWriter::new(QUEUED_CHUNKS);
@@ -174,6 +172,7 @@
                         &format!("{} ms", events.longest_pause.as_millis()),
                     );
                 }
+                job.record_answer(events.first_at);
                 job.complete("served", 200);
                 writer.finish();
                 return;
@@ -184,6 +183,7 @@
                 return;
             }
             StreamEnd::DeadlinePassed => {
+                job.record_answer(events.first_at);
                 source.reservation.end(Outcome::Left);
                 job.complete("late", 0);
                 return;
