edge: a stop waits for connections whose first request it hasn't read

What callers saw: a connection closed without an answer, for those who connected while the listener was being closed, and for those whose request's head ended late.

Cause: the signal to close reached only tasks that already waited for it, and `stop` counted connections that had carried a request. A connection that the kernel had accepted, or whose first head was still coming, was in no count, so the process ended beside it. Evidence: a process that stands still from 2.3 to 2.6 s after SIGTERM ends as soon as it goes on, and 40 of 40 callers who connected meanwhile get nothing.

Change: the closing is a state that later tasks see too. The listener counts until its last connection is accepted, and each caller's connection from its accept to its end. One without a request gets 500 ms for it once the listener is closed.

--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -57,7 +57,7 @@
     /// Wakes requests that wait for a target.
     pub(crate) wake: Notify,
     /// Closes the callers' listener, and every connection once its current request is answered.
-    pub(crate) closing: Notify,
+    pub(crate) closing: Signal,
     /// Operators' calls that wait for a reply.
     pub(crate) pending_calls: RefCell<HashMap<Tag, oneshot::Sender<Reply>>>,
     pub(crate) next_tag: Cell<Tag>,
@@ -68,9 +68,8 @@
     pub(crate) metrics: Metrics,
     /// Callers' requests in progress.
     pub(crate) active: ActiveRequests,
-    /// Callers' connections that have carried a request. An answer may still be on its way to the caller
-    /// after its request has ended.
-    pub(crate) used_connections: Cell<usize>,
+    /// Callers' connections and their listener, as long as they are open.
+    pub(crate) unfinished: Cell<usize>,
     /// Connections to targets that are passed on for other hosts.
     pub(crate) passed_on: Cell<usize>,
     /// Set once the process was told to end.
@@ -113,7 +112,7 @@
             client: Client::default(),
             control_client: Client::default(),
             wake: Notify::new(),
-            closing: Notify::new(),
+            closing: Signal::default(),
             pending_calls: RefCell::default(),
             next_tag: Cell::new(first_tag()),
             permits: Default::default(),
@@ -122,7 +121,7 @@
             log,
             metrics: Metrics::new(),
             active: ActiveRequests::default(),
-            used_connections: Cell::new(0),
+            unfinished: Cell::new(0),
             passed_on: Cell::new(0),
             stopping: Signal::default(),
             started,
--- a/edge/src/listen.rs
+++ b/edge/src/listen.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use crate::{answer::Answer, edge::Edge, error::EdgeError, stall::StallLimit};
@@ -22,6 +22,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Minimum size of a connection's buffer, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// How long a connection without a request is kept after the listener was closed. A request that is on its
+/// way is still answered.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
 /// Time limit for the other end to take what was written at once.
 const TAKE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -52,7 +55,7 @@
 /// How long a listener accepts connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Until {
-    /// Until `Edge::closing` is signalled.
+    /// Until `Edge::closing` is set; its connections are callers'.
     Closing,
     /// Until the process ends.
     End,
@@ -70,19 +73,21 @@
     F: Future<Output = Answer> + 'static,
 {
     let edge = edge.clone();
+    let listening = (until == Until::Closing).then(|| Unfinished::begin(&edge));
     tokio::task::spawn_local(async move {
         let start = |(stream, peer)| {
-            let connection = AcceptedConnection { stream, peer, until, limits: limits(&edge) };
+            let unfinished = (until == Until::Closing).then(|| Unfinished::begin(&edge));
+            let connection = AcceptedConnection { stream, peer, limits: limits(&edge), unfinished };
             tokio::task::spawn_local(connection.serve(edge.clone(), handler));
         };
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = edge.closing.notified(), if until == Until::Closing => break,
+                () = edge.closing.wait(), if until == Until::Closing => break,
             };
             match accepted {
                 Ok(accepted) => start(accepted),
-                Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+                Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
         // Callers whose connections the kernel has accepted already are still served: to drop the listener
@@ -90,55 +95,51 @@
         while let Ok(Ok(accepted)) = timeout(Duration::ZERO, listener.accept()).await {
             start(accepted);
         }
+        drop(listening);
     });
 }
 
-/// An accepted connection.
-struct AcceptedConnection {
-    stream: TcpStream,
-    peer: SocketAddr,
-    until: Until,
-    limits: ConnectionLimits,
-}
-
-/// Counts a connection among those that have carried a request, once it has, until this is dropped.
-struct UsedConnection {
-    edge: Rc<Edge>,
-    is_used: Cell<bool>,
-}
+/// Something that the process waits for before it ends, until this is dropped: a listener with connections
+/// that may not have been accepted, or a caller's connection, whose request may not have been read, and
+/// whose answer may be on its way after its request has ended.
+struct Unfinished(Rc<Edge>);
 
-impl UsedConnection {
-    fn mark(&self) {
-        if !self.is_used.replace(true) {
-            self.edge.used_connections.set(self.edge.used_connections.get() + 1);
-        }
+impl Unfinished {
+    fn begin(edge: &Rc<Edge>) -> Unfinished {
+        edge.unfinished.set(edge.unfinished.get() + 1);
+        Unfinished(edge.clone())
     }
 }
 
-impl Drop for UsedConnection {
+impl Drop for Unfinished {
     fn drop(&mut self) {
-        if self.is_used.get() {
-            self.edge.used_connections.set(self.edge.used_connections.get() - 1);
-        }
+        self.0.unfinished.set(self.0.unfinished.get() - 1);
     }
 }
 
+/// An accepted connection.
+struct AcceptedConnection {
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: ConnectionLimits,
+    /// Dropped with the connection.
+    unfinished: Option<Unfinished>,
+}
+
 impl AcceptedConnection {
     async fn serve<H, F>(self, edge: Rc<Edge>, handler: H)
     where
         H: Fn(Rc<Edge>, Request<Incoming>) -> F + Copy + 'static,
         F: Future<Output = Answer> + 'static,
     {
-        let AcceptedConnection { stream, peer, until, limits } = self;
+        let AcceptedConnection { stream, peer, limits, unfinished: _unfinished } = self;
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let used = UsedConnection { edge: edge.clone(), is_used: Cell::new(false) };
+        let is_used = Cell::new(false);
         let own = edge.clone();
         let service = service_fn(|mut request: Request<Incoming>| {
-            if until == Until::Closing {
-                used.mark();
-            }
+            is_used.set(true);
             request.extensions_mut().insert(Caller(peer.ip()));
             let answer = handler(own.clone(), request);
             async move { Ok::<_, Infallible>(answer.await) }
@@ -151,12 +152,17 @@
                 .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
                 .serve_connection(TokioIo::new(stream), service)
         );
-        // An error concerns only this connection, and its other end sees it as well.
-        loop {
-            tokio::select! {
-                _ = &mut serving => return,
-                () = edge.closing.notified() => serving.as_mut().graceful_shutdown(),
+        let closing = async {
+            edge.closing.wait().await;
+            if !is_used.get() {
+                sleep(FIRST_REQUEST_WAIT).await;
             }
+        };
+        // An error concerns only this connection, and its other end sees it as well.
+        tokio::select! {
+            _ = &mut serving => return,
+            () = closing => serving.as_mut().graceful_shutdown(),
         }
+        let _ = serving.await;
     }
 }
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -232,8 +232,8 @@
     let Some(shutdown) = edge.host.borrow().shutdown() else { return };
     let draining = async {
         sleep(shutdown.listen_until.saturating_sub(edge.now())).await;
-        edge.closing.notify_waiters();
-        while edge.active.count() > 0 || edge.used_connections.get() > 0 {
+        edge.closing.set();
+        while edge.active.count() > 0 || edge.unfinished.get() > 0 {
             sleep(TICK).await;
         }
     };
