--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -66,18 +66,17 @@
     let routed = edge.host.borrow().route(arrived, &host, parts.uri.path(), draw);
     let (route, service) = match routed {
         Ok(routed) => routed,
-        Err(NoRoute::Unknown) => {
-            return reject(edge, &parts, "no_config", not_run(RETRY_DELAY, RETRY_DELAY_SPREAD));
-        }
-        Err(NoRoute::Outdated) => {
-            return reject(edge, &parts, "outdated", not_run(RETRY_DELAY, RETRY_DELAY_SPREAD));
-        }
-        Err(NoRoute::None) => {
-            return reject(edge, &parts, "no_route", empty(StatusCode::NOT_FOUND));
+        Err(why) => {
+            let (outcome, answer) = match why {
+                NoRoute::Unknown => ("no_config", not_run(RETRY_DELAY, RETRY_DELAY_SPREAD)),
+                NoRoute::Outdated => ("outdated", not_run(RETRY_DELAY, RETRY_DELAY_SPREAD)),
+                NoRoute::None => ("no_route", empty(StatusCode::NOT_FOUND)),
+            };
+            return reject(edge, arrived, &parts, outcome, answer);
         }
     };
     let Some(head) = read_head(&parts.headers) else {
-        return reject(edge, &parts, "no_id", empty(StatusCode::BAD_REQUEST));
+        return reject(edge, arrived, &parts, "no_id", empty(StatusCode::BAD_REQUEST));
     };
     active.name(&head.attempt, &route.name);
     let left = head.time_left.unwrap_or(DEFAULT_TIME_LEFT).min(route.timeout);
@@ -89,12 +88,13 @@
         () = edge.too_late(&route, head.most_tokens(), deadline) => {
             // Closing a connection with unread bytes would reset it, and the answer might be lost.
             tokio::task::spawn_local(reading);
-            return reject(edge, &parts, STOPPING, not_run_in_stop(edge));
+            let (min_delay, spread) = retry_delay_in_stop(edge);
+            return reject(edge, arrived, &parts, STOPPING, not_run(min_delay, spread));
         }
     };
     let body = match read {
         Ok(body) => body,
-        Err(status) => return reject(edge, &parts, "body", empty(status)),
+        Err(status) => return reject(edge, arrived, &parts, "body", empty(status)),
     };
     let query = TargetQuery {
         route,
@@ -112,14 +112,8 @@
     relay(job).await
 }
 
-/// Returns the answer to a request that has not run and can't be finished before the process ends. Other
-/// hosts serve it at once, if there are any.
-fn not_run_in_stop(edge: &Edge) -> Answer {
-    let (min_delay, spread) = retry_delay_in_stop(edge);
-    not_run(min_delay, spread)
-}
-
-/// Returns the minimum `Retry-After` of such an answer, and the span over which the retries are spread.
+/// Returns the minimum `Retry-After` of a request that can't be finished before the process ends, and the span
+/// over which the retries are spread. Other hosts serve it at once, if there are any.
 pub(crate) fn retry_delay_in_stop(edge: &Edge) -> (Duration, Duration) {
     match edge.host.borrow().has_other_entries() {
         true => (Duration::ZERO, OTHER_HOST_SPREAD),
@@ -128,17 +122,25 @@
 }
 
 /// Counts and logs a request that the host answers without sending it to a target.
-fn reject(edge: &Edge, parts: &Parts, outcome: &'static str, answer: Answer) -> Answer {
-    edge.metrics.request_ended(outcome, 0.0);
+fn reject(
+    edge: &Edge,
+    arrived: Duration,
+    parts: &Parts,
+    outcome: &'static str,
+    answer: Answer,
+) -> Answer {
+    let now = edge.now();
+    let took = now.saturating_sub(arrived);
+    edge.metrics.request_ended(outcome, took.as_secs_f64());
     let status = answer.status().as_u16();
-    edge.log.request(edge.now(), true, || Event::Request {
+    edge.log.request(now, true, || Event::Request {
         id: read_head(&parts.headers).map(|it| it.attempt).unwrap_or_default(),
         route: parts.uri.path().to_owned(),
         adapter: None,
         outcome,
         status,
         steps: String::new(),
-        took_ms: 0,
+        took_ms: took.as_millis() as u64,
     });
     answer
 }
