fleet: answers of unstated size are expected to take what others of them took

Cause: an answer without a stated number of tokens counted as one token, so that its whole time was expected for each token of a request that stated some; on a route with both kinds a stopping host would refuse all of the latter.

Change: the times of either kind are compared among themselves.

Result: a unit test; the tests of edge/tests/stops.rs pass.

--- a/coordination/fleet/src/shutdown.rs
+++ b/coordination/fleet/src/shutdown.rs
@@ -50,8 +50,8 @@
     pub first: Duration,
     /// Time from then to the end.
     pub rest: Duration,
-    /// Maximum number of answer tokens that the request stated; 1 if it stated none.
-    pub tokens: u32,
+    /// Maximum number of answer tokens, if the request stated it.
+    pub tokens: Option<u32>,
 }
 
 /// Times of the latest answers on each route, the newest last.
@@ -73,12 +73,14 @@
     }
 
     /// Returns the time within which a share of the answers with so many tokens ends; `None` if none has ended
-    /// on the route.
-    fn expected(&self, route: &str, tokens: u32, share: f64) -> Option<Duration> {
-        let kept = self.by_route.get(route)?;
-        let first = not_exceeded(share, kept.iter().map(|it| it.first))?;
-        let per_token = not_exceeded(share, kept.iter().map(|it| it.rest / it.tokens.max(1)))?;
-        Some(first + per_token * tokens)
+    /// on the route. Answers whose number of tokens is not stated count as of one size.
+    fn expected(&self, route: &str, tokens: Option<u32>, share: f64) -> Option<Duration> {
+        let kept = self.by_route.get(route)?.iter();
+        let alike = kept.filter(|it| it.tokens.is_some() == tokens.is_some());
+        let first = not_exceeded(share, alike.clone().map(|it| it.first))?;
+        let per_token = alike.map(|it| it.rest / it.tokens.unwrap_or(1).max(1));
+        let per_token = not_exceeded(share, per_token)?;
+        Some(first + per_token * tokens.unwrap_or(1))
     }
 
     /// Forgets the routes that are not in force any more.
@@ -109,9 +111,14 @@
 
     /// Returns until when a request may be sent so that its answer can end before the process does; `None`
     /// if there is no such limit: the host was not told to end, or the request's deadline comes first. `tokens`
-    /// is the maximum number of its answer's tokens. On a route on which no answer has ended, the time that
+    /// is the maximum number of its answer's tokens, if it stated it. On a route on which no answer has ended, the time that
     /// it takes isn't known, and no request is sent.
-    pub fn last_start(&self, route: &Route, tokens: u32, deadline: Duration) -> Option<Duration> {
+    pub fn last_start(
+        &self,
+        route: &Route,
+        tokens: Option<u32>,
+        deadline: Duration,
+    ) -> Option<Duration> {
         let Shutdown { listen_until, answers_until, .. } = self.shutdown?;
         if deadline <= answers_until {
             return None;
--- a/coordination/fleet/tests/shutdown.rs
+++ b/coordination/fleet/tests/shutdown.rs
@@ -36,13 +36,13 @@
 }
 
 fn answer(first_ms: u64, rest_ms: u64, tokens: u32) -> AnswerTime {
-    AnswerTime { first: ms(first_ms), rest: ms(rest_ms), tokens }
+    AnswerTime { first: ms(first_ms), rest: ms(rest_ms), tokens: Some(tokens) }
 }
 
 #[test]
 fn nothing_is_limited_until_the_host_is_told_to_end() {
     let mut host = host(GRACE);
-    assert_eq!(host.last_start(&route(), 80, LATE), None);
+    assert_eq!(host.last_start(&route(), Some(80), LATE), None);
     assert_eq!(host.time_to_end(TOLD), None);
     host.handle(TOLD, Input::Stop);
     assert_eq!(host.time_to_end(TOLD), Some(ms(7_500)));
@@ -57,11 +57,17 @@
     host.handle(TOLD, Input::Stop);
     let end = host.shutdown().expect("it was told to end").answers_until;
     assert!(end < TOLD + GRACE);
-    assert_eq!(host.last_start(&route(), 80, LATE), Some(end - ms(1_000)));
-    assert_eq!(host.last_start(&route(), 400, LATE), Some(end - ms(4_200)), "a longer answer");
-    assert_eq!(host.last_start(&route(), 80, end), None, "its deadline comes first");
+    assert_eq!(host.last_start(&route(), Some(80), LATE), Some(end - ms(1_000)));
+    assert_eq!(
+        host.last_start(&route(), Some(400), LATE),
+        Some(end - ms(4_200)),
+        "a longer answer"
+    );
+    assert_eq!(host.last_start(&route(), Some(80), end), None, "its deadline comes first");
+    let unstated = host.last_start(&route(), None, LATE).expect("it is limited");
+    assert!(unstated < TOLD, "only answers of a stated size have ended");
     let other = Route { name: "notes".to_owned(), ..route() };
-    let never = host.last_start(&other, 80, LATE).expect("it is limited");
+    let never = host.last_start(&other, Some(80), LATE).expect("it is limited");
     assert!(never < TOLD, "nothing is known of the route");
 }
 
@@ -76,9 +82,9 @@
     }
     host.handle(TOLD, Input::Stop);
     let shutdown = host.shutdown().expect("it was told to end");
-    assert_eq!(host.last_start(&route(), 80, LATE), Some(shutdown.listen_until));
+    assert_eq!(host.last_start(&route(), Some(80), LATE), Some(shutdown.listen_until));
     let end = shutdown.answers_until;
-    assert_eq!(host.last_start(&route(), 700, LATE), Some(end - ms(7_200)), "long answers");
+    assert_eq!(host.last_start(&route(), Some(700), LATE), Some(end - ms(7_200)), "long answers");
 }
 
 /// Listeners close before answers have to be given, and these before the process ends, whatever the
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -142,7 +142,7 @@
     }
 
     /// Waits until the process was told to end and it is too late to send a request.
-    pub(crate) async fn too_late(&self, route: &Route, tokens: u32, deadline: Duration) {
+    pub(crate) async fn too_late(&self, route: &Route, tokens: Option<u32>, deadline: Duration) {
         self.stopping.wait().await;
         let last_start = self.host.borrow().last_start(route, tokens, deadline);
         match last_start {
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -85,7 +85,7 @@
     let read = tokio::select! {
         biased;
         read = &mut reading => read,
-        () = edge.too_late(&route, head.most_tokens(), deadline) => {
+        () = edge.too_late(&route, head.answer_tokens, deadline) => {
             // Closing a connection with unread bytes would reset it, and the answer might be lost.
             tokio::task::spawn_local(reading);
             let (min_delay, spread) = retry_delay_in_stop(edge);
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -163,7 +163,7 @@
     /// Returns until when it may be sent, if the end of the process limits that.
     pub(crate) fn last_start(&self) -> Option<Duration> {
         let host = self.edge.host.borrow();
-        host.last_start(&self.query.route, self.head.most_tokens(), self.deadline)
+        host.last_start(&self.query.route, self.head.answer_tokens, self.deadline)
     }
 
     /// Records how long its answer took, which ends now; `first_at` is when the first event of a stream was
@@ -175,7 +175,7 @@
         let time = AnswerTime {
             first: first_at.saturating_sub(sent_at),
             rest: now.saturating_sub(first_at),
-            tokens: self.head.most_tokens(),
+            tokens: self.head.answer_tokens,
         };
         self.edge.host.borrow_mut().record_answer(&self.query.route.name, time);
     }
