edge: a stop waits for the connections that it passes on for other hosts

What callers saw: streams cut off in their midst and requests without an answer at a host that was not told to end, because the host through which it reaches its targets ended with most of its grace time left.

Cause: `stop` counted callers' requests and connections, but not connections that are passed on for other hosts. Such a host ended 2.5 s after SIGTERM if it had no callers of its own, and until then opened new connections for others.

Change: a connection for another host counts from the moment it is being opened, and `stop` waits for these up to the end of the process. Once the host was told to end, it rejects new ones; the host that asks tries its other relays. The `stopped` line says how many were cut off (`passed_on`). The counts are of one type, which counts down when its value is dropped.

The test's socket filters moved to edge/tests/common/cut.rs.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -101,6 +101,8 @@
         cut: u64,
         /// The oldest of them.
         requests: Vec<CutRequest>,
+        /// Number of other hosts' connections to targets that were cut off.
+        passed_on: u64,
         /// Uptime in milliseconds.
         up_ms: u64,
         /// Number of messages sent to other hosts.
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -22,6 +22,7 @@
 use crate::{
     active::ActiveRequests,
     client::{Client, Connection, SendError},
+    count::Count,
     crash::CrashChecks,
     disk::DiskQueue,
     log::Log,
@@ -68,10 +69,11 @@
     pub(crate) metrics: Metrics,
     /// Callers' requests in progress.
     pub(crate) active: ActiveRequests,
-    /// Callers' connections and their listener, as long as they are open.
-    pub(crate) unfinished: Cell<usize>,
-    /// Connections to targets that are passed on for other hosts.
-    pub(crate) passed_on: Cell<usize>,
+    /// Callers' connections and their listener, as long as they are open: a request may not have been read,
+    /// and an answer may be on its way after its request has ended.
+    pub(crate) unfinished: Count,
+    /// Connections to targets that are opened or passed on for other hosts.
+    pub(crate) passed_on: Count,
     /// Set once the process was told to end.
     pub(crate) stopping: Signal,
     /// When the process started, by [`clock`].
@@ -121,8 +123,8 @@
             log,
             metrics: Metrics::new(),
             active: ActiveRequests::default(),
-            unfinished: Cell::new(0),
-            passed_on: Cell::new(0),
+            unfinished: Count::default(),
+            passed_on: Count::default(),
             stopping: Signal::default(),
             started,
             host: RefCell::new(host),
--- a/edge/src/listen.rs
+++ b/edge/src/listen.rs
@@ -16,7 +16,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{answer::Answer, edge::Edge, error::EdgeError, stall::StallLimit};
+use crate::{answer::Answer, count::Counted, edge::Edge, error::EdgeError, stall::StallLimit};
 
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -73,10 +73,10 @@
     F: Future<Output = Answer> + 'static,
 {
     let edge = edge.clone();
-    let listening = (until == Until::Closing).then(|| Unfinished::begin(&edge));
+    let listening = (until == Until::Closing).then(|| edge.unfinished.begin());
     tokio::task::spawn_local(async move {
         let start = |(stream, peer)| {
-            let unfinished = (until == Until::Closing).then(|| Unfinished::begin(&edge));
+            let unfinished = (until == Until::Closing).then(|| edge.unfinished.begin());
             let connection = AcceptedConnection { stream, peer, limits: limits(&edge), unfinished };
             tokio::task::spawn_local(connection.serve(edge.clone(), handler));
         };
@@ -99,31 +99,13 @@
     });
 }
 
-/// Something that the process waits for before it ends, until this is dropped: a listener with connections
-/// that may not have been accepted, or a caller's connection, whose request may not have been read, and
-/// whose answer may be on its way after its request has ended.
-struct Unfinished(Rc<Edge>);
-
-impl Unfinished {
-    fn begin(edge: &Rc<Edge>) -> Unfinished {
-        edge.unfinished.set(edge.unfinished.get() + 1);
-        Unfinished(edge.clone())
-    }
-}
-
-impl Drop for Unfinished {
-    fn drop(&mut self) {
-        self.0.unfinished.set(self.0.unfinished.get() - 1);
-    }
-}
-
 /// An accepted connection.
 struct AcceptedConnection {
     stream: TcpStream,
     peer: SocketAddr,
     limits: ConnectionLimits,
     /// Dropped with the connection.
-    unfinished: Option<Unfinished>,
+    unfinished: Option<Counted>,
 }
 
 impl AcceptedConnection {
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod client;
 mod control;
+mod count;
 mod crash;
 mod disk;
 mod edge;
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -215,6 +215,7 @@
     Event::Stopped {
         cut: edge.active.count() as u64,
         requests: edge.active.oldest(edge.now()),
+        passed_on: edge.passed_on.get() as u64,
         up_ms: edge.now().as_millis() as u64,
         sent,
         sent_bytes,
@@ -223,8 +224,13 @@
     }
 }
 
-/// Stops the host. Returns once no caller's request is active and all answers were taken, or the grace
-/// period is nearly over.
+/// Whether callers, or other hosts whose connections this one passes on, still wait for something.
+fn is_draining(edge: &Edge) -> bool {
+    edge.active.count() > 0 || edge.unfinished.get() > 0 || edge.passed_on.get() > 0
+}
+
+/// Stops the host. Returns once no caller's request is active, all answers were taken and no connection is
+/// passed on for another host, or the grace period is nearly over.
 async fn stop(edge: &Rc<Edge>) {
     edge.step(Input::Stop);
     edge.stopping.set();
@@ -233,7 +239,7 @@
     let draining = async {
         sleep(shutdown.listen_until.saturating_sub(edge.now())).await;
         edge.closing.set();
-        while edge.active.count() > 0 || edge.unfinished.get() > 0 {
+        while is_draining(edge) {
             sleep(TICK).await;
         }
     };
--- a/edge/src/way.rs
+++ b/edge/src/way.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     client::{Connection, Opened},
+    count::Counted,
     edge::Edge,
     error::EdgeError,
 };
@@ -70,7 +71,7 @@
     Opened = 0,
     Refused = 1,
     Unreachable = 2,
-    /// The host doesn't know the target, reaches none itself, or passes on too much already.
+    /// The host doesn't know the target, reaches none itself, passes on too much already, or was told to end.
     Rejected = 3,
 }
 
@@ -359,10 +360,8 @@
     if client.write_u8(reply as u8).await.is_err() {
         return;
     }
-    if let Some(target) = target {
-        edge.passed_on.set(edge.passed_on.get() + 1);
+    if let Some((target, _passed_on)) = target {
         pass_on(client, target).await;
-        edge.passed_on.set(edge.passed_on.get() - 1);
     }
 }
 
@@ -376,18 +375,24 @@
     wire::decode(&bytes).ok()
 }
 
-async fn open_for_other(edge: &Rc<Edge>, request: &OpenRequest) -> (Reply, Option<TcpStream>) {
+/// Opens a connection for another host. It counts as passed on from the beginning, so that a host that is told
+/// to end meanwhile waits for it.
+async fn open_for_other(
+    edge: &Rc<Edge>,
+    request: &OpenRequest,
+) -> (Reply, Option<(TcpStream, Counted)>) {
     let is_known = {
         let host = edge.host.borrow();
         host.may_relay(edge.now(), &request.target, &request.addr)
     };
-    if !is_known || edge.passed_on.get() >= MAX_PASSED_ON {
+    if !is_known || edge.passed_on.get() >= MAX_PASSED_ON || edge.stopping.is_set() {
         return (Reply::Rejected, None);
     }
+    let passed_on = edge.passed_on.begin();
     match edge.direct(RELAYED_TIMEOUT).open(&request.target, &request.addr).await {
         Ok(opened) => {
             edge.path_opened();
-            (Reply::Opened, Some(opened.stream))
+            (Reply::Opened, Some((opened.stream, passed_on)))
         }
         Err(Failure::Refused) => (Reply::Refused, None),
         Err(Failure::Unreachable) => (Reply::Unreachable, None),
--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Runs hosts as processes on loopback addresses, and a stand-in target.
 #![allow(dead_code)]
 
+pub mod cut;
 pub mod paced;
 pub mod target;
 
@@ -34,6 +35,8 @@
 pub const READY: u16 = 8141;
 pub const CONTROL: u16 = 8144;
 pub const DIRECTORY: u16 = 8143;
+/// Where a host opens connections to targets for other hosts.
+pub const RELAY: u16 = 7381;
 
 /// Returns a loopback address. Its second octet keeps parallel test runs of other checkouts apart.
 pub fn ip(net: u8, host: u8) -> String {
--- a/edge/tests/common/paced.rs
+++ b/edge/tests/common/paced.rs
@@ -20,25 +20,34 @@
 
 /// A target whose request paths end with the number of events to stream, or with the number of
 /// [`PACE`]s before it answers. It records which attempts it ran.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct PacedTarget {
-    runs: Arc<Mutex<Vec<String>>>,
+    pub listener: Arc<TcpListener>,
+    runs: Arc<Mutex<Vec<Run>>>,
+}
+
+/// A run of an attempt.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub attempt: String,
+    /// The address from which the target got it.
+    pub from: String,
 }
 
 impl PacedTarget {
     /// Starts it, with heartbeats to the hosts' control addresses.
     pub async fn start(net: u8, number: u8, service: &str, control: Vec<SocketAddr>) -> Self {
         let addr = format!("{}:8080", ip(net, 100 + number));
-        let listener = TcpListener::bind(&addr).await.expect("the address is free");
+        let listener = Arc::new(TcpListener::bind(&addr).await.expect("the address is free"));
         let mut record = target_record(number, service, addr);
         record.slots = 400;
         tokio::spawn(send_heartbeats(record, control, Vec::new));
-        let target = PacedTarget::default();
+        let target = PacedTarget { listener, runs: Arc::default() };
         let own = target.clone();
         tokio::spawn(async move {
             loop {
-                let Ok((stream, _)) = listener.accept().await else { continue };
-                tokio::spawn(own.clone().serve(stream));
+                let Ok((stream, from)) = own.listener.accept().await else { continue };
+                tokio::spawn(own.clone().serve(stream, from));
             }
         });
         target
@@ -46,10 +55,16 @@
 
     /// Whether it has begun to run an attempt.
     pub fn has_run(&self, attempt: &str) -> bool {
-        self.runs.lock().expect("not poisoned").iter().any(|it| it == attempt)
+        !self.runs_of(attempt).is_empty()
+    }
+
+    /// Returns an attempt's runs; a stream that was taken up again has several.
+    pub fn runs_of(&self, attempt: &str) -> Vec<Run> {
+        let runs = self.runs.lock().expect("not poisoned");
+        runs.iter().filter(|it| it.attempt == attempt).cloned().collect()
     }
 
-    async fn serve(self, mut stream: TcpStream) {
+    async fn serve(self, mut stream: TcpStream, from: SocketAddr) {
         let mut bytes = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut bytes).await {
             if request.attempt.is_empty() {
@@ -58,7 +73,8 @@
                     stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await;
                 continue;
             }
-            self.runs.lock().expect("not poisoned").push(request.attempt.clone());
+            let run = Run { attempt: request.attempt.clone(), from: from.ip().to_string() };
+            self.runs.lock().expect("not poisoned").push(run);
             let number = request.path.rsplit('/').next().and_then(|it| it.parse::<u32>().ok());
             let count = number.unwrap_or(0);
             let is_sent = match request.path.starts_with("/flow/") {
--- a/edge/tests/cut_off.rs
+++ b/edge/tests/cut_off.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::{
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -12,11 +12,10 @@
 };
 
 use common::{
-    CONTROL, Cluster, ENTRY, ReceivedRequest, call, document, ip, read_request, send_heartbeats,
-    signed_head, target_record, until,
+    CONTROL, Cluster, ENTRY, ReceivedRequest, call, cut, document, ip, read_request,
+    send_heartbeats, signed_head, target_record, until,
 };
 use http::Method;
-use socket2::{SockFilter, SockRef};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -48,24 +47,6 @@
     streams: Arc<Mutex<Vec<String>>>,
 }
 
-/// Returns a filter that drops packets from these hosts. Its first load is the IPv4 source address,
-/// at an offset from the network header.
-fn drop_from(net: u8, hosts: &[u8]) -> Vec<SockFilter> {
-    const SOURCE: u32 = 0xfff0_0000 + 12;
-    const LOAD: u16 = 0x20;
-    const JUMP_IF_EQUAL: u16 = 0x15;
-    const RETURN: u16 = 0x06;
-    let mut program = vec![SockFilter::new(LOAD, 0, 0, SOURCE)];
-    for (at, host) in hosts.iter().enumerate() {
-        let addr: Ipv4Addr = ip(net, *host).parse().expect("an address");
-        let to_drop = (hosts.len() - at) as u8;
-        program.push(SockFilter::new(JUMP_IF_EQUAL, to_drop, 0, addr.into()));
-    }
-    program.push(SockFilter::new(RETURN, 0, 0, u32::MAX));
-    program.push(SockFilter::new(RETURN, 0, 0, 0));
-    program
-}
-
 impl Targets {
     async fn start(net: u8, control: Vec<SocketAddr>) -> Targets {
         let connections = Arc::default();
@@ -92,11 +73,9 @@
     fn cut(&self, is_cut: bool) {
         self.is_cut.store(is_cut, Ordering::SeqCst);
         for listener in self.connections.lock().expect("not poisoned").iter() {
-            let socket = SockRef::from(&**listener);
-            if is_cut {
-                socket.attach_filter(&drop_from(self.net, &CUT)).expect("a filter");
-            } else {
-                socket.detach_filter().expect("it has one");
+            match is_cut {
+                true => cut::cut(listener, self.net, &CUT),
+                false => cut::reconnect(listener),
             }
         }
     }
