edge: a stop answers the calls of operators and targets that it has in hand

What callers saw: an operator's change or read, or a target's heartbeat, whose connection closed without an answer although the host had 5 s of its grace time left.

Cause: `stop` counted callers' requests only, so a host without callers ended 2.5 s after SIGTERM, beside calls that waited for the leader or for their last byte. Nothing answered a call that still waited at the end of the grace time.

Change: each call counts until its answer is ready and, once the host was told to end, until its connection ends, which the answer asks for. When answers are due, one that still waits gets a 503, and the rest of its body is read. `stop` first waits for callers and other hosts, then for the calls that came before that. One that comes later isn't waited for: it is answered at once, with a 503 if it would have to wait. The listeners stay open until the end, as before. The `stopped` line has the number of calls that had not ended.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -103,6 +103,8 @@
         requests: Vec<CutRequest>,
         /// Number of other hosts' connections to targets that were cut off.
         passed_on: u64,
+        /// Number of calls of operators and targets, and of questions, that had not ended.
+        calls: u64,
         /// Uptime in milliseconds.
         up_ms: u64,
         /// Number of messages sent to other hosts.
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -72,10 +72,14 @@
     /// Callers' connections and their listener, as long as they are open: a request may not have been read,
     /// and an answer may be on its way after its request has ended.
     pub(crate) unfinished: Count,
+    /// Calls of operators and targets, and questions, whose answers were not taken yet.
+    pub(crate) calls: Count,
     /// Connections to targets that are opened or passed on for other hosts.
     pub(crate) passed_on: Count,
     /// Set once the process was told to end.
     pub(crate) stopping: Signal,
+    /// Set once the process waits only for the calls that it has, before it ends.
+    pub(crate) drained: Signal,
     /// When the process started, by [`clock`].
     started: Duration,
 }
@@ -124,8 +128,10 @@
             metrics: Metrics::new(),
             active: ActiveRequests::default(),
             unfinished: Count::default(),
+            calls: Count::default(),
             passed_on: Count::default(),
             stopping: Signal::default(),
+            drained: Signal::default(),
             started,
             host: RefCell::new(host),
         })
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use fleet::{Event, Limits, NoRoute, TargetQuery, stable_hash};
-use http::{HeaderValue, Request, StatusCode, header, request::Parts};
+use http::{Request, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform::request::{first_attempt, read_head};
@@ -45,15 +45,9 @@
     ConnectionLimits { idle: limits.idle, head_bytes: limits.head_bytes }
 }
 
-/// Serves one request; tells the caller to close the connection if the host is stopping.
+/// Serves one request.
 pub(crate) async fn serve(edge: Rc<Edge>, request: Request<Incoming>) -> Answer {
-    let active = ActiveRequest::begin(&edge);
-    let mut answer = answer(&edge, active, request).await;
-    if edge.stopping.is_set() {
-        let close = HeaderValue::from_static("close");
-        answer.headers_mut().insert(header::CONNECTION, close);
-    }
-    answer
+    answer(&edge, ActiveRequest::begin(&edge), request).await
 }
 
 async fn answer(edge: &Rc<Edge>, active: ActiveRequest, request: Request<Incoming>) -> Answer {
--- a/edge/src/listen.rs
+++ b/edge/src/listen.rs
@@ -1,14 +1,14 @@
 //! Accepts connections and serves the requests on them.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     convert::Infallible,
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
 
-use http::Request;
+use http::{HeaderValue, Request, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
@@ -16,7 +16,13 @@
     time::{sleep, timeout},
 };
 
-use crate::{answer::Answer, count::Counted, edge::Edge, error::EdgeError, stall::StallLimit};
+use crate::{
+    answer::{Answer, empty},
+    count::Counted,
+    edge::Edge,
+    error::EdgeError,
+    stall::StallLimit,
+};
 
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -57,7 +63,7 @@
 pub(crate) enum Until {
     /// Until `Edge::closing` is set; its connections are callers'.
     Closing,
-    /// Until the process ends.
+    /// Until the process ends; its connections are those of operators, targets and the like.
     End,
 }
 
@@ -76,8 +82,14 @@
     let listening = (until == Until::Closing).then(|| edge.unfinished.begin());
     tokio::task::spawn_local(async move {
         let start = |(stream, peer)| {
-            let unfinished = (until == Until::Closing).then(|| edge.unfinished.begin());
-            let connection = AcceptedConnection { stream, peer, limits: limits(&edge), unfinished };
+            let counted = (until == Until::Closing).then(|| edge.unfinished.begin());
+            let connection = AcceptedConnection {
+                stream,
+                peer,
+                limits: limits(&edge),
+                until,
+                counted: RefCell::new(counted),
+            };
             tokio::task::spawn_local(connection.serve(edge.clone(), handler));
         };
         loop {
@@ -99,13 +111,45 @@
     });
 }
 
+/// Answers a call, in time before the process ends. From SIGTERM on the call counts until its connection ends,
+/// that is until its answer was written.
+async fn answer_call(
+    edge: &Rc<Edge>,
+    counted: &RefCell<Option<Counted>>,
+    answering: impl Future<Output = Answer> + 'static,
+) -> Answer {
+    let is_waited_for = !edge.drained.is_set();
+    counted.replace(is_waited_for.then(|| edge.calls.begin()));
+    let due = async {
+        if is_waited_for {
+            edge.answers_due().await;
+        }
+    };
+    let mut answering = Box::pin(answering);
+    let answer = tokio::select! {
+        biased;
+        answer = &mut answering => answer,
+        () = due => {
+            // Closing a connection with unread bytes would reset it, and the answer might be lost.
+            tokio::task::spawn_local(answering);
+            empty(StatusCode::SERVICE_UNAVAILABLE)
+        }
+    };
+    if !edge.stopping.is_set() {
+        counted.take();
+    }
+    answer
+}
+
 /// An accepted connection.
 struct AcceptedConnection {
     stream: TcpStream,
     peer: SocketAddr,
     limits: ConnectionLimits,
-    /// Dropped with the connection.
-    unfinished: Option<Counted>,
+    until: Until,
+    /// What the process waits for before it ends: a caller's connection, or a call in hand. Dropped with the
+    /// connection at the latest.
+    counted: RefCell<Option<Counted>>,
 }
 
 impl AcceptedConnection {
@@ -114,7 +158,7 @@
         H: Fn(Rc<Edge>, Request<Incoming>) -> F + Copy + 'static,
         F: Future<Output = Answer> + 'static,
     {
-        let AcceptedConnection { stream, peer, limits, unfinished: _unfinished } = self;
+        let AcceptedConnection { stream, peer, limits, until, counted } = self;
         if stream.set_nodelay(true).is_err() {
             return;
         }
@@ -123,8 +167,18 @@
         let service = service_fn(|mut request: Request<Incoming>| {
             is_used.set(true);
             request.extensions_mut().insert(Caller(peer.ip()));
-            let answer = handler(own.clone(), request);
-            async move { Ok::<_, Infallible>(answer.await) }
+            let answering = handler(own.clone(), request);
+            async {
+                let mut answer = match until {
+                    Until::Closing => answering.await,
+                    Until::End => answer_call(&own, &counted, answering).await,
+                };
+                if own.stopping.is_set() {
+                    let close = HeaderValue::from_static("close");
+                    answer.headers_mut().insert(header::CONNECTION, close);
+                }
+                Ok::<_, Infallible>(answer)
+            }
         });
         let stream = StallLimit::new(stream, TAKE_TIMEOUT);
         let mut serving = std::pin::pin!(
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -216,6 +216,7 @@
         cut: edge.active.count() as u64,
         requests: edge.active.oldest(edge.now()),
         passed_on: edge.passed_on.get() as u64,
+        calls: edge.calls.get() as u64,
         up_ms: edge.now().as_millis() as u64,
         sent,
         sent_bytes,
@@ -229,8 +230,8 @@
     edge.active.count() > 0 || edge.unfinished.get() > 0 || edge.passed_on.get() > 0
 }
 
-/// Stops the host. Returns once no caller's request is active, all answers were taken and no connection is
-/// passed on for another host, or the grace period is nearly over.
+/// Stops the host. Returns once no caller's request is active, all answers were taken, no connection is passed on
+/// for another host and no call is in hand, or the grace period is nearly over.
 async fn stop(edge: &Rc<Edge>) {
     edge.step(Input::Stop);
     edge.stopping.set();
@@ -242,6 +243,11 @@
         while is_draining(edge) {
             sleep(TICK).await;
         }
+        // Calls that come from now on would delay the end without limit.
+        edge.drained.set();
+        while edge.calls.get() > 0 {
+            sleep(TICK).await;
+        }
     };
     let _ = timeout(shutdown.ends_at.saturating_sub(edge.now()), draining).await;
     edge.hub.flush(FLUSH_TIMEOUT).await;
--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -152,9 +152,13 @@
 
     /// Sends SIGTERM to a host's process and waits until it exits. Returns whether it succeeded.
     pub async fn terminate(&mut self, host: u8) -> bool {
+        self.signal(host, "-TERM");
+        self.wait_end(host).await
+    }
+
+    /// Waits until a host's process exits. Returns whether it succeeded.
+    pub async fn wait_end(&mut self, host: u8) -> bool {
         let Some(mut child) = self.children.remove(&host) else { return false };
-        let pid = child.id().to_string();
-        Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs");
         loop {
             if let Some(status) = child.try_wait().expect("it can be waited for") {
                 return status.success();
--- a/edge/tests/common/paced.rs
+++ b/edge/tests/common/paced.rs
@@ -182,7 +182,11 @@
 
 impl Upload {
     pub async fn open(addr: SocketAddr) -> Upload {
-        Upload { stream: TcpStream::connect(addr).await.expect("it listens") }
+        Upload::try_open(addr).await.expect("it listens")
+    }
+
+    pub async fn try_open(addr: SocketAddr) -> std::io::Result<Upload> {
+        Ok(Upload { stream: TcpStream::connect(addr).await? })
     }
 
     /// Sends the head of a request with a body of two bytes, but for its last line.
