--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Runs hosts as processes on loopback addresses, and a stand-in target.
 #![allow(dead_code)]
 
+pub mod cut;
 pub mod paced;
 pub mod target;
 
@@ -34,6 +35,8 @@
 pub const READY: u16 = 8141;
 pub const CONTROL: u16 = 8144;
 pub const DIRECTORY: u16 = 8143;
+/// Where a host opens connections to targets for other hosts.
+pub const RELAY: u16 = 7381;
 
 /// Returns a loopback address. Its second octet keeps parallel test runs of other checkouts apart.
 pub fn ip(net: u8, host: u8) -> String {
@@ -149,9 +152,13 @@
 
     /// Sends SIGTERM to a host's process and waits until it exits. Returns whether it succeeded.
     pub async fn terminate(&mut self, host: u8) -> bool {
+        self.signal(host, "-TERM");
+        self.wait_end(host).await
+    }
+
+    /// Waits until a host's process exits. Returns whether it succeeded.
+    pub async fn wait_end(&mut self, host: u8) -> bool {
         let Some(mut child) = self.children.remove(&host) else { return false };
-        let pid = child.id().to_string();
-        Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs");
         loop {
             if let Some(status) = child.try_wait().expect("it can be waited for") {
                 return status.success();
