fleet: early in a stop, a request is refused if it would rather be cut off than not

Change: while callers are accepted, half of the recent answers of at least half the size have to fit; what takes up a stream isn't judged by the time of whole ones then. What comes later has to fit into all of them with a reserve, as before.

--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -46,6 +46,8 @@
     pub adapter: Option<String>,
     /// Maximum number of answer tokens, if it states it.
     pub tokens: Option<u32>,
+    /// Whether it takes up a stream.
+    pub takes_up: bool,
     /// The targets that it was sent to before.
     pub tried: BTreeSet<String>,
     /// When it arrived at this host.
--- a/coordination/fleet/src/shutdown.rs
+++ b/coordination/fleet/src/shutdown.rs
@@ -18,12 +18,10 @@
 const KEPT_TIMES: usize = 64;
 /// Fewer answers don't tell how long others take.
 const MIN_TIMES: usize = 20;
-/// Share of the kept answers within whose times a request has to fit while callers are accepted. The few
-/// requests that come later have to fit within all of them, with a reserve.
-const FITTING_SHARE: f64 = 0.95;
-/// The reserve, as a factor.
+/// A request that comes after the last caller was accepted has to fit into the longest kept time with this
+/// factor: a slow upload, or the rest of one, is all that can come then. Before that, half of them suffice.
 const LATE_RESERVE: f64 = 1.25;
-/// An answer tells how long one of up to so many times its size takes.
+/// An answer tells nothing about those that may be more than so many times as long.
 const MAX_SIZE_RATIO: u32 = 2;
 
 /// When the parts of a host's work end.
@@ -52,28 +50,19 @@
 /// How long the answer to a request took, from its first send to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerTime {
-    /// Time to the first event of a stream, or to the end of any other answer.
-    pub first: Duration,
-    /// Time from then to the end.
-    pub rest: Duration,
+    /// The time.
+    pub whole: Duration,
     /// Maximum number of answer tokens, if the request stated it.
     pub tokens: Option<u32>,
 }
 
 impl AnswerTime {
-    fn whole(&self) -> Duration {
-        self.first + self.rest
-    }
-
-    /// Returns the time that an answer with so many tokens would take; `None` if this one tells nothing about it.
-    fn scaled(&self, tokens: Option<u32>) -> Option<Duration> {
+    /// Whether it tells how long an answer with so many tokens takes.
+    fn tells_of(&self, tokens: Option<u32>) -> bool {
         match (self.tokens, tokens) {
-            (None, None) => Some(self.whole()),
-            (Some(own), Some(tokens)) if tokens <= own.saturating_mul(MAX_SIZE_RATIO) => {
-                let ratio = f64::from(tokens) / f64::from(own.max(1));
-                Some(self.first + self.rest.mul_f64(ratio))
-            }
-            _ => None,
+            (None, None) => true,
+            (Some(own), Some(tokens)) => tokens <= own.saturating_mul(MAX_SIZE_RATIO),
+            _ => false,
         }
     }
 }
@@ -100,7 +89,8 @@
     /// first.
     fn sorted(&self, route: &str, tokens: Option<u32>) -> Vec<Duration> {
         let kept = self.by_route.get(route).into_iter().flatten();
-        let mut times: Vec<Duration> = kept.filter_map(|it| it.scaled(tokens)).collect();
+        let alike = kept.filter(|it| it.tells_of(tokens));
+        let mut times: Vec<Duration> = alike.map(|it| it.whole).collect();
         times.sort();
         times
     }
@@ -135,7 +125,7 @@
     /// most others.
     pub fn record_unfinished(&mut self, route: &str, time: AnswerTime) {
         let times = self.answer_times.sorted(route, time.tokens);
-        if fitting(&times).is_some_and(|it| time.whole() > it) {
+        if usual(&times).is_some_and(|it| time.whole > it) {
             self.answer_times.add(route, time);
         }
     }
@@ -157,10 +147,14 @@
             return None;
         }
         let times = self.answer_times.sorted(&query.route.name, query.tokens);
-        let (Some(fitting), Some(last)) = (fitting(&times), times.last()) else {
+        let (Some(usual), Some(last)) = (usual(&times), times.last()) else {
             return Some(listen_until);
         };
-        let early = answers_until.saturating_sub(fitting).min(listen_until);
+        let early = match query.takes_up {
+            // Only a part of the stream is left.
+            true => listen_until,
+            false => answers_until.saturating_sub(usual).min(listen_until),
+        };
         let late = answers_until.saturating_sub(longest.max(last.mul_f64(LATE_RESERVE)));
         Some(early.max(late))
     }
@@ -183,11 +177,10 @@
     }
 }
 
-/// Returns the time that [`FITTING_SHARE`] of the times don't exceed; `None` if they are too few to tell.
-fn fitting(sorted: &[Duration]) -> Option<Duration> {
+/// Returns the time that half of the times don't exceed; `None` if they are too few to tell.
+fn usual(sorted: &[Duration]) -> Option<Duration> {
     if sorted.len() < MIN_TIMES {
         return None;
     }
-    let place = (sorted.len() as f64 * FITTING_SHARE).ceil() as usize;
-    sorted.get(place - 1).copied()
+    sorted.get((sorted.len() - 1) / 2).copied()
 }
--- a/coordination/fleet/tests/common/records.rs
+++ b/coordination/fleet/tests/common/records.rs
@@ -28,6 +28,7 @@
     };
     TargetQuery {
         tokens: None,
+        takes_up: false,
         route: route.into(),
         service: "s".to_owned(),
         adapter: Some(adapter.to_owned()),
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -80,6 +80,7 @@
         service,
         adapter: head.adapter.clone(),
         tokens: head.answer_tokens,
+        takes_up: head.last_event.is_some(),
         tried: Default::default(),
         arrived,
         software: None,
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -172,10 +172,12 @@
         self.edge.last_start(&self.query, self.deadline)
     }
 
-    /// Records how long its answer took, which ends now; `first_at` is when the first event of a stream was
-    /// forwarded.
-    pub(crate) fn record_answer(&self, first_at: Option<Duration>, is_whole: bool) {
-        let Some(time) = self.answer_time(first_at) else { return };
+    /// Records how long its answer took, which ends now. What takes up a stream is shorter than its number of
+    /// tokens says.
+    pub(crate) fn record_answer(&self, is_whole: bool) {
+        let Some(sent_at) = self.sent_at.filter(|_| !self.query.takes_up) else { return };
+        let whole = self.edge.now().saturating_sub(sent_at);
+        let time = AnswerTime { whole, tokens: self.query.tokens };
         let mut host = self.edge.host.borrow_mut();
         match is_whole {
             true => host.record_answer(&self.query.route.name, time),
@@ -183,19 +185,6 @@
         }
     }
 
-    /// Returns the time that its answer took; none if it takes up a stream, and is shorter than its number of
-    /// tokens says.
-    fn answer_time(&self, first_at: Option<Duration>) -> Option<AnswerTime> {
-        let sent_at = self.sent_at.filter(|_| self.head.last_event.is_none())?;
-        let now = self.edge.now();
-        let first_at = first_at.unwrap_or(now);
-        Some(AnswerTime {
-            first: first_at.saturating_sub(sent_at),
-            rest: now.saturating_sub(first_at),
-            tokens: self.head.answer_tokens,
-        })
-    }
-
     /// Records how far the request is, for the process' last log line.
     pub(crate) fn reach(&self, stage: Stage) {
         if let Some(active) = &self.active {
@@ -473,7 +462,7 @@
         let mut answer = Response::new(AnswerBody::Whole(body));
         *answer.status_mut() = if signed { parts.status } else { StatusCode::BAD_GATEWAY };
         *answer.headers_mut() = answer_headers(&parts.headers);
-        self.record_answer(None, parts.status.is_success());
+        self.record_answer(parts.status.is_success());
         if !failed {
             self.complete("served", parts.status.as_u16());
             return Some(answer);
--- a/edge/src/stream.rs
+++ b/edge/src/stream.rs
@@ -34,8 +34,6 @@
     searched: usize,
     /// Id of the last event that was forwarded.
     last_event: Option<u64>,
-    /// When the first events were forwarded.
-    first_at: Option<Duration>,
     /// When events were last forwarded, by `Edge::now`.
     forwarded_at: Option<Duration>,
     /// Longest time between two forwarded chunks of events.
@@ -66,7 +64,6 @@
     fn record_forwarded(&mut self, now: Duration) {
         let pause = self.forwarded_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
         self.longest_pause = self.longest_pause.max(pause);
-        self.first_at.get_or_insert(now);
         self.forwarded_at = Some(now);
     }
 
@@ -173,19 +170,19 @@
                         &format!("{} ms", events.longest_pause.as_millis()),
                     );
                 }
-                job.record_answer(events.first_at, true);
+                job.record_answer(true);
                 job.complete("served", 200);
                 writer.finish();
                 return;
             }
             StreamEnd::CallerLeft => {
-                job.record_answer(events.first_at, false);
+                job.record_answer(false);
                 source.reservation.end(Outcome::Left);
                 job.complete("caller_left", 0);
                 return;
             }
             StreamEnd::DeadlinePassed => {
-                job.record_answer(events.first_at, false);
+                job.record_answer(false);
                 source.reservation.end(Outcome::Left);
                 job.complete("late", 0);
                 return;
