edge: a host that is told to end while it starts doesn't begin to listen

What callers saw: a host that accepts connections several seconds after its SIGTERM, with a grace time that it counts from the end of its start; SIGKILL comes earlier than it expects.

Cause: SIGTERM is noticed only once the host listens, and its end is computed from that moment.

Change: before it begins to listen, the host looks whether SIGTERM has come, tells the other hosts that it leaves and ends. How much of the grace time is left can't be known then.

--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -38,6 +38,8 @@
 const CLEANUP_TICKS: u64 = 20;
 /// Receivers that a log line about messages that were not sent names.
 const NAMED_RECEIVERS: usize = 8;
+/// Time for a signal that came during the start to be delivered.
+const SIGNAL_WAIT: Duration = Duration::from_millis(1);
 /// Time limit for sending the queued messages to other hosts before the process exits.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -83,6 +85,12 @@
     let settings = read_settings(&path)?;
     let (sender, inputs) = unbounded_channel();
     let edge = start(settings, &sender, log_lines).await?;
+    if timeout(SIGNAL_WAIT, term.recv()).await.is_ok() {
+        // When the grace period began isn't known.
+        edge.step(Input::Stop);
+        end(&edge).await;
+        return Ok(());
+    }
     listen_all(&edge).await?;
     tokio::task::spawn_local(handle_inputs(edge.clone(), inputs));
     tokio::task::spawn_local(tick(edge.clone()));
@@ -250,6 +258,11 @@
         }
     };
     let _ = timeout(shutdown.ends_at.saturating_sub(edge.now()), draining).await;
+    end(edge).await;
+}
+
+/// Sends the queued messages and writes the last log line.
+async fn end(edge: &Edge) {
     edge.hub.flush(FLUSH_TIMEOUT).await;
     edge.log.event(&stopped_event(edge));
     edge.log.flush();
--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -9,6 +9,7 @@
     collections::{BTreeMap, BTreeSet},
     io,
     net::SocketAddr,
+    path::PathBuf,
     process::{Child, Command, Stdio},
     time::Duration,
 };
@@ -38,6 +39,9 @@
 /// Where a host opens connections to targets for other hosts.
 pub const RELAY: u16 = 7381;
 
+/// The bounds in the hosts' settings.
+pub const BOUNDS: &str = "bounds.graceS=8\nbounds.retryAllowance=60\nbounds.leaseMs=3000\n";
+
 /// Returns a loopback address. Its second octet keeps parallel test runs of other checkouts apart.
 pub fn ip(net: u8, host: u8) -> String {
     format!("127.{}.{}.{host}", octet(), 180 + net)
@@ -76,6 +80,17 @@
     /// Starts a host's process, for the first time or again.
     pub fn start_host(&mut self, host: u8) {
         let first = self.started.insert(host);
+        self.write_settings(host, first, BOUNDS);
+        self.spawn_host(host);
+    }
+
+    /// Returns the path of a host's settings.
+    pub fn settings_path(&self, host: u8) -> PathBuf {
+        self.dir.path().join(format!("host{host}.conf"))
+    }
+
+    /// Writes a host's settings.
+    pub fn write_settings(&self, host: u8, first: bool, bounds: &str) {
         let own = ip(self.net, host);
         let seeds: Vec<String> =
             (1..=3).map(|it| format!("{}:{CONTROL}", ip(self.net, it))).collect();
@@ -87,16 +102,18 @@
             "nodeName=edge-{host}\nip={own}\nzone=z{}\nlistenAddresses.frontend={own}:{ENTRY}\n\
              listenAddresses.ready={own}:{READY}\nlistenAddresses.controlPlane={own}:{CONTROL}\n\
              listenAddresses.directory={own}:{DIRECTORY}\nportRange=7380,7395\nseeds={}\n\
-             bootstrap={first}\nfaultTolerance.machines=1\n{disk}bounds.graceS=8\n\
-             bounds.retryAllowance=60\nbounds.leaseMs=3000\nheartbeatMs=300\n",
+             bootstrap={first}\nfaultTolerance.machines=1\n{disk}{bounds}heartbeatMs=300\n",
             host % 3,
             seeds.join(","),
         );
-        let path = self.dir.path().join(format!("host{host}.conf"));
-        std::fs::write(&path, text).expect("the file can be written");
+        std::fs::write(self.settings_path(host), text).expect("the file can be written");
+    }
+
+    /// Starts a host's process with the settings that were written last.
+    pub fn spawn_host(&mut self, host: u8) {
         let child = Command::new(env!("CARGO_BIN_EXE_poplarhollow-edge"))
             .arg("--settings")
-            .arg(path)
+            .arg(self.settings_path(host))
             .stdout(if self.stall_logs { Stdio::piped() } else { self.log_output(host) })
             .stderr(Stdio::inherit())
             .spawn()
