fleet: a target of a service without an engine needs no adapter

What callers saw: a stream that names a model and its tokens, on a route to a service without an engine, is never sent. It ends with 503 (`no_turn`) after its time is up; meanwhile the host tries again and again without a pause (steps `placed`, `turn granted`, `gone`), and the one log line of the request grows to megabytes.

Cause: `pick_target` leaves the adapter out where the service has no engine, and `is_usable`, which checks the choice again after the prefill permit was granted, did not. Both ask the same function now.

The new test got 503 before (1 of 1) and passes; the other 6 of edge/tests/sessions.rs and all tests of fleet pass.

--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -9,7 +9,7 @@
 use wire::{AdapterHash, DomainId, FleetMsg, SoftwareHash, TargetState};
 
 use crate::{
-    Host, Pick, Picked, Requirements, RetryBudget, Route, Target,
+    Engine, Host, Pick, Picked, Requirements, RetryBudget, Route, Target,
     io::Output,
     limit_view::{Place, Rank},
     other_domains::domain_order,
@@ -230,9 +230,7 @@
 
     /// Chooses the target of a request without a reservation.
     pub(crate) fn pick_target(&self, now: Duration, query: &TargetQuery, draw: u64) -> Picked {
-        let services = self.config.as_ref().map(|it| &it.services);
-        let service = services.and_then(|it| it.get(&query.service));
-        let engine = service.and_then(|it| it.engine.as_ref());
+        let engine = self.engine(query);
         let adapter = query.adapter.as_deref().filter(|_| engine.is_some());
         let (version, newest) = adapter.map_or((0, 0), |it| self.versions(now, it));
         let requirements = Requirements {
@@ -249,13 +247,20 @@
         pick(now, &self.targets, &requirements, draw)
     }
 
+    /// Returns the engine of a request's service; `None` if its targets hold no adapters.
+    fn engine(&self, query: &TargetQuery) -> Option<&Engine> {
+        let service = self.config.as_ref()?.services.get(&query.service)?;
+        service.engine.as_ref()
+    }
+
     /// Whether a target can still take a request that was assigned to it.
     pub fn is_usable(&self, reservation: &Reservation, query: &TargetQuery) -> bool {
         let Some(target) = self.targets.get(&reservation.target) else { return false };
         if target.record.started_at != reservation.started_at {
             return false;
         }
-        let has = query.adapter.as_ref().is_none_or(|it| target.adapters.contains_key(it));
+        let adapter = query.adapter.as_ref().filter(|_| self.engine(query).is_some());
+        let has = adapter.is_none_or(|it| target.adapters.contains_key(it));
         has && target.record.state == TargetState::Ready
     }
 
--- a/edge/tests/sessions.rs
+++ b/edge/tests/sessions.rs
@@ -5,6 +5,7 @@
 
 use common::{
     Answer, CONTROL, Cluster, DIRECTORY, ENTRY, call, document,
+    paced::{self, PacedTarget},
     target::{EVENT_COUNT, Target},
     until,
 };
@@ -180,3 +181,18 @@
         until_served(&cluster, 3, "/read/x", &[("attempt-id", &attempt)]).await;
     }
 }
+
+/// Guards against streams that are never sent, and against a host that keeps trying without a pause, where a
+/// service without an engine takes requests that name a model. Load pattern: one such stream.
+#[tokio::test]
+async fn a_stream_that_names_a_model_is_served_by_a_service_without_an_engine() {
+    let cluster = Cluster::start(35, 3);
+    cluster.configure(3, &document(3)).await;
+    let control: Vec<_> = (1..=3).map(|host| cluster.addr(host, CONTROL)).collect();
+    let _odd = PacedTarget::start(35, 1, "odd", control).await;
+    cluster.wait_ready(1).await;
+    until_served(&cluster, 1, "/odd/0", &[("attempt-id", "first")]).await;
+    let answer = send(&cluster, 1, "/flow/1", &stream_headers("stream", "m/a1")).await;
+    let answer = answer.expect("it is answered");
+    assert_eq!((answer.status, answer.body), (StatusCode::OK, Some(paced::events(1))));
+}
