node: a host that leaves stays until its targets have their next owners

Cause: a target moves in two commits, the release and then the next owner. A leaving host without requests ended once it had applied the release, at its next tick. If it was the second voter of three, nobody could commit the next owner.

Change: a leaving host waits, within its grace time and while another host can take over, until each target that it owned has another owner in its registry. If it leads, all hosts with a lease must have applied that too, because a later leader may find no quorum to commit it.

--- a/coordination/node/src/lifecycle.rs
+++ b/coordination/node/src/lifecycle.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use lease::{LiveHost, Target};
 use wire::HostId;
 
 use crate::{Node, Output, StateChange, effect::Effects};
@@ -34,8 +35,8 @@
         fx.output(Output::StateChanged(StateChange::Leaving));
     }
 
-    /// Exits once nothing is in progress and the targets have moved, or when the time limit is
-    /// reached. Targets that no other host can take over are not waited for.
+    /// Exits once nothing is in progress and the targets have their next owners, or when the time
+    /// limit is reached. Targets that no other host can take over are not waited for.
     pub(crate) fn try_exit(&self, now: Duration, fx: &mut Effects) {
         let (since, drain) = {
             let lifecycle = self.lifecycle();
@@ -43,18 +44,38 @@
             (since, lifecycle.drain)
         };
         let requests = self.entry().len();
-        let (attempts, owns) = {
-            let owner = self.owner();
-            (owner.attempts.len(), !owner.targets.is_empty())
-        };
+        let attempts = self.owner().attempts.len();
         let in_progress = requests + attempts;
         let expired = now >= since + drain;
-        let no_handover =
-            self.ctx(now).lease.is_none() || !self.with_directory(|dir| dir.has_successor(now));
-        if !expired && (in_progress > 0 || (owns && !no_handover)) {
+        if !expired && (in_progress > 0 || self.awaits_handover(now)) {
             return;
         }
         self.lifecycle().exited = true;
         fx.output(Output::Exit(in_progress as u32));
     }
+
+    /// Returns whether a target of this host has no next owner yet and may get one.
+    fn awaits_handover(&self, now: Duration) -> bool {
+        let ctx = self.ctx(now);
+        if ctx.lease.is_none() || !self.with_directory(|dir| dir.has_successor(now)) {
+            return false;
+        }
+        let live = self.leases().live_hosts(now);
+        ctx.view.registry.targets().any(|target| !self.is_handed_over(target, &live))
+    }
+
+    /// Returns whether a target needs nothing more of this host: another one owns it. The commit may
+    /// need this host's vote until then. `live` are the hosts with a lease if this host leads, and
+    /// have to know of the change, since a later leader may not get a quorum to commit it.
+    fn is_handed_over(&self, target: &Target, live: &[LiveHost]) -> bool {
+        let own = Some((self.host(), self.incarnation()));
+        if target.owner == own {
+            return false;
+        }
+        if target.previous_owner != own {
+            return true;
+        }
+        let is_known = |host: &LiveHost| host.host == self.host() || host.applied >= target.fence;
+        target.owner.is_some() && live.iter().all(is_known)
+    }
 }
--- a/coordination/node/src/node.rs
+++ b/coordination/node/src/node.rs
@@ -178,6 +178,10 @@
         self.host
     }
 
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
     pub(crate) fn with_directory<T>(&self, read: impl FnOnce(&Directory) -> T) -> T {
         read(&self.directory.read().unwrap_or_else(PoisonError::into_inner))
     }
--- /dev/null
+++ b/coordination/node/tests/leaving.rs
@@ -0,0 +1,64 @@
+//! What a host that shuts down leaves behind: its targets get their next owners.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Cluster, ready, target::Target};
+use node::Input;
+use wire::HostId;
+
+const TIMEOUT: Duration = Duration::from_secs(60);
+const SETTLE: Duration = Duration::from_secs(6);
+const HOSTS: HostId = 4;
+const VOTERS: HostId = 3;
+
+/// Shuts a host down and ends its process as soon as it has nothing left to do. Returns how long that took.
+fn leave(cluster: &mut Cluster, host: HostId) -> Duration {
+    let since = cluster.now;
+    cluster.input(host, Input::Shutdown);
+    assert!(cluster.run_until(TIMEOUT, |it| it.exited(host).is_some()), "host {host} goes on");
+    cluster.kill(host);
+    cluster.now - since
+}
+
+fn has_running_owner(cluster: &Cluster) -> bool {
+    cluster.owner("e1").is_some_and(|owner| cluster.is_running(owner))
+}
+
+/// Starts hosts with a target of the failure domain with a number.
+fn with_target(domain: u8) -> (Cluster, HostId) {
+    let mut cluster = ready(HOSTS, VOTERS);
+    cluster.add_target(Target::engine("e1", domain, true));
+    cluster.run(SETTLE);
+    let owner = cluster.owner("e1").expect("the target is owned");
+    (cluster, owner)
+}
+
+/// Guards against a leaving voter that ends once it has released its targets: the next owner can't be committed
+/// without its vote, so the targets stay without an owner. Load pattern: no requests; one of three voters has
+/// left, then the owner leaves, which is one of the other two.
+#[test]
+fn a_voter_that_leaves_stays_until_its_targets_have_their_next_owner() {
+    let mut failed = Vec::new();
+    let mut played = 0;
+    for domain in 1..=3 {
+        for first in 1..=VOTERS {
+            let (mut cluster, owner) = with_target(domain);
+            if owner == first || owner > VOTERS {
+                continue;
+            }
+            leave(&mut cluster, first);
+            cluster.run(SETTLE);
+            let leader = cluster.leader();
+            let took = leave(&mut cluster, owner);
+            cluster.run(SETTLE);
+            played += 1;
+            if !has_running_owner(&cluster) {
+                failed.push((first, owner, leader, took));
+            }
+        }
+    }
+    assert!(played >= 6, "{played} orders of leaving were played");
+    assert_eq!(failed, [], "first host, owner, leader, time until the owner ended");
+}
--- a/tests/tests/sessions.rs
+++ b/tests/tests/sessions.rs
@@ -184,6 +184,25 @@
     cluster.wait_for_owner("e1").await;
 }
 
+/// Guards against a leaving voter that ends before the next owner of its targets is committed, which then lacks
+/// a quorum. Load pattern: no requests; two of three voters leave one after the other, the owner last.
+#[tokio::test]
+async fn voters_that_leave_leave_no_target_without_an_owner() {
+    let mut cluster = Cluster::start(bins(), 7, 4).await;
+    cluster.start_engine("e1", 0, &[]).await;
+    let owner = cluster.wait_for_owner("e1").await;
+    assert!(owner <= 3, "the owner is a voter");
+    for leaving in [(owner % 3) + 1, owner] {
+        cluster.signal(leaving, "TERM");
+        let status = cluster.wait_for_exit(leaving).await;
+        assert!(status.success(), "host {leaving} ended with {status}");
+        if leaving != owner {
+            cluster.wait_for_leader().await;
+        }
+    }
+    cluster.wait_for_owner("e1").await;
+}
+
 #[tokio::test]
 async fn a_frozen_owner_is_replaced_and_causes_no_violation_when_resumed() {
     let mut cluster = Cluster::start(bins(), 5, 4).await;
