lease: a leader hands over the targets of leaving hosts before it is settled

What callers saw: a target of a leaving host kept that owner, or had none, for longer than if the host had been killed.

Cause: a new leader moved nothing until the leases of earlier leaders had certainly expired (lease and margin, 3.2 s), also where no other lease matters: a leaving owner that holds a lease of this leader, and has applied the release, is known not to act any more. And the news that a host leaves waited for its next renewal, up to a quarter of a lease.

Change: such moves, and only they, are made before the leader is settled (`hand_over`). A host that is told to leave renews its lease at its next tick.

--- a/coordination/lease/src/balance.rs
+++ b/coordination/lease/src/balance.rs
@@ -16,18 +16,13 @@
 /// A live owner is never replaced in one step: the target is released first, and assigned again
 /// once the previous owner has applied the release or lost its lease. This way two hosts never act
 /// as owner of a target at the same time. Only a settled leader may carry out the moves, except for
-/// targets that never had an owner.
+/// those of [`hand_over`] and targets that never had an owner.
 pub fn balance(registry: &Registry, live: &[LiveHost], limit: usize) -> Vec<Move> {
     let mut plan = Plan::new(registry, live);
     if plan.loads.is_empty() {
         return Vec::new();
     }
-    let mut moves = Vec::new();
-    for target in registry.targets() {
-        if plan.is_owner_leaving(target) {
-            moves.push(Move { target: target.id, owner: None });
-        }
-    }
+    let mut moves = plan.releases(registry);
     let mut pending = 0;
     for target in registry.targets() {
         let assignable = plan.is_assignable(target);
@@ -47,6 +42,26 @@
     moves
 }
 
+/// Returns the moves that a leader may carry out while leases of an earlier leader may be valid:
+/// leaving owners that hold a lease of this leader release their targets, and targets whose previous
+/// owner holds one and has applied the release are assigned. These hosts are known not to act as
+/// owners any more, so no other lease matters.
+pub fn hand_over(registry: &Registry, live: &[LiveHost]) -> Vec<Move> {
+    let mut plan = Plan::new(registry, live);
+    if plan.loads.is_empty() {
+        return Vec::new();
+    }
+    let mut moves = plan.releases(registry);
+    for target in registry.targets() {
+        if !plan.has_applied_release(target) {
+            continue;
+        }
+        let Some(owner) = plan.assign(target) else { continue };
+        moves.push(Move { target: target.id, owner: Some(owner) });
+    }
+    moves
+}
+
 /// Load of the hosts that may own targets.
 struct Plan<'a> {
     live: BTreeMap<HostId, &'a LiveHost>,
@@ -95,13 +110,23 @@
         self.is_live(owner) && self.live[&owner.0].leaving
     }
 
+    /// Returns the releases of the targets whose owners are live and are leaving.
+    fn releases(&self, registry: &Registry) -> Vec<Move> {
+        let leaving = registry.targets().filter(|target| self.is_owner_leaving(target));
+        leaving.map(|target| Move { target: target.id, owner: None }).collect()
+    }
+
     /// Returns whether a target can be assigned to an owner now.
     fn is_assignable(&self, target: &Target) -> bool {
         let Some(owner) = target.owner.or(target.previous_owner) else { return true };
-        if !self.is_live(owner) {
-            return true;
-        }
-        target.owner.is_none() && self.live[&owner.0].applied >= target.fence
+        !self.is_live(owner) || self.has_applied_release(target)
+    }
+
+    /// Returns whether a target is released, and its previous owner is live and has applied that.
+    fn has_applied_release(&self, target: &Target) -> bool {
+        let Some(previous) = target.previous_owner else { return false };
+        let is_released = target.owner.is_none() && self.is_live(previous);
+        is_released && self.live[&previous.0].applied >= target.fence
     }
 
     /// Assigns a target to the cheapest host.
--- a/coordination/lease/src/lib.rs
+++ b/coordination/lease/src/lib.rs
@@ -6,7 +6,7 @@
 mod registry;
 
 pub use crate::{
-    balance::balance,
+    balance::{balance, hand_over},
     grantor::{Grantor, LiveHost},
     holder::HostLease,
     registry::{OpenIntent, Registry, Target},
--- a/coordination/lease/tests/schedule.rs
+++ b/coordination/lease/tests/schedule.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use lease::{Grantor, HostLease, LeaseSettings, Registry, balance};
+use lease::{Grantor, HostLease, LeaseSettings, Registry, balance, hand_over};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use wire::{Command, Digest, Grant, HostId, Incarnation, Index, Move, Renew, TargetId};
@@ -79,6 +79,8 @@
 #[derive(Default)]
 struct Stats {
     moves: u32,
+    /// Moves of leaders that are not settled.
+    early: u32,
     valid_leases: u32,
     in_force: u32,
     elections: u32,
@@ -275,15 +277,17 @@
             registry.apply(n as Index + 1, command);
         }
         let lead = self.leaders.get_mut(&self.leader).expect("leader");
-        if lead.grantor.earlier_leases_expired(now) || !self.modes.wait_settled {
-            let mut moves = balance(&registry, &lead.grantor.live(now), 1);
-            if !self.modes.two_step {
-                reassign_in_one_step(&mut moves, &lead.grantor, now);
-            }
-            if !moves.is_empty() {
-                self.stats.moves += moves.len() as u32;
-                self.log.push(Command::Assign(moves));
-            }
+        let live = lead.grantor.live(now);
+        let settled = lead.grantor.earlier_leases_expired(now) || !self.modes.wait_settled;
+        let mut moves =
+            if settled { balance(&registry, &live, 1) } else { hand_over(&registry, &live) };
+        if settled && !self.modes.two_step {
+            reassign_in_one_step(&mut moves, &lead.grantor, now);
+        }
+        if !moves.is_empty() {
+            self.stats.moves += moves.len() as u32;
+            self.stats.early += if settled { 0 } else { moves.len() as u32 };
+            self.log.push(Command::Assign(moves));
         }
         lead.grantor.record_commit(now, self.log.len() as Index);
         lead.grantor.take_lost(now);
@@ -368,6 +372,7 @@
             }
         }
         total.moves += world.stats.moves;
+        total.early += world.stats.early;
         total.valid_leases += world.stats.valid_leases;
         total.in_force += world.stats.in_force;
         total.elections += world.stats.elections;
@@ -381,12 +386,18 @@
     let (stats, violation) = run(MODES);
     assert_eq!(violation, None);
     println!(
-        "moves {} valid {} in_force {} leaders {} restarts {}",
-        stats.moves, stats.valid_leases, stats.in_force, stats.elections, stats.restarts
+        "moves {} early {} valid {} in_force {} leaders {} restarts {}",
+        stats.moves,
+        stats.early,
+        stats.valid_leases,
+        stats.in_force,
+        stats.elections,
+        stats.restarts
     );
     // The schedules must exercise what they are meant to test.
     assert!(stats.moves > 500 && stats.in_force > 5000 && stats.elections > 100);
     assert!(stats.valid_leases > STEPS * SEEDS as u32 && stats.restarts > 100);
+    assert!(stats.early > 50, "{} moves of leaders that are not settled", stats.early);
 }
 
 #[test]
--- a/coordination/node/src/leases.rs
+++ b/coordination/node/src/leases.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use lease::{Grantor, HostLease, LeaseSettings, LiveHost, balance};
+use lease::{Grantor, HostLease, LeaseSettings, LiveHost, balance, hand_over};
 use place::{PlannerSettings, StorePlanner};
 use wire::{
     Command, Digest, Grant, HostId, Incarnation, Index, Intent, LoadEnded, LoadRequest, PeerMsg,
@@ -215,12 +215,16 @@
             return;
         }
         self.balanced_at = ctx.now;
-        if !self.grantor.earlier_leases_expired(ctx.now) || self.is_move_pending(ctx) {
+        if self.is_move_pending(ctx) {
             return;
         }
         let live = self.grantor.live(ctx.now);
-        self.resolve_intents(&live, &ctx.view, fx);
-        let moves = balance(&ctx.view.registry, &live, MAX_BALANCE_MOVES);
+        let moves = if self.grantor.earlier_leases_expired(ctx.now) {
+            self.resolve_intents(&live, &ctx.view, fx);
+            balance(&ctx.view.registry, &live, MAX_BALANCE_MOVES)
+        } else {
+            hand_over(&ctx.view.registry, &live)
+        };
         if moves.is_empty() {
             return;
         }
--- a/coordination/node/src/lifecycle.rs
+++ b/coordination/node/src/lifecycle.rs
@@ -32,6 +32,7 @@
         drop(lifecycle);
         self.entry().stop_admitting();
         self.owner().leaving = true;
+        self.leases().renew_now();
         fx.output(Output::StateChanged(StateChange::Leaving));
     }
 
--- a/coordination/node/tests/leaving.rs
+++ b/coordination/node/tests/leaving.rs
@@ -10,6 +10,8 @@
 
 const TIMEOUT: Duration = Duration::from_secs(60);
 const SETTLE: Duration = Duration::from_secs(6);
+/// The length of a lease. A target whose owner is killed waits at least that long.
+const LEASE: Duration = Duration::from_secs(3);
 const HOSTS: HostId = 4;
 const VOTERS: HostId = 3;
 
@@ -62,3 +64,24 @@
     assert!(played >= 6, "{played} orders of leaving were played");
     assert_eq!(failed, [], "first host, owner, leader, time until the owner ended");
 }
+
+/// Guards against targets that wait for the leases of an earlier leader before their leaving owner may release
+/// them: the leaving host's grace time passes meanwhile. Load pattern: no requests; the leader is killed, and
+/// the owner of a target is told to leave at that moment.
+#[test]
+fn a_leaving_host_hands_its_targets_over_while_earlier_leases_run() {
+    let mut took = Vec::new();
+    for domain in 1..=3 {
+        let (mut cluster, owner) = with_target(domain);
+        let Some(leader) = cluster.leader().filter(|&leader| leader != owner) else { continue };
+        cluster.kill(leader);
+        let since = cluster.now;
+        cluster.input(owner, Input::Shutdown);
+        let moved =
+            cluster.run_until(TIMEOUT, |it| it.owner("e1").is_some_and(|host| host != owner));
+        assert!(moved, "the target has no next owner");
+        took.push((owner, cluster.now - since));
+    }
+    assert!(!took.is_empty(), "the leader owns all targets");
+    assert!(took.iter().all(|(_, time)| *time < LEASE), "owners and times: {took:?}");
+}
