daemon: a stop waits for requests that callers are still sending

What callers saw: a closed connection without an answer, if their upload had begun before a SIGTERM and ended more than 2 s after the host's last request.

Cause: a request counts as in progress once its body is read. A host without others ended its shutdown at the next tick and gave open connections 2 s, however much of its grace time (`drain`, 30 s) was left.

Change: closing the connections may take what is left of the drain time. A second signal still ends it, with the exit code of a shutdown cut short.

--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -42,8 +42,8 @@
 /// Time beyond the configured drain time after which a shutdown is cut short.
 const DRAIN_GRACE: Duration = Duration::from_secs(5);
 
-/// Time limit of each step after the last request: closing connections, flushing messages to peers
-/// and ending the runtime.
+/// Time limit of each step after the last request: closing connections once the drain time is over,
+/// flushing messages to peers and ending the runtime.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The identity of a data folder holds the host's number from this bit on and random bits below it.
@@ -130,15 +130,13 @@
         () = signals.next() => {}
         _ = select_all(tasks) => return Err(DaemonError::Worker),
     }
+    let drained = Instant::now() + drain;
     host.shards.send(Input::Shutdown).await;
     let cut = wait_for_exit(&mut signals, &mut exited, drain + DRAIN_GRACE).await;
     let (cut, code) = match cut {
-        Some(cut) => (cut, ExitCode::SUCCESS),
+        Some(cut) => (cut, close(server, &mut signals, drained, &log).await),
         None => (host.callers.count() as u32, ExitCode::FAILURE),
     };
-    if code == ExitCode::SUCCESS && timeout(CLOSE_TIMEOUT, server.close()).await.is_err() {
-        warn!(log, "connections stayed open");
-    }
     host.hub.flush(CLOSE_TIMEOUT).await;
     info!(log, "ended"; "cut_requests" => cut);
     Ok(code)
@@ -240,6 +238,21 @@
     }
 }
 
+/// Closes the servers and waits until the requests that callers are still sending are answered, at
+/// most until the drain time is over. Returns the exit code: a failure if another signal comes first.
+async fn close(server: Server, signals: &mut Signals, drained: Instant, log: &Logger) -> ExitCode {
+    let limit = drained.saturating_duration_since(Instant::now()).max(CLOSE_TIMEOUT);
+    tokio::select! {
+        result = timeout(limit, server.close()) => {
+            if result.is_err() {
+                warn!(log, "connections stayed open"; "after_ms" => limit.as_millis() as u64);
+            }
+            ExitCode::SUCCESS
+        }
+        () = signals.next() => ExitCode::FAILURE,
+    }
+}
+
 /// Waits for the end of the shutdown and returns the number of requests that were cut, or `None` if
 /// another signal or the time limit came first.
 async fn wait_for_exit(
--- /dev/null
+++ b/tests/tests/stops.rs
@@ -0,0 +1,85 @@
+//! What callers get from a host that was told to end: each request that it has read gets a whole answer.
+
+use std::{path::Path, time::Duration};
+
+use sessions::cluster::{Cluster, MODEL, completion};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+use wire::HostId;
+
+/// The host that ends: no voter, so that it owns nothing that others wait for.
+const LEAVING: HostId = 4;
+/// From SIGTERM until a slow caller ends its request. The grace time is 30 s.
+const LATE: Duration = Duration::from_millis(3700);
+/// Limit of each answer.
+const WAIT: Duration = Duration::from_secs(40);
+
+fn bins() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_fake-engine"))
+        .parent()
+        .expect("the program has a parent directory")
+}
+
+/// Opens a caller's connection and sends the head of a completion request.
+async fn open(addr: &str, length: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(addr).await.expect("the host listens");
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: {addr}\r\nContent-Type: application/json\r\n\
+         Content-Length: {length}\r\nConnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("the host reads");
+    stream
+}
+
+/// Reads what a caller gets until its connection ends.
+async fn read(mut stream: TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let reading = timeout(WAIT, stream.read_to_end(&mut bytes));
+    let result = reading.await.expect("the connection ends in time");
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    match result {
+        Ok(_) => text,
+        Err(e) => format!("{text} ({e})"),
+    }
+}
+
+/// Returns whether an answer is whole and refuses the request because the host leaves.
+fn is_refusal(answer: &str) -> bool {
+    let Some((head, body)) = answer.split_once("\r\n\r\n") else { return false };
+    let head = head.to_ascii_lowercase();
+    let length = head.lines().find_map(|it| it.strip_prefix("content-length: "));
+    let is_whole = length.and_then(|it| it.parse().ok()) == Some(body.len());
+    is_whole && head.starts_with("http/1.1 503") && body.contains("leaving")
+}
+
+/// Guards against a host that ends beside a request whose body still comes: the caller gets a closed connection.
+/// Load pattern: uploads that begin before SIGTERM and end 3.7 s after it, in a grace time of 30 s.
+#[tokio::test]
+async fn a_request_whose_upload_ends_late_in_a_stop_is_answered() {
+    let mut cluster = Cluster::start(bins(), 51, 4).await;
+    cluster.start_engine("e1", 0, &[]).await;
+    cluster.wait_for_completion(LEAVING, "warm").await;
+    let body = completion(MODEL, "late", 4, true);
+    let (begin, rest) = body.split_at(body.len() / 2);
+    let mut uploads = Vec::new();
+    for _ in 0..8 {
+        let mut stream = open(&cluster.entry_addr(LEAVING), body.len()).await;
+        stream.write_all(begin.as_bytes()).await.expect("the host reads");
+        uploads.push(stream);
+    }
+    cluster.signal(LEAVING, "TERM");
+    sleep(LATE).await;
+    let mut got = Vec::new();
+    for mut stream in uploads {
+        // A failure shows in the answer.
+        let _ = stream.write_all(rest.as_bytes()).await;
+        got.push(read(stream).await);
+    }
+    let status = cluster.wait_for_exit(LEAVING).await;
+    let wrong: Vec<_> = got.iter().filter(|answer| !is_refusal(answer)).collect();
+    assert!(wrong.is_empty(), "{} of 8 got no refusal: {wrong:?}", wrong.len());
+    assert!(status.success(), "it ended with {status}");
+}
