node: a stop waits for operators' publishes, and refuses new ones

What operators would have seen: no answer to a publish whose host was told to end, though the publish may be committed.

Cause: `try_exit` counted callers' requests and attempts, not publishes, and a leaving host went on taking publishes.

Evidence: two new pure tests. A publish followed by the order to shut down had no result when the host ended; a publish sent to a host that was leaving was taken. Not tried over sockets.

Change: publishes count as in progress. At the end of the grace time they are answered with what is known of them: the receipt, or that the outcome is unknown.

--- a/coordination/node/src/lifecycle.rs
+++ b/coordination/node/src/lifecycle.rs
@@ -31,6 +31,7 @@
         lifecycle.leaving_since = Some(now);
         drop(lifecycle);
         self.entry().stop_admitting();
+        self.publisher().stop_admitting();
         self.owner().leaving = true;
         self.leases().renew_now();
         fx.output(Output::StateChanged(StateChange::Leaving));
@@ -46,11 +47,13 @@
         };
         let requests = self.entry().len();
         let attempts = self.owner().attempts.len();
-        let in_progress = requests + attempts;
+        let publishes = self.publisher().len();
+        let in_progress = requests + attempts + publishes;
         let expired = now >= since + drain;
         if !expired && (in_progress > 0 || self.awaits_handover(now)) {
             return;
         }
+        self.publisher().finish_all(fx);
         self.lifecycle().exited = true;
         fx.output(Output::Exit(in_progress as u32));
     }
--- a/coordination/node/src/publisher.rs
+++ b/coordination/node/src/publisher.rs
@@ -31,11 +31,26 @@
 pub(crate) struct Publisher {
     jobs: BTreeMap<Tag, PublishJob>,
     register_proposed: BTreeMap<String, Duration>,
+    leaving: bool,
 }
 
 impl Publisher {
+    /// Refuses new publishes from now on.
+    pub(crate) fn stop_admitting(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Returns how many publishes are in progress.
+    pub(crate) fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
     /// Proposes an operator's publish, to be followed until it is in force at every host.
     pub(crate) fn publish(&mut self, ctx: &Ctx, tag: Tag, publish: Publish, fx: &mut Effects) {
+        if self.leaving {
+            fx.output(Output::Published { tag, result: Err(ErrorKind::Leaving.into()) });
+            return;
+        }
         fx.propose(Command::Publish(publish.clone()));
         let job = PublishJob {
             publish,
@@ -85,6 +100,14 @@
         self.finish(tag, fx);
     }
 
+    /// Answers all publishes in progress with what is known of them.
+    pub(crate) fn finish_all(&mut self, fx: &mut Effects) {
+        let tags: Vec<Tag> = self.jobs.keys().copied().collect();
+        for tag in tags {
+            self.finish(tag, fx);
+        }
+    }
+
     fn finish(&mut self, tag: Tag, fx: &mut Effects) {
         let Some(job) = self.jobs.remove(&tag) else { return };
         let result = match job.receipt {
--- a/coordination/node/tests/leaving.rs
+++ b/coordination/node/tests/leaving.rs
@@ -4,9 +4,9 @@
 
 use std::time::Duration;
 
-use common::{Cluster, ready, target::Target};
+use common::{Cluster, NOTES, completion, ready, target::Target};
 use node::Input;
-use wire::HostId;
+use wire::{ErrorKind, HostId};
 
 const TIMEOUT: Duration = Duration::from_secs(60);
 const SETTLE: Duration = Duration::from_secs(6);
@@ -85,3 +85,44 @@
     assert!(!took.is_empty(), "the leader owns all targets");
     assert!(took.iter().all(|(_, time)| *time < LEASE), "owners and times: {took:?}");
 }
+
+/// Guards against a host that ends beside an operator's publish, which then gets no answer. Load pattern: a
+/// publish, and the order to shut down right after it, at a host without targets and requests.
+#[test]
+fn a_publish_in_progress_is_answered_before_the_host_ends() {
+    for host in 1..=HOSTS {
+        let mut cluster = ready(HOSTS, VOTERS);
+        cluster.run(SETTLE);
+        let text = NOTES.replace("version = 1", "version = 2");
+        let tag = cluster.publish(host, &[("notes.ini", &text)]);
+        leave(&mut cluster, host);
+        let result = cluster.published.get(&tag);
+        assert!(matches!(result, Some(Ok(_))), "host {host}: {result:?}");
+    }
+}
+
+/// Guards against a publish that a leaving host takes and can't finish. Load pattern: a publish after the order to
+/// shut down, while a request keeps the host.
+#[test]
+fn a_leaving_host_refuses_publishes() {
+    let mut cluster = with_slow_targets();
+    let request = cluster.request(HOSTS, completion("base@a@v1", "long"));
+    assert!(cluster.run_until(TIMEOUT, |it| !it.responses[&request].body.is_empty()));
+    cluster.input(HOSTS, Input::Shutdown);
+    let tag = cluster.publish(HOSTS, &[("notes.ini", NOTES)]);
+    assert!(cluster.run_until(TIMEOUT, |it| it.published.contains_key(&tag)));
+    let kind = cluster.published[&tag].as_ref().err().map(|fault| fault.kind);
+    assert_eq!(kind, Some(ErrorKind::Leaving));
+}
+
+/// Starts hosts with an engine and a service whose answers take a minute, longer than the grace time of 30 s.
+fn with_slow_targets() -> Cluster {
+    let mut cluster = ready(HOSTS, VOTERS);
+    for mut target in [Target::engine("e1", 2, true), Target::service("s1", 3)] {
+        target.pieces = 100;
+        target.piece_interval = Duration::from_millis(600);
+        cluster.add_target(target);
+    }
+    cluster.run(SETTLE);
+    cluster
+}
