node: callers are answered when a stop's grace time ends

What callers saw: whose answer outlasted the grace time of a host that was told to end (`drain`) got a closed connection: nothing, or the midst of a stream without its `error` event.

Cause: at the end of the grace time the host counted the requests in progress and ended beside them; only their own deadlines gave them an answer, and the end of the process was none of these.

Evidence: a pure test (a stream and a call that may run once, of 60 s, grace 30 s): neither caller had an answer when the host ended, one run. Over sockets, four streams and four whole answers of 10 s in a grace time of 3 s: 8 of 8 were not told, in 3 of 3 runs (`cut_requests` 8).

Change: before it ends, the host answers all its callers: 503 `leaving` if the request was not sent, 504 `timed_out` if it was (streams get their `error` event), `in_doubt` for calls that may run once; an outcome that is known but not committed is told, as at the deadline.

--- a/coordination/node/src/entry.rs
+++ b/coordination/node/src/entry.rs
@@ -310,6 +310,36 @@
         self.remove(tag);
     }
 
+    /// Answers all callers, because this host ends.
+    pub(crate) fn end_all(&mut self, fx: &mut Effects) {
+        let tags: Vec<Tag> = self.requests.keys().copied().collect();
+        for tag in tags {
+            self.end(tag, fx);
+        }
+    }
+
+    fn end(&mut self, tag: Tag, fx: &mut Effects) {
+        let Some(request) = self.requests.get_mut(&tag) else { return };
+        let fault = match request.stage {
+            RequestStage::Routing => ErrorKind::Leaving.into(),
+            RequestStage::Claiming => ErrorKind::NoQuorum.into(),
+            RequestStage::Sent { .. } | RequestStage::Settling => {
+                Fault::new(ErrorKind::TimedOut, "the host shut down before the answer was whole")
+            }
+        };
+        if let RequestStage::Sent { request: id, owner } = request.stage {
+            request.in_doubt.get_or_insert_with(|| fault.clone());
+            if request.call.idempotent {
+                fx.send(owner, PeerMsg::Cancel(id));
+            }
+        }
+        if request.stage != RequestStage::Settling {
+            self.finish(tag, fault, fx);
+        }
+        // Nothing waits for the commit of an outcome any more. The outcome is known, or in doubt.
+        self.answer_caller(tag, fx);
+    }
+
     /// Routes requests that have no owner, and enforces time limits.
     pub(crate) fn tick(&mut self, ctx: &Ctx, dir: &Directory, fx: &mut Effects) {
         let tags: Vec<Tag> = self.requests.keys().copied().collect();
--- a/coordination/node/src/lifecycle.rs
+++ b/coordination/node/src/lifecycle.rs
@@ -53,6 +53,7 @@
         if !expired && (in_progress > 0 || self.awaits_handover(now)) {
             return;
         }
+        self.entry().end_all(fx);
         self.publisher().finish_all(fx);
         self.lifecycle().exited = true;
         fx.output(Output::Exit(in_progress as u32));
--- a/coordination/node/tests/leaving.rs
+++ b/coordination/node/tests/leaving.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{Cluster, NOTES, completion, ready, target::Target};
+use common::{Cluster, NOTES, booking, completion, ready, target::Target};
 use node::Input;
 use wire::{ErrorKind, HostId};
 
@@ -126,3 +126,19 @@
     cluster.run(SETTLE);
     cluster
 }
+
+/// Guards against callers who get a closed connection because the grace time ends before their answers do. Load
+/// pattern: a stream and a call that may run once, of a minute each, at an entry host that is told to leave.
+#[test]
+fn callers_are_answered_when_the_grace_time_ends() {
+    let mut cluster = with_slow_targets();
+    let stream = cluster.request(HOSTS, completion("base@a@v1", "long"));
+    let mut pay = booking("key", "pay");
+    pay.deadline = Some(Duration::from_secs(90));
+    let call = cluster.request(HOSTS, pay);
+    assert!(cluster.run_until(TIMEOUT, |it| !it.responses[&stream].body.is_empty()));
+    leave(&mut cluster, HOSTS);
+    let kinds = [stream, call].map(|it| cluster.responses[&it].fault.as_ref().map(|it| it.kind));
+    assert_eq!(kinds, [Some(ErrorKind::TimedOut), Some(ErrorKind::InDoubt)]);
+    assert_eq!(cluster.exited(HOSTS), Some(2));
+}
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -51,6 +51,8 @@
     bins: PathBuf,
     dir: TempDir,
     signed: bool,
+    /// The `drain` setting of hosts started from now on; the default if none.
+    drain: Option<Duration>,
     hosts: BTreeMap<HostId, Child>,
     targets: BTreeMap<String, (Child, String)>,
 }
@@ -83,6 +85,7 @@
             bins: bins.to_owned(),
             dir,
             signed: false,
+            drain: None,
             hosts: BTreeMap::new(),
             targets: BTreeMap::new(),
         }
@@ -96,6 +99,11 @@
         path
     }
 
+    /// Sets the grace time of hosts started from now on.
+    pub fn set_drain(&mut self, drain: Duration) {
+        self.drain = Some(drain);
+    }
+
     /// Starts all hosts, waits until they hold leases and publishes the session's declarations.
     pub async fn start(bins: &Path, subnet: u8, count: HostId) -> Cluster {
         Cluster::start_with(bins, subnet, count, &[]).await
@@ -132,6 +140,9 @@
             let _ = writeln!(text, "{peer} = {} {}", self.ip(peer), self::domain(peer));
         }
         text.push_str("\n[cluster]\nfounders = 1, 2, 3\n");
+        if let Some(drain) = self.drain {
+            let _ = writeln!(text, "\n[timing]\ndrain = {}ms", drain.as_millis());
+        }
         text
     }
 
--- a/tests/tests/stops.rs
+++ b/tests/tests/stops.rs
@@ -48,11 +48,23 @@
 
 /// Returns whether an answer is whole and refuses the request because the host leaves.
 fn is_refusal(answer: &str) -> bool {
+    is_error(answer, 503, "leaving")
+}
+
+/// Returns whether an answer is whole and has this status and code.
+fn is_error(answer: &str, status: u16, code: &str) -> bool {
     let Some((head, body)) = answer.split_once("\r\n\r\n") else { return false };
     let head = head.to_ascii_lowercase();
     let length = head.lines().find_map(|it| it.strip_prefix("content-length: "));
     let is_whole = length.and_then(|it| it.parse().ok()) == Some(body.len());
-    is_whole && head.starts_with("http/1.1 503") && body.contains("leaving")
+    is_whole && head.starts_with(&format!("http/1.1 {status}")) && body.contains(code)
+}
+
+/// Returns whether an answer is a stream that says by an event why it ends early.
+fn is_ended_stream(answer: &str, code: &str) -> bool {
+    let is_whole = answer.starts_with("HTTP/1.1 200") && answer.ends_with("0\r\n\r\n");
+    let error = answer.split_once("event: error\n").map(|(_, rest)| rest);
+    is_whole && error.is_some_and(|rest| rest.contains(code))
 }
 
 /// Guards against a host that ends beside a request whose body still comes: the caller gets a closed connection.
@@ -83,3 +95,39 @@
     assert!(wrong.is_empty(), "{} of 8 got no refusal: {wrong:?}", wrong.len());
     assert!(status.success(), "it ended with {status}");
 }
+
+/// Guards against answers that outlast the grace time: their callers get a closed connection, with no answer or
+/// the midst of a stream. Load pattern: four streams and four whole answers of 10 s, in a grace time of 3 s.
+#[tokio::test]
+async fn callers_are_answered_when_the_grace_time_ends() {
+    let mut cluster = Cluster::start(bins(), 52, 4).await;
+    cluster.start_engine("e1", 0, &["--token-ms", "10"]).await;
+    cluster.kill(LEAVING);
+    cluster.set_drain(Duration::from_secs(3));
+    cluster.start_host(LEAVING, &[]);
+    cluster.wait_for_leader().await;
+    cluster.wait_for_completion(LEAVING, "warm").await;
+    let mut callers = Vec::new();
+    for number in 0..8 {
+        let body = completion(MODEL, "long", 1000, number < 4);
+        let mut stream = open(&cluster.entry_addr(LEAVING), body.len()).await;
+        stream.write_all(body.as_bytes()).await.expect("the host reads");
+        callers.push(tokio::spawn(read(stream)));
+    }
+    sleep(Duration::from_secs(1)).await;
+    cluster.signal(LEAVING, "TERM");
+    let mut wrong = Vec::new();
+    for (number, caller) in callers.into_iter().enumerate() {
+        let answer = caller.await.expect("it reads");
+        let is_told = match number < 4 {
+            true => is_ended_stream(&answer, "timed_out"),
+            false => is_error(&answer, 504, "timed_out"),
+        };
+        if !is_told {
+            wrong.push((number, answer.len(), answer.chars().take(200).collect::<String>()));
+        }
+    }
+    let status = cluster.wait_for_exit(LEAVING).await;
+    assert!(wrong.is_empty(), "{} of 8 were not told: {wrong:#?}", wrong.len());
+    assert!(status.success(), "it ended with {status}");
+}
