edge: a failed test of later limits says how long its answers took

The message of a failure now says how much time had passed, which tells the timeout from a cut by the new limits.

--- a/edge/tests/signals.rs
+++ b/edge/tests/signals.rs
@@ -9,7 +9,11 @@
     paced::{Got, PacedTarget, Upload, events},
     until,
 };
-use tokio::{net::TcpStream, task::JoinHandle, time::sleep};
+use tokio::{
+    net::TcpStream,
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
 
 /// Bounds that are shorter than those of [`BOUNDS`].
 const SHORTER: &str = "bounds.graceS=1\nbounds.retryAllowance=0\nbounds.leaseMs=3000\n";
@@ -65,10 +69,12 @@
     calls
 }
 
+/// Reads all answers, which were begun just before. A failure says whether the route's timeout of 9 s had passed.
 async fn assert_whole(calls: Vec<(String, String, JoinHandle<Got>)>) {
+    let begun = Instant::now();
     for (attempt, whole, call) in calls {
         let got = call.await.expect("it reads");
-        assert!(got.is_success(&whole), "{attempt} got {got:?}");
+        assert!(got.is_success(&whole), "{attempt} got {got:?} within {:?}", begun.elapsed());
     }
 }
 
