daemon: a stop accepts the connections that wait before it closes its listeners

What callers saw: a connection that was reset without an answer, if they had connected just before the host closed its listeners.

Cause: the listeners closed in the step after the shutdown was complete, while connections that the kernel had accepted waited for them. After a standstill of the process these are all that came meanwhile.

Evidence: the new test stops the process by SIGSTOP 0 to 35 ms after SIGTERM while 40 callers connect and send.

Change: before it closes its listeners, the host waits until a sleep of 20 ms ends on time, at most 1 s. The listeners accept meanwhile.

What connects in the moment between the sleep and the closing is still reset.

--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -25,7 +25,7 @@
     signal::unix::{Signal, SignalKind, signal},
     sync::mpsc::{UnboundedReceiver, unbounded_channel},
     task::JoinHandle,
-    time::{MissedTickBehavior, interval, timeout},
+    time::{MissedTickBehavior, interval, sleep, timeout},
 };
 use web::{Server, TargetClient};
 use wire::{DiskId, HostId};
@@ -46,6 +46,11 @@
 /// flushing messages to peers and ending the runtime.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for the listeners to accept what waits for them before they close, and how much later its end
+/// may come. If it comes later, the process stood still, and more connections wait.
+const ACCEPT_TIME: Duration = Duration::from_millis(20);
+const ACCEPT_DELAY: Duration = Duration::from_millis(10);
+
 /// The identity of a data folder holds the host's number from this bit on and random bits below it.
 const DISK_ID_HOST_SHIFT: u32 = 48;
 const DISK_ID_RANDOM_MASK: u64 = (1 << DISK_ID_HOST_SHIFT) - 1;
@@ -242,8 +247,12 @@
 /// most until the drain time is over. Returns the exit code: a failure if another signal comes first.
 async fn close(server: Server, signals: &mut Signals, drained: Instant, log: &Logger) -> ExitCode {
     let limit = drained.saturating_duration_since(Instant::now()).max(CLOSE_TIMEOUT);
+    let closing = async {
+        accept_waiting().await;
+        server.close().await;
+    };
     tokio::select! {
-        result = timeout(limit, server.close()) => {
+        result = timeout(limit, closing) => {
             if result.is_err() {
                 warn!(log, "connections stayed open"; "after_ms" => limit.as_millis() as u64);
             }
@@ -253,6 +262,22 @@
     }
 }
 
+/// Lets the listeners accept the connections that the kernel holds for them: closing a listener resets
+/// these. Waits at most half of [`CLOSE_TIMEOUT`], which leaves the rest for closing them.
+async fn accept_waiting() {
+    let waiting = async {
+        loop {
+            let since = Instant::now();
+            sleep(ACCEPT_TIME).await;
+            if since.elapsed() < ACCEPT_TIME + ACCEPT_DELAY {
+                return;
+            }
+        }
+    };
+    // A busy machine may never be on time.
+    let _ = timeout(CLOSE_TIMEOUT / 2, waiting).await;
+}
+
 /// Waits for the end of the shutdown and returns the number of requests that were cut, or `None` if
 /// another signal or the time limit came first.
 async fn wait_for_exit(
@@ -263,6 +288,6 @@
     tokio::select! {
         cut = exited.recv() => cut,
         () = signals.next() => None,
-        () = tokio::time::sleep(limit) => None,
+        () = sleep(limit) => None,
     }
 }
--- a/tests/tests/stops.rs
+++ b/tests/tests/stops.rs
@@ -25,7 +25,11 @@
 
 /// Opens a caller's connection and sends the head of a completion request.
 async fn open(addr: &str, length: usize) -> TcpStream {
-    let mut stream = TcpStream::connect(addr).await.expect("the host listens");
+    let stream = TcpStream::connect(addr).await.expect("the host listens");
+    send_head(stream, addr, length).await
+}
+
+async fn send_head(mut stream: TcpStream, addr: &str, length: usize) -> TcpStream {
     let head = format!(
         "POST /v1/completions HTTP/1.1\r\nHost: {addr}\r\nContent-Type: application/json\r\n\
          Content-Length: {length}\r\nConnection: close\r\n\r\n"
@@ -48,16 +52,16 @@
 
 /// Returns whether an answer is whole and refuses the request because the host leaves.
 fn is_refusal(answer: &str) -> bool {
-    is_error(answer, 503, "leaving")
+    is_whole(answer, 503, "leaving")
 }
 
-/// Returns whether an answer is whole and has this status and code.
-fn is_error(answer: &str, status: u16, code: &str) -> bool {
+/// Returns whether an answer is whole and has this status and text.
+fn is_whole(answer: &str, status: u16, text: &str) -> bool {
     let Some((head, body)) = answer.split_once("\r\n\r\n") else { return false };
     let head = head.to_ascii_lowercase();
     let length = head.lines().find_map(|it| it.strip_prefix("content-length: "));
-    let is_whole = length.and_then(|it| it.parse().ok()) == Some(body.len());
-    is_whole && head.starts_with(&format!("http/1.1 {status}")) && body.contains(code)
+    let has_all = length.and_then(|it| it.parse().ok()) == Some(body.len());
+    has_all && head.starts_with(&format!("http/1.1 {status}")) && body.contains(text)
 }
 
 /// Returns whether an answer is a stream that says by an event why it ends early.
@@ -121,7 +125,7 @@
         let answer = caller.await.expect("it reads");
         let is_told = match number < 4 {
             true => is_ended_stream(&answer, "timed_out"),
-            false => is_error(&answer, 504, "timed_out"),
+            false => is_whole(&answer, 504, "timed_out"),
         };
         if !is_told {
             wrong.push((number, answer.len(), answer.chars().take(200).collect::<String>()));
@@ -131,3 +135,41 @@
     assert!(wrong.is_empty(), "{} of 8 were not told: {wrong:#?}", wrong.len());
     assert!(status.success(), "it ended with {status}");
 }
+
+/// Guards against callers whose connections the kernel accepted just before the host closes its listener: they
+/// get no answer. Load pattern: the process stands still from some milliseconds after SIGTERM on, 40 callers
+/// connect and send meanwhile; six stops, at other moments each.
+#[tokio::test]
+async fn callers_who_connect_while_the_process_stands_still_are_answered() {
+    let mut cluster = Cluster::start(bins(), 53, 4).await;
+    cluster.start_engine("e1", 0, &[]).await;
+    let body = completion(MODEL, "late", 4, false);
+    let mut unanswered = Vec::new();
+    for delay in [0, 5, 10, 15, 25, 35] {
+        cluster.wait_for_completion(LEAVING, "warm").await;
+        cluster.signal(LEAVING, "TERM");
+        sleep(Duration::from_millis(delay)).await;
+        cluster.signal(LEAVING, "STOP");
+        let addr = cluster.entry_addr(LEAVING);
+        let mut callers = Vec::new();
+        for _ in 0..40 {
+            // Once the listener is closed, callers know at once that they have to go elsewhere.
+            let Ok(stream) = TcpStream::connect(&addr).await else { break };
+            let mut stream = send_head(stream, &addr, body.len()).await;
+            stream.write_all(body.as_bytes()).await.expect("the host reads");
+            callers.push(tokio::spawn(read(stream)));
+        }
+        sleep(Duration::from_millis(200)).await;
+        cluster.signal(LEAVING, "CONT");
+        let count = callers.len();
+        let mut lost = 0;
+        for caller in callers {
+            let answer = caller.await.expect("it reads");
+            lost += usize::from(!is_refusal(&answer) && !is_whole(&answer, 200, "choices"));
+        }
+        unanswered.push((delay, count, lost));
+        cluster.wait_for_exit(LEAVING).await;
+        cluster.start_host(LEAVING, &[]);
+    }
+    assert!(unanswered.iter().all(|it| it.2 == 0), "ms, callers, unanswered: {unanswered:?}");
+}
