edge: a soak of planned stops

Two tests over sockets, with five hosts as processes, from fixed seeds (STOP_SEEDS, STOP_SECONDS): SIGTERM once or twice, with SIGHUP, with a short SIGSTOP, to one to five hosts at overlapping times, each started again, beside new configurations that move routes and change timeouts. Callers send whole requests and slow ones (head or body, by length or in chunks, up to 8 s), on new and kept connections, some opened while the listener closes; some read slowly.

Answers on a route take equally long in the first test, 0 to 4.5 s at random in the second.

Not shown by a run: that the checks of 503, of runs and of order find a fault.

--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod paced;
+pub mod stops;
 pub mod target;
 
 use std::{
@@ -149,17 +150,23 @@
 
     /// Sends SIGTERM to a host's process and waits until it exits. Returns whether it succeeded.
     pub async fn terminate(&mut self, host: u8) -> bool {
-        let Some(mut child) = self.children.remove(&host) else { return false };
-        let pid = child.id().to_string();
-        Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs");
+        self.signal(host, "-TERM");
         loop {
-            if let Some(status) = child.try_wait().expect("it can be waited for") {
-                return status.success();
+            if let Some(is_success) = self.exited(host) {
+                return is_success;
             }
             sleep(Duration::from_millis(20)).await;
         }
     }
 
+    /// Returns whether a host's process has succeeded, once it has exited or if it was never there.
+    pub fn exited(&mut self, host: u8) -> Option<bool> {
+        let Some(child) = self.children.get_mut(&host) else { return Some(false) };
+        let status = child.try_wait().expect("it can be waited for")?;
+        self.children.remove(&host);
+        Some(status.success())
+    }
+
     /// Waits until a host accepts callers' requests.
     pub async fn wait_ready(&self, host: u8) {
         let addr = self.addr(host, READY);
