--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod cut;
 pub mod paced;
 pub mod stopping;
+pub mod stops;
 pub mod target;
 
 use std::{
@@ -176,15 +177,22 @@
 
     /// Waits until a host's process exits. Returns whether it succeeded.
     pub async fn wait_end(&mut self, host: u8) -> bool {
-        let Some(mut child) = self.children.remove(&host) else { return false };
         loop {
-            if let Some(status) = child.try_wait().expect("it can be waited for") {
-                return status.success();
+            if let Some(is_success) = self.exited(host) {
+                return is_success;
             }
             sleep(Duration::from_millis(20)).await;
         }
     }
 
+    /// Returns whether a host's process has succeeded, once it has exited or if it was never there.
+    pub fn exited(&mut self, host: u8) -> Option<bool> {
+        let Some(child) = self.children.get_mut(&host) else { return Some(false) };
+        let status = child.try_wait().expect("it can be waited for")?;
+        self.children.remove(&host);
+        Some(status.success())
+    }
+
     /// Waits until a host accepts callers' requests.
     pub async fn wait_ready(&self, host: u8) {
         let addr = self.addr(host, READY);
--- a/edge/tests/stops_of_calls.rs
+++ b/edge/tests/stops_of_calls.rs
@@ -39,7 +39,7 @@
 
 /// Opens a connection and sends a call, but for the last byte of its body.
 async fn begin(addr: SocketAddr, connection: &str, path: &str, body: &str) -> io::Result<Upload> {
-    let mut upload = Upload::try_open(addr).await?;
+    let mut upload = Upload::connect(addr).await?;
     let method = if body.is_empty() { "GET" } else { "POST" };
     let length = body.len();
     let begun = &body[..length.saturating_sub(1)];
