cli: files of tests are put in place whole

Cause: it and a_request_without_a_log_line write the same file, at the same time. Writing empties the file first, and the program that the other test started read it in between. The product is not at fault.

Change: the file is written under a name of its own and renamed. The tests and their expectations are as before.

--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -7,7 +7,10 @@
     net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::Command,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
 };
 
@@ -129,9 +132,14 @@
     shown
 }
 
-/// Writes a file for a test and returns its path.
+/// Writes a file for a test and returns its path. Tests run at the same time, and those that share a name and a
+/// text must never read a part of it, so the file is put in its place whole.
 pub fn file(name: &str, text: &str) -> PathBuf {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, text).unwrap();
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    let part = path.with_added_extension(format!("{}-{number}", std::process::id()));
+    std::fs::write(&part, text).unwrap();
+    std::fs::rename(&part, &path).unwrap();
     path
 }
