--- a/edge/src/stop.rs
+++ b/edge/src/stop.rs
@@ -49,6 +49,9 @@
 
     /// Returns until when a request may be sent, if the end of the process limits that.
     pub(crate) fn last_start(&self, query: &TargetQuery, deadline: Duration) -> Option<Duration> {
+        if !self.stopping.is_set() {
+            return None;
+        }
         let longest = self.active.longest(self.now(), &query.route.name);
         self.host.borrow().last_start(query, deadline, longest)
     }
--- a/edge/tests/common/stopping.rs
+++ b/edge/tests/common/stopping.rs
@@ -1,6 +1,8 @@
 //! Hosts of which one is told to end, with slow targets, and what their callers do.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
+
+use tokio::time::sleep;
 
 use super::{
     CONTROL, Cluster, ENTRY, document,
@@ -8,6 +10,10 @@
     until,
 };
 
+/// From SIGTERM until a slow caller ends its request. What then takes longer than 3.8 s outlasts the
+/// grace time of 8 s, at the end of which the process is killed.
+const LATE: Duration = Duration::from_millis(3700);
+
 /// Starts four hosts with a configuration in force.
 pub async fn start_hosts(net: u8) -> Cluster {
     let cluster = Cluster::start(net, 4);
@@ -39,6 +45,7 @@
     ask_at(cluster.addr(4, ENTRY), path, attempt).await
 }
 
+/// Sends a whole request and reads its answer.
 pub async fn ask_at(addr: SocketAddr, path: &str, attempt: &str) -> Got {
     let mut upload = Upload::open(addr).await;
     upload.send_head(path, attempt).await;
@@ -66,3 +73,27 @@
         assert_eq!(got.await.expect("it asks").status, Some(200));
     }
 }
+
+/// Sends SIGTERM to host 4, and the rest of each request [`LATE`] after it. Returns what each caller got.
+pub async fn finish_late(
+    cluster: &mut Cluster,
+    uploads: Vec<Upload>,
+    rest: &'static str,
+) -> Vec<Got> {
+    let sending = async {
+        sleep(LATE).await;
+        let mut readers = Vec::new();
+        for mut upload in uploads {
+            upload.send(rest).await;
+            readers.push(tokio::spawn(upload.read()));
+        }
+        let mut got = Vec::new();
+        for reader in readers {
+            got.push(reader.await.expect("it reads"));
+        }
+        got
+    };
+    let (has_ended, got) = tokio::join!(cluster.terminate(4), sending);
+    assert!(has_ended, "it exits by itself, with success");
+    got
+}
--- a/edge/tests/signals.rs
+++ b/edge/tests/signals.rs
@@ -7,6 +7,7 @@
 use common::{
     BOUNDS, CONTROL, Cluster, ENTRY, document,
     paced::{Got, PacedTarget, Upload, events},
+    stopping::{ask_at, start_cluster},
     until,
 };
 use tokio::{
@@ -20,29 +21,6 @@
 /// [`common::paced::PACE`]s that an answer takes, 4.5 s.
 const PACES: u64 = 15;
 
-async fn start(net: u8) -> (Cluster, PacedTarget, PacedTarget) {
-    let cluster = Cluster::start(net, 4);
-    cluster.configure(4, &document(3)).await;
-    let control: Vec<_> = (1..=4).map(|host| cluster.addr(host, CONTROL)).collect();
-    let odd = PacedTarget::start(net, 1, "odd", control.clone()).await;
-    let app = PacedTarget::start(net, 2, "app", control).await;
-    for host in 1..=4 {
-        cluster.wait_ready(host).await;
-    }
-    let entry = cluster.addr(4, ENTRY);
-    for path in ["/odd/0", "/read/0"] {
-        until(async || ask(entry, path, "warm").await.is_success("done")).await;
-    }
-    (cluster, odd, app)
-}
-
-async fn ask(entry: SocketAddr, path: &str, attempt: &str) -> Got {
-    let mut upload = Upload::open(entry).await;
-    upload.send_head(path, attempt).await;
-    upload.send("Connection: close\r\n\r\n{}").await;
-    upload.read().await
-}
-
 /// Begins requests of each kind, and requests whose last byte comes 1.5 s later, of answers that are short.
 async fn begin(entry: SocketAddr) -> Vec<(String, String, JoinHandle<Got>)> {
     let mut calls = Vec::new();
@@ -50,7 +28,7 @@
         for number in 0..4 {
             let (path, attempt) = (format!("/{kind}/{PACES}"), format!("{kind}-{number}"));
             let name = attempt.clone();
-            let call = tokio::spawn(async move { ask(entry, &path, &name).await });
+            let call = tokio::spawn(async move { ask_at(entry, &path, &name).await });
             calls.push((attempt, whole.clone(), call));
         }
     }
@@ -83,7 +61,7 @@
 /// requests that may run once and slow uploads, while the configuration and then the settings change.
 #[tokio::test]
 async fn shorter_limits_end_no_accepted_request() {
-    let (cluster, odd, app) = start(44).await;
+    let (cluster, odd, app) = start_cluster(44).await;
     let calls = begin(cluster.addr(4, ENTRY)).await;
     until(async || odd.has_run("flow-3") && app.has_run("once-3")).await;
     let shorter = document(4)
@@ -101,7 +79,7 @@
 /// shorter grace time and again SIGTERM to a host with streams, requests that may run once and slow uploads.
 #[tokio::test]
 async fn further_signals_end_no_accepted_request() {
-    let (mut cluster, odd, app) = start(45).await;
+    let (mut cluster, odd, app) = start_cluster(45).await;
     let calls = begin(cluster.addr(4, ENTRY)).await;
     until(async || odd.has_run("flow-3") && app.has_run("once-3")).await;
     cluster.write_settings(4, false, SHORTER);
--- a/edge/tests/stops.rs
+++ b/edge/tests/stops.rs
@@ -6,40 +6,15 @@
 use std::time::Duration;
 
 use common::{
-    CONTROL, Cluster,
-    paced::{Got, PacedTarget, Upload, events},
-    stopping::{begin, serve_many, start_cluster},
+    CONTROL,
+    paced::{PacedTarget, events},
+    stopping::{begin, finish_late, serve_many, start_cluster},
     until,
 };
 use tokio::time::sleep;
 
 /// Events of a stream that lasts 4.5 s.
 const LONG: u64 = 15;
-/// From SIGTERM until a slow caller ends its request. What then takes longer than 3.8 s outlasts the
-/// grace time of 8 s, at the end of which the process is killed.
-const LATE: Duration = Duration::from_millis(3700);
-
-/// Opens connections, sends SIGTERM to host 4 and the rest of each request [`LATE`] after it. Returns what each
-/// caller got.
-async fn finish_late(cluster: &mut Cluster, uploads: Vec<Upload>, rest: &'static str) -> Vec<Got> {
-    let sending = async {
-        sleep(LATE).await;
-        let mut readers = Vec::new();
-        for mut upload in uploads {
-            upload.send(rest).await;
-            readers.push(tokio::spawn(upload.read()));
-        }
-        let mut got = Vec::new();
-        for reader in readers {
-            got.push(reader.await.expect("it reads"));
-        }
-        got
-    };
-    let (has_ended, got) = tokio::join!(cluster.terminate(4), sending);
-    assert!(has_ended, "it exits by itself, with success");
-    got
-}
-
 /// Guards against a host that takes requests which it can't finish before it ends: streams are cut off that
 /// another host would have served, and requests that may run once get no answer. Load pattern: uploads that
 /// begin before SIGTERM and end 3.7 s after it, of answers that take 4.5 s.
--- a/edge/tests/stops_admission.rs
+++ b/edge/tests/stops_admission.rs
@@ -8,7 +8,7 @@
     CONTROL, ENTRY, ReceivedRequest, ip,
     paced::{PACE, Upload, events},
     read_request, send_heartbeats, signed_head,
-    stopping::{ask, begin, serve_many, start_cluster, start_hosts, until_served},
+    stopping::{ask, begin, finish_late, serve_many, start_cluster, start_hosts, until_served},
     target_record,
 };
 use platform::stand_in;
@@ -152,14 +152,9 @@
         let got = ask(&cluster, "/flow/fail", &format!("fails-{number}")).await;
         assert_eq!(got.status, Some(400), "{got:?}");
     }
-    let mut upload = begin(&cluster, "/flow/15", "late", "\r\n{").await;
-    let sending = async {
-        sleep(Duration::from_millis(3700)).await;
-        upload.send("}").await;
-        upload.read().await
-    };
-    let (_, got) = tokio::join!(cluster.terminate(4), sending);
-    assert!(got.is_refusal() || got.is_success(&events(15)), "{got:?}");
+    let upload = begin(&cluster, "/flow/15", "late", "\r\n{").await;
+    let got = finish_late(&mut cluster, vec![upload], "}").await;
+    assert!(got[0].is_refusal() || got[0].is_success(&events(15)), "{got:?}");
 }
 
 /// Guards against a stop that cuts off an answer longer than the few that the host has seen. Load pattern: one
@@ -168,14 +163,9 @@
 async fn one_short_answer_does_not_let_a_long_request_begin_late() {
     let (mut cluster, _odd, _app) = start_cluster(44).await;
     until_served(&cluster, "/flow/1").await;
-    let mut upload = begin(&cluster, "/flow/15", "late", "\r\n{").await;
-    let sending = async {
-        sleep(Duration::from_millis(3700)).await;
-        upload.send("}").await;
-        upload.read().await
-    };
-    let (_, got) = tokio::join!(cluster.terminate(4), sending);
-    assert!(got.is_refusal() || got.is_success(&events(15)), "{got:?}");
+    let upload = begin(&cluster, "/flow/15", "late", "\r\n{").await;
+    let got = finish_late(&mut cluster, vec![upload], "}").await;
+    assert!(got[0].is_refusal() || got[0].is_success(&events(15)), "{got:?}");
 }
 
 /// An early refusal is one whole answer, whatever the body's framing, and nothing follows it. Load pattern: streams
--- a/edge/tests/stops_of_ways.rs
+++ b/edge/tests/stops_of_ways.rs
@@ -6,7 +6,8 @@
 
 use common::{
     CONTROL, Cluster, ENTRY, RELAY, cut, document, ip,
-    paced::{Got, PacedTarget, Upload, events},
+    paced::{PacedTarget, events},
+    stopping::ask_at,
     until,
 };
 use tokio::{
@@ -45,7 +46,7 @@
     for (target, path) in [(&odd, "/odd/0"), (&app, "/read/0")] {
         cut::cut(&target.listener, net, &CUT);
         until(async || {
-            let got = ask(cluster.addr(CUT[0], ENTRY), path, "warm").await;
+            let got = ask_at(cluster.addr(CUT[0], ENTRY), path, "warm").await;
             let run = target.runs_of("warm").pop();
             got.is_success("done") && run.is_some_and(|it| it.from != ip(net, CUT[0]))
         })
@@ -55,14 +56,6 @@
     (cluster, odd, app)
 }
 
-/// Sends a whole request and reads its answer.
-async fn ask(entry: SocketAddr, path: &str, attempt: &str) -> Got {
-    let mut upload = Upload::open(entry).await;
-    upload.send_head(path, attempt).await;
-    upload.send("Connection: close\r\n\r\n{}").await;
-    upload.read().await
-}
-
 /// Asks a host to open a connection to a target, as another host does. Returns its reply.
 async fn ask_way(way: SocketAddr, target: &str, addr: &str) -> u8 {
     let mut stream = TcpStream::connect(way).await.expect("it listens");
@@ -95,7 +88,7 @@
         let kind = if number % 2 == 0 { "flow" } else { "once" };
         let (path, attempt) = (format!("/{kind}/{PACES}"), format!("{kind}-{number}"));
         attempts.push(attempt.clone());
-        calls.push(tokio::spawn(async move { ask(entry, &path, &attempt).await }));
+        calls.push(tokio::spawn(async move { ask_at(entry, &path, &attempt).await }));
     }
     until(async || attempts.iter().all(|it| odd.has_run(it) || app.has_run(it))).await;
     let way = most_used(&[&odd, &app], &attempts);
@@ -107,7 +100,7 @@
         let reply = ask_way(relay, "i-1", &addr).await;
         let mut later = Vec::new();
         for number in 0..REQUESTS {
-            later.push(ask(entry, "/read/0", &format!("later-{number}")).await);
+            later.push(ask_at(entry, "/read/0", &format!("later-{number}")).await);
         }
         (reply, later)
     };
