--- a/edge/tests/signals.rs
+++ b/edge/tests/signals.rs
@@ -5,8 +5,8 @@
 use std::{net::SocketAddr, process::Command, time::Duration};
 
 use common::{
-    BOUNDS, CONTROL, Cluster, ENTRY, document,
-    paced::{Got, PacedTarget, Upload, events},
+    BOUNDS, Cluster, ENTRY, document,
+    paced::{Got, Upload, events},
     stopping::{ask_at, start_cluster},
     until,
 };
