--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for the scripts of this review: the platform, the operator, a caller, and a replica with
 //! the links to it.
 //!
-//! `stand-in unframed EDGE FOLDER` runs the case of `review/7`; `stand-in replica ...` is the process of
+//! `stand-in unframed EDGE FOLDER` runs the case of `review/8`; `stand-in replica ...` is the process of
 //! a replica that it starts. Only loopback addresses are used.
 
 use std::{
@@ -346,7 +346,7 @@
 impl Case {
     fn run(edge: &Path, folder: &Path) -> io::Result<i32> {
         let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
-        let temporary = std::env::temp_dir().join(format!("review-7-{}", std::process::id()));
+        let temporary = std::env::temp_dir().join(format!("review-8-{}", std::process::id()));
         fs::create_dir_all(&temporary)?;
         let record = File::create(folder.join("record.txt"))?;
         let record = Record(Arc::new(Mutex::new((Instant::now(), record))));
