edge: tests of crowds that don't stay inside the limits

Clients with bodies of legal size, which stay open just short of their end, and clients that only hold connections. A crowd comes at one host of a small machine: memory 64 MB, 500 descriptors of which 200 are for other files, bodies of up to 1 MiB. What must hold: the processes live, peak memory and descriptors stay under the machine's, an ordinary request and an operator are answered beside the crowd and after it, and what was refused has not run.

--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Runs hosts as processes on loopback addresses, and a stand-in target.
 #![allow(dead_code)]
 
+pub mod crowd;
 pub mod cut;
 pub mod paced;
 pub mod stopping;
@@ -64,10 +65,17 @@
     started: BTreeSet<u8>,
     /// Whether hosts started from now on write their log to a pipe that nobody reads.
     pub stall_logs: bool,
+    /// Further lines of the hosts' settings.
+    pub more_settings: &'static str,
 }
 
 impl Cluster {
     pub fn start(net: u8, hosts: u8) -> Cluster {
+        Cluster::start_with(net, hosts, "")
+    }
+
+    /// Starts hosts whose settings have further lines.
+    pub fn start_with(net: u8, hosts: u8, more_settings: &'static str) -> Cluster {
         let dir = TempDir::new_in(data_root()).expect("a folder can be made");
         let mut cluster = Cluster {
             net,
@@ -75,6 +83,7 @@
             children: BTreeMap::new(),
             started: BTreeSet::new(),
             stall_logs: false,
+            more_settings,
         };
         for host in (1..=hosts).rev() {
             cluster.start_host(host);
@@ -111,9 +120,10 @@
             "nodeName=edge-{host}\nip={own}\nzone=z{}\nlistenAddresses.frontend={own}:{ENTRY}\n\
              listenAddresses.ready={own}:{READY}\nlistenAddresses.controlPlane={own}:{CONTROL}\n\
              listenAddresses.directory={own}:{DIRECTORY}\nportRange=7380,7395\nseeds={}\n\
-             bootstrap={first}\nfaultTolerance.machines=1\n{disk}{bounds}heartbeatMs=300\n",
+             bootstrap={first}\nfaultTolerance.machines=1\n{disk}{bounds}{more}heartbeatMs=300\n",
             host % 3,
             seeds.join(","),
+            more = self.more_settings,
         );
         std::fs::write(self.settings_path(host), text).expect("the file can be written");
     }
@@ -163,13 +173,18 @@
 
     /// Returns the most memory that a host's process has had, in kilobytes.
     pub fn peak_memory_kb(&self, host: u8) -> u64 {
-        let path = format!("/proc/{}/status", self.children[&host].id());
+        let path = format!("/proc/{}/status", self.pid(host));
         let status = std::fs::read_to_string(path).expect("it runs");
         let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
         let number = line.and_then(|it| it.split_whitespace().next());
         number.and_then(|it| it.parse().ok()).expect("a number of kilobytes")
     }
 
+    /// Returns the id of a host's process.
+    pub fn pid(&self, host: u8) -> u32 {
+        self.children[&host].id()
+    }
+
     /// Kills a host's process and removes its data folder.
     pub fn lose_disk(&mut self, host: u8) {
         self.kill(host);
@@ -231,6 +246,11 @@
     }
 }
 
+/// Returns how many descriptors a process has open; none if it has ended.
+pub fn open_descriptors(pid: u32) -> Option<usize> {
+    Some(std::fs::read_dir(format!("/proc/{pid}/fd")).ok()?.count())
+}
+
 /// Waits until a condition holds.
 pub async fn until(mut condition: impl AsyncFnMut() -> bool) {
     let polling = async {
--- a/edge/tests/common/target.rs
+++ b/edge/tests/common/target.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -14,7 +14,7 @@
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
 use platform::stand_in;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::sleep};
 use wire::TargetRecord;
 
 use super::{ip, send_heartbeat, target_record};
@@ -57,6 +57,10 @@
     sequence: u64,
     /// Attempt ids of the requests that it ran.
     runs: Vec<String>,
+    /// Sizes of these requests' bodies, in bytes.
+    body_sizes: Vec<usize>,
+    /// How long it takes before it answers a caller's request.
+    delay: Duration,
     /// Fencing numbers of the orders that it accepted.
     fences: BTreeSet<u64>,
     /// Orders that reached it: time of arrival, holder and fencing number.
@@ -148,6 +152,16 @@
         self.state().runs.clone()
     }
 
+    /// Returns the sizes of the bodies of the requests that it ran, in bytes.
+    pub fn body_sizes(&self) -> Vec<usize> {
+        self.state().body_sizes.clone()
+    }
+
+    /// Lets it take so long before it answers a caller's request from now on.
+    pub fn slow_down(&self, delay: Duration) {
+        self.state().delay = delay;
+    }
+
     /// Returns the orders that reached it: time of arrival, holder and fencing number.
     pub fn orders(&self) -> Vec<(Instant, String, u64)> {
         self.state().orders.clone()
@@ -195,6 +209,11 @@
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map(|it| it.to_bytes()).unwrap_or_default();
+        let path = parts.uri.path();
+        if path != platform::target::ORDER_PATH && path != platform::target::REPORT_PATH {
+            let delay = self.state().delay;
+            sleep(delay).await;
+        }
         let mut observed = self.state();
         match parts.uri.path() {
             platform::target::ORDER_PATH => respond(observed.order(&body), HeaderMap::new(), ""),
@@ -207,7 +226,13 @@
                 };
                 respond(200, HeaderMap::new(), &stand_in::report(&report))
             }
-            _ => self.run(&mut observed, &parts.headers),
+            _ => {
+                let response = self.run(&mut observed, &parts.headers);
+                if response.status() == StatusCode::OK {
+                    observed.body_sizes.push(body.len());
+                }
+                response
+            }
         }
     }
 
