edge: the bodies of requests share a memory of the machine

Clients ended the process: it ran out of memory. Each body was judged alone, up to maxBodyBytes, and nothing added bodies up; and a body was collected as slices of the connection's read buffer, with their framing and some 32 bytes each, and then copied once more.

Cause, seen: 100 bodies of 1 MiB just short of their end took a host to 121,080 KB, whole ones at a slow target to 193,408 KB, eight bodies of 300,000 one-byte chunks to 88,884 KB, on a machine of 62,500 KB.

A fifth of limits.memoryMb, which the program didn't read, is what all bodies of a host share, from their first byte to the end of their request (fleet::BodyMemory, pure). A body is copied into one buffer as it comes, and takes memory in doubling steps up to its announced length. When none is left, what has made no progress for a second gives up its memory, the longest first; otherwise a large body gives way to an earlier one, so that the first of a crowd get to their end; otherwise it is refused with 503 and Retry-After, at once. An eighth of the memory is for bodies of up to 16 KiB alone, another for those up to 256 KiB: small requests don't queue behind large ones.

--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod account;
 mod answers;
+mod body_memory;
 mod budget;
 mod choose;
 mod config;
@@ -43,6 +44,7 @@
 mod reach;
 mod replicated;
 mod request;
+mod resources;
 mod routes;
 mod row;
 mod row_limits;
@@ -56,6 +58,7 @@
 mod view;
 
 pub use crate::{
+    body_memory::{BodyId, BodyMemory, NoMemory, PROGRESS_BYTES},
     budget::RetryBudget,
     choose::{Pick, Picked, Requirements, pick},
     config::{Config, ConfigError, Engine, Limits, Model, RequestKind, Route, Service},
@@ -72,6 +75,7 @@
     quarantine::Admission,
     reach::Way,
     request::{Choice, NoRoute, Outcome, Reservation, TargetQuery},
+    resources::Resources,
     routes::Routes,
     settings::{Bounds, Settings},
     shutdown::{AnswerTime, Shutdown},
--- a/coordination/fleet/src/settings.rs
+++ b/coordination/fleet/src/settings.rs
@@ -4,6 +4,8 @@
 
 use wire::{DomainId, HostId};
 
+use crate::Resources;
+
 /// Time limits and quotas that the system guarantees.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Bounds {
@@ -58,6 +60,8 @@
     pub data_dir: Option<PathBuf>,
     /// Processor time of the host in thousandths of a core.
     pub cpu_millis: u32,
+    /// Memory and descriptors of the process.
+    pub resources: Resources,
     /// Number of hosts with disks that the system must survive losing at once.
     pub tolerated_losses: usize,
     /// Interval of a target's heartbeats.
--- a/coordination/fleet/tests/common/settings.rs
+++ b/coordination/fleet/tests/common/settings.rs
@@ -40,6 +40,7 @@
         seeds: seeds.to_vec(),
         first_start,
         data_dir: disk.then(|| "data".into()),
+        resources: fleet::Resources::default(),
         cpu_millis: 1000,
         tolerated_losses: 1,
         heartbeat: ms(1200),
--- a/edge/src/crash.rs
+++ b/edge/src/crash.rs
@@ -174,7 +174,7 @@
             let parts = self.head.shared_parts.iter().copied().map(Suspect::Part);
             let host = self.parts.headers.get(header::HOST).map(HeaderValue::as_bytes);
             let whole =
-                stable_hash(&(self.parts.method.as_str(), host, self.path(), &self.body[..]));
+                stable_hash(&(self.parts.method.as_str(), host, self.path(), self.body.as_slice()));
             let shared = named.map(Suspect::Resource).into_iter().chain(route.map(Suspect::Route));
             std::iter::once(Suspect::Request(whole)).chain(shared).chain(parts).collect()
         })
@@ -190,7 +190,7 @@
             id: self.head.attempt.clone(),
             caller: caller.map(ToString::to_string).unwrap_or_default(),
             path: self.path().to_owned(),
-            body_hash: stable_hash(&&self.body[..]),
+            body_hash: stable_hash(&self.body.as_slice()),
             contents: self.contents().to_vec(),
             trial: self.trial.take(),
             checked,
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     active::ActiveRequests,
+    body::Bodies,
     client::{Client, Connection, SendError},
     count::Count,
     crash::CrashChecks,
@@ -57,6 +58,8 @@
     pub(crate) control_client: Client,
     /// Wakes requests that wait for a target.
     pub(crate) wake: Notify,
+    /// The bodies of callers' requests.
+    pub(crate) bodies: Rc<Bodies>,
     /// Closes the callers' listener, and every connection once its current request is answered.
     pub(crate) closing: Signal,
     /// Operators' calls that wait for a reply.
@@ -113,6 +116,7 @@
     ) -> Rc<Edge> {
         Rc::new(Edge {
             name: host.settings().name.clone(),
+            bodies: Bodies::new(host.settings().resources.body_memory()),
             hub,
             disk,
             client: Client::default(),
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -2,18 +2,16 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use fleet::{Event, Limits, NoRoute, TargetQuery, stable_hash};
 use http::{Request, StatusCode, header, request::Parts};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform::request::{first_attempt, read_head};
-use tokio::time::timeout;
 
 use crate::{
     active::ActiveRequest,
     answer::{Answer, empty, not_run},
     attempt::relay,
+    body::{BodyError, skip_rest},
     edge::Edge,
     listen::ConnectionLimits,
     relay::Job,
@@ -26,6 +24,11 @@
 const RETRY_DELAY: Duration = Duration::from_millis(1800);
 /// Span over which the retries of several callers are spread.
 const RETRY_DELAY_SPREAD: Duration = Duration::from_millis(800);
+/// Minimum `Retry-After` for a request for whose body there is no memory: bodies that have stalled give up
+/// theirs, and others end.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Span over which the retries of several callers are spread then.
+const MEMORY_RETRY_DELAY_SPREAD: Duration = Duration::from_secs(2);
 /// A request's log line says when its last byte came if it came so much later than its head.
 const SLOW_BODY: Duration = Duration::from_millis(50);
 /// Time until the deadline of a request whose caller gives none.
@@ -49,7 +52,7 @@
 
 async fn answer(edge: &Rc<Edge>, active: ActiveRequest, request: Request<Incoming>) -> Answer {
     let arrived = edge.now();
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok());
     let host = host.or(parts.uri.host()).unwrap_or_default().to_owned();
     // All attempts at one stream go to the same service of a split route.
@@ -82,15 +85,18 @@
         arrived,
         software: None,
     };
-    let mut body = Limited::new(body, config_limits(edge).body_bytes);
+    let limit = config_limits(edge).body_bytes;
     let read = tokio::select! {
         biased;
         () = edge.too_late(&query, deadline) => None,
-        read = read_body(&mut body, left) => Some(read),
+        read = edge.bodies.read(|| edge.now(), &mut body, limit, left) => Some(read),
     };
     let body = match read {
         Some(Ok(body)) => body,
-        Some(Err(status)) => return reject(edge, arrived, &parts, "body", empty(status)),
+        Some(Err(error)) => {
+            let (outcome, answer) = refusal(error);
+            return reject(edge, arrived, &parts, outcome, answer);
+        }
         None => {
             skip_rest(body);
             let (min_delay, spread) = stop::retry_delay(edge);
@@ -105,6 +111,18 @@
     relay(job).await
 }
 
+/// Returns the outcome of a request whose body could not be read, and the answer for its caller.
+fn refusal(error: BodyError) -> (&'static str, Answer) {
+    match error {
+        BodyError::TooLarge => ("body", empty(StatusCode::PAYLOAD_TOO_LARGE)),
+        BodyError::Broken => ("body", empty(StatusCode::BAD_REQUEST)),
+        BodyError::Late => ("body", empty(StatusCode::REQUEST_TIMEOUT)),
+        BodyError::NoMemory => {
+            ("no_memory", not_run(MEMORY_RETRY_DELAY, MEMORY_RETRY_DELAY_SPREAD))
+        }
+    }
+}
+
 /// Counts and logs a request that the host answers without sending it to a target.
 fn reject(
     edge: &Edge,
@@ -132,19 +150,3 @@
     });
     answer
 }
-
-/// Reads the body of a request that has so much time left. A slow one may take all of it.
-async fn read_body(body: &mut Limited<Incoming>, left: Duration) -> Result<Bytes, StatusCode> {
-    match timeout(left, body.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
-    }
-}
-
-/// Reads what is left of the body of a request that is answered already. Closing its connection with unread
-/// bytes would reset it, and the answer might be lost.
-fn skip_rest(mut body: Limited<Incoming>) {
-    tokio::task::spawn_local(async move { while let Some(Ok(_)) = body.frame().await {} });
-}
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -4,6 +4,7 @@
 mod active;
 mod answer;
 mod attempt;
+mod body;
 mod client;
 mod control;
 mod count;
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -18,6 +18,7 @@
 use crate::{
     active::{ActiveRequest, Stage},
     answer::{Answer, AnswerBody, empty, not_run},
+    body::HeldBody,
     client::{Connection, SendError, tells_end},
     crash::TrialGuard,
     edge::Edge,
@@ -52,7 +53,7 @@
     pub(crate) query: TargetQuery,
     pub(crate) parts: Parts,
     pub(crate) head: RequestHead,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
     /// When the request arrived, by [`Edge::now`].
     pub(crate) arrived: Duration,
     /// Latest time for the final answer.
@@ -98,7 +99,7 @@
         query: TargetQuery,
         parts: Parts,
         head: RequestHead,
-        body: Bytes,
+        body: HeldBody,
         arrived: Duration,
         deadline: Duration,
     ) -> Job {
@@ -229,7 +230,7 @@
             priority: self.query.adapter.as_ref().map(|_| self.query.route.priority),
             last_event,
         };
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(Full::new(self.body.bytes()));
         *request.method_mut() = self.parts.method.clone();
         *request.uri_mut() = self.path().parse().unwrap_or_default();
         *request.headers_mut() = forward_headers(&self.parts.headers, &system);
--- a/edge/tests/crowds.rs
+++ b/edge/tests/crowds.rs
@@ -126,6 +126,7 @@
         // What a crowd has taken is given back.
         self.serve_large(Form::Length).await;
         self.check();
+        println!("{plan:?} at {port}: {} KB", self.cluster.peak_memory_kb(HOST));
     }
 
     fn check(&mut self) {
