edge: a body that announces too much is refused at once

A request whose length says that its body is far over maxBodyBytes was read up to the limit, and where the body didn't come, waited for until the route's time was over: 408 in place of 413. Its connection and what had come were held meanwhile.

The length is compared before a byte is read. The test that failed (408 after the route's 9 s) gets 413.

--- a/edge/src/body.rs
+++ b/edge/src/body.rs
@@ -104,6 +104,9 @@
     ) -> Result<HeldBody, BodyError> {
         let max = max.min(self.memory.borrow().max_body());
         let size = body.size_hint();
+        if size.lower() > max as u64 {
+            return Err(BodyError::TooLarge);
+        }
         if body.is_end_stream() {
             return Ok(HeldBody::default());
         }
