edge: the rest of a refused body is read on within limits

Cause, by reading: a body that was cut short by SIGTERM was read on without a limit of time or size, and any other refused body not at all. The first lets a client hold a connection for as long as it sends; the second resets the connection where bytes are unread, and the client may lose the answer that promises that nothing has run.

All refusals before a target is chosen read on for 5 s, and for no more than the size that a body may have.

--- a/edge/src/body.rs
+++ b/edge/src/body.rs
@@ -15,6 +15,8 @@
 
 /// Memory that a body takes at first, in bytes, if it isn't shorter.
 const FIRST_BYTES: usize = 4 * 1024;
+/// How long the rest of a body is read whose request is answered already.
+const SKIP_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Why a body was not read to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -203,8 +205,19 @@
     }
 }
 
-/// Reads what is left of the body of a request that is answered already. Closing its connection with unread
-/// bytes would reset it, and the answer might be lost.
-pub(crate) fn skip_rest(mut body: Incoming) {
-    tokio::task::spawn_local(async move { while let Some(Ok(_)) = body.frame().await {} });
+/// Reads what is left of the body of a request that is answered already, within limits of its size and of the
+/// time. Closing its connection with unread bytes would reset it, and the answer might be lost.
+pub(crate) fn skip_rest(mut body: Incoming, max: usize) {
+    if body.is_end_stream() {
+        return;
+    }
+    tokio::task::spawn_local(timeout(SKIP_TIMEOUT, async move {
+        let mut skipped = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            skipped += frame.data_ref().map_or(0, Bytes::len);
+            if skipped > max {
+                break;
+            }
+        }
+    }));
 }
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -66,11 +66,11 @@
                 NoRoute::Outdated => ("outdated", not_run(RETRY_DELAY, RETRY_DELAY_SPREAD)),
                 NoRoute::None => ("no_route", empty(StatusCode::NOT_FOUND)),
             };
-            return reject(edge, arrived, &parts, outcome, answer);
+            return reject(edge, arrived, &parts, body, outcome, answer);
         }
     };
     let Some(head) = read_head(&parts.headers) else {
-        return reject(edge, arrived, &parts, "no_id", empty(StatusCode::BAD_REQUEST));
+        return reject(edge, arrived, &parts, body, "no_id", empty(StatusCode::BAD_REQUEST));
     };
     active.name(&head.attempt, &route.name);
     let left = head.time_left.unwrap_or(DEFAULT_TIME_LEFT).min(route.timeout);
@@ -95,12 +95,11 @@
         Some(Ok(body)) => body,
         Some(Err(error)) => {
             let (outcome, answer) = refusal(error);
-            return reject(edge, arrived, &parts, outcome, answer);
+            return reject(edge, arrived, &parts, body, outcome, answer);
         }
         None => {
-            skip_rest(body);
             let (min_delay, spread) = stop::retry_delay(edge);
-            return reject(edge, arrived, &parts, STOPPING, not_run(min_delay, spread));
+            return reject(edge, arrived, &parts, body, STOPPING, not_run(min_delay, spread));
         }
     };
     let read_bytes = body.len();
@@ -123,14 +122,17 @@
     }
 }
 
-/// Counts and logs a request that the host answers without sending it to a target.
+/// Counts and logs a request that the host answers without sending it to a target, and reads on in its body for
+/// a while.
 fn reject(
     edge: &Edge,
     arrived: Duration,
     parts: &Parts,
+    body: Incoming,
     outcome: &'static str,
     answer: Answer,
 ) -> Answer {
+    skip_rest(body, config_limits(edge).body_bytes);
     let now = edge.now();
     let took = now.saturating_sub(arrived);
     edge.metrics.request_ended(outcome, took.as_secs_f64());
--- a/edge/tests/common/crowd.rs
+++ b/edge/tests/common/crowd.rs
@@ -23,6 +23,8 @@
 /// Longest time for which a client waits for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Size of a body that is over the limit, but not far.
+const OVER_BYTES: usize = BODY_BYTES * 3 / 2;
 /// How a client sends a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Form {
@@ -32,6 +34,10 @@
     LargeChunks,
     /// In chunks of one byte.
     SmallChunks,
+    /// Over the limit, as its length says.
+    OverAnnounced,
+    /// Over the limit, in chunks.
+    OverSent,
     /// Far over the limit, as its length says.
     FarOverAnnounced,
     /// Far over the limit, in chunks.
@@ -65,12 +71,14 @@
         match self.form {
             Form::Length | Form::LargeChunks => BODY_BYTES,
             Form::SmallChunks => SMALL_CHUNKS,
+            Form::OverAnnounced | Form::OverSent => OVER_BYTES,
             Form::FarOverAnnounced | Form::FarOverSent => FAR_OVER_BYTES,
         }
     }
 
     fn is_chunked(self) -> bool {
-        matches!(self.form, Form::LargeChunks | Form::SmallChunks | Form::FarOverSent)
+        use Form::{FarOverSent, LargeChunks, OverSent, SmallChunks};
+        matches!(self.form, LargeChunks | SmallChunks | OverSent | FarOverSent)
     }
 
     fn head(self, attempt: &str) -> String {
@@ -93,12 +101,12 @@
     fn pieces(self) -> (Vec<u8>, usize) {
         let data = vec![b'x'; PIECE_BYTES];
         match self.form {
-            Form::Length | Form::FarOverAnnounced => (data, self.size() / PIECE_BYTES),
-            Form::LargeChunks | Form::FarOverSent => {
+            Form::SmallChunks => (b"1\r\nx\r\n".repeat(1000), SMALL_CHUNKS / 1000),
+            _ if self.is_chunked() => {
                 let chunk = [format!("{PIECE_BYTES:x}\r\n").as_bytes(), &data, b"\r\n"].concat();
                 (chunk, self.size() / PIECE_BYTES)
             }
-            Form::SmallChunks => (b"1\r\nx\r\n".repeat(1000), SMALL_CHUNKS / 1000),
+            _ => (data, self.size() / PIECE_BYTES),
         }
     }
 }
@@ -106,6 +114,8 @@
 /// A client, after it has sent what it sends.
 pub struct Client {
     attempt: String,
+    /// Whether it could send all that it sends.
+    pub has_sent: bool,
     stream: TcpStream,
 }
 
@@ -113,8 +123,8 @@
     /// Connects and sends. An error of a connection that the host has closed is no failure.
     pub async fn play(addr: SocketAddr, plan: Plan, attempt: String) -> Option<Client> {
         let mut stream = timeout(SEND_TIMEOUT, TcpStream::connect(addr)).await.ok()?.ok()?;
-        let _ = timeout(SEND_TIMEOUT, send(&mut stream, plan, &attempt)).await;
-        Some(Client { attempt, stream })
+        let sent = timeout(SEND_TIMEOUT, send(&mut stream, plan, &attempt)).await;
+        Some(Client { attempt, has_sent: matches!(sent, Ok(Ok(()))), stream })
     }
 
     /// Reads the status of the answer; none if there is none.
--- a/edge/tests/crowds.rs
+++ b/edge/tests/crowds.rs
@@ -235,6 +235,39 @@
     assert_eq!(client.expect("it connects").status().await, Some(413));
 }
 
+/// Guards against a host that reads on without end for a client that is refused. Load pattern: requests whose bodies
+/// are far over the limit, one at a time.
+#[tokio::test]
+async fn who_does_not_stop_sending_is_cut_off() {
+    let scene = Scene::start(69).await;
+    for form in [Form::FarOverAnnounced, Form::FarOverSent] {
+        let plan = Plan { form, stop: Stop::Never, path: "/odd/x" };
+        let client = Client::play(scene.addr(ENTRY), plan, "far-over".to_owned()).await;
+        assert!(!client.expect("it connects").has_sent, "{form:?}");
+    }
+}
+
+/// Guards against an answer that its client can't read: closing a connection with unread bytes resets it. Load
+/// pattern: requests with bodies over the limit, one at a time, whose clients read the answer once all is sent.
+#[tokio::test]
+async fn who_sends_too_much_can_read_that() {
+    let scene = Scene::start(68).await;
+    for (form, path) in [
+        (Form::OverAnnounced, "/odd/x"),
+        (Form::OverSent, "/odd/x"),
+        (Form::Length, "/nowhere/x"),
+        (Form::LargeChunks, "/nowhere/x"),
+    ] {
+        let expected = if path == "/odd/x" { 413 } else { 404 };
+        for number in 0..5 {
+            let plan = Plan { form, stop: Stop::Never, path };
+            let client = Client::play(scene.addr(ENTRY), plan, format!("over-{number}")).await;
+            let status = client.expect("it connects").status().await;
+            assert_eq!(status, Some(expected), "{plan:?}, request {number}");
+        }
+    }
+}
+
 /// Guards against the same. Load pattern: many bodies far over the limit, in chunks.
 #[tokio::test]
 async fn many_bodies_far_over_the_limit_in_chunks() {
