edge: the bodies of calls share a memory, and have a time to arrive

Clients at the address of operators and targets could fill the process too: each call was read up to 8 MiB, without a common bound and without a time limit.

An eighth of the machine's memory is for these bodies, apart from callers' ones, so that neither shuts the other out; the same rules give it out and take it back. 30 s are left for a body to arrive. A body that doesn't come whole gets 400 or 408, and one without memory 503, which sends an operator to another host, in place of 413, which ends the operator's call.

--- a/coordination/fleet/src/resources.rs
+++ b/coordination/fleet/src/resources.rs
@@ -5,6 +5,9 @@
 
 /// Part of the memory for the bodies of callers' requests: one in so many.
 const BODY_PART: usize = 5;
+/// Part of the memory for the bodies of operators' and targets' calls. On the smallest machine it holds the largest
+/// configuration.
+const CALL_PART: usize = 8;
 
 /// Memory and descriptors of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,4 +30,9 @@
     pub fn body_memory(&self) -> usize {
         self.memory / BODY_PART
     }
+
+    /// Returns the memory for the bodies of operators' and targets' calls, in bytes.
+    pub fn call_memory(&self) -> usize {
+        self.memory / CALL_PART
+    }
 }
--- a/edge/src/body.rs
+++ b/edge/src/body.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use fleet::{BodyId, BodyMemory, PROGRESS_BYTES};
+use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::{sync::Notify, time::timeout};
@@ -31,6 +32,18 @@
     NoMemory,
 }
 
+impl BodyError {
+    /// Returns the status for the client. Nothing has run.
+    pub(crate) fn status(self) -> StatusCode {
+        match self {
+            BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::Broken => StatusCode::BAD_REQUEST,
+            BodyError::Late => StatusCode::REQUEST_TIMEOUT,
+            BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
 /// The bodies of a kind of requests.
 pub(crate) struct Bodies {
     memory: RefCell<BodyMemory>,
--- a/edge/src/control.rs
+++ b/edge/src/control.rs
@@ -6,19 +6,21 @@
 use desired::Command;
 use fleet::{Event, Input, Reply};
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use platform::{config, registry};
 use wire::TargetState;
 
 use crate::{
     answer::{Answer, empty, error, json},
+    body::skip_rest,
     edge::{Edge, unix_ms},
     listen::ConnectionLimits,
 };
 
 /// Maximum body size of a call, in bytes.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Time limit for the body of a call.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// How long a connection may be idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum size of a request's head, in bytes.
@@ -36,10 +38,16 @@
 pub(crate) async fn serve(edge: Rc<Edge>, request: Request<Incoming>) -> Answer {
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
-    let Ok(body) = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await else {
-        return empty(StatusCode::PAYLOAD_TOO_LARGE);
+    let mut body = request.into_body();
+    let reading = edge.call_bodies.read(|| edge.now(), &mut body, MAX_BODY_BYTES, BODY_TIMEOUT);
+    let held = match reading.await {
+        Ok(held) => held,
+        Err(error) => {
+            skip_rest(body, MAX_BODY_BYTES);
+            return empty(error.status());
+        }
     };
-    let body = body.to_bytes();
+    let body = held.bytes();
     if method == Method::GET && path == config::FETCH_PATH {
         return fetch(&edge).await;
     }
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -60,6 +60,8 @@
     pub(crate) wake: Notify,
     /// The bodies of callers' requests.
     pub(crate) bodies: Rc<Bodies>,
+    /// The bodies of operators' and targets' calls.
+    pub(crate) call_bodies: Rc<Bodies>,
     /// Closes the callers' listener, and every connection once its current request is answered.
     pub(crate) closing: Signal,
     /// Operators' calls that wait for a reply.
@@ -117,6 +119,7 @@
         Rc::new(Edge {
             name: host.settings().name.clone(),
             bodies: Bodies::new(host.settings().resources.body_memory()),
+            call_bodies: Bodies::new(host.settings().resources.call_memory()),
             hub,
             disk,
             client: Client::default(),
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -113,12 +113,10 @@
 /// Returns the outcome of a request whose body could not be read, and the answer for its caller.
 fn refusal(error: BodyError) -> (&'static str, Answer) {
     match error {
-        BodyError::TooLarge => ("body", empty(StatusCode::PAYLOAD_TOO_LARGE)),
-        BodyError::Broken => ("body", empty(StatusCode::BAD_REQUEST)),
-        BodyError::Late => ("body", empty(StatusCode::REQUEST_TIMEOUT)),
         BodyError::NoMemory => {
             ("no_memory", not_run(MEMORY_RETRY_DELAY, MEMORY_RETRY_DELAY_SPREAD))
         }
+        _ => ("body", empty(error.status())),
     }
 }
 
