edge: clients' connections are limited, by the machine's memory and descriptors

Clients that only hold connections open shut out everyone else: a host took as many as came. Seen: 600 connections in the midst of a head, 491 and 512 descriptors on a machine with 300 for them. At 27 to 37 KB each (1,000 connections, release build) they fill its memory too.

Each listener has places: three quarters of limits.maxFds less 200, or as many as a fifth of limits.memoryMb holds at 40 KiB each; ten sixteenths are callers', two each those of control and the directory, one each those of readiness and metrics, so that a crowd at one shuts out nobody at another. When they are taken, the connection over which nothing has come or gone for the longest time is closed for the new one; one whose request has come whole, and whose answer isn't written, stays. If all do, the new one is closed unread, so that its caller may go elsewhere. Shed connections are counted, in a log line a second and in a metric.

--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -208,6 +208,17 @@
         /// Number of dropped messages that are not named.
         left_out: u64,
     },
+    /// Connections of clients were closed for others, or not taken, because a listener had as many as it may have.
+    ConnectionsShed {
+        /// The listener's name.
+        listener: &'static str,
+        /// Number of its connections now.
+        open: usize,
+        /// Number of those that waited for their clients and were closed.
+        closed: u64,
+        /// Number of those that were not taken, as all others were being served.
+        refused: u64,
+    },
     /// A host joined, its readiness or incarnation changed, or it announced its end, as seen by the
     /// host that logs this.
     Host {
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod choose;
 mod config;
 mod confirm;
+mod connections;
 mod crash_reports;
 mod event;
 mod exchange;
@@ -63,6 +64,7 @@
     choose::{Pick, Picked, Requirements, pick},
     config::{Config, ConfigError, Engine, Limits, Model, RequestKind, Route, Service},
     confirm::LATE_HOSTS,
+    connections::{ConnectionId, Connections, NoConnection},
     crash_reports::SeenCrash,
     event::{Basis, CutRequest, Event, LateHost, ReportVerdict, UnsentMessages},
     io::{Input, Order, OrderOutcome, Output, Reply, Report, Tag},
@@ -75,7 +77,7 @@
     quarantine::Admission,
     reach::Way,
     request::{Choice, NoRoute, Outcome, Reservation, TargetQuery},
-    resources::Resources,
+    resources::{Listener, Resources},
     routes::Routes,
     settings::{Bounds, Settings},
     shutdown::{AnswerTime, Shutdown},
--- a/coordination/fleet/src/resources.rs
+++ b/coordination/fleet/src/resources.rs
@@ -9,6 +9,52 @@
 /// configuration.
 const CALL_PART: usize = 8;
 
+/// Part of the memory for the connections of clients: one in so many.
+const CONNECTION_PART: usize = 5;
+/// Memory of a connection, in bytes: its buffers and its task.
+const CONNECTION_BYTES: usize = 40 * 1024;
+/// Descriptors that are kept for other files.
+const FILE_DESCRIPTORS: usize = 200;
+/// Parts into which clients' connections are divided among the listeners.
+const LISTENER_PARTS: usize = 16;
+
+/// Who is listened to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listener {
+    /// Callers with requests.
+    Entry,
+    /// Operators and targets.
+    Control,
+    /// Callers who ask for the addresses of hosts.
+    Directory,
+    /// Whoever asks whether the host accepts callers.
+    Ready,
+    /// Whoever fetches the metrics.
+    Metrics,
+}
+
+impl Listener {
+    /// Returns its name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Listener::Entry => "entry",
+            Listener::Control => "control",
+            Listener::Directory => "directory",
+            Listener::Ready => "ready",
+            Listener::Metrics => "metrics",
+        }
+    }
+
+    /// Returns how many of the [`LISTENER_PARTS`] are its own.
+    fn parts(self) -> usize {
+        match self {
+            Listener::Entry => 10,
+            Listener::Control | Listener::Directory => 2,
+            Listener::Ready | Listener::Metrics => 1,
+        }
+    }
+}
+
 /// Memory and descriptors of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Resources {
@@ -35,4 +81,12 @@
     pub fn call_memory(&self) -> usize {
         self.memory / CALL_PART
     }
+
+    /// Returns how many connections of clients a listener may have. A quarter of the descriptors is left for
+    /// targets, other hosts and data.
+    pub fn connections(&self, listener: Listener) -> usize {
+        let by_memory = self.memory / CONNECTION_PART / CONNECTION_BYTES;
+        let by_descriptors = self.descriptors.saturating_sub(FILE_DESCRIPTORS) / 4 * 3;
+        by_memory.min(by_descriptors) * listener.parts() / LISTENER_PARTS
+    }
 }
--- a/edge/src/body.rs
+++ b/edge/src/body.rs
@@ -3,19 +3,26 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    future::poll_fn,
+    pin::Pin,
     rc::Rc,
+    task::Poll,
     time::Duration,
 };
 
 use bytes::Bytes;
 use fleet::{BodyId, BodyMemory, PROGRESS_BYTES};
-use http::StatusCode;
+use http::{HeaderValue, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use tokio::{sync::Notify, time::timeout};
+use tokio::{sync::Notify, task::yield_now, time::timeout};
+
+use crate::answer::Answer;
 
 /// Memory that a body takes at first, in bytes, if it isn't shorter.
 const FIRST_BYTES: usize = 4 * 1024;
+/// How often a body is asked for what its connection's buffer holds.
+const BUFFER_TURNS: usize = 4;
 /// How long the rest of a body is read whose request is answered already.
 const SKIP_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -218,12 +225,14 @@
     }
 }
 
-/// Reads what is left of the body of a request that is answered already, within limits of its size and of the
-/// time. Closing its connection with unread bytes would reset it, and the answer might be lost.
-pub(crate) fn skip_rest(mut body: Incoming, max: usize) {
-    if body.is_end_stream() {
+/// Sees to what is left of the body of a request that is about to be answered without it. Unless it has come already,
+/// the answer says that the connection will be closed, and the rest is read meanwhile, within limits of its size and
+/// of the time: closing a connection with unread bytes resets it, and the answer might be lost.
+pub(crate) async fn skip_rest(mut body: Incoming, max: usize, answer: &mut Answer) {
+    if has_come(&mut body).await {
         return;
     }
+    answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     tokio::task::spawn_local(timeout(SKIP_TIMEOUT, async move {
         let mut skipped = 0;
         while let Some(Ok(frame)) = body.frame().await {
@@ -234,3 +243,21 @@
         }
     }));
 }
+
+/// Whether the rest of a body is in the connection's buffer, or there is none.
+async fn has_come(body: &mut Incoming) -> bool {
+    for _ in 0..BUFFER_TURNS {
+        if body.is_end_stream() {
+            return true;
+        }
+        let frame = poll_fn(|cx| Poll::Ready(Pin::new(&mut *body).poll_frame(cx))).await;
+        match frame {
+            Poll::Ready(Some(Ok(_))) => {}
+            Poll::Ready(None) => return true,
+            Poll::Ready(Some(Err(_))) => return false,
+            // Its connection passes it on when it is polled next.
+            Poll::Pending => yield_now().await,
+        }
+    }
+    false
+}
--- a/edge/src/control.rs
+++ b/edge/src/control.rs
@@ -15,6 +15,7 @@
     body::skip_rest,
     edge::{Edge, unix_ms},
     listen::ConnectionLimits,
+    place::Place,
 };
 
 /// Maximum body size of a call, in bytes.
@@ -35,7 +36,7 @@
 }
 
 /// Serves one call of an operator or a target.
-pub(crate) async fn serve(edge: Rc<Edge>, request: Request<Incoming>) -> Answer {
+pub(crate) async fn serve(edge: Rc<Edge>, place: Rc<Place>, request: Request<Incoming>) -> Answer {
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     let mut body = request.into_body();
@@ -43,10 +44,12 @@
     let held = match reading.await {
         Ok(held) => held,
         Err(error) => {
-            skip_rest(body, MAX_BODY_BYTES);
-            return empty(error.status());
+            let mut answer = empty(error.status());
+            skip_rest(body, MAX_BODY_BYTES, &mut answer).await;
+            return answer;
         }
     };
+    place.serve();
     let body = held.bytes();
     if method == Method::GET && path == config::FETCH_PATH {
         return fetch(&edge).await;
@@ -155,7 +158,7 @@
 }
 
 /// Answers whether the host accepts callers' requests.
-pub(crate) async fn ready(edge: Rc<Edge>, request: Request<Incoming>) -> Answer {
+pub(crate) async fn ready(edge: Rc<Edge>, _: Rc<Place>, request: Request<Incoming>) -> Answer {
     if request.uri().path() != registry::READY_PATH {
         return empty(StatusCode::NOT_FOUND);
     }
@@ -166,7 +169,7 @@
 }
 
 /// Answers which entry hosts a caller may use, and for how long.
-pub(crate) async fn resolve(edge: Rc<Edge>, request: Request<Incoming>) -> Answer {
+pub(crate) async fn resolve(edge: Rc<Edge>, _: Rc<Place>, request: Request<Incoming>) -> Answer {
     if request.uri().path() != registry::RESOLVE_PATH {
         return empty(StatusCode::NOT_FOUND);
     }
@@ -185,7 +188,7 @@
 }
 
 /// Answers with the metrics in Prometheus' text format.
-pub(crate) async fn metrics(edge: Rc<Edge>, _: Request<Incoming>) -> Answer {
+pub(crate) async fn metrics(edge: Rc<Edge>, _: Rc<Place>, _: Request<Incoming>) -> Answer {
     let text = edge.metrics.render(
         edge.now(),
         &edge.host.borrow(),
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -28,6 +28,7 @@
     disk::DiskQueue,
     log::Log,
     metrics::Metrics,
+    place::Places,
     signal::Signal,
     software::StreamWaits,
 };
@@ -72,6 +73,8 @@
     pub(crate) streams: StreamWaits,
     pub(crate) log: Log,
     pub(crate) metrics: Metrics,
+    /// The places of clients' connections at each listener.
+    pub(crate) places: RefCell<Vec<Rc<Places>>>,
     /// Callers' requests in progress.
     pub(crate) active: ActiveRequests,
     /// Callers' connections and their listener, as long as they are open: a request may not have been read,
@@ -133,6 +136,7 @@
             streams: StreamWaits::default(),
             log,
             metrics: Metrics::new(),
+            places: RefCell::default(),
             active: ActiveRequests::default(),
             unfinished: Count::default(),
             calls: Count::default(),
--- a/edge/src/front.rs
+++ b/edge/src/front.rs
@@ -14,6 +14,7 @@
     body::{BodyError, skip_rest},
     edge::Edge,
     listen::ConnectionLimits,
+    place::Place,
     relay::Job,
     stop::{self, STOPPING},
 };
@@ -46,11 +47,16 @@
 }
 
 /// Serves one request.
-pub(crate) async fn serve(edge: Rc<Edge>, request: Request<Incoming>) -> Answer {
-    answer(&edge, ActiveRequest::begin(&edge), request).await
+pub(crate) async fn serve(edge: Rc<Edge>, place: Rc<Place>, request: Request<Incoming>) -> Answer {
+    answer(&edge, &place, ActiveRequest::begin(&edge), request).await
 }
 
-async fn answer(edge: &Rc<Edge>, active: ActiveRequest, request: Request<Incoming>) -> Answer {
+async fn answer(
+    edge: &Rc<Edge>,
+    place: &Place,
+    active: ActiveRequest,
+    request: Request<Incoming>,
+) -> Answer {
     let arrived = edge.now();
     let (parts, mut body) = request.into_parts();
     let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok());
@@ -66,11 +72,11 @@
                 NoRoute::Outdated => ("outdated", not_run(RETRY_DELAY, RETRY_DELAY_SPREAD)),
                 NoRoute::None => ("no_route", empty(StatusCode::NOT_FOUND)),
             };
-            return reject(edge, arrived, &parts, body, outcome, answer);
+            return reject(edge, arrived, &parts, body, outcome, answer).await;
         }
     };
     let Some(head) = read_head(&parts.headers) else {
-        return reject(edge, arrived, &parts, body, "no_id", empty(StatusCode::BAD_REQUEST));
+        return reject(edge, arrived, &parts, body, "no_id", empty(StatusCode::BAD_REQUEST)).await;
     };
     active.name(&head.attempt, &route.name);
     let left = head.time_left.unwrap_or(DEFAULT_TIME_LEFT).min(route.timeout);
@@ -95,13 +101,14 @@
         Some(Ok(body)) => body,
         Some(Err(error)) => {
             let (outcome, answer) = refusal(error);
-            return reject(edge, arrived, &parts, body, outcome, answer);
+            return reject(edge, arrived, &parts, body, outcome, answer).await;
         }
         None => {
             let (min_delay, spread) = stop::retry_delay(edge);
-            return reject(edge, arrived, &parts, body, STOPPING, not_run(min_delay, spread));
+            return reject(edge, arrived, &parts, body, STOPPING, not_run(min_delay, spread)).await;
         }
     };
+    place.serve();
     let read_bytes = body.len();
     let mut job = Job::new(edge, active, query, parts, head, body, arrived, deadline);
     if edge.now() >= arrived + SLOW_BODY {
@@ -122,15 +129,15 @@
 
 /// Counts and logs a request that the host answers without sending it to a target, and reads on in its body for
 /// a while.
-fn reject(
+async fn reject(
     edge: &Edge,
     arrived: Duration,
     parts: &Parts,
     body: Incoming,
     outcome: &'static str,
-    answer: Answer,
+    mut answer: Answer,
 ) -> Answer {
-    skip_rest(body, config_limits(edge).body_bytes);
+    skip_rest(body, config_limits(edge).body_bytes, &mut answer).await;
     let now = edge.now();
     let took = now.saturating_sub(arrived);
     edge.metrics.request_ended(outcome, took.as_secs_f64());
--- a/edge/src/listen.rs
+++ b/edge/src/listen.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use fleet::Listener;
 use http::{HeaderValue, Request, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -22,6 +23,7 @@
     count::Counted,
     edge::Edge,
     error::EdgeError,
+    place::{Place, Places, ServedBody, Watched},
     stall::StallLimit,
 };
 
@@ -57,38 +59,46 @@
 }
 
 /// Opens a listener.
-pub(crate) async fn bind(addr: SocketAddr) -> Result<TcpListener, EdgeError> {
+async fn bind(addr: SocketAddr) -> Result<TcpListener, EdgeError> {
     TcpListener::bind(addr).await.map_err(|source| EdgeError::Listen { addr, source })
 }
 
 /// How long a listener accepts connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Until {
+enum Until {
     /// Until `Edge::closing` is set; its connections are callers'.
     Closing,
     /// Until the process ends; its connections are those of operators, targets and the like.
     End,
 }
 
-/// Accepts connections and passes each of their requests to `handler`.
-pub(crate) fn serve<H, F>(
+/// Listens at an address, accepts connections and passes each of their requests to `handler`, with the place of its
+/// connection.
+pub(crate) async fn serve<H, F>(
     edge: &Rc<Edge>,
-    listener: TcpListener,
-    until: Until,
+    addr: SocketAddr,
+    kind: Listener,
     limits: fn(&Edge) -> ConnectionLimits,
     handler: H,
-) where
-    H: Fn(Rc<Edge>, Request<Incoming>) -> F + Copy + 'static,
+) -> Result<(), EdgeError>
+where
+    H: Fn(Rc<Edge>, Rc<Place>, Request<Incoming>) -> F + Copy + 'static,
     F: Future<Output = Answer> + 'static,
 {
+    let listener = bind(addr).await?;
+    let until = if kind == Listener::Entry { Until::Closing } else { Until::End };
+    let places = Places::new(edge, kind);
+    edge.places.borrow_mut().push(places.clone());
     let edge = edge.clone();
     let listening = (until == Until::Closing).then(|| edge.unfinished.begin());
     tokio::task::spawn_local(async move {
         let start = |(stream, peer)| {
+            let Some(place) = places.take(&edge) else { return };
             let counted = (until == Until::Closing).then(|| edge.unfinished.begin());
             let connection = AcceptedConnection {
                 stream,
                 peer,
+                place,
                 limits: limits(&edge),
                 until,
                 counted: RefCell::new(counted),
@@ -112,6 +122,7 @@
         }
         drop(listening);
     });
+    Ok(())
 }
 
 /// Answers a call, in time before the process ends. From SIGTERM on the call counts until its connection ends,
@@ -148,6 +159,7 @@
 struct AcceptedConnection {
     stream: TcpStream,
     peer: SocketAddr,
+    place: Rc<Place>,
     limits: ConnectionLimits,
     until: Until,
     /// What the process waits for before it ends: a caller's connection, or a call in hand. Dropped with the
@@ -158,10 +170,10 @@
 impl AcceptedConnection {
     async fn serve<H, F>(self, edge: Rc<Edge>, handler: H)
     where
-        H: Fn(Rc<Edge>, Request<Incoming>) -> F + Copy + 'static,
+        H: Fn(Rc<Edge>, Rc<Place>, Request<Incoming>) -> F + Copy + 'static,
         F: Future<Output = Answer> + 'static,
     {
-        let AcceptedConnection { stream, peer, limits, until, counted } = self;
+        let AcceptedConnection { stream, peer, place, limits, until, counted } = self;
         if stream.set_nodelay(true).is_err() {
             return;
         }
@@ -170,7 +182,7 @@
         let service = service_fn(|mut request: Request<Incoming>| {
             is_used.set(true);
             request.extensions_mut().insert(Caller(peer.ip()));
-            let answering = handler(own.clone(), request);
+            let answering = handler(own.clone(), place.clone(), request);
             async {
                 let mut answer = match until {
                     Until::Closing => answering.await,
@@ -181,10 +193,10 @@
                     let close = HeaderValue::from_static("close");
                     answer.headers_mut().insert(header::CONNECTION, close);
                 }
-                Ok::<_, Infallible>(answer)
+                Ok::<_, Infallible>(answer.map(|body| ServedBody::new(body, place.clone())))
             }
         });
-        let stream = StallLimit::new(stream, TAKE_TIMEOUT);
+        let stream = StallLimit::new(Watched::new(stream, place.clone()), TAKE_TIMEOUT);
         let mut serving = std::pin::pin!(
             http1::Builder::new()
                 .timer(TokioTimer::new())
@@ -205,6 +217,7 @@
         // An error concerns only this connection, and its other end sees it as well.
         tokio::select! {
             _ = &mut serving => return,
+            () = place.closing() => return,
             () = closing => serving.as_mut().graceful_shutdown(),
         }
         let head_late = async {
@@ -215,6 +228,7 @@
         };
         tokio::select! {
             _ = &mut serving => {}
+            () = place.closing() => {}
             () = head_late => {}
         }
     }
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod named;
 mod permit;
+mod place;
 mod relay;
 mod reservation;
 mod run;
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fleet::{Host, OrderOutcome};
+use fleet::{Host, Listener, OrderOutcome};
 use peer::Stats;
 use prometheus::{
     Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
@@ -18,6 +18,7 @@
     sends: IntCounterVec,
     orders: IntCounterVec,
     unframed: IntCounterVec,
+    shed: IntCounterVec,
     seconds: HistogramVec,
     state: GaugeVec,
     ages: GaugeVec,
@@ -75,6 +76,12 @@
                 "Answers that don't tell their end, by what their target showed after it",
                 &["outcome"],
             ),
+            shed: counter(
+                &registry,
+                "poplarhollow_connections_shed_total",
+                "Connections of clients that were closed for others or not taken",
+                &["listener", "how"],
+            ),
             peer_bytes: counter(
                 &registry,
                 "poplarhollow_peer_bytes_total",
@@ -94,6 +101,11 @@
         self.unframed.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a client's connection that a listener had no place for; `how` is `closed` or `refused`.
+    pub(crate) fn connection_shed(&self, listener: Listener, how: &str) {
+        self.shed.with_label_values(&[listener.as_str(), how]).inc();
+    }
+
     /// Counts the end of a request, with the seconds since its arrival.
     pub(crate) fn request_ended(&self, outcome: &str, seconds: f64) {
         self.requests.with_label_values(&[outcome]).inc();
--- /dev/null
+++ b/edge/src/place.rs
@@ -0,0 +1,215 @@
+//! The places of clients' connections at a listener, of which there is a limited number.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io::{self, IoSlice},
+    pin::Pin,
+    rc::{Rc, Weak},
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use fleet::{ConnectionId, Connections, Event, Listener};
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    sync::Notify,
+};
+
+use crate::{
+    answer::{AnswerBody, Truncated},
+    edge::Edge,
+};
+
+/// The places of one listener.
+pub(crate) struct Places {
+    listener: Listener,
+    table: RefCell<Connections>,
+    open: RefCell<HashMap<ConnectionId, Weak<Place>>>,
+    /// Connections that were closed for others, and that were not taken, since the last log line.
+    closed: Cell<u64>,
+    refused: Cell<u64>,
+}
+
+/// The place of a connection, until it is dropped.
+pub(crate) struct Place {
+    edge: Rc<Edge>,
+    places: Rc<Places>,
+    id: ConnectionId,
+    closing: Notify,
+}
+
+impl Places {
+    pub(crate) fn new(edge: &Edge, listener: Listener) -> Rc<Places> {
+        let limit = edge.host.borrow().settings().resources.connections(listener);
+        Rc::new(Places {
+            listener,
+            table: RefCell::new(Connections::new(limit)),
+            open: RefCell::default(),
+            closed: Cell::default(),
+            refused: Cell::default(),
+        })
+    }
+
+    /// Gives a connection a place, for which another one that waits for its client is closed if there are too many.
+    /// None if all of them are being served.
+    pub(crate) fn take(self: &Rc<Places>, edge: &Rc<Edge>) -> Option<Rc<Place>> {
+        let Ok((id, closed)) = self.table.borrow_mut().open(edge.now()) else {
+            self.refused.set(self.refused.get() + 1);
+            edge.metrics.connection_shed(self.listener, "refused");
+            return None;
+        };
+        let closed = closed.and_then(|it| self.open.borrow_mut().remove(&it)?.upgrade());
+        if let Some(place) = closed {
+            place.closing.notify_one();
+            self.closed.set(self.closed.get() + 1);
+            edge.metrics.connection_shed(self.listener, "closed");
+        }
+        let (edge, places) = (edge.clone(), self.clone());
+        let place = Rc::new(Place { edge, places, id, closing: Notify::new() });
+        self.open.borrow_mut().insert(id, Rc::downgrade(&place));
+        Some(place)
+    }
+
+    /// Returns what became of connections that had no place since the last call, if there are any.
+    pub(crate) fn take_shed(&self) -> Option<Event> {
+        let (closed, refused) = (self.closed.take(), self.refused.take());
+        if closed + refused == 0 {
+            return None;
+        }
+        let open = self.table.borrow().count();
+        Some(Event::ConnectionsShed { listener: self.listener.as_str(), open, closed, refused })
+    }
+}
+
+impl Place {
+    /// Waits until the connection has to be closed.
+    pub(crate) async fn closing(&self) {
+        self.closing.notified().await;
+    }
+
+    /// Keeps the connection: its request has come whole, and is served.
+    pub(crate) fn serve(&self) {
+        self.places.table.borrow_mut().serve(self.id);
+    }
+
+    fn wait(&self) {
+        self.places.table.borrow_mut().wait(self.edge.now(), self.id);
+    }
+
+    fn record_activity(&self) {
+        self.places.table.borrow_mut().record_activity(self.edge.now(), self.id);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.places.table.borrow_mut().close(self.id);
+        self.places.open.borrow_mut().remove(&self.id);
+    }
+}
+
+/// The body of an answer. Once it is written or left, its connection waits for its client.
+pub(crate) struct ServedBody {
+    body: AnswerBody,
+    place: Rc<Place>,
+}
+
+impl ServedBody {
+    pub(crate) fn new(body: AnswerBody, place: Rc<Place>) -> ServedBody {
+        ServedBody { body, place }
+    }
+}
+
+impl Drop for ServedBody {
+    fn drop(&mut self) {
+        self.place.wait();
+    }
+}
+
+impl Body for ServedBody {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A connection that reports to its place when bytes come or go.
+pub(crate) struct Watched<S> {
+    stream: S,
+    place: Rc<Place>,
+}
+
+impl<S> Watched<S> {
+    pub(crate) fn new(stream: S, place: Rc<Place>) -> Watched<S> {
+        Watched { stream, place }
+    }
+
+    fn record(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Ok(1..))) {
+            self.place.record_activity();
+        }
+        written
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Watched<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.place.record_activity();
+        }
+        read
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Watched<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/edge/src/run.rs
+++ b/edge/src/run.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use fleet::{Event, Host, Input, Settings, UnsentMessages};
+use fleet::{Event, Host, Input, Listener, Settings, UnsentMessages};
 use peer::{Hub, Peers};
 use platform::settings::SETTINGS_VARIABLE;
 use store::{KeptRecords, RecordFile};
@@ -25,8 +25,7 @@
     disk::open,
     edge::{Edge, clock, unix_ms},
     error::EdgeError,
-    front,
-    listen::{self, Until},
+    front, listen,
     log::Log,
     stop, way,
 };
@@ -140,27 +139,22 @@
 async fn listen_all(edge: &Rc<Edge>) -> Result<(), EdgeError> {
     let settings = edge.host.borrow().settings().clone();
     if settings.entry.port() != 0 {
-        let listener = listen::bind(settings.entry).await?;
-        listen::serve(edge, listener, Until::Closing, front::connection_limits, front::serve);
+        let limits = front::connection_limits;
+        listen::serve(edge, settings.entry, Listener::Entry, limits, front::serve).await?;
     }
+    let limits = control::limits;
     if let Some(addr) = settings.ready {
-        listen::serve(edge, listen::bind(addr).await?, Until::End, control::limits, control::ready);
+        listen::serve(edge, addr, Listener::Ready, limits, control::ready).await?;
     }
     if let Some(addr) = settings.control {
-        listen::serve(edge, listen::bind(addr).await?, Until::End, control::limits, control::serve);
+        listen::serve(edge, addr, Listener::Control, limits, control::serve).await?;
     }
     if let Some(addr) = settings.directory {
-        listen::serve(
-            edge,
-            listen::bind(addr).await?,
-            Until::End,
-            control::limits,
-            control::resolve,
-        );
+        listen::serve(edge, addr, Listener::Directory, limits, control::resolve).await?;
     }
     let mut addr = settings.entry;
     addr.set_port(settings.metrics_port);
-    listen::serve(edge, listen::bind(addr).await?, Until::End, control::limits, control::metrics);
+    listen::serve(edge, addr, Listener::Metrics, limits, control::metrics).await?;
     Ok(())
 }
 
@@ -183,6 +177,7 @@
             edge.client.remove_expired();
             edge.control_client.remove_expired();
             log_unsent(&edge);
+            log_shed(&edge);
         }
     }
 }
@@ -204,6 +199,15 @@
     edge.log.event(&Event::Unsent { messages: named.collect(), left_out });
 }
 
+/// Logs how many connections of clients had no place since the last call.
+fn log_shed(edge: &Edge) {
+    for places in edge.places.borrow().iter() {
+        if let Some(event) = places.take_shed() {
+            edge.log.event(&event);
+        }
+    }
+}
+
 fn reload(edge: &Rc<Edge>, path: &Path) {
     match read_settings(path) {
         Ok(settings) => edge.step(Input::Reload(Box::new(settings))),
--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -173,11 +173,7 @@
 
     /// Returns the most memory that a host's process has had, in kilobytes.
     pub fn peak_memory_kb(&self, host: u8) -> u64 {
-        let path = format!("/proc/{}/status", self.pid(host));
-        let status = std::fs::read_to_string(path).expect("it runs");
-        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
-        let number = line.and_then(|it| it.split_whitespace().next());
-        number.and_then(|it| it.parse().ok()).expect("a number of kilobytes")
+        peak_memory_kb(self.pid(host)).expect("it runs")
     }
 
     /// Returns the id of a host's process.
@@ -246,6 +242,13 @@
     }
 }
 
+/// Returns the most memory that a process has had, in kilobytes; none if it has ended.
+pub fn peak_memory_kb(pid: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 /// Returns how many descriptors a process has open; none if it has ended.
 pub fn open_descriptors(pid: u32) -> Option<usize> {
     Some(std::fs::read_dir(format!("/proc/{pid}/fd")).ok()?.count())
--- a/edge/tests/crowds.rs
+++ b/edge/tests/crowds.rs
@@ -9,6 +9,7 @@
     CONTROL, Cluster, DIRECTORY, ENTRY, call,
     crowd::{BODY_BYTES, Client, Form, Plan, Stop, play, statuses},
     document, open_descriptors,
+    paced::Upload,
     target::Target,
     until,
 };
@@ -247,6 +248,27 @@
     }
 }
 
+/// Guards against the rest of a body that is taken for a request: who gets an answer early may not send the rest.
+/// Load pattern: requests to no route on one connection, whose bodies are sent whole, or in part.
+#[tokio::test]
+async fn an_answer_before_the_end_of_the_body_ends_the_connection() {
+    let scene = Scene::start(70).await;
+    let mut upload = Upload::open(scene.addr(ENTRY)).await;
+    let head = |length| {
+        format!(
+            "POST /nowhere/ HTTP/1.1\r\nHost: a.example\r\nContent-Length: {length}\r\n\r\n{{}}"
+        )
+    };
+    for number in 0..5 {
+        let got = upload.exchange(vec![(Duration::ZERO, head(2))], Duration::ZERO).await.got;
+        assert_eq!(got.status, Some(404), "request {number}");
+        assert!(!got.head.contains("connection: close"), "request {number}: {}", got.head);
+    }
+    let got = upload.exchange(vec![(Duration::ZERO, head(500))], Duration::ZERO).await.got;
+    assert_eq!(got.status, Some(404));
+    assert!(got.head.contains("connection: close"), "{}", got.head);
+}
+
 /// Guards against an answer that its client can't read: closing a connection with unread bytes resets it. Load
 /// pattern: requests with bodies over the limit, one at a time, whose clients read the answer once all is sent.
 #[tokio::test]
