edge: an answer without a valid status is no answer

The statuses 000, 001, 099, 0, 1000, 2e2 and -20 can't be read and became 502 already; 600, 799 and 999 were passed on, with body and signature, on plain routes and on routes of streams.

What isn't a status counts as no usable answer: the request may have run, so a repeatable one goes to another target within its budget, and any other gets 502. Nothing that such an answer says of its target is believed. Orders and reports were not concerned, they know the statuses that they take; poplarhollowd ends calls with 500 and more as failed.

--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use platform::request::{
     RequestHead, SystemHeaders, answer_headers, forward_headers, is_encoded, is_not_run, is_signed,
-    matches_attempt, names_no_attempt,
+    is_valid_status, matches_attempt, names_no_attempt,
 };
 use tokio::time::{sleep, timeout};
 use wire::Suspect;
@@ -312,6 +312,9 @@
         };
         let delay = edge.now().saturating_sub(started);
         let status = response.status().as_u16();
+        if !is_valid_status(status) {
+            return self.fail_send(reservation, "no status", StatusCode::BAD_GATEWAY);
+        }
         self.record_target(&reservation, &connection, &response);
         if edge.host.borrow().is_replaced(&reservation.reservation) {
             return self.fail_send(reservation, "replaced", StatusCode::BAD_GATEWAY);
--- a/edge/tests/answers.rs
+++ b/edge/tests/answers.rs
@@ -150,6 +150,11 @@
             (answer, AfterAnswer::Repeat("y"))
         }
         "endless-event" => (stream(request, "data: ".to_owned()), AfterAnswer::Repeat("y")),
+        what if what.starts_with("status-") => {
+            let status = what.trim_start_matches("status-");
+            let answer = head(status, &request.attempt, "Content-Length: 4\r\n") + "oops";
+            (answer, AfterAnswer::Keep)
+        }
         "half" if request.last_event == 0 => {
             (stream(request, events(1..=2) + "id: 3\ndata: pie"), AfterAnswer::Close)
         }
@@ -225,6 +230,36 @@
     insta::assert_snapshot!(seen);
 }
 
+/// Guards against a status that no HTTP answer has (RFC 9110, section 15: 100 to 599) and that a caller gets as an
+/// answer. Load pattern: targets in trouble give such a status, on a plain route and on one of streams, with a
+/// signature and the attempt's id.
+#[tokio::test]
+async fn answers_without_a_valid_status_are_no_answers() {
+    let (cluster, _target) = start_cluster(71).await;
+    let entry = cluster.addr(1, ENTRY);
+    for status in ["000", "001", "099", "0", "600", "799", "999", "1000", "2e2", "-20"] {
+        for route in ["odd", "flow"] {
+            let path = format!("/{route}/status-{status}");
+            let mut count = 0;
+            // A target that has just failed a request is avoided for a while.
+            until(async || {
+                count += 1;
+                let attempt = format!("{route}-{status}-{count}");
+                let headers = [("attempt-id", attempt.as_str()), ("deadline-ms", "3000")];
+                let answer = call(entry, Method::POST, &path, &headers, "{}").await;
+                let answer = answer.expect("an answer");
+                if answer.status == 503 {
+                    return false;
+                }
+                assert_eq!(answer.status, 502, "{path}");
+                assert!(!answer.headers.contains_key("replica-signature"), "{path}");
+                true
+            })
+            .await;
+        }
+    }
+}
+
 /// A stream that is truncated within an event is resumed at another target, and the caller receives
 /// each event once.
 #[tokio::test]
