edge: a target without a valid status confirms no end

A stream without a length is complete only if its target's process goes on, which the host asks. An answer to that question with the status 600 counted as a yes, as any other that is no success: the caller got two of five events and a proper end.

--- a/edge/tests/ends.rs
+++ b/edge/tests/ends.rs
@@ -48,6 +48,8 @@
     IsFollowed { is_other: bool, started_at: u64 },
     /// It accepts connections and answers nothing more, as one that stands still does.
     FallsSilent,
+    /// It answers all that comes with a status that no answer has.
+    GivesNoStatus,
 }
 
 /// What the targets have in common.
@@ -101,6 +103,9 @@
         let mut bytes = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut bytes).await {
             if self.is_silent.load(Ordering::SeqCst) {
+                if self.script.then == Then::GivesNoStatus {
+                    let _ = stream.write_all(b"HTTP/1.1 600 x\r\nContent-Length: 0\r\n\r\n").await;
+                }
                 continue;
             }
             let is_own = request.target == self.id;
@@ -123,7 +128,7 @@
             let answer = answer(&request, is_cut);
             let _ = stream.write_all(answer.as_bytes()).await;
             sleep(ARRIVAL).await;
-            if is_cut && self.script.then == Then::FallsSilent {
+            if is_cut && [Then::FallsSilent, Then::GivesNoStatus].contains(&self.script.then) {
                 self.is_silent.store(true, Ordering::SeqCst);
             } else if is_cut {
                 let _ = end.send(());
@@ -211,6 +216,16 @@
     }
 }
 
+/// Guards against a question whose answer has no valid status, and is taken for a sign that the target goes on. Load
+/// pattern: one stream, whose target is in trouble after two events.
+#[tokio::test]
+async fn a_target_without_a_valid_status_confirms_no_end() {
+    let (cluster, script) = start(72, &document(3), Then::GivesNoStatus).await;
+    let body = first_answer(&cluster, &script, "/flow/x").await;
+    assert_eq!(body.as_deref(), Some(events(1..=EVENTS).as_str()));
+    assert_eq!(script.answers.load(Ordering::SeqCst), 2, "answers");
+}
+
 /// Guards against the same where a stream may not be resumed: it is cut off, in a way that the caller sees.
 #[tokio::test]
 async fn a_stream_without_length_is_cut_off_if_its_target_has_ended() {
