edge: answers share a memory of the machine until they are taken

What was received of answers was added up, by a constant of 32 MiB for callers' answers and another for reports, but only until an answer was whole: from then until its caller had taken it, a minute for each piece, nothing counted it. Seen: 20 callers who ask for 12 MiB each and take nothing, 218,244 KB on the smallest machine (156,250 KB).

A fifth of limits.memoryMb is for callers' answers, a twentieth for reports and answers to orders. An answer counts until the last of its bytes is written or dropped. At the default of 160 MB the first share is what the constant was.

--- a/coordination/fleet/src/connections.rs
+++ b/coordination/fleet/src/connections.rs
@@ -10,6 +10,9 @@
 /// A connection, by number.
 pub type ConnectionId = u64;
 
+/// A connection whose client takes nothing for so long has stalled.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
 /// All connections are being served.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("no connection is free")]
@@ -18,10 +21,18 @@
 #[derive(Debug)]
 struct Connection {
     is_served: bool,
+    /// Whether bytes wait for the client to take them.
+    is_blocked: bool,
     /// When bytes last came or went.
     active_at: Duration,
 }
 
+impl Connection {
+    fn waiting(now: Duration) -> Connection {
+        Connection { is_served: false, is_blocked: false, active_at: now }
+    }
+}
+
 /// The open connections, no more than a limit.
 #[derive(Debug)]
 pub struct Connections {
@@ -60,7 +71,7 @@
             closed = Some(least);
         }
         self.next += 1;
-        self.open.insert(self.next, Connection { is_served: false, active_at: now });
+        self.open.insert(self.next, Connection::waiting(now));
         Ok((self.next, closed))
     }
 
@@ -81,10 +92,29 @@
     /// Records that a request was answered; its client has to take the answer, or to send another one.
     pub fn wait(&mut self, now: Duration, id: ConnectionId) {
         if let Some(connection) = self.open.get_mut(&id) {
-            *connection = Connection { is_served: false, active_at: now };
+            (connection.is_served, connection.active_at) = (false, now);
         }
     }
 
+    /// Records whether bytes wait for the client to take them.
+    pub fn record_blocked(&mut self, id: ConnectionId, is_blocked: bool) {
+        if let Some(connection) = self.open.get_mut(&id) {
+            connection.is_blocked = is_blocked;
+        }
+    }
+
+    /// Removes the connection whose client has taken nothing of a whole answer for the longest time, if one has
+    /// stalled, so that its memory can be used.
+    pub fn remove_stalled(&mut self, now: Duration) -> Option<ConnectionId> {
+        let is_stalled =
+            |it: &Connection| it.is_blocked && !it.is_served && now >= it.active_at + STALL_TIME;
+        let stalled = self.open.iter().filter(|(_, it)| is_stalled(it));
+        let (id, _) = stalled.min_by_key(|(id, it)| (it.active_at, **id))?;
+        let id = *id;
+        self.open.remove(&id);
+        Some(id)
+    }
+
     /// Removes a connection that has ended.
     pub fn close(&mut self, id: ConnectionId) {
         self.open.remove(&id);
--- a/coordination/fleet/src/resources.rs
+++ b/coordination/fleet/src/resources.rs
@@ -9,6 +9,10 @@
 /// configuration.
 const CALL_PART: usize = 8;
 
+/// Part of the memory for answers to callers that aren't streams.
+const ANSWER_PART: usize = 5;
+/// Part of the memory for targets' reports and answers to orders.
+const REPORT_PART: usize = 20;
 /// Part of the memory for the connections of clients: one in so many.
 const CONNECTION_PART: usize = 5;
 /// Memory of a connection, in bytes: its buffers and its task.
@@ -82,6 +86,16 @@
         self.memory / CALL_PART
     }
 
+    /// Returns the memory for answers to callers until they are taken, in bytes. Streams are passed on as they come.
+    pub fn answer_memory(&self) -> usize {
+        self.memory / ANSWER_PART
+    }
+
+    /// Returns the memory for targets' reports and answers to orders, in bytes.
+    pub fn report_memory(&self) -> usize {
+        self.memory / REPORT_PART
+    }
+
     /// Returns how many connections of clients a listener may have. A quarter of the descriptors is left for
     /// targets, other hosts and data.
     pub fn connections(&self, listener: Listener) -> usize {
--- a/edge/src/client.rs
+++ b/edge/src/client.rs
@@ -1,13 +1,12 @@
 //! HTTP connections to targets, with a pool of idle ones.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{OnceCell, RefCell},
     collections::HashMap,
-    rc::Rc,
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -15,9 +14,15 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tokio::{
+    net::TcpStream,
+    task::AbortHandle,
+    time::{sleep, timeout},
+};
 use wire::HostId;
 
+use crate::answer_memory::{AnswerMemory, PartialAnswer};
+
 /// Share of a target's announced keep-alive time during which an idle connection is reused.
 const IDLE_REUSE_SHARE: f64 = 0.5;
 /// How long an idle connection is reused if the target announces no keep-alive time.
@@ -28,9 +33,8 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum body size of an answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-/// Maximum size of the bodies that are being received together, in bytes: a part of the smallest
-/// machine's memory.
-const MAX_RECEIVED_BYTES: usize = 32 * 1024 * 1024;
+/// Time in which a closed connection frees the memory of its answer.
+const RELEASE_TIME: Duration = Duration::from_millis(1);
 /// Limits of the body of an answer that is read only to keep its connection.
 const MAX_IGNORED_BYTES: usize = 16 * 1024;
 const IGNORED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
@@ -74,44 +78,28 @@
     until: Instant,
 }
 
+/// Frees memory of answers, and returns whether there was any to free.
+pub(crate) type MakeRoom = Box<dyn Fn() -> bool>;
+
 /// Speaks HTTP over connections to targets and pools idle ones by the target's id.
-#[derive(Clone, Default)]
 pub(crate) struct Client {
-    idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
-    /// Size of the bodies that are being received, in bytes.
-    received: Rc<Cell<usize>>,
+    idle: RefCell<HashMap<String, Vec<Idle>>>,
+    memory: AnswerMemory,
+    make_room: OnceCell<MakeRoom>,
 }
 
-/// A body that is being received, as a part of [`MAX_RECEIVED_BYTES`].
-struct PartialBody<'a> {
-    /// Size of all such bodies.
-    total: &'a Cell<usize>,
-    bytes: BytesMut,
-    /// The part of `total` that is this body's.
-    counted: usize,
-}
-
-impl PartialBody<'_> {
-    /// Adds bytes. Returns whether the body and all bodies together stay within their limits.
-    fn push(&mut self, data: &[u8], limit: usize) -> bool {
-        let total = self.total.get() + data.len();
-        if self.counted + data.len() > limit || total > MAX_RECEIVED_BYTES {
-            return false;
-        }
-        self.total.set(total);
-        self.counted += data.len();
-        self.bytes.extend_from_slice(data);
-        true
+impl Client {
+    /// Returns a client whose answers share so many bytes of memory.
+    pub(crate) fn new(memory: usize) -> Client {
+        let memory = AnswerMemory::new(memory);
+        Client { idle: RefCell::default(), memory, make_room: OnceCell::new() }
     }
-}
 
-impl Drop for PartialBody<'_> {
-    fn drop(&mut self) {
-        self.total.set(self.total.get() - self.counted);
+    /// Sets how memory is freed when an answer finds none; only the first call has an effect.
+    pub(crate) fn on_full(&self, make_room: MakeRoom) {
+        let _ = self.make_room.set(make_room);
     }
-}
 
-impl Client {
     /// Returns a usable idle connection to a target; none if the pool has none.
     pub(crate) fn reuse(&self, target: &str) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -173,8 +161,8 @@
 }
 
 impl Client {
-    /// Reads a complete body; none if it is truncated or longer than [`MAX_ANSWER_BYTES`], or if
-    /// all bodies together exceed [`MAX_RECEIVED_BYTES`].
+    /// Reads a complete body; none if it is truncated or longer than [`MAX_ANSWER_BYTES`], or if there is no memory for
+    /// it. Its memory is free again once the last of its bytes is dropped.
     pub(crate) async fn collect(&self, body: Incoming) -> Option<Bytes> {
         self.collect_up_to(body, MAX_ANSWER_BYTES).await
     }
@@ -186,14 +174,20 @@
     }
 
     async fn collect_up_to(&self, mut body: Incoming, limit: usize) -> Option<Bytes> {
-        let mut partial = PartialBody { total: &self.received, bytes: BytesMut::new(), counted: 0 };
+        let mut partial = PartialAnswer::new(&self.memory);
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.ok()?.into_data() else { continue };
-            if !partial.push(&data, limit) {
+            if partial.len() + data.len() > limit {
                 return None;
             }
+            while !partial.push(&data) {
+                if !self.make_room.get().is_some_and(|it| it()) {
+                    return None;
+                }
+                sleep(RELEASE_TIME).await;
+            }
         }
-        Some(std::mem::take(&mut partial.bytes).freeze())
+        Some(partial.finish())
     }
 }
 
--- a/edge/src/listen.rs
+++ b/edge/src/listen.rs
@@ -89,6 +89,10 @@
     let until = if kind == Listener::Entry { Until::Closing } else { Until::End };
     let places = Places::new(edge, kind);
     edge.places.borrow_mut().push(places.clone());
+    if kind == Listener::Entry {
+        let stalled = places.clone();
+        edge.client.on_full(Box::new(move || stalled.close_stalled()));
+    }
     let edge = edge.clone();
     let listening = (until == Until::Closing).then(|| edge.unfinished.begin());
     tokio::task::spawn_local(async move {
--- a/edge/src/main.rs
+++ b/edge/src/main.rs
@@ -3,6 +3,7 @@
 
 mod active;
 mod answer;
+mod answer_memory;
 mod attempt;
 mod body;
 mod client;
--- a/edge/src/place.rs
+++ b/edge/src/place.rs
@@ -24,6 +24,7 @@
 
 /// The places of one listener.
 pub(crate) struct Places {
+    edge: Weak<Edge>,
     listener: Listener,
     table: RefCell<Connections>,
     open: RefCell<HashMap<ConnectionId, Weak<Place>>>,
@@ -41,9 +42,10 @@
 }
 
 impl Places {
-    pub(crate) fn new(edge: &Edge, listener: Listener) -> Rc<Places> {
+    pub(crate) fn new(edge: &Rc<Edge>, listener: Listener) -> Rc<Places> {
         let limit = edge.host.borrow().settings().resources.connections(listener);
         Rc::new(Places {
+            edge: Rc::downgrade(edge),
             listener,
             table: RefCell::new(Connections::new(limit)),
             open: RefCell::default(),
@@ -72,6 +74,20 @@
         Some(place)
     }
 
+    /// Closes the connection whose client has taken nothing of its answer for the longest time. Returns whether one has
+    /// stalled.
+    pub(crate) fn close_stalled(&self) -> bool {
+        let mut open = self.open.borrow_mut();
+        let now = self.edge.upgrade().map(|it| it.now()).unwrap_or_default();
+        let Some(id) = self.table.borrow_mut().remove_stalled(now) else { return false };
+        if let Some(place) = open.remove(&id).and_then(|it| it.upgrade()) {
+            place.closing.notify_one();
+            self.closed.set(self.closed.get() + 1);
+            place.edge.metrics.connection_shed(self.listener, "stalled");
+        }
+        true
+    }
+
     /// Returns what became of connections that had no place since the last call, if there are any.
     pub(crate) fn take_shed(&self) -> Option<Event> {
         let (closed, refused) = (self.closed.take(), self.refused.take());
@@ -98,6 +114,10 @@
         self.places.table.borrow_mut().wait(self.edge.now(), self.id);
     }
 
+    fn record_blocked(&self, is_blocked: bool) {
+        self.places.table.borrow_mut().record_blocked(self.id, is_blocked);
+    }
+
     fn record_activity(&self) {
         self.places.table.borrow_mut().record_activity(self.edge.now(), self.id);
     }
@@ -159,10 +179,12 @@
         Watched { stream, place }
     }
 
-    fn record(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    /// Records how a write of `size` bytes went.
+    fn record(&self, size: usize, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Ok(1..))) {
             self.place.record_activity();
         }
+        self.place.record_blocked(!matches!(written, Poll::Ready(Ok(taken)) if taken == size));
         written
     }
 }
@@ -189,7 +211,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.record(written)
+        self.record(buf.len(), written)
     }
 
     fn poll_write_vectored(
@@ -198,7 +220,7 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.record(written)
+        self.record(bufs.iter().map(|it| it.len()).sum(), written)
     }
 
     fn is_write_vectored(&self) -> bool {
