web: the bodies of publishes and reports share a memory each

A host of poplarhollowd read each publish up to 8 MiB and each report up to 1 MiB, without a common bound: 60 publishes just short of their end took it to 544,144 KB (256 MB allowed, docs/CAPACITY.md).

Both are read by the handlers now, out of 32 MiB for publishes and 16 MiB for reports, by the same rules as at edge: who has stalled gives up its memory, earlier bodies go before later ones, and what finds none is refused with queue_full, which has not run. Their APIs' descriptions don't change.

Of the callers' bodies, tried once each on the code before: 24 bodies in one-byte chunks took a host to 21,024 KB, 80 that stall and come again to 22,744 KB, and ten completions beside each were served; they keep their own bound.

--- a/transport/web/src/entry.rs
+++ b/transport/web/src/entry.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use dropshot::{
     ApiDescription, ApiDescriptionRegisterError, Body, HttpResponseOk, Path, Query, RawRequest,
-    RequestContext, TypedBody, endpoint,
+    RequestContext, endpoint,
 };
 use http::{HeaderMap, Response, header::CONTENT_LENGTH};
 use node::CallerRequest;
@@ -19,23 +19,31 @@
     answer::respond,
     error::{Failure, error_response},
     interface::Entry,
+    raw_body::{CallMemory, UnreadBody},
     request::{completion, read_body, service_call},
 };
 
 /// Memory for the bodies of requests whose answers have not started, in KiB.
 const BODY_MEMORY_KIB: usize = 64 * 1024;
+/// Memory for the bodies of targets' reports, in bytes.
+const REPORT_MEMORY: usize = 16 * MAX_BODY_BYTES;
 
 /// The context of the endpoint handlers.
 pub struct EntryContext {
     entry: Arc<dyn Entry>,
     /// Memory for bodies, one permit per KiB.
     body_memory: Semaphore,
+    report_memory: CallMemory,
 }
 
 impl EntryContext {
     /// Creates the context of one server.
     pub fn new(entry: Arc<dyn Entry>) -> EntryContext {
-        EntryContext { entry, body_memory: Semaphore::new(BODY_MEMORY_KIB) }
+        EntryContext {
+            entry,
+            body_memory: Semaphore::new(BODY_MEMORY_KIB),
+            report_memory: CallMemory::new(REPORT_MEMORY, MAX_BODY_BYTES),
+        }
     }
 
     /// Reserves memory for a body before it is read; the permit is released once the answer has
@@ -146,8 +154,10 @@
 #[endpoint { method = POST, path = "/v1/targets" }]
 async fn report(
     context: RequestContext<Context>,
-    body: TypedBody<ReportBody>,
+    body: UnreadBody<ReportBody>,
 ) -> Result<HttpResponseOk<ReportReply>, Failure> {
-    let reply = context.context().entry.report(body.into_inner().into()).await;
+    let EntryContext { entry, report_memory, .. } = context.context();
+    let report = body.read(report_memory).await?.parse(&context).await?;
+    let reply = entry.report(report.into()).await;
     Ok(HttpResponseOk(reply))
 }
--- a/transport/web/src/lib.rs
+++ b/transport/web/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use crate::{
     entry::{EntryContext, entry_api},
-    operator::operator_api,
+    operator::{OperatorContext, operator_api},
     server::{ServeError, Server},
     target::TargetClient,
 };
--- a/transport/web/src/operator.rs
+++ b/transport/web/src/operator.rs
@@ -11,14 +11,36 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
-use crate::{error::Failure, interface::Operator, raw_body::RawBody};
+use crate::{
+    error::Failure,
+    interface::Operator,
+    raw_body::{CallMemory, UnreadBody},
+};
 
 /// Maximum number of audit entries in one response.
 const MAX_AUDIT_ENTRIES: usize = 1000;
 
 const METRICS_TYPE: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
 
-type Context = Arc<dyn Operator>;
+/// Maximum length of the body of a publish, in bytes.
+pub(crate) const MAX_PUBLISH_BYTES: usize = 8 * 1024 * 1024;
+/// Memory for the bodies of publishes, in bytes.
+const PUBLISH_MEMORY: usize = 4 * MAX_PUBLISH_BYTES;
+
+/// The context of the endpoint handlers.
+pub struct OperatorContext {
+    operator: Arc<dyn Operator>,
+    memory: CallMemory,
+}
+
+impl OperatorContext {
+    /// Creates the context of one server.
+    pub fn new(operator: Arc<dyn Operator>) -> OperatorContext {
+        OperatorContext { operator, memory: CallMemory::new(PUBLISH_MEMORY, MAX_PUBLISH_BYTES) }
+    }
+}
+
+type Context = OperatorContext;
 
 /// Returns the description of the API for operators. Fails if two paths clash.
 pub fn operator_api() -> Result<ApiDescription<Context>, ApiDescriptionRegisterError> {
@@ -46,9 +68,10 @@
 async fn publish(
     context: RequestContext<Context>,
     headers: Header<PublishHeaders>,
-    body: RawBody<PublishBody>,
+    body: UnreadBody<PublishBody>,
 ) -> Result<HttpResponseOk<Receipt>, Failure> {
-    let operator = context.context();
+    let OperatorContext { operator, memory } = context.context();
+    let body = body.read(memory).await?;
     operator.authorise(body.bytes(), headers.into_inner().mac.as_deref())?;
     let publish = body.parse(&context).await?;
     let receipt = operator.publish(publish).await?;
@@ -58,7 +81,7 @@
 /// Returns the state of the system in the local view of this host.
 #[endpoint { method = GET, path = "/v1/status" }]
 async fn status(context: RequestContext<Context>) -> Result<HttpResponseOk<StatusBody>, Failure> {
-    Ok(HttpResponseOk(context.context().status()))
+    Ok(HttpResponseOk(context.context().operator.status()))
 }
 
 /// The query of a request for part of the audit trail.
@@ -78,13 +101,13 @@
 ) -> Result<HttpResponseOk<AuditPage>, Failure> {
     let AuditQuery { from, limit } = query.into_inner();
     let limit = limit.map_or(MAX_AUDIT_ENTRIES, |limit| limit as usize).min(MAX_AUDIT_ENTRIES);
-    Ok(HttpResponseOk(context.context().audit(from.unwrap_or(1), limit)))
+    Ok(HttpResponseOk(context.context().operator.audit(from.unwrap_or(1), limit)))
 }
 
 /// Returns the metrics of this host in the Prometheus text format.
 #[endpoint { method = GET, path = "/metrics" }]
 async fn metrics(context: RequestContext<Context>) -> Result<Response<Body>, Failure> {
-    let mut response = Response::new(Body::from(context.context().metrics()));
+    let mut response = Response::new(Body::from(context.context().operator.metrics()));
     response.headers_mut().insert(CONTENT_TYPE, METRICS_TYPE);
     Ok(response)
 }
--- a/transport/web/src/raw_body.rs
+++ b/transport/web/src/raw_body.rs
@@ -1,26 +1,77 @@
-//! A JSON body whose exact bytes are needed before it is parsed.
+//! A JSON body that is read into the memory that bodies share, and whose exact bytes may be needed.
 
-use std::{marker::PhantomData, pin::Pin};
+use std::{
+    marker::PhantomData,
+    pin::Pin,
+    time::{Duration, Instant},
+};
 
+use ::body::{Bodies, BodyError, HeldBody};
 use dropshot::{
     ApiEndpointBodyContentType, Body, ExclusiveExtractor, ExtractorMetadata, HttpError,
-    RequestContext, ServerContext, TypedBody, UntypedBody,
+    RequestContext, ServerContext, TypedBody,
 };
 use http::{Request, request::Parts};
 use schemars::JsonSchema;
 use serde::de::DeserializeOwned;
+use wire::{ErrorKind, Fault};
+
+/// Time limit for a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// An extractor of a complete body. The API describes it as a [`TypedBody`].
+/// The memory of the bodies of one kind of calls.
+pub(crate) struct CallMemory {
+    bodies: Bodies,
+    /// Maximum length of a body, in bytes.
+    max: usize,
+    started: Instant,
+}
+
+impl CallMemory {
+    /// Returns so many bytes of memory, for bodies of at most `max` bytes.
+    pub(crate) fn new(memory: usize, max: usize) -> CallMemory {
+        CallMemory { bodies: Bodies::new(memory), max, started: Instant::now() }
+    }
+}
+
+/// An extractor of a body that was not read. The API describes it as a [`TypedBody`].
+pub(crate) struct UnreadBody<T> {
+    parts: Parts,
+    body: Body,
+    content: PhantomData<T>,
+}
+
+/// A complete body.
 pub(crate) struct RawBody<T> {
     parts: Parts,
-    body: UntypedBody,
+    body: HeldBody,
     content: PhantomData<T>,
 }
 
+impl<T> UnreadBody<T> {
+    /// Reads the body completely, within the limits of memory, size and time.
+    pub(crate) async fn read(self, memory: &CallMemory) -> Result<RawBody<T>, Fault> {
+        let UnreadBody { parts, mut body, content } = self;
+        let now = || memory.started.elapsed();
+        match memory.bodies.read(now, &mut body, memory.max, BODY_TIMEOUT).await {
+            Ok(body) => Ok(RawBody { parts, body, content }),
+            Err(error) => Err(fault(error, memory.max)),
+        }
+    }
+}
+
+fn fault(error: BodyError, max: usize) -> Fault {
+    match error {
+        BodyError::TooLarge => Fault::new(ErrorKind::TooLarge, format!("the limit is {max} bytes")),
+        BodyError::NoMemory => Fault::new(ErrorKind::QueueFull, error.to_string()),
+        BodyError::Broken | BodyError::Late => Fault::new(ErrorKind::BadRequest, error.to_string()),
+    }
+}
+
 impl<T: JsonSchema + DeserializeOwned + Send + Sync + 'static> RawBody<T> {
     /// Returns the body exactly as received.
     pub(crate) fn bytes(&self) -> &[u8] {
-        self.body.as_bytes()
+        self.body.as_slice()
     }
 
     /// Parses the body as [`TypedBody`] does.
@@ -28,7 +79,7 @@
         self,
         context: &RequestContext<C>,
     ) -> Result<T, HttpError> {
-        let body = Body::from(self.body.as_bytes().to_vec());
+        let body = Body::from(self.body.as_slice().to_vec());
         let request = Request::from_parts(self.parts, body);
         Ok(TypedBody::from_request(context, request).await?.into_inner())
     }
@@ -36,9 +87,11 @@
 
 type Extracted<'a, T> = Pin<Box<dyn Future<Output = Result<T, HttpError>> + Send + 'a>>;
 
-impl<T: JsonSchema + DeserializeOwned + Send + Sync + 'static> ExclusiveExtractor for RawBody<T> {
+impl<T: JsonSchema + DeserializeOwned + Send + Sync + 'static> ExclusiveExtractor
+    for UnreadBody<T>
+{
     fn from_request<'a, 'b, C>(
-        context: &'a RequestContext<C>,
+        _: &'a RequestContext<C>,
         request: Request<Body>,
     ) -> Extracted<'b, Self>
     where
@@ -46,11 +99,8 @@
         C: ServerContext + 'b,
         Self: 'b,
     {
-        Box::pin(async move {
-            let (parts, body) = request.into_parts();
-            let body = UntypedBody::from_request(context, Request::new(body)).await?;
-            Ok(RawBody { parts, body, content: PhantomData })
-        })
+        let (parts, body) = request.into_parts();
+        Box::pin(async move { Ok(UnreadBody { parts, body, content: PhantomData }) })
     }
 
     fn metadata(kind: ApiEndpointBodyContentType) -> ExtractorMetadata {
--- a/transport/web/src/server.rs
+++ b/transport/web/src/server.rs
@@ -10,14 +10,12 @@
 use thiserror::Error;
 
 use crate::{
-    EntryContext, entry_api,
+    EntryContext, OperatorContext, entry_api,
     interface::{Entry, Operator},
+    operator::MAX_PUBLISH_BYTES,
     operator_api,
 };
 
-/// Maximum length of the body of a publish, in bytes.
-const MAX_PUBLISH_BYTES: usize = 8 * 1024 * 1024;
-
 /// An error that prevents a server from starting.
 #[derive(Debug, Error)]
 pub enum ServeError {
@@ -35,7 +33,7 @@
 /// The two servers of a host: for callers and targets, and for operators.
 pub struct Server {
     entry: HttpServer<EntryContext>,
-    operator: HttpServer<Arc<dyn Operator>>,
+    operator: HttpServer<OperatorContext>,
 }
 
 impl Server {
@@ -49,7 +47,13 @@
         let operator_paths = operator_api().expect("the operator API's paths do not clash");
         Ok(Server {
             entry: start(entry.0, MAX_BODY_BYTES, entry_paths, EntryContext::new(entry.1), log)?,
-            operator: start(operator.0, MAX_PUBLISH_BYTES, operator_paths, operator.1, log)?,
+            operator: start(
+                operator.0,
+                MAX_PUBLISH_BYTES,
+                operator_paths,
+                OperatorContext::new(operator.1),
+                log,
+            )?,
         })
     }
 
