--- a/tests/tests/crowds.rs
+++ b/tests/tests/crowds.rs
@@ -4,12 +4,7 @@
 use std::{net::SocketAddr, path::Path, time::Duration};
 
 use sessions::cluster::Cluster;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    task::JoinSet,
-    time::timeout,
-};
+use tokio::{io::AsyncWriteExt, net::TcpStream, task::JoinSet, time::timeout};
 
 /// Memory of a host, in kilobytes (docs/CAPACITY.md).
 const MEMORY_KB: u64 = 256_000_000 / 1024;
