--- a/coordination/admit/src/body_memory.rs
+++ b/coordination/admit/src/body_memory.rs
@@ -101,7 +101,8 @@
         let held = self.bodies.get(&id).ok_or(NoMemory)?.held;
         let mut missing = (self.used + more).saturating_sub(self.limit_of(held + more));
         let mut removed = Vec::new();
-        for yielding in self.by_claim(now, id) {
+        let yielding = if missing > 0 { self.by_claim(now, id) } else { Vec::new() };
+        for yielding in yielding {
             if missing == 0 {
                 break;
             }
--- a/edge/src/listen.rs
+++ b/edge/src/listen.rs
@@ -23,7 +23,7 @@
     count::Counted,
     edge::Edge,
     error::EdgeError,
-    place::{Place, Places, ServedBody, Watched},
+    place::{Place, Places, ServedBody},
     stall::StallLimit,
 };
 
@@ -200,7 +200,7 @@
                 Ok::<_, Infallible>(answer.map(|body| ServedBody::new(body, place.clone())))
             }
         });
-        let stream = StallLimit::new(Watched::new(stream, place.clone()), TAKE_TIMEOUT);
+        let stream = StallLimit::new(stream, TAKE_TIMEOUT, place.clone());
         let mut serving = std::pin::pin!(
             http1::Builder::new()
                 .timer(TokioTimer::new())
--- a/edge/src/place.rs
+++ b/edge/src/place.rs
@@ -3,7 +3,6 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    io::{self, IoSlice},
     pin::Pin,
     rc::{Rc, Weak},
     task::{Context, Poll},
@@ -12,14 +11,12 @@
 use bytes::Bytes;
 use fleet::{ConnectionId, Connections, Event, Listener};
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    sync::Notify,
-};
+use tokio::sync::Notify;
 
 use crate::{
     answer::{AnswerBody, Truncated},
     edge::Edge,
+    stall::Observer,
 };
 
 /// The places of one listener.
@@ -113,14 +110,16 @@
     fn wait(&self) {
         self.places.table.borrow_mut().wait(self.edge.now(), self.id);
     }
+}
 
-    fn record_blocked(&self, is_blocked: bool) {
-        self.places.table.borrow_mut().record_blocked(self.id, is_blocked);
-    }
-
+impl Observer for Place {
     fn record_activity(&self) {
         self.places.table.borrow_mut().record_activity(self.edge.now(), self.id);
     }
+
+    fn record_blocked(&self, is_blocked: bool) {
+        self.places.table.borrow_mut().record_blocked(self.id, is_blocked);
+    }
 }
 
 impl Drop for Place {
@@ -167,71 +166,3 @@
         self.body.size_hint()
     }
 }
-
-/// A connection that reports to its place when bytes come or go.
-pub(crate) struct Watched<S> {
-    stream: S,
-    place: Rc<Place>,
-}
-
-impl<S> Watched<S> {
-    pub(crate) fn new(stream: S, place: Rc<Place>) -> Watched<S> {
-        Watched { stream, place }
-    }
-
-    /// Records how a write of `size` bytes went.
-    fn record(&self, size: usize, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(written, Poll::Ready(Ok(1..))) {
-            self.place.record_activity();
-        }
-        self.place.record_blocked(!matches!(written, Poll::Ready(Ok(taken)) if taken == size));
-        written
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for Watched<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.place.record_activity();
-        }
-        read
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for Watched<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.record(buf.len(), written)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.record(bufs.iter().map(|it| it.len()).sum(), written)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
--- a/edge/src/stall.rs
+++ b/edge/src/stall.rs
@@ -1,8 +1,10 @@
-//! A limit of the time that the other end of a connection takes for what was written to it.
+//! A limit of the time that the other end of a connection takes for what was written to it, and reports of what goes
+//! over the connection.
 
 use std::{
     io::{self, ErrorKind},
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll},
     time::Duration,
 };
@@ -12,6 +14,15 @@
     time::{Sleep, sleep},
 };
 
+/// Is told what goes over a connection.
+pub(crate) trait Observer {
+    /// Bytes came or went.
+    fn record_activity(&self);
+
+    /// Bytes wait for the other end to take them, or no more.
+    fn record_blocked(&self, is_blocked: bool);
+}
+
 /// A connection whose writes fail once bytes that were to be written have not been taken whole within a
 /// time limit. An end that takes a few of them now and then would otherwise hold its answer in memory
 /// without end.
@@ -20,11 +31,12 @@
     limit: Duration,
     /// When the bytes that wait must have been taken; `None` if none wait.
     due: Option<Pin<Box<Sleep>>>,
+    observer: Rc<dyn Observer>,
 }
 
 impl<S> StallLimit<S> {
-    pub(crate) fn new(stream: S, limit: Duration) -> StallLimit<S> {
-        StallLimit { stream, limit, due: None }
+    pub(crate) fn new(stream: S, limit: Duration, observer: Rc<dyn Observer>) -> StallLimit<S> {
+        StallLimit { stream, limit, due: None, observer }
     }
 
     /// Records how a write of `size` bytes went. Returns an error if bytes have waited too long.
@@ -34,7 +46,12 @@
         size: usize,
         written: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
-        if matches!(written, Poll::Ready(Ok(taken)) if taken == size) {
+        if matches!(written, Poll::Ready(Ok(1..))) {
+            self.observer.record_activity();
+        }
+        let is_taken = matches!(written, Poll::Ready(Ok(taken)) if taken == size);
+        self.observer.record_blocked(!is_taken);
+        if is_taken {
             self.due = None;
             return written;
         }
@@ -53,7 +70,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.observer.record_activity();
+        }
+        read
     }
 }
 
--- a/edge/tests/common/crowd.rs
+++ b/edge/tests/common/crowd.rs
@@ -10,6 +10,12 @@
     time::timeout,
 };
 
+/// A small machine: its memory, and its descriptors, of which 200 are for other files.
+pub const MACHINE: &str = "limits.memoryMb=64\nlimits.maxFds=500\n";
+/// `limits.memoryMb`, in kilobytes.
+pub const MEMORY_KB: u64 = 64_000_000 / 1024;
+/// `limits.maxFds` less those for other files.
+pub const DESCRIPTORS: usize = 300;
 /// `maxBodyBytes` of the configuration, in bytes.
 pub const BODY_BYTES: usize = 1 << 20;
 /// Size of a large chunk, and of what a client sends at a time.
--- a/edge/tests/crowds.rs
+++ b/edge/tests/crowds.rs
@@ -7,7 +7,9 @@
 
 use common::{
     CONTROL, Cluster, DIRECTORY, ENTRY, call,
-    crowd::{BODY_BYTES, Client, Form, Plan, Stop, play, statuses},
+    crowd::{
+        BODY_BYTES, Client, DESCRIPTORS, Form, MACHINE, MEMORY_KB, Plan, Stop, play, statuses,
+    },
     document, open_descriptors,
     paced::Upload,
     target::Target,
@@ -25,12 +27,6 @@
 
 /// The host at which a crowd comes.
 const HOST: u8 = 1;
-/// A small machine: its memory, and its descriptors, of which 200 are for other files.
-const MACHINE: &str = "limits.memoryMb=64\nlimits.maxFds=500\n";
-/// `limits.memoryMb`, in kilobytes.
-const MEMORY_KB: u64 = 64_000_000 / 1024;
-/// `limits.maxFds` less those for other files.
-const DESCRIPTORS: usize = 300;
 /// Clients with bodies, which together are larger than the machine's memory.
 const CROWD: usize = 100;
 /// Clients with chunks of one byte.
--- a/edge/tests/soak_crowds.rs
+++ b/edge/tests/soak_crowds.rs
@@ -18,7 +18,7 @@
 
 use common::{
     CONTROL, Cluster, DIRECTORY, ENTRY, READY, call,
-    crowd::{BODY_BYTES, Client, Form, Plan, Stop},
+    crowd::{BODY_BYTES, Client, DESCRIPTORS, Form, MACHINE, MEMORY_KB, Plan, Stop},
     document, open_descriptors,
     paced::Upload,
     peak_memory_kb,
@@ -38,10 +38,6 @@
 /// Networks that the seeds take in turn.
 const FIRST_NET: u8 = 66;
 const NETS: u64 = 10;
-/// A small machine: its memory, and its descriptors, of which 200 are for other files.
-const MACHINE: &str = "limits.memoryMb=64\nlimits.maxFds=500\n";
-const MEMORY_KB: u64 = 64_000_000 / 1024;
-const DESCRIPTORS: usize = 300;
 /// Callers who keep their connections in use.
 const CALLERS: u64 = 12;
 /// Size of their requests' bodies.
--- a/edge/tests/stall.rs
+++ b/edge/tests/stall.rs
@@ -3,9 +3,9 @@
 #[path = "../src/stall.rs"]
 mod stall;
 
-use std::{io::ErrorKind, time::Duration};
+use std::{cell::Cell, io::ErrorKind, rc::Rc, time::Duration};
 
-use stall::StallLimit;
+use stall::{Observer, StallLimit};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, duplex},
     time::sleep,
@@ -15,6 +15,23 @@
 const PIPE_BYTES: usize = 64;
 const ANSWER_BYTES: usize = 4096;
 
+/// What was reported of a connection.
+#[derive(Default)]
+struct Seen {
+    reports: Cell<usize>,
+    is_blocked: Cell<bool>,
+}
+
+impl Observer for Seen {
+    fn record_activity(&self) {
+        self.reports.set(self.reports.get() + 1);
+    }
+
+    fn record_blocked(&self, is_blocked: bool) {
+        self.is_blocked.set(is_blocked);
+    }
+}
+
 /// Writes an answer to an end that takes `piece` bytes every 10 ms. Returns how that went.
 async fn write_to(piece: usize, limit: Duration) -> Result<(), ErrorKind> {
     let (near, mut far) = duplex(PIPE_BYTES);
@@ -24,9 +41,12 @@
             sleep(Duration::from_millis(10)).await;
         }
     });
-    let mut near = StallLimit::new(near, limit);
+    let seen = Rc::new(Seen::default());
+    let mut near = StallLimit::new(near, limit, seen.clone());
     let written = near.write_all(&[1; ANSWER_BYTES]).await.map_err(|it| it.kind());
     drop(near);
+    assert_eq!(seen.is_blocked.get(), written.is_err(), "bytes wait after an error only");
+    assert!(seen.reports.get() > 0, "bytes were taken");
     taking.await.expect("it ends");
     written
 }
