edge: each crowd's test has a network of its own

Four networks were used by two tests each; the lock that plays crowds one at a time is given back before the runtime of the test ends, and with it its targets' listeners. Another network each ends that.

--- a/edge/tests/crowds.rs
+++ b/edge/tests/crowds.rs
@@ -56,6 +56,7 @@
 }
 
 impl Scene {
+    /// Each test has a network of its own, as the targets of the one before may still be listening.
     async fn start(net: u8) -> Scene {
         Scene::start_on(net, MACHINE).await
     }
@@ -178,7 +179,7 @@
 /// body, in each form.
 #[tokio::test]
 async fn one_large_request_is_served_in_calm() {
-    let mut scene = Scene::start(66).await;
+    let mut scene = Scene::start(61).await;
     for form in [Form::Length, Form::LargeChunks, Form::SmallChunks] {
         scene.serve_large(form).await;
     }
@@ -189,14 +190,14 @@
 /// their end.
 #[tokio::test]
 async fn many_bodies_with_a_length_that_stop_short() {
-    let mut scene = Scene::start(67).await;
+    let mut scene = Scene::start(62).await;
     scene.play(ENTRY, Plan { form: Form::Length, stop: Stop::Short, path: "/odd/x" }, CROWD).await;
 }
 
 /// Guards against the same. Load pattern: many bodies in large chunks, which stop just short of their end.
 #[tokio::test]
 async fn many_bodies_in_large_chunks_that_stop_short() {
-    let mut scene = Scene::start(68).await;
+    let mut scene = Scene::start(63).await;
     let plan = Plan { form: Form::LargeChunks, stop: Stop::Short, path: "/odd/x" };
     scene.play(ENTRY, plan, CROWD).await;
 }
@@ -205,7 +206,7 @@
 /// stop just short of their end.
 #[tokio::test]
 async fn bodies_in_small_chunks_that_stop_short() {
-    let mut scene = Scene::start(69).await;
+    let mut scene = Scene::start(64).await;
     let plan = Plan { form: Form::SmallChunks, stop: Stop::Short, path: "/odd/x" };
     scene.play(ENTRY, plan, SMALL_CHUNK_CROWD).await;
 }
@@ -214,7 +215,7 @@
 /// at once to a slow target.
 #[tokio::test]
 async fn many_whole_bodies_at_once() {
-    let mut scene = Scene::start(70).await;
+    let mut scene = Scene::start(65).await;
     scene.odd.slow_down(SLOW);
     scene.play(ENTRY, Plan { form: Form::Length, stop: Stop::Never, path: "/odd/x" }, CROWD).await;
 }
@@ -222,7 +223,7 @@
 /// Guards against the same. Load pattern: many whole bodies in large chunks at once to a slow target.
 #[tokio::test]
 async fn many_whole_bodies_in_chunks_at_once() {
-    let mut scene = Scene::start(71).await;
+    let mut scene = Scene::start(66).await;
     scene.odd.slow_down(SLOW);
     let plan = Plan { form: Form::LargeChunks, stop: Stop::Never, path: "/odd/x" };
     scene.play(ENTRY, plan, CROWD).await;
@@ -232,7 +233,7 @@
 /// as their length says.
 #[tokio::test]
 async fn many_bodies_far_over_the_limit_that_say_so() {
-    let mut scene = Scene::start(72).await;
+    let mut scene = Scene::start(67).await;
     let plan = Plan { form: Form::FarOverAnnounced, stop: Stop::Never, path: "/odd/x" };
     scene.play(ENTRY, plan, CROWD).await;
 }
@@ -241,7 +242,7 @@
 /// whose body isn't sent before the answer.
 #[tokio::test]
 async fn a_body_far_over_the_limit_is_refused_by_its_length() {
-    let scene = Scene::start(67).await;
+    let scene = Scene::start(68).await;
     let plan = Plan { form: Form::FarOverAnnounced, stop: Stop::AfterHead, path: "/odd/x" };
     let client = Client::play(scene.addr(ENTRY), plan, "far-over".to_owned()).await;
     assert_eq!(client.expect("it connects").status().await, Some(413));
@@ -284,7 +285,7 @@
 /// pattern: requests with bodies over the limit, one at a time, whose clients read the answer once all is sent.
 #[tokio::test]
 async fn who_sends_too_much_can_read_that() {
-    let scene = Scene::start(68).await;
+    let scene = Scene::start(71).await;
     for (form, path) in [
         (Form::OverAnnounced, "/odd/x"),
         (Form::OverSent, "/odd/x"),
@@ -304,7 +305,7 @@
 /// Guards against the same. Load pattern: many bodies far over the limit, in chunks.
 #[tokio::test]
 async fn many_bodies_far_over_the_limit_in_chunks() {
-    let mut scene = Scene::start(73).await;
+    let mut scene = Scene::start(72).await;
     let plan = Plan { form: Form::FarOverSent, stop: Stop::Never, path: "/odd/x" };
     scene.play(ENTRY, plan, CROWD).await;
 }
@@ -313,7 +314,7 @@
 /// stop just short of their end.
 #[tokio::test]
 async fn many_bodies_at_the_operators_address() {
-    let mut scene = Scene::start(74).await;
+    let mut scene = Scene::start(73).await;
     let plan = Plan { form: Form::Length, stop: Stop::Short, path: platform::config::REPLACE_PATH };
     scene.play(CONTROL, plan, CROWD).await;
 }
@@ -322,7 +323,7 @@
 /// each in the midst of a head, at one address after the other.
 #[tokio::test]
 async fn more_connections_than_descriptors() {
-    let mut scene = Scene::start(75).await;
+    let mut scene = Scene::start(74).await;
     let plan = Plan { form: Form::Length, stop: Stop::InHead, path: "/odd/x" };
     for port in [ENTRY, CONTROL, DIRECTORY] {
         scene.play(port, plan, CONNECTIONS).await;
@@ -333,7 +334,7 @@
 /// answer each, and take nothing of it.
 #[tokio::test]
 async fn large_answers_that_nobody_takes() {
-    let mut scene = Scene::start_on(66, SMALLEST_MACHINE).await;
+    let mut scene = Scene::start_on(75, SMALLEST_MACHINE).await;
     scene.odd.answer_with(BIG_ANSWER_BYTES);
     let mut crowd = Vec::new();
     for number in 0..SILENT_CROWD {
