edge: a status is checked where targets' answers arrive

Two users of Connection::send each checked for a status that no answer has; orders and reports had no check of their own. It stands in Connection::send now, as an error of its own, so that each user decides what it means, as before: a request counts as sent without a usable answer, a question as silent, an order as unknown, a report as missing. One difference: a connection on which an order or a report request got such an answer is closed, not pooled.

--- a/edge/src/client.rs
+++ b/edge/src/client.rs
@@ -14,6 +14,7 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
+use platform::request::is_valid_status;
 use tokio::{
     net::TcpStream,
     task::AbortHandle,
@@ -70,6 +71,8 @@
     NotSent,
     /// The connection failed after the request was sent; it may have run.
     Lost,
+    /// The answer has a status that no HTTP answer has; the request may have run.
+    NoStatus,
 }
 
 struct Idle {
@@ -204,7 +207,8 @@
     ) -> Result<Response<Incoming>, SendError> {
         let Some(sender) = &mut self.sender else { return Err(SendError::NotSent) };
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) if is_valid_status(response.status().as_u16()) => Ok(response),
+            Ok(_) => Err(SendError::NoStatus),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::NotSent),
                 None => Err(SendError::Lost),
--- a/edge/src/edge.rs
+++ b/edge/src/edge.rs
@@ -305,7 +305,7 @@
                     return platform::target::order_outcome(status);
                 }
                 Err(SendError::NotSent) => {}
-                Err(SendError::Lost) => return OrderOutcome::Unknown,
+                Err(SendError::Lost | SendError::NoStatus) => return OrderOutcome::Unknown,
             }
         }
     }
--- a/edge/src/ends.rs
+++ b/edge/src/ends.rs
@@ -7,7 +7,6 @@
 use fleet::Reservation;
 use http::{Method, Response, StatusCode};
 use hyper::body::Incoming;
-use platform::request::is_valid_status;
 use tokio::time::timeout;
 
 use crate::{edge::Edge, relay::Job, reservation::ReservationGuard};
@@ -65,9 +64,6 @@
         return Shown::Unreached;
     };
     let Ok(response) = connection.send(request).await else { return Shown::Silent };
-    if !is_valid_status(response.status().as_u16()) {
-        return Shown::Silent;
-    }
     let is_other = is_other_process(edge, reservation, response).await;
     if is_other || edge.host.borrow().is_replaced(reservation) {
         return Shown::Replaced;
--- a/edge/src/relay.rs
+++ b/edge/src/relay.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use platform::request::{
     RequestHead, SystemHeaders, answer_headers, forward_headers, is_encoded, is_not_run, is_signed,
-    is_valid_status, matches_attempt, names_no_attempt,
+    matches_attempt, names_no_attempt,
 };
 use tokio::time::{sleep, timeout};
 use wire::Suspect;
@@ -308,13 +308,13 @@
                 self.check_crash(&reservation).await;
                 return self.fail_send(reservation, "lost", StatusCode::BAD_GATEWAY);
             }
+            Ok(Err(SendError::NoStatus)) => {
+                return self.fail_send(reservation, "no status", StatusCode::BAD_GATEWAY);
+            }
             Err(_) => return self.fail_send(reservation, "silent", StatusCode::GATEWAY_TIMEOUT),
         };
         let delay = edge.now().saturating_sub(started);
         let status = response.status().as_u16();
-        if !is_valid_status(status) {
-            return self.fail_send(reservation, "no status", StatusCode::BAD_GATEWAY);
-        }
         self.record_target(&reservation, &connection, &response);
         if edge.host.borrow().is_replaced(&reservation.reservation) {
             return self.fail_send(reservation, "replaced", StatusCode::BAD_GATEWAY);
