edge: one way to close a connection for others; a blocked one is reported when that changes

Closing a connection for a new one and for an answer's memory did the same four steps. StallLimit told its observer after each write whether bytes wait, a further look-up in the table for each; it tells when that begins and ends. A constructor with one caller is gone; a metric's comment names its third label; a comment line is wrapped.

--- a/coordination/fleet/src/connections.rs
+++ b/coordination/fleet/src/connections.rs
@@ -27,12 +27,6 @@
     active_at: Duration,
 }
 
-impl Connection {
-    fn waiting(now: Duration) -> Connection {
-        Connection { is_served: false, is_blocked: false, active_at: now }
-    }
-}
-
 /// The open connections, no more than a limit.
 #[derive(Debug)]
 pub struct Connections {
@@ -71,7 +65,8 @@
             closed = Some(least);
         }
         self.next += 1;
-        self.open.insert(self.next, Connection::waiting(now));
+        let connection = Connection { is_served: false, is_blocked: false, active_at: now };
+        self.open.insert(self.next, connection);
         Ok((self.next, closed))
     }
 
--- a/coordination/fleet/src/resources.rs
+++ b/coordination/fleet/src/resources.rs
@@ -8,7 +8,6 @@
 /// Part of the memory for the bodies of operators' and targets' calls. On the smallest machine it holds the largest
 /// configuration.
 const CALL_PART: usize = 8;
-
 /// Part of the memory for answers to callers that aren't streams.
 const ANSWER_PART: usize = 5;
 /// Part of the memory for targets' reports and answers to orders.
--- a/edge/src/metrics.rs
+++ b/edge/src/metrics.rs
@@ -101,7 +101,8 @@
         self.unframed.with_label_values(&[outcome]).inc();
     }
 
-    /// Counts a client's connection that a listener had no place for; `how` is `closed` or `refused`.
+    /// Counts a client's connection that a listener had no place for, or that took nothing of its answer; `how` is
+    /// `closed`, `refused` or `stalled`.
     pub(crate) fn connection_shed(&self, listener: Listener, how: &str) {
         self.shed.with_label_values(&[listener.as_str(), how]).inc();
     }
--- a/edge/src/place.rs
+++ b/edge/src/place.rs
@@ -59,11 +59,8 @@
             edge.metrics.connection_shed(self.listener, "refused");
             return None;
         };
-        let closed = closed.and_then(|it| self.open.borrow_mut().remove(&it)?.upgrade());
-        if let Some(place) = closed {
-            place.closing.notify_one();
-            self.closed.set(self.closed.get() + 1);
-            edge.metrics.connection_shed(self.listener, "closed");
+        if let Some(closed) = closed {
+            self.close(edge, closed, "closed");
         }
         let (edge, places) = (edge.clone(), self.clone());
         let place = Rc::new(Place { edge, places, id, closing: Notify::new() });
@@ -74,17 +71,21 @@
     /// Closes the connection whose client has taken nothing of its answer for the longest time. Returns whether one has
     /// stalled.
     pub(crate) fn close_stalled(&self) -> bool {
-        let mut open = self.open.borrow_mut();
-        let now = self.edge.upgrade().map(|it| it.now()).unwrap_or_default();
-        let Some(id) = self.table.borrow_mut().remove_stalled(now) else { return false };
-        if let Some(place) = open.remove(&id).and_then(|it| it.upgrade()) {
-            place.closing.notify_one();
-            self.closed.set(self.closed.get() + 1);
-            place.edge.metrics.connection_shed(self.listener, "stalled");
-        }
+        let Some(edge) = self.edge.upgrade() else { return false };
+        let Some(id) = self.table.borrow_mut().remove_stalled(edge.now()) else { return false };
+        self.close(&edge, id, "stalled");
         true
     }
 
+    /// Has a connection closed that was removed from the table; `how` is the metric's label.
+    fn close(&self, edge: &Edge, id: ConnectionId, how: &str) {
+        let place = self.open.borrow_mut().remove(&id).and_then(|it| it.upgrade());
+        let Some(place) = place else { return };
+        place.closing.notify_one();
+        self.closed.set(self.closed.get() + 1);
+        edge.metrics.connection_shed(self.listener, how);
+    }
+
     /// Returns what became of connections that had no place since the last call, if there are any.
     pub(crate) fn take_shed(&self) -> Option<Event> {
         let (closed, refused) = (self.closed.take(), self.refused.take());
--- a/edge/src/stall.rs
+++ b/edge/src/stall.rs
@@ -19,7 +19,7 @@
     /// Bytes came or went.
     fn record_activity(&self);
 
-    /// Bytes wait for the other end to take them, or no more.
+    /// Bytes begin to wait for the other end to take them, or wait no more.
     fn record_blocked(&self, is_blocked: bool);
 }
 
@@ -49,12 +49,15 @@
         if matches!(written, Poll::Ready(Ok(1..))) {
             self.observer.record_activity();
         }
-        let is_taken = matches!(written, Poll::Ready(Ok(taken)) if taken == size);
-        self.observer.record_blocked(!is_taken);
-        if is_taken {
-            self.due = None;
+        if matches!(written, Poll::Ready(Ok(taken)) if taken == size) {
+            if self.due.take().is_some() {
+                self.observer.record_blocked(false);
+            }
             return written;
         }
+        if self.due.is_none() {
+            self.observer.record_blocked(true);
+        }
         let limit = self.limit;
         let due = self.due.get_or_insert_with(|| Box::pin(sleep(limit)));
         match due.as_mut().poll(cx) {
