web: bodies that can't be read fail in one place

The reader of publishes and reports had the time limit and the texts of read_body once more. The arm that knew a body too long by dropshot's text is gone: nothing lets dropshot read a body from a connection any more.

--- a/transport/web/src/error.rs
+++ b/transport/web/src/error.rs
@@ -36,7 +36,6 @@
         let kind = match error.status_code.as_u16() {
             404 => ErrorKind::UnknownService,
             413 => ErrorKind::TooLarge,
-            400..500 if message.contains("exceeded maximum size") => ErrorKind::TooLarge,
             // A request that an extractor rejects has not reached the host.
             400..500 => ErrorKind::BadRequest,
             _ => ErrorKind::Internal,
--- a/transport/web/src/raw_body.rs
+++ b/transport/web/src/raw_body.rs
@@ -1,12 +1,8 @@
 //! A JSON body that is read into the memory that bodies share, and whose exact bytes may be needed.
 
-use std::{
-    marker::PhantomData,
-    pin::Pin,
-    time::{Duration, Instant},
-};
+use std::{marker::PhantomData, pin::Pin, time::Instant};
 
-use ::body::{Bodies, BodyError, HeldBody};
+use ::body::{Bodies, HeldBody};
 use dropshot::{
     ApiEndpointBodyContentType, Body, ExclusiveExtractor, ExtractorMetadata, HttpError,
     RequestContext, ServerContext, TypedBody,
@@ -14,10 +10,9 @@
 use http::{Request, request::Parts};
 use schemars::JsonSchema;
 use serde::de::DeserializeOwned;
-use wire::{ErrorKind, Fault};
+use wire::Fault;
 
-/// Time limit for a body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+use crate::request::{BODY_TIMEOUT, body_fault};
 
 /// The memory of the bodies of one kind of calls.
 pub(crate) struct CallMemory {
@@ -53,18 +48,9 @@
     pub(crate) async fn read(self, memory: &CallMemory) -> Result<RawBody<T>, Fault> {
         let UnreadBody { parts, mut body, content } = self;
         let now = || memory.started.elapsed();
-        match memory.bodies.read(now, &mut body, memory.max, BODY_TIMEOUT).await {
-            Ok(body) => Ok(RawBody { parts, body, content }),
-            Err(error) => Err(fault(error, memory.max)),
-        }
-    }
-}
-
-fn fault(error: BodyError, max: usize) -> Fault {
-    match error {
-        BodyError::TooLarge => Fault::new(ErrorKind::TooLarge, format!("the limit is {max} bytes")),
-        BodyError::NoMemory => Fault::new(ErrorKind::QueueFull, error.to_string()),
-        BodyError::Broken | BodyError::Late => Fault::new(ErrorKind::BadRequest, error.to_string()),
+        let read = memory.bodies.read(now, &mut body, memory.max, BODY_TIMEOUT).await;
+        let body = read.map_err(|error| body_fault(error, memory.max))?;
+        Ok(RawBody { parts, body, content })
     }
 }
 
--- a/transport/web/src/request.rs
+++ b/transport/web/src/request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use api::{MAX_BODY_BYTES, header};
+use body::BodyError;
 use bytes::Bytes;
 use dropshot::Body;
 use http::{HeaderMap, header::ACCEPT};
@@ -17,7 +18,8 @@
 /// The longest deadline that a caller may request.
 const MAX_DEADLINE: Duration = Duration::from_secs(24 * 60 * 60);
 
-const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time limit for a body.
+pub(crate) const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// The name of callers that send none.
 const ANONYMOUS: &str = "anonymous";
@@ -30,14 +32,23 @@
 pub(crate) async fn read_body(body: Body) -> Result<Bytes, Fault> {
     let reading = Limited::new(body, MAX_BODY_BYTES).collect();
     let Ok(collected) = tokio::time::timeout(BODY_TIMEOUT, reading).await else {
-        return Err(bad_request("the body did not arrive in time"));
+        return Err(body_fault(BodyError::Late, MAX_BODY_BYTES));
     };
     match collected {
         Ok(body) => Ok(body.to_bytes()),
         Err(e) if e.is::<LengthLimitError>() => {
-            Err(Fault::new(ErrorKind::TooLarge, format!("the limit is {MAX_BODY_BYTES} bytes")))
+            Err(body_fault(BodyError::TooLarge, MAX_BODY_BYTES))
         }
-        Err(_) => Err(bad_request("the body is not whole")),
+        Err(_) => Err(body_fault(BodyError::Broken, MAX_BODY_BYTES)),
+    }
+}
+
+/// Returns the fault of a request whose body, of at most `max` bytes, could not be read.
+pub(crate) fn body_fault(error: BodyError, max: usize) -> Fault {
+    match error {
+        BodyError::TooLarge => Fault::new(ErrorKind::TooLarge, format!("the limit is {max} bytes")),
+        BodyError::NoMemory => Fault::new(ErrorKind::QueueFull, error.to_string()),
+        BodyError::Broken | BodyError::Late => bad_request(error.to_string()),
     }
 }
 
