tests: one loop over seeds, one reader of a process' peak memory

soak_crowds.rs was the third test with the loop over seeds and their runtimes, and the crowds of poplarhollowd and of edge each read the peak memory themselves. Defaults, variables and assertions are as they were.

--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod crowd;
 pub mod cut;
 pub mod paced;
+pub mod seeds;
 pub mod stopping;
 pub mod stops;
 pub mod target;
@@ -23,7 +24,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use platform::stand_in;
-use sessions::checkout::octet;
+use sessions::{checkout::octet, process::peak_memory_kb};
 use tempfile::TempDir;
 use tokio::{
     io::AsyncReadExt,
@@ -242,13 +243,6 @@
     }
 }
 
-/// Returns the most memory that a process has had, in kilobytes; none if it has ended.
-pub fn peak_memory_kb(pid: u32) -> Option<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"))?;
-    line.split_whitespace().next()?.parse().ok()
-}
-
 /// Returns how many descriptors a process has open; none if it has ended.
 pub fn open_descriptors(pid: u32) -> Option<usize> {
     Some(std::fs::read_dir(format!("/proc/{pid}/fd")).ok()?.count())
--- a/edge/tests/common/target.rs
+++ b/edge/tests/common/target.rs
@@ -196,9 +196,7 @@
             let carried = Arc::new(Mutex::new(BTreeSet::new()));
             let service = service_fn(move |request: Request<Incoming>| {
                 let target = target.clone();
-                let path = request.uri().path();
-                let is_control =
-                    [platform::target::ORDER_PATH, platform::target::REPORT_PATH].contains(&path);
+                let is_control = is_control(request.uri().path());
                 let mut carried = carried.lock().expect("the lock is not poisoned");
                 if carried.insert(is_control) && carried.len() == 2 {
                     target.state().mixed_connections += 1;
@@ -216,8 +214,7 @@
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map(|it| it.to_bytes()).unwrap_or_default();
-        let path = parts.uri.path();
-        if path != platform::target::ORDER_PATH && path != platform::target::REPORT_PATH {
+        if !is_control(parts.uri.path()) {
             let delay = self.state().delay;
             sleep(delay).await;
         }
@@ -303,6 +300,11 @@
     }
 }
 
+/// Whether a path is that of orders or of report requests.
+fn is_control(path: &str) -> bool {
+    [platform::target::ORDER_PATH, platform::target::REPORT_PATH].contains(&path)
+}
+
 fn respond(status: u16, headers: HeaderMap, body: &str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body.to_owned())));
     *response.status_mut() = StatusCode::from_u16(status).expect("a status");
--- a/edge/tests/soak.rs
+++ b/edge/tests/soak.rs
@@ -18,6 +18,7 @@
 
 use common::{
     CONTROL, Cluster, ENTRY, call, document, ip,
+    seeds::{number, run_seeds},
     target::{EVENT_COUNT, Says, Target},
     until,
 };
@@ -27,7 +28,6 @@
 use tokio::{
     io::copy_bidirectional,
     net::{TcpListener, TcpStream},
-    task::LocalSet,
     time::{sleep, timeout},
 };
 
@@ -313,19 +313,8 @@
     println!("seed {seed}: {served} of {} served", observed.borrow().answers.len());
 }
 
-fn setting(name: &str, default: &str) -> String {
-    std::env::var(name).unwrap_or_else(|_| default.to_owned())
-}
-
 #[test]
 fn guarantees_hold_under_random_faults() {
-    let seeds = setting("SOAK_SEEDS", "1-2");
-    let (first, last) = seeds.split_once('-').expect("SOAK_SEEDS is first-last");
-    let seconds = setting("SOAK_SECONDS", "10").parse().expect("SOAK_SECONDS is a number");
-    for seed in first.parse().expect("a seed")..=last.parse().expect("a seed") {
-        // Each seed has its own runtime, so that its targets and proxies end with it.
-        let runtime =
-            tokio::runtime::Builder::new_current_thread().enable_all().build().expect("it starts");
-        LocalSet::new().block_on(&runtime, run_seed(seed, Duration::from_secs(seconds)));
-    }
+    let duration = Duration::from_secs(number("SOAK_SECONDS", 10));
+    run_seeds("SOAK_SEEDS", async |seed| run_seed(seed, duration).await);
 }
--- a/edge/tests/soak_crowds.rs
+++ b/edge/tests/soak_crowds.rs
@@ -21,7 +21,7 @@
     crowd::{BODY_BYTES, Client, DESCRIPTORS, Form, MACHINE, MEMORY_KB, Plan, Stop},
     document, open_descriptors,
     paced::Upload,
-    peak_memory_kb,
+    seeds::{number, run_seeds},
     stops::GRACE,
     target::Target,
     until,
@@ -30,8 +30,9 @@
 use platform::stand_in;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sessions::process::peak_memory_kb;
 use tokio::{
-    task::{JoinHandle, LocalSet, spawn_local},
+    task::{JoinHandle, spawn_local},
     time::{sleep, timeout},
 };
 
@@ -310,22 +311,10 @@
     check(seed, &mut observed.borrow_mut(), &targets);
 }
 
-/// Returns a number from the environment.
-fn number(name: &str, default: u64) -> u64 {
-    std::env::var(name).map_or(default, |it| it.parse().expect("a number"))
-}
-
 /// Guards against clients that end a process, keep it from ending, fill it, or lead it to break a promise. Load
 /// pattern: random bodies in all forms, whole and not, at all addresses of all hosts, held for up to 4 s; callers who
 /// keep connections in use; SIGTERM, SIGKILL and SIGHUP in series that overlap; new limits.
 #[test]
 fn crowds_end_no_process_and_break_no_promise() {
-    let seeds = std::env::var("CROWD_SEEDS").unwrap_or_else(|_| "1-2".to_owned());
-    let (first, last) = seeds.split_once('-').expect("CROWD_SEEDS is first-last");
-    for seed in first.parse().expect("a seed")..=last.parse().expect("a seed") {
-        // Each seed has its own runtime, so that its targets end with it.
-        let runtime =
-            tokio::runtime::Builder::new_current_thread().enable_all().build().expect("it starts");
-        LocalSet::new().block_on(&runtime, run_seed(seed));
-    }
+    run_seeds("CROWD_SEEDS", run_seed);
 }
--- a/edge/tests/soak_stops.rs
+++ b/edge/tests/soak_stops.rs
@@ -18,6 +18,7 @@
 use common::{
     CONTROL, Cluster, ENTRY, call, document,
     paced::{PacedTarget, Upload, events, large, parts},
+    seeds::{number, run_seeds},
     stops::{GRACE, Observed, Sent, TIMEOUTS, check},
     until,
 };
@@ -26,7 +27,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use tokio::{
-    task::{JoinHandle, LocalSet, spawn_local},
+    task::{JoinHandle, spawn_local},
     time::{sleep, timeout},
 };
 
@@ -302,21 +303,9 @@
     check(seed, &mut observed.borrow_mut(), &targets);
 }
 
-fn setting(name: &str, default: &str) -> String {
-    std::env::var(name).unwrap_or_else(|_| default.to_owned())
-}
-
-fn run_seeds(lengths: Lengths) {
-    let seeds = setting("STOP_SEEDS", "1-2");
-    let (first, last) = seeds.split_once('-').expect("STOP_SEEDS is first-last");
-    let seconds = setting("STOP_SECONDS", "8").parse().expect("STOP_SECONDS is a number");
-    for seed in first.parse().expect("a seed")..=last.parse().expect("a seed") {
-        // Each seed has its own runtime, so that its targets end with it.
-        let runtime =
-            tokio::runtime::Builder::new_current_thread().enable_all().build().expect("it starts");
-        let running = run_seed(lengths, seed, Duration::from_secs(seconds));
-        LocalSet::new().block_on(&runtime, running);
-    }
+fn play_seeds(lengths: Lengths) {
+    let duration = Duration::from_secs(number("STOP_SECONDS", 8));
+    run_seeds("STOP_SEEDS", async |seed| run_seed(lengths, seed, duration).await);
 }
 
 /// Guards against requests that a planned stop of their host cuts off, loses or repeats. Load pattern: whole
@@ -325,12 +314,12 @@
 /// route.
 #[test]
 fn planned_stops_cut_no_request_off() {
-    run_seeds(Lengths::Alike);
+    play_seeds(Lengths::Alike);
 }
 
 /// Guards against a host that takes the answers that it has seen end for all that may come, and sends requests
 /// on in a stop whose answers take longer. Load pattern: the same, with answers of 0 to 4.5 s on each route.
 #[test]
 fn planned_stops_cut_no_answer_of_random_length_off() {
-    run_seeds(Lengths::Random);
+    play_seeds(Lengths::Random);
 }
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -1,4 +1,4 @@
-//! Main function of the stand-in programs.
+//! Main function of the stand-in programs, and what a process takes.
 
 use std::{io::stderr, process::ExitCode, sync::Arc};
 
@@ -35,6 +35,13 @@
     }
 }
 
+/// Returns the most memory that a process has had, in kilobytes; none if it has ended.
+pub fn peak_memory_kb(pid: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 fn logger(name: &str) -> Logger {
     let decorator = slog_term::PlainSyncDecorator::new(stderr());
     let drain = slog_term::FullFormat::new(decorator).build().fuse();
--- a/tests/tests/crowds.rs
+++ b/tests/tests/crowds.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use sessions::cluster::Cluster;
+use sessions::{cluster::Cluster, process::peak_memory_kb};
 use tokio::{io::AsyncWriteExt, net::TcpStream, task::JoinSet, time::timeout};
 
 /// Memory of a host, in kilobytes (docs/CAPACITY.md).
@@ -25,14 +25,6 @@
         .expect("the program has a parent directory")
 }
 
-/// Returns the most memory that a process has had, in kilobytes.
-fn peak_memory_kb(pid: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("it runs");
-    let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
-    let number = line.and_then(|it| it.split_whitespace().next());
-    number.and_then(|it| it.parse().ok()).expect("a number of kilobytes")
-}
-
 fn head(path: &str, framing: &str) -> Vec<u8> {
     format!(
         "POST {path} HTTP/1.1\r\nhost: h\r\ncontent-type: application/json\r\n{framing}\r\n\r\n"
@@ -70,7 +62,7 @@
     let open = crowd(operator, &bytes, PUBLISH_CROWD).await;
     cluster.wait_for_completion(HOST, "beside").await;
     cluster.wait_for("a status", async || cluster.status(HOST).await).await;
-    let peak = peak_memory_kb(cluster.pid(HOST));
+    let peak = peak_memory_kb(cluster.pid(HOST)).expect("it runs");
     println!("{peak} KB");
     assert!(peak <= MEMORY_KB, "{peak} KB, {MEMORY_KB} allowed");
     drop(open);
