edge: a request's line says which version its target held

A request that begins on a former version of its adapter can't be told from one whose target was believed to hold the newest: `placed` named the target only. It names the version and the newest one where they differ.

The host knew that the target held version 1 and took it; a target's wrong or late word is ruled out.

--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -90,6 +90,8 @@
     pub started_at: u64,
     /// The target's software version.
     pub software: SoftwareHash,
+    /// The version of its adapter there and the newest one, if that is another.
+    pub former_version: Option<(u64, u64)>,
     adapter: AdapterHash,
     /// The place that it takes up; `None` at a target without a request limit.
     pub(crate) place: Option<Place>,
@@ -214,12 +216,23 @@
 
     fn reserve(&mut self, now: Duration, query: &TargetQuery, id: String, rank: Rank) -> Choice {
         let hash = query.adapter.as_deref().map_or(0, adapter_hash);
+        let newest = query.adapter.as_deref().map_or(0, |it| self.versions(now, it).1);
         let Some(target) = self.targets.get_mut(&id) else { return Choice::None };
+        let held = query.adapter.as_ref().and_then(|it| target.adapters.get(it));
+        let former_version = held.filter(|it| **it < newest).map(|it| (*it, newest));
         *target.running.entry(hash).or_default() += 1;
         let addr = target.record.addr.clone();
         let (started_at, software) = (target.record.started_at, target.software);
         let place = target.limit.take_place(now, rank);
-        Choice::Send(Reservation { target: id, addr, started_at, software, adapter: hash, place })
+        Choice::Send(Reservation {
+            target: id,
+            addr,
+            started_at,
+            software,
+            former_version,
+            adapter: hash,
+            place,
+        })
     }
 
     fn limited(&self, query: &TargetQuery, target: String, due: Option<Duration>) -> Choice {
--- a/edge/src/reservation.rs
+++ b/edge/src/reservation.rs
@@ -146,6 +146,15 @@
     trial: bool,
 }
 
+/// Describes a reservation for the log line of its request.
+fn placed(reservation: &Reservation) -> String {
+    let Reservation { target, former_version, .. } = reservation;
+    match former_version {
+        Some((held, newest)) => format!("{target} with version {held} of {newest}"),
+        None => target.clone(),
+    }
+}
+
 impl Job {
     /// Reserves a target, and waits for one within the limits if necessary.
     pub(crate) async fn reserve(&mut self) -> Result<ReservationGuard, NoReservation> {
@@ -273,7 +282,7 @@
                 return Ok(reservation);
             }
             let Some(tokens) = self.head.prompt_tokens else { return Ok(reservation) };
-            self.add_step("placed", reservation.target());
+            self.add_step("placed", &placed(&reservation.reservation));
             let target = reservation.target().to_owned();
             match permit::acquire(self, target, tokens, moves < MAX_MOVES).await {
                 Ok(permit) => reservation.permit = permit,
