fleet: each version of an adapter is due by itself

Cause: one time was kept for each adapter, when its newest version was applied. While that one was not due (0.75 s), the lowest version that may run a request was 0, in place of the one that had been due before.

Change: each host keeps the versions named lately, each with the time from which it counts: when it was applied, or, where that is more than a quarter of the time allowed after this host's state was last confirmed, that confirmation. What is due is the newest version whose time is up; it never decreases in a process. After a wait for a permit, a target's version is looked at again.

Why it works: a version that isn't due yet says nothing of the one before, and no acknowledgement can come before the state that lacked it was confirmed.

--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -55,6 +55,7 @@
 mod stream_records;
 mod suspects;
 mod targets;
+mod versions;
 mod view;
 
 pub use crate::{
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -26,6 +26,7 @@
     row_limits::BrittleReport,
     shutdown::{AnswerTimes, Shutdown},
     stream_records::StreamRecords,
+    versions::Versions,
     view::View,
 };
 
@@ -39,8 +40,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) replica: Replica,
     pub(crate) desired: Desired,
-    /// When the newest version of each adapter or model was applied here.
-    pub(crate) version_times: BTreeMap<String, Duration>,
+    pub(crate) versions: Versions,
     pub(crate) config: Option<Arc<Config>>,
     pub(crate) routes: Arc<Routes>,
     pub(crate) hosts: Hosts,
@@ -113,7 +113,7 @@
             incarnation,
             replica,
             desired: Desired::default(),
-            version_times: BTreeMap::new(),
+            versions: Versions::default(),
             config: None,
             routes: Arc::default(),
             targets: Targets::default(),
--- a/coordination/fleet/src/replicated.rs
+++ b/coordination/fleet/src/replicated.rs
@@ -85,7 +85,7 @@
         match (self.desired.apply(entry.index, command.clone()), command) {
             (Applied::Config, _) => self.config_applied(now, entry.index),
             (Applied::Version, Command::Version { adapter, version }) => {
-                self.version_times.insert(adapter.clone(), now);
+                self.learn_version(now, &adapter, version);
                 self.log(Event::Version { adapter, version });
                 self.out.push(Output::RetryWaiting);
             }
@@ -113,10 +113,8 @@
         match Desired::decode(&snapshot.state) {
             Ok(desired) => {
                 let newer = desired.number() > self.desired.number();
-                for (adapter, version) in &desired.versions {
-                    if self.desired.versions.get(adapter) != Some(version) {
-                        self.version_times.insert(adapter.clone(), now);
-                    }
+                for (adapter, &version) in &desired.versions {
+                    self.learn_version(now, adapter, version);
                 }
                 self.desired = desired;
                 self.apply_holders(now);
--- a/coordination/fleet/src/request.rs
+++ b/coordination/fleet/src/request.rs
@@ -20,9 +20,6 @@
 
 /// Interval between reports of an adapter's demand to its holder.
 const DEMAND_INTERVAL: Duration = Duration::from_millis(300);
-/// Share of the time allowed for a new version during which requests are still sent to the previous
-/// one. The rest is for requests that then wait at their targets.
-const PREVIOUS_SHARE: f64 = 0.15;
 
 /// Why a request has no route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -216,7 +213,7 @@
 
     fn reserve(&mut self, now: Duration, query: &TargetQuery, id: String, rank: Rank) -> Choice {
         let hash = query.adapter.as_deref().map_or(0, adapter_hash);
-        let newest = query.adapter.as_deref().map_or(0, |it| self.versions(now, it).1);
+        let newest = query.adapter.as_deref().map_or(0, |it| self.newest_version(it));
         let Some(target) = self.targets.get_mut(&id) else { return Choice::None };
         let held = query.adapter.as_ref().and_then(|it| target.adapters.get(it));
         let former_version = held.filter(|it| **it < newest).map(|it| (*it, newest));
@@ -249,12 +246,11 @@
     pub(crate) fn pick_target(&self, now: Duration, query: &TargetQuery, draw: u64) -> Picked {
         let engine = self.engine(query);
         let adapter = query.adapter.as_deref().filter(|_| engine.is_some());
-        let (version, newest) = adapter.map_or((0, 0), |it| self.versions(now, it));
         let requirements = Requirements {
             service: &query.service,
             adapter,
-            min_version: version,
-            newest,
+            min_version: adapter.map_or(0, |it| self.oldest_assigned(now, it)),
+            newest: adapter.map_or(0, |it| self.newest_version(it)),
             engine,
             software: query.software,
             domain: &self.settings.domain,
@@ -271,13 +267,15 @@
     }
 
     /// Whether a target can still take a request that was assigned to it.
-    pub fn is_usable(&self, reservation: &Reservation, query: &TargetQuery) -> bool {
+    pub fn is_usable(&self, now: Duration, reservation: &Reservation, query: &TargetQuery) -> bool {
         let Some(target) = self.targets.get(&reservation.target) else { return false };
         if target.record.started_at != reservation.started_at {
             return false;
         }
         let adapter = query.adapter.as_ref().filter(|_| self.engine(query).is_some());
-        let has = adapter.is_none_or(|it| target.adapters.contains_key(it));
+        let has = adapter.is_none_or(|it| {
+            target.adapters.get(it).is_some_and(|held| *held >= self.oldest_sent(now, it))
+        });
         has && target.record.state == TargetState::Ready
     }
 
@@ -287,14 +285,6 @@
         target.is_some_and(|it| it.record.started_at != reservation.started_at)
     }
 
-    /// Returns the lowest version that may run a request, and the newest one.
-    fn versions(&self, now: Duration, adapter: &str) -> (u64, u64) {
-        let newest = self.desired.versions.get(adapter).copied().unwrap_or(0);
-        let grace = self.settings.bounds.version_deadline.mul_f64(PREVIOUS_SHARE);
-        let due = self.version_times.get(adapter).is_none_or(|at| now >= *at + grace);
-        (if due { newest } else { 0 }, newest)
-    }
-
     /// Releases a request's reservation and records in the target's health how it ended.
     pub fn end(&mut self, now: Duration, reservation: &Reservation, outcome: Outcome) {
         let Some(target) = self.targets.get_mut(&reservation.target) else { return };
--- a/coordination/fleet/tests/common/mod.rs
+++ b/coordination/fleet/tests/common/mod.rs
@@ -38,11 +38,13 @@
     Input(HostId, u64, Box<Input>),
 }
 
-/// A simulated target: the orders that it accepted and the adapters that it holds.
+/// A simulated target: the orders that it accepted and the adapters that it holds, with their versions.
 #[derive(Default)]
 pub struct SimTarget {
     sequence: u64,
-    adapters: BTreeSet<String>,
+    pub adapters: BTreeMap<String, u64>,
+    /// Whether it takes no orders.
+    pub busy: bool,
 }
 
 /// One machine. Its disk outlives its process.
@@ -461,12 +463,12 @@
 
 impl SimTarget {
     fn order(&mut self, order: &Order) -> OrderOutcome {
-        if order.expected_orders != self.sequence {
+        if self.busy || order.expected_orders != self.sequence {
             return OrderOutcome::Busy;
         }
         self.sequence += 1;
         if order.load {
-            self.adapters.insert(order.name());
+            self.adapters.insert(order.name(), order.version.max(1));
         } else {
             self.adapters.remove(&order.name());
         }
@@ -476,7 +478,7 @@
     fn report(&self) -> Report {
         let mut report = Report { accepted_orders: self.sequence, ..Report::default() };
         report.loaded.push(("m".to_owned(), 1));
-        report.loaded.extend(self.adapters.iter().map(|it| (it.clone(), 1)));
+        report.loaded.extend(self.adapters.iter().map(|(name, version)| (name.clone(), *version)));
         report
     }
 }
--- a/edge/src/reservation.rs
+++ b/edge/src/reservation.rs
@@ -297,8 +297,9 @@
                     return Err(NoReservation::NoPermit);
                 }
             }
-            if self.edge.host.borrow().is_usable(&reservation.reservation, &self.query) {
-                reservation.checked_at = self.edge.now();
+            let now = self.edge.now();
+            if self.edge.host.borrow().is_usable(now, &reservation.reservation, &self.query) {
+                reservation.checked_at = now;
                 return Ok(reservation);
             }
             self.add_step("gone", reservation.target());
