fleet: a target's departure is in the log before it is acknowledged

What callers saw: a host acknowledged that a target is gone, all processes were killed and were back after 0.5 s, and a heartbeat that the target had sent before arrived late.

Cause: what has left was kept in the memory of the processes only. After the kill a target that left can't be told from a new one. The same with hosts restarted one after the other: a host that starts asks for tables of targets in use.

The log has no command for a departure.

Change: `Depart` (target, start of its process) is a command of the log. A heartbeat that says that its target leaves, and a deregistration, are acknowledged once it is applied; all hosts are told directly at the same moment, as before. Without a quorum for 0.9 s the target gets 503 and calls another host (`departure_unrecorded`). The leader drops departures after two minutes, 4,096 are kept at most. States stored by earlier releases are read.

Why it works: a host takes requests once it has caught up with the log, so it knows all departures that were acknowledged; a later start of the target is used at once.

--- a/coordination/fleet/src/confirm.rs
+++ b/coordination/fleet/src/confirm.rs
@@ -57,9 +57,31 @@
     }
 }
 
-/// Whether operators wait for the acknowledgement of a command.
-pub(crate) fn is_acknowledged(command: &Command) -> bool {
-    matches!(command, Command::Replace { .. } | Command::Version { .. })
+/// When a command that is in force at the leader is confirmed to the host that sent it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConfirmedWhen {
+    /// Once the hosts obey it: operators wait for that.
+    Obeyed,
+    /// At once: hosts have been told of a departure already, the log keeps it.
+    InForce,
+    /// Never: nobody waits for it.
+    Never,
+}
+
+impl ConfirmedWhen {
+    pub(crate) fn of(command: &Command) -> ConfirmedWhen {
+        match command {
+            Command::Replace { .. } | Command::Version { .. } => ConfirmedWhen::Obeyed,
+            Command::Depart { .. } => ConfirmedWhen::InForce,
+            Command::AssignHolder { .. }
+            | Command::StartOrders { .. }
+            | Command::Quarantine { .. }
+            | Command::Release { .. }
+            | Command::SetSoftware { .. }
+            | Command::ListHosts { .. }
+            | Command::DropDepartures { .. } => ConfirmedWhen::Never,
+        }
+    }
 }
 
 impl Host {
@@ -101,10 +123,15 @@
         } else if let Some((hosts, left_out)) = change.late {
             self.log(Event::ConfirmedLate { index, waited_ms, hosts, left_out });
         }
-        if change.host == self.settings.host {
-            self.operator_calls.confirm(change.tag);
+        self.send_confirmed(change.host, change.tag);
+    }
+
+    /// Tells a host that the change of a call is in force.
+    pub(crate) fn send_confirmed(&mut self, host: HostId, tag: Tag) {
+        if host == self.settings.host {
+            self.operator_calls.confirm(tag);
         } else {
-            self.send(change.host, FleetMsg::Confirmed { tag: change.tag });
+            self.send(host, FleetMsg::Confirmed { tag });
         }
     }
 
--- a/coordination/fleet/src/event.rs
+++ b/coordination/fleet/src/event.rs
@@ -260,6 +260,11 @@
         /// Whether this host had the target in use.
         known: bool,
     },
+    /// A target that leaves got no acknowledgement, as that was not recorded in the log in time.
+    DepartureUnrecorded {
+        /// Name of the target.
+        target: String,
+    },
     /// A target said in an answer that it leaves.
     LeavesByAnswer {
         /// Name of the target.
--- a/coordination/fleet/src/former.rs
+++ b/coordination/fleet/src/former.rs
@@ -13,7 +13,7 @@
 /// Maximum number of former targets that are kept; the oldest are dropped first.
 const MAX_FORMER: usize = 4096;
 /// How long it is kept that a process has ended: far longer than a heartbeat may be under way.
-const ENDED_LIFE: Duration = Duration::from_secs(120);
+pub(crate) const ENDED_LIFE: Duration = Duration::from_secs(120);
 /// How long a silent target is kept: as long as the pause that it may have asked for.
 const SILENT_LIFE: Duration = MAX_PAUSE;
 
--- a/coordination/fleet/src/io.rs
+++ b/coordination/fleet/src/io.rs
@@ -10,7 +10,7 @@
 
 use crate::{Event, Settings};
 
-/// Identifies an operator's call until it is answered; assigned by the process.
+/// Identifies a call of an operator or a target until it is answered; assigned by the process.
 pub type Tag = u64;
 
 /// An order to load or unload a model or an adapter at a target.
@@ -111,8 +111,17 @@
         /// The target's record.
         record: TargetRecord,
     },
-    /// A target has deregistered.
+    /// A heartbeat has arrived by which a target says that it leaves; answered once the log holds that.
+    Leaves {
+        /// Identifies the call.
+        tag: Tag,
+        /// The target's record.
+        record: TargetRecord,
+    },
+    /// A target has deregistered; answered once the log holds that.
     Deregistered {
+        /// Identifies the call.
+        tag: Tag,
         /// Name of the target.
         id: String,
         /// When its process started, in milliseconds since the Unix epoch; `None` if it names no start.
@@ -161,14 +170,14 @@
     Stop,
 }
 
-/// The answer to an operator's call.
+/// The answer to a call of an operator or a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reply {
     /// The change, or a later one, is in force.
     InForce,
     /// The configuration in force, compressed by [`desired::pack`].
     Config(Bytes),
-    /// The result is unknown; the operator may try another host.
+    /// The result is unknown; the caller may try another host.
     Unknown,
 }
 
@@ -219,7 +228,7 @@
         /// Number of the request.
         request: u64,
     },
-    /// Answer an operator's call.
+    /// Answer a call of an operator or a target.
     Answer {
         /// Identifies the call.
         tag: Tag,
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -15,8 +15,9 @@
 
 use crate::{
     Event, Host,
-    confirm::{Confirmations, is_acknowledged},
+    confirm::{Confirmations, ConfirmedWhen},
     feed::FeedWriter,
+    former::ENDED_LIFE,
     holder::{HOLD_LEASES, HOLDER_MARGIN},
     io::Tag,
     operator::PendingRead,
@@ -61,6 +62,8 @@
     pub(crate) resigned: BTreeSet<(DomainId, Fence)>,
     /// The latest proposed change of the list of hosts.
     pub(crate) list_proposed: Option<Command>,
+    /// A log index, and when departures up to it were known here.
+    departures_seen: Option<(Duration, Index)>,
     pending_reads: Vec<PendingRead>,
     pub(crate) software: SoftwareWatch,
 }
@@ -95,6 +98,7 @@
             reach_published: Duration::ZERO,
             resigned: BTreeSet::new(),
             list_proposed: None,
+            departures_seen: None,
             pending_reads: Vec::new(),
             software: SoftwareWatch::default(),
         };
@@ -278,6 +282,24 @@
         self.update_list(now);
         self.assign_holders(now);
         self.watch_software(now);
+        self.drop_departures(now);
+    }
+
+    /// Proposes to drop the departures that have been in the log for so long that no heartbeat from before them
+    /// can be under way.
+    fn drop_departures(&mut self, now: Duration) {
+        let Some(leading) = &mut self.leading else { return };
+        let newest = self.desired.departures.values().map(|it| it.index).max();
+        match (leading.departures_seen, newest) {
+            (_, None) => leading.departures_seen = None,
+            (None, Some(newest)) => leading.departures_seen = Some((now, newest)),
+            (Some((at, up_to)), Some(_)) if now >= at + ENDED_LIFE => {
+                leading.departures_seen = None;
+                let command = Command::DropDepartures { up_to };
+                self.step_log(now, LogInput::Propose(encode(&command).into()));
+            }
+            (Some(_), Some(_)) => {}
+        }
     }
 
     /// Number of voters needed to tolerate the loss of `tolerated` of them at once.
@@ -334,17 +356,23 @@
         }
     }
 
-    /// Drops the proposals that are in force; those that operators wait for are acknowledged once
-    /// the hosts have confirmed them.
+    /// Drops the proposals that are in force, and confirms those that are waited for, or has them confirmed once
+    /// the hosts obey them.
     fn take_applied_proposals(&mut self, now: Duration, applied: Index) {
         let Some(leading) = &mut self.leading else { return };
         let applied_proposals =
             leading.proposals.extract_if(.., |_, command| self.desired.is_redundant(command));
+        let mut in_force = Vec::new();
         for ((host, tag), command) in applied_proposals {
-            if is_acknowledged(&command) {
-                leading.confirmations.add(now, host, tag, applied);
+            match ConfirmedWhen::of(&command) {
+                ConfirmedWhen::Obeyed => leading.confirmations.add(now, host, tag, applied),
+                ConfirmedWhen::InForce => in_force.push((host, tag)),
+                ConfirmedWhen::Never => {}
             }
         }
+        for (host, tag) in in_force {
+            self.send_confirmed(host, tag);
+        }
     }
 
     /// Queues a read index request. It is answered once a quorum has followed this leader after the
--- a/coordination/fleet/src/machine.rs
+++ b/coordination/fleet/src/machine.rs
@@ -170,8 +170,9 @@
             Input::SyncFailed(reason) => self.sync_failed(now, reason),
             Input::Reopened(disk) => self.reopened(now, *disk),
             Input::Heartbeat { record } => self.handle_heartbeat(now, record),
-            Input::Deregistered { id, started_at, arrived_at } => {
-                self.handle_deregistration(now, &id, started_at, arrived_at);
+            Input::Leaves { tag, record } => self.handle_leaving_target(now, tag, record),
+            Input::Deregistered { tag, id, started_at, arrived_at } => {
+                self.handle_deregistration(now, tag, &id, started_at, arrived_at);
             }
             Input::Change { tag, command } => self.operator_calls.change(now, tag, command),
             Input::Read { tag } => self.operator_calls.read(now, tag),
--- a/coordination/fleet/src/operator.rs
+++ b/coordination/fleet/src/operator.rs
@@ -1,5 +1,6 @@
-//! Operators' changes and reads. They are sent to the leader, and answered once the change is in
-//! force at the hosts, or the configuration here is known to be the newest.
+//! Operators' changes and reads, and departures of targets. They are sent to the leader, and answered once the
+//! change is in force at the hosts, the departure is in the log, or the configuration here is known to be the
+//! newest.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -12,6 +13,9 @@
 const RESEND_INTERVAL: Duration = Duration::from_millis(300);
 /// Time before an unfinished change is answered as unknown.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time before a departure that is not recorded is answered as unknown: within the second after which targets call
+/// another host.
+const DEPARTURE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time before an unfinished read is answered as unknown.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -20,7 +24,7 @@
 enum CallKind {
     Change {
         command: Command,
-        /// Whether the leader knows that the hosts obey it.
+        /// Whether the leader knows that the hosts obey it, or that the log holds a departure.
         confirmed: bool,
     },
     /// A read, with the index that must be applied first; `None` until the leader has sent it.
@@ -34,7 +38,18 @@
     sent: Option<Duration>,
 }
 
-/// Unanswered operators' calls at one host.
+impl Call {
+    /// Returns the time after which it is answered as unknown.
+    fn timeout(&self) -> Duration {
+        match &self.kind {
+            CallKind::Change { command: Command::Depart { .. }, .. } => DEPARTURE_TIMEOUT,
+            CallKind::Change { .. } => CHANGE_TIMEOUT,
+            CallKind::Read(_) => READ_TIMEOUT,
+        }
+    }
+}
+
+/// Unanswered calls of operators and leaving targets at one host.
 #[derive(Debug, Default)]
 pub(crate) struct OperatorCalls {
     calls: BTreeMap<Tag, Call>,
@@ -57,7 +72,7 @@
         self.calls.insert(tag, Call { kind: CallKind::Read(None), since: now, sent: None });
     }
 
-    /// Records that the hosts obey a change.
+    /// Records that the hosts obey a change, or that the log holds a departure.
     pub(crate) fn confirm(&mut self, tag: Tag) {
         if let Some(call) = self.calls.get_mut(&tag)
             && let CallKind::Change { confirmed, .. } = &mut call.kind
@@ -119,10 +134,7 @@
                     Some(config) => Some(Reply::Config(config.body.clone())),
                     None => Some(Reply::Unknown),
                 },
-                CallKind::Change { .. } if now >= call.since + CHANGE_TIMEOUT => {
-                    Some(Reply::Unknown)
-                }
-                CallKind::Read(_) if now >= call.since + READ_TIMEOUT => Some(Reply::Unknown),
+                _ if now >= call.since + call.timeout() => Some(Reply::Unknown),
                 _ => None,
             };
             if let Some(reply) = reply {
--- a/coordination/fleet/src/replicated.rs
+++ b/coordination/fleet/src/replicated.rs
@@ -101,7 +101,17 @@
             }
             (Applied::Quarantine, _) => self.apply_quarantined(now),
             (Applied::Hosts, _) => self.apply_list(now),
-            (Applied::Version | Applied::Holder | Applied::Software | Applied::Unchanged, _) => {}
+            (Applied::Departure, Command::Depart { target, started_at }) => {
+                return self.apply_departure(now, &target, started_at);
+            }
+            (
+                Applied::Version
+                | Applied::Holder
+                | Applied::Software
+                | Applied::Departure
+                | Applied::Unchanged,
+                _,
+            ) => {}
         }
         self.configure_placement();
     }
@@ -120,6 +130,7 @@
                 self.apply_holders(now);
                 self.apply_quarantined(now);
                 self.apply_list(now);
+                self.apply_departures(now);
                 if newer {
                     self.config_applied(now, snapshot.index);
                 }
--- a/coordination/fleet/tests/common/records.rs
+++ b/coordination/fleet/tests/common/records.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use fleet::{Input, RequestKind, Route, SeenCrash, TargetQuery};
+use fleet::{Input, RequestKind, Route, SeenCrash, Tag, TargetQuery};
 use wire::{Suspect, TargetRecord, TargetState};
 
 use super::ms;
@@ -53,6 +53,6 @@
 }
 
 /// A deregistration that arrives when so many milliseconds have passed since the Unix epoch.
-pub fn deregistration(id: &str, started_at: Option<u64>, arrived_at: u64) -> Input {
-    Input::Deregistered { id: id.to_owned(), started_at, arrived_at }
+pub fn deregistration(tag: Tag, id: &str, started_at: Option<u64>, arrived_at: u64) -> Input {
+    Input::Deregistered { tag, id: id.to_owned(), started_at, arrived_at }
 }
--- a/coordination/fleet/tests/confirmations.rs
+++ b/coordination/fleet/tests/confirmations.rs
@@ -347,16 +347,19 @@
             for number in 0..20 {
                 let id = format!("t{number}");
                 let host = 7 + number;
-                let heartbeat =
-                    |sequence, state| Input::Heartbeat { record: target(&id, 1, sequence, state) };
-                world.input(host, heartbeat(1, TargetState::Ready));
-                world.run(HEARTBEAT);
-                world.input(host, heartbeat(2, TargetState::Ready));
-                world.run(HEARTBEAT);
-                world.input(host, heartbeat(3, TargetState::Leaving));
-                world.run(HEARTBEAT);
-                world.input(host + 20, heartbeat(4, TargetState::Leaving));
-                world.run(DRAIN_TIME - HEARTBEAT);
+                for sequence in 1..3 {
+                    let record = target(&id, 1, sequence, TargetState::Ready);
+                    world.input(host, Input::Heartbeat { record });
+                    world.run(HEARTBEAT);
+                }
+                for (host, sequence, span) in
+                    [(host, 3, HEARTBEAT), (host + 20, 4, DRAIN_TIME - HEARTBEAT)]
+                {
+                    let (tag, record) =
+                        (world.tag(), target(&id, 1, sequence, TargetState::Leaving));
+                    world.input(host, Input::Leaves { tag, record });
+                    world.run(span);
+                }
                 for host in world.running() {
                     let state = world.machines[&host].host.as_ref().expect("it runs");
                     let knows = state.targets().ready("s").all(|it| it.record.id != id);
--- a/coordination/fleet/tests/departures.rs
+++ b/coordination/fleet/tests/departures.rs
@@ -23,8 +23,10 @@
     Input::Heartbeat { record: target("t1", started_at, sequence, TargetState::Ready) }
 }
 
-fn leave(started_at: Option<u64>) -> Input {
-    deregistration("t1", started_at, ARRIVED_AT)
+/// The target deregisters at a host.
+fn leave(world: &mut World, host: HostId, started_at: Option<u64>) {
+    let tag = world.tag();
+    world.input(host, deregistration(tag, "t1", started_at, ARRIVED_AT));
 }
 
 fn users(world: &World) -> Vec<HostId> {
@@ -60,7 +62,7 @@
                 let mut world = world_with_target(seed);
                 world.run(ms(SILENCE_MS));
                 assert_eq!(users(&world), [], "seed {seed}: it is silent");
-                world.input(told, leave(named));
+                leave(&mut world, told, named);
                 if let Some(host) = restarted {
                     world.run(ms(1000));
                     world.kill(host);
@@ -85,10 +87,10 @@
         let mut world = world_with_target(seed);
         world.input(7, heartbeat(NEXT_START, 1));
         world.run(ms(500));
-        world.input(2, leave(Some(START)));
+        leave(&mut world, 2, Some(START));
         world.run(ms(DRAIN_MS));
         assert_eq!(users(&world).len(), 8, "seed {seed}: the successor is used");
-        world.input(2, leave(Some(NEXT_START)));
+        leave(&mut world, 2, Some(NEXT_START));
         world.input(6, heartbeat(START, 9));
         world.input(7, heartbeat(NEXT_START, 2));
         world.run(ms(DRAIN_MS));
@@ -111,10 +113,10 @@
             };
             world.run(ms(5000));
             if has_former {
-                world.input(6, leave(Some(START)));
+                leave(&mut world, 6, Some(START));
                 world.run(ms(500));
             }
-            world.input(4, leave(None));
+            leave(&mut world, 4, None);
             world.run(ms(2200));
             world.input(7, heartbeat(ARRIVED_AT, 2));
             world.run(ms(DRAIN_MS));
--- a/coordination/fleet/tests/departures_random.rs
+++ b/coordination/fleet/tests/departures_random.rs
@@ -1,16 +1,19 @@
 //! Targets that leave, die and start again under their names in random order, while heartbeats are held up or
-//! arrive late and hosts restart: no host uses a process that has left, and all use those that go on. Virtual
+//! arrive late and hosts restart, one, all at once or one after the other: no host uses a process that has left, and all use those that go on. Virtual
 //! time, fixed seeds; `DEPARTURE_SEEDS=FIRST-LAST` plays others.
 
 mod common;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use common::{
     World, ms,
     records::{deregistration, target},
 };
-use fleet::Input;
+use fleet::{Input, Reply};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use wire::{HostId, TargetRecord, TargetState};
@@ -69,11 +72,24 @@
     processes: Vec<Process>,
     /// When it was acknowledged that a process leaves, by target and start.
     left: BTreeMap<(usize, u64), Duration>,
+    /// Calls that say so and are not answered.
+    calls: Vec<Call>,
     /// Heartbeats under way, by the time of their arrival.
     held: Vec<(Duration, TargetRecord)>,
     /// When each host last started, and those that are down.
     started: BTreeMap<HostId, Duration>,
-    down: Option<(HostId, Duration)>,
+    down: Vec<(HostId, Duration)>,
+    /// When further hosts are killed, and which.
+    kills: VecDeque<(Duration, Vec<HostId>)>,
+}
+
+/// A call by which a target's process says that it leaves.
+struct Call {
+    host: HostId,
+    tag: u64,
+    target: usize,
+    started_at: u64,
+    since: Duration,
 }
 
 impl Model {
@@ -94,15 +110,19 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             processes: (0..TARGETS).map(process).collect(),
             left: BTreeMap::new(),
+            calls: Vec::new(),
             held: Vec::new(),
             started: BTreeMap::new(),
-            down: None,
+            down: Vec::new(),
+            kills: VecDeque::new(),
         }
     }
 
-    fn host(&mut self) -> HostId {
+    /// Returns a running host, if there is one.
+    fn host(&mut self) -> Option<HostId> {
         let hosts = self.world.running();
-        hosts[self.rng.random_range(0..hosts.len())]
+        let number = self.rng.random_range(0..hosts.len().max(1));
+        hosts.get(number).copied()
     }
 
     fn step(&mut self, has_trouble: bool) {
@@ -112,9 +132,9 @@
             std::mem::take(&mut self.held).into_iter().partition(|(at, _)| *at <= now);
         self.held = held;
         for (_, record) in due {
-            let host = self.host();
-            self.arrive(host, record);
+            self.arrive(record);
         }
+        self.take_replies();
         for number in 0..TARGETS {
             self.run_process(number, has_trouble);
         }
@@ -123,17 +143,52 @@
     }
 
     /// A heartbeat arrives. One that says that its target leaves counts once it was acknowledged.
-    fn arrive(&mut self, host: HostId, record: TargetRecord) {
-        let state = self.world.machines[&host].host.as_ref().expect("it runs");
-        let leaves = record.state == TargetState::Leaving;
-        if leaves && !state.can_announce() {
-            return;
+    fn arrive(&mut self, record: TargetRecord) {
+        let Some(host) = self.host() else { return };
+        if record.state != TargetState::Leaving {
+            return self.world.input(host, Input::Heartbeat { record });
         }
-        if leaves {
+        let state = self.world.machines[&host].host.as_ref().expect("it runs");
+        if state.can_announce() {
             let number = record.id[1..].parse().expect("a number");
-            self.left.entry((number, record.started_at)).or_insert(self.world.now);
+            let tag = self.call(host, number, record.started_at);
+            self.world.input(host, Input::Leaves { tag, record });
+        }
+    }
+
+    fn call(&mut self, host: HostId, target: usize, started_at: u64) -> u64 {
+        let (tag, since) = (self.world.tag(), self.world.now);
+        self.calls.push(Call { host, tag, target, started_at, since });
+        tag
+    }
+
+    /// Notes which processes were acknowledged to leave. A target waits a second for that.
+    fn take_replies(&mut self) {
+        let now = self.world.now;
+        for call in std::mem::take(&mut self.calls) {
+            let reply = self.world.machines[&call.host].replies.get(&call.tag);
+            if matches!(reply, Some(Reply::InForce)) {
+                self.acknowledged(call.target, call.started_at);
+            } else if reply.is_none() && now < call.since + ms(1000) {
+                self.calls.push(call);
+            }
+        }
+    }
+
+    fn acknowledged(&mut self, number: usize, started_at: u64) {
+        let now = self.world.now;
+        self.left.entry((number, started_at)).or_insert(now);
+        let next = now + ms(self.rng.random_range(3000..9000));
+        let process = &mut self.processes[number];
+        match process.life {
+            _ if process.started_at != started_at => {}
+            // It serves for a while, then deregisters.
+            Life::Drains => process.life = Life::Deregisters { names_start: true },
+            Life::Deregisters { .. } => {
+                (process.life, process.followed_at) = (Life::Over, Some(next));
+            }
+            Life::Runs | Life::Over => {}
         }
-        self.world.input(host, Input::Heartbeat { record });
     }
 
     fn run_process(&mut self, number: usize, has_trouble: bool) {
@@ -199,20 +254,16 @@
             self.held.push((at, record));
             return;
         }
-        let host = self.host();
-        self.arrive(host, record);
-        // It serves for a while, then deregisters.
-        if self.left.contains_key(&(number, self.processes[number].started_at)) {
-            self.processes[number].life = Life::Deregisters { names_start: true };
-        }
+        self.arrive(record);
     }
 
     fn deregister(&mut self, number: usize, names_start: bool) {
         let now = self.world.now;
-        if now < self.processes[number].cut_until {
+        if now < self.processes[number].cut_until || self.calls.iter().any(|it| it.target == number)
+        {
             return;
         }
-        let host = self.host();
+        let Some(host) = self.host() else { return };
         let (id, started_at) = (format!("t{number}"), self.processes[number].started_at);
         let named = names_start.then_some(started_at);
         let skew = self.rng.random_range(0..MAX_SKEW_MS);
@@ -220,32 +271,55 @@
         if !state.can_deregister(&id, named) {
             return;
         }
-        let next = now + ms(self.rng.random_range(3000..9000));
-        let process = &mut self.processes[number];
-        (process.life, process.followed_at) = (Life::Over, Some(next));
-        self.left.entry((number, started_at)).or_insert(now);
-        self.world.input(host, deregistration(&id, named, unix_ms(now) + skew));
+        let tag = self.call(host, number, started_at);
+        self.world.input(host, deregistration(tag, &id, named, unix_ms(now) + skew));
     }
 
-    /// Kills a host now and then, one at a time, and starts it again.
+    /// Starts hosts again, and kills others now and then: one, all at once, or one after the other.
     fn restart_hosts(&mut self, has_trouble: bool) {
         let now = self.world.now;
-        match self.down {
-            Some((host, until)) if now >= until => {
-                self.world.start(host);
-                self.started.insert(host, now);
-                self.down = None;
+        let (back, down): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.down).into_iter().partition(|(_, until)| now >= *until);
+        self.down = down;
+        for (host, _) in back {
+            self.world.start(host);
+            self.started.insert(host, now);
+        }
+        if !has_trouble {
+            self.kills.clear();
+        }
+        while self.kills.front().is_some_and(|(at, _)| now >= *at) {
+            let Some((_, hosts)) = self.kills.pop_front() else { return };
+            let span = if hosts.len() > 1 { 100..900 } else { 100..3000 };
+            let until = now + ms(self.rng.random_range(span));
+            for host in hosts {
+                self.world.kill(host);
+                self.down.push((host, until));
             }
-            Some(_) => {}
-            None => {
-                let last = self.started.values().max().copied().unwrap_or_default();
-                let is_settled = now > last + ms(6000);
-                if has_trouble && is_settled && self.rng.random_bool(0.01) {
-                    let host = self.host();
-                    self.world.kill(host);
-                    self.down = Some((host, now + ms(self.rng.random_range(100..3000))));
+        }
+        let last = self.started.values().max().copied().unwrap_or_default();
+        let is_settled = now > last + ms(6000) && self.down.is_empty() && self.kills.is_empty();
+        if has_trouble && is_settled && self.rng.random_bool(0.01) {
+            self.plan_kills();
+        }
+    }
+
+    fn plan_kills(&mut self) {
+        let now = self.world.now;
+        let hosts = self.world.running();
+        match self.rng.random_range(0..6) {
+            0 => self.kills.push_back((now, hosts)),
+            1 => self.kills.extend([(now, hosts.clone()), (now + ms(2500), hosts)]),
+            2 => {
+                let step = ms(self.rng.random_range(1500..3500));
+                for (number, host) in (0..).zip(hosts) {
+                    self.kills.push_back((now + step * number, vec![host]));
                 }
             }
+            _ => {
+                let number = self.rng.random_range(0..hosts.len());
+                self.kills.push_back((now, vec![hosts[number]]));
+            }
         }
     }
 
--- a/coordination/fleet/tests/hosts.rs
+++ b/coordination/fleet/tests/hosts.rs
@@ -247,7 +247,8 @@
             let leader = world.leader().expect("a leader");
             world.kill(leader);
         }
-        world.input(7, heartbeat(2, TargetState::Leaving));
+        let (tag, record) = (world.tag(), target("t1", 5, 2, TargetState::Leaving));
+        world.input(7, Input::Leaves { tag, record });
         world.run(ms(500));
         for host in world.running() {
             assert!(!sees_target(&world, host, "t1"), "host {host}, leaderless {leaderless}");
@@ -284,7 +285,8 @@
             waited += ms(10);
             assert!(waited < ms(3000), "seed {seed}");
         }
-        world.input(7, deregistration("t1", None, ARRIVED_AT));
+        let tag = world.tag();
+        world.input(7, deregistration(tag, "t1", None, ARRIVED_AT));
         world.run(ms(100));
         for host in world.running() {
             assert!(!sees_target(&world, host, "t1"), "seed {seed}, host {host}");
--- a/coordination/fleet/tests/restarts.rs
+++ b/coordination/fleet/tests/restarts.rs
@@ -8,7 +8,8 @@
     World, ms,
     records::{deregistration, target},
 };
-use fleet::Input;
+use desired::{Command, Desired};
+use fleet::{Input, Reply};
 use wire::{FleetMsg, HostId, PeerMsg, TargetState};
 
 /// The time of day at which calls arrive, later than the start of any target.
@@ -26,9 +27,8 @@
     world.running().into_iter().filter(|host| uses(world, *host, id)).collect()
 }
 
-/// A target has left, then some hosts restart, and a heartbeat that the target sent before arrives at one of
-/// them. Returns the hosts that use the target after the time to drain.
-fn users_after(seed: u64, restarted: &[HostId], leaves: bool) -> Vec<HostId> {
+/// A world of eight hosts, a while after one of them has acknowledged that a target leaves or has ended.
+fn world_with_left_target(seed: u64, leaves: bool, since: Duration) -> World {
     let mut world = World::new(seed, 3, 5, &[1, 2, 3]);
     world.run(ms(5000));
     for sequence in 1..4 {
@@ -37,14 +37,26 @@
         world.run(ms(300));
     }
     if leaves {
-        let record = target("t1", 5, 9, TargetState::Leaving);
-        world.input(6, Input::Heartbeat { record });
+        let (tag, record) = (world.tag(), target("t1", 5, 9, TargetState::Leaving));
+        world.input(6, Input::Leaves { tag, record });
     } else {
-        world.input(6, deregistration("t1", None, ARRIVED_AT));
+        let tag = world.tag();
+        world.input(6, deregistration(tag, "t1", None, ARRIVED_AT));
     }
-    // Longer than the news of its end is repeated.
-    world.run(ms(3000));
+    // Until it is acknowledged.
+    while world.machines[&6].replies.is_empty() {
+        world.run(ms(1));
+    }
+    world.run(since);
     assert_eq!(users(&world, "t1"), [], "seed {seed}: before the restart");
+    world
+}
+
+/// A target has left, then some hosts restart, and a heartbeat that the target sent before arrives at one of
+/// them. Returns the hosts that use the target after the time to drain.
+fn users_after(seed: u64, restarted: &[HostId], leaves: bool) -> Vec<HostId> {
+    // Longer than the news of its end is repeated.
+    let mut world = world_with_left_target(seed, leaves, ms(3000));
     for &host in restarted {
         world.kill(host);
     }
@@ -76,6 +88,98 @@
     }
 }
 
+/// Guards against a target that has left and is used again because nobody knows any more that it left: what was
+/// known of it was in memory only. Load pattern: all hosts are killed at once, shortly after the acknowledgement or
+/// long after it, once or twice, or one after the other; a heartbeat that the target sent before arrives at one of
+/// them or at all, soon after they are back or late (review/9).
+#[test]
+fn a_target_that_left_stays_away_after_all_hosts_restart() {
+    let all: Vec<HostId> = (1..=8).collect();
+    let at_once = [all.clone()].to_vec();
+    let twice = [all.clone(), all.clone()].to_vec();
+    let one_by_one: Vec<Vec<HostId>> = all.iter().map(|it| vec![*it]).collect();
+    for seed in 0..3 {
+        for (kills, soon) in [(&at_once, 20), (&at_once, 300), (&twice, 300), (&one_by_one, 300)] {
+            for (leaves, late_ms) in [(false, 3500), (true, 3500), (false, 8500)] {
+                let mut world = world_with_left_target(seed, leaves, ms(soon));
+                for hosts in kills {
+                    hosts.iter().for_each(|host| world.kill(*host));
+                    world.run(ms(500));
+                    hosts.iter().for_each(|host| world.start(*host));
+                    world.run(ms(1500));
+                }
+                world.run(ms(late_ms - 1500));
+                let receivers = if late_ms > 5000 { &all[..] } else { &all[1..2] };
+                for &host in receivers {
+                    let record = target("t1", 5, 4, TargetState::Ready);
+                    world.input(host, Input::Heartbeat { record });
+                }
+                world.run(DRAIN);
+                let case = format!(
+                    "seed {seed}, {kills:?}, {soon} ms, leaves: {leaves}, late {late_ms} ms"
+                );
+                assert_eq!(users(&world, "t1"), [], "{case}");
+            }
+        }
+    }
+}
+
+/// Guards against an acknowledgement that no disk keeps: hosts stop using a target that leaves while most hosts with
+/// disks are down, but the target is told so only once a majority keeps it.
+#[test]
+fn a_target_that_leaves_is_acknowledged_once_a_majority_keeps_it() {
+    for leaves in [false, true] {
+        let mut world = World::new(1, 3, 5, &[1, 2, 3]);
+        world.run(ms(5000));
+        let record = target("t1", 5, 1, TargetState::Ready);
+        world.input(6, Input::Heartbeat { record });
+        world.run(ms(300));
+        let leader = world.leader().expect("a leader");
+        let followers: Vec<HostId> = (1..=3).filter(|it| *it != leader).collect();
+        followers.iter().for_each(|host| world.kill(*host));
+        let call = |world: &mut World, host| {
+            let tag = world.tag();
+            let record = target("t1", 5, 9, TargetState::Leaving);
+            let input = match leaves {
+                true => Input::Leaves { tag, record },
+                false => deregistration(tag, "t1", Some(5), ARRIVED_AT),
+            };
+            world.input(host, input);
+            world.run(ms(1000));
+            world.machines[&host].replies.get(&tag).map(|it| matches!(it, Reply::InForce))
+        };
+        assert_eq!(call(&mut world, 6), Some(false), "leaves: {leaves}");
+        assert_eq!(users(&world, "t1"), [], "leaves: {leaves}");
+        followers.iter().for_each(|host| world.start(*host));
+        world.run(ms(3000));
+        assert_eq!(call(&mut world, 7), Some(true), "leaves: {leaves}");
+    }
+}
+
+/// Returns the names of the targets whose departures a snapshot of a host holds that is taken now.
+fn recorded_departures(world: &mut World, host: HostId) -> Vec<String> {
+    // Enough changes for a snapshot.
+    for version in 1..40 {
+        let (tag, adapter) = (world.tag(), format!("m/a{}", world.now.as_millis()));
+        world.input(host, Input::Change { tag, command: Command::Version { adapter, version } });
+        world.run(ms(50));
+    }
+    let disk = world.machines[&host].disk.as_ref().expect("it has a disk");
+    let snapshot = disk.snapshot.as_ref().expect("a snapshot was taken");
+    let state = Desired::decode(&snapshot.state).expect("it can be read");
+    state.departures.into_keys().collect()
+}
+
+/// Guards against departures that stay in the state of all hosts for good.
+#[test]
+fn the_log_drops_departures_after_some_minutes() {
+    let mut world = world_with_left_target(2, true, ms(1000));
+    world.run(ms(60_000));
+    assert_eq!(recorded_departures(&mut world, 1), ["t1"]);
+    world.run(ms(240_000));
+    assert_eq!(recorded_departures(&mut world, 1), [""; 0]);
+}
+
 /// Guards against a lease that a restarted host takes for granted, because the answer to a renewal of its
 /// former process arrives: the host would go on giving orders after another holder was named.
 #[test]
--- a/edge/src/control.rs
+++ b/edge/src/control.rs
@@ -64,10 +64,10 @@
         return put_version(&edge, &body).await;
     }
     if let Some(id) = path.strip_prefix(registry::HEARTBEAT_PATH) {
-        return heartbeat(&edge, id, &body);
+        return heartbeat(&edge, id, &body).await;
     }
     if let Some(id) = path.strip_prefix(registry::DEREGISTER_PATH) {
-        return deregister(&edge, id, &body);
+        return deregister(&edge, id, &body).await;
     }
     empty(StatusCode::NOT_FOUND)
 }
@@ -123,23 +123,29 @@
     }
 }
 
-fn heartbeat(edge: &Rc<Edge>, id: &str, body: &[u8]) -> Answer {
+async fn heartbeat(edge: &Rc<Edge>, id: &str, body: &[u8]) -> Answer {
     let record = match registry::read_heartbeat(id, body) {
         Ok(record) => record,
         Err(cause) => return reject_call(edge, &format!("heartbeat of {id}: {cause}")),
     };
-    if record.state == TargetState::Leaving && !edge.host.borrow().can_announce() {
-        return empty(StatusCode::SERVICE_UNAVAILABLE);
-    }
     let domain = record.domain.clone();
-    edge.step(Input::Heartbeat { record });
+    if record.state == TargetState::Leaving {
+        if !edge.host.borrow().can_announce() {
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        if edge.call(|tag| Input::Leaves { tag, record }).await != Reply::InForce {
+            return unrecorded(edge, id);
+        }
+    } else {
+        edge.step(Input::Heartbeat { record });
+    }
     let host = edge.host.borrow();
     let next = host.holder(&domain).or(host.leader()).zip(host.settings().control);
     let next = next.map(|(holder, own)| edge.addr_of(holder, own).to_string());
     json(StatusCode::OK, registry::heartbeat_answer(next))
 }
 
-fn deregister(edge: &Rc<Edge>, id: &str, body: &[u8]) -> Answer {
+async fn deregister(edge: &Rc<Edge>, id: &str, body: &[u8]) -> Answer {
     let started_at = match registry::read_deregistration(body) {
         Ok(started_at) => started_at,
         Err(cause) => return reject_call(edge, &format!("deregistration of {id}: {cause}")),
@@ -147,8 +153,19 @@
     if !edge.host.borrow().can_deregister(id, started_at) {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     }
-    edge.step(Input::Deregistered { id: id.to_owned(), started_at, arrived_at: unix_ms() });
-    json(StatusCode::OK, "{}")
+    let (id, arrived_at) = (id.to_owned(), unix_ms());
+    let target = id.clone();
+    match edge.call(|tag| Input::Deregistered { tag, id, started_at, arrived_at }).await {
+        Reply::InForce => json(StatusCode::OK, "{}"),
+        Reply::Config(_) | Reply::Unknown => unrecorded(edge, &target),
+    }
+}
+
+/// Answers a target that leaves, which was told to all hosts but is not known to be in the log: the target
+/// calls another host.
+fn unrecorded(edge: &Edge, id: &str) -> Answer {
+    edge.log.event(&Event::DepartureUnrecorded { target: id.to_owned() });
+    empty(StatusCode::SERVICE_UNAVAILABLE)
 }
 
 /// Rejects a target's call that could not be read.
--- a/edge/tests/common/paced.rs
+++ b/edge/tests/common/paced.rs
@@ -15,6 +15,7 @@
     net::{TcpListener, TcpStream, tcp::ReadHalf},
     time::sleep,
 };
+use wire::TargetRecord;
 
 use super::{ReceivedRequest, ip, read_request, send_heartbeats, signed_head, target_record};
 
@@ -49,11 +50,17 @@
 impl PacedTarget {
     /// Starts it, with heartbeats to the hosts' control addresses.
     pub async fn start(net: u8, number: u8, service: &str, control: Vec<SocketAddr>) -> Self {
+        let (target, record) = PacedTarget::start_silent(net, number, service).await;
+        tokio::spawn(send_heartbeats(record, control, Vec::new));
+        target
+    }
+
+    /// Starts it without heartbeats, and returns its record.
+    pub async fn start_silent(net: u8, number: u8, service: &str) -> (Self, TargetRecord) {
         let addr = format!("{}:8080", ip(net, 100 + number));
         let listener = Arc::new(TcpListener::bind(&addr).await.expect("the address is free"));
         let mut record = target_record(number, service, addr);
         record.slots = 400;
-        tokio::spawn(send_heartbeats(record, control, Vec::new));
         let target = PacedTarget { listener, runs: Arc::default() };
         let own = target.clone();
         tokio::spawn(async move {
@@ -62,7 +69,7 @@
                 tokio::spawn(own.clone().serve(stream, from));
             }
         });
-        target
+        (target, record)
     }
 
     /// Whether it has begun to run an attempt.
--- a/state/desired/src/lib.rs
+++ b/state/desired/src/lib.rs
@@ -1,5 +1,5 @@
 //! The desired state of the users' machines: the configuration with the highest number, the
-//! newest version of each adapter, and the holder of each failure domain.
+//! newest version of each adapter, the holder of each failure domain, and the targets that have left.
 //!
 //! The holder of a failure domain is the host that may send load and unload orders to the
 //! targets there. The state is replicated: every host applies the same commands in log order.
@@ -19,6 +19,9 @@
 /// Maximum number of quarantined suspects; the one that was quarantined first is dropped first.
 pub const MAX_QUARANTINED: usize = 1024;
 
+/// Maximum number of departures; the earliest is dropped first.
+pub const MAX_DEPARTURES: usize = 4096;
+
 /// A change of the desired state. The log stores the number of the variant, so new ones come last.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
@@ -79,6 +82,18 @@
         /// Hosts to drop.
         dropped: Vec<HostId>,
     },
+    /// Records that a target's process takes no more requests, nor do those before it under its name.
+    Depart {
+        /// Name of the target.
+        target: String,
+        /// When the process started, in milliseconds since the Unix epoch.
+        started_at: u64,
+    },
+    /// Drops the departures that were recorded up to a log index.
+    DropDepartures {
+        /// The log index.
+        up_to: Index,
+    },
 }
 
 /// The default software version of a service's targets: streams without a record began at it.
@@ -114,6 +129,15 @@
     pub must_wait: bool,
 }
 
+/// The last process of a target that is known to take no more requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// When the process started, in milliseconds since the Unix epoch.
+    pub started_at: u64,
+    /// Log index of the command that recorded it.
+    pub index: Index,
+}
+
 /// A configuration with its number.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
@@ -154,6 +178,8 @@
     Software,
     /// The list of hosts has changed.
     Hosts,
+    /// A target's process takes no more requests.
+    Departure,
     /// Nothing changed: the same or a higher number or version is in force, or the command only
     /// marks a holder as begun.
     Unchanged,
@@ -175,6 +201,19 @@
     /// The hosts that obey the configuration in force, for leaders that have just started. Empty
     /// before a leader has listed them.
     pub hosts: BTreeSet<HostId>,
+    /// The targets that have left lately. Heartbeats that they sent before may still arrive.
+    pub departures: BTreeMap<String, Departure>,
+}
+
+/// The desired state as it was stored before it had departures.
+#[derive(Deserialize)]
+struct WithoutDepartures {
+    config: Option<Document>,
+    versions: BTreeMap<String, u64>,
+    holders: BTreeMap<DomainId, Holder>,
+    quarantined: BTreeMap<Suspect, Quarantined>,
+    software: BTreeMap<String, DefaultSoftware>,
+    hosts: BTreeSet<HostId>,
 }
 
 /// The desired state as it was stored before it had a list of hosts.
@@ -205,8 +244,8 @@
 }
 
 impl Desired {
-    /// Decodes a stored state, also one of a release without quarantined suspects, software versions
-    /// or a list of hosts.
+    /// Decodes a stored state, also one of a release without quarantined suspects, software versions,
+    /// a list of hosts or departures.
     ///
     /// # Errors
     ///
@@ -216,10 +255,16 @@
             Ok(desired) => return Ok(desired),
             Err(error) => error,
         };
+        if let Ok(former) = decode_state::<WithoutDepartures>(bytes) {
+            let WithoutDepartures { config, versions, holders, quarantined, software, hosts } =
+                former;
+            let known = Desired { config, versions, holders, quarantined, ..Desired::default() };
+            return Ok(Desired { software, hosts, ..known });
+        }
         if let Ok(former) = decode_state::<WithoutHosts>(bytes) {
             let WithoutHosts { config, versions, holders, quarantined, software } = former;
-            let hosts = BTreeSet::new();
-            return Ok(Desired { config, versions, holders, quarantined, software, hosts });
+            let known = Desired { config, versions, holders, quarantined, ..Desired::default() };
+            return Ok(Desired { software, ..known });
         }
         if let Ok(former) = decode_state::<WithoutSoftware>(bytes) {
             let WithoutSoftware { config, versions, holders, quarantined } = former;
@@ -269,6 +314,11 @@
                 }
                 Applied::Hosts
             }
+            Command::Depart { target, started_at } => self.depart(index, target, started_at),
+            Command::DropDepartures { up_to } => {
+                self.departures.retain(|_, it| it.index > up_to);
+                Applied::Unchanged
+            }
         }
     }
 
@@ -293,6 +343,12 @@
                 added.iter().all(|it| self.hosts.contains(it))
                     && !dropped.iter().any(|it| self.hosts.contains(it))
             }
+            Command::Depart { target, started_at } => {
+                self.departures.get(target).is_some_and(|it| it.started_at >= *started_at)
+            }
+            Command::DropDepartures { up_to } => {
+                !self.departures.values().any(|it| it.index <= *up_to)
+            }
         }
     }
 
@@ -316,6 +372,20 @@
         Applied::Quarantine
     }
 
+    fn depart(&mut self, index: Index, target: String, started_at: u64) -> Applied {
+        if self.departures.get(&target).is_some_and(|it| it.started_at >= started_at) {
+            return Applied::Unchanged;
+        }
+        self.departures.insert(target, Departure { started_at, index });
+        if self.departures.len() > MAX_DEPARTURES {
+            let earliest = self.departures.iter().min_by_key(|(_, it)| it.index);
+            if let Some(earliest) = earliest.map(|(target, _)| target.clone()) {
+                self.departures.remove(&earliest);
+            }
+        }
+        Applied::Departure
+    }
+
     fn replace(&mut self, number: u64, body: Bytes) -> Applied {
         if self.number() >= Some(number) {
             return Applied::Unchanged;
--- a/state/desired/tests/desired.rs
+++ b/state/desired/tests/desired.rs
@@ -2,7 +2,7 @@
 //! configuration is unchanged after it is packed and unpacked.
 
 use bytes::Bytes;
-use desired::{Applied, Command, DefaultSoftware, Desired};
+use desired::{Applied, Command, DefaultSoftware, Desired, MAX_DEPARTURES};
 use wire::{HostId, Incarnation, Suspect};
 
 fn replace(number: u64, body: &'static str) -> Command {
@@ -86,18 +86,19 @@
 }
 
 /// Guards against a stored state of an earlier release that can't be read any more: it ends before
-/// the list of hosts, the software versions, or the quarantined suspects.
+/// the departures, the list of hosts, the software versions, or the quarantined suspects.
 #[test]
 fn states_of_earlier_releases_are_read() {
     let mut state = Desired::default();
     state.apply(1, replace(7, "seven"));
     state.apply(4, hold(1, 10));
     let bytes = wire::encode(&state);
-    let (former, empty_tables) = bytes.split_at(bytes.len() - 3);
-    assert_eq!(empty_tables, [0, 0, 0]);
+    let (former, empty_tables) = bytes.split_at(bytes.len() - 4);
+    assert_eq!(empty_tables, [0, 0, 0, 0]);
     assert_eq!(Desired::decode(former).expect("without suspects"), state);
-    assert_eq!(Desired::decode(&bytes[..bytes.len() - 2]).expect("without versions"), state);
-    assert_eq!(Desired::decode(&bytes[..bytes.len() - 1]).expect("without hosts"), state);
+    assert_eq!(Desired::decode(&bytes[..bytes.len() - 3]).expect("without versions"), state);
+    assert_eq!(Desired::decode(&bytes[..bytes.len() - 2]).expect("without hosts"), state);
+    assert_eq!(Desired::decode(&bytes[..bytes.len() - 1]).expect("without departures"), state);
     assert_eq!(Desired::decode(&bytes).expect("the present form"), state);
     assert!(Desired::decode(&former[..former.len() - 1]).is_err());
 }
@@ -130,9 +131,11 @@
         Command::Release { suspect },
         Command::SetSoftware { service: "s".to_owned(), software },
         Command::ListHosts { added: vec![1], dropped: vec![2] },
+        Command::Depart { target: "t".to_owned(), started_at: 5 },
+        Command::DropDepartures { up_to: 6 },
     ];
     let numbers: Vec<u8> = commands.iter().map(|it| wire::encode(it)[0]).collect();
-    assert_eq!(numbers, [0, 1, 2, 3, 4, 5, 6, 7]);
+    assert_eq!(numbers, [0, 1, 2, 3, 4, 5, 6, 7, 8, 9]);
 }
 
 #[test]
@@ -145,3 +148,29 @@
     state.apply(2, Command::ListHosts { added: vec![3], dropped: vec![1] });
     assert_eq!(state.hosts, [2, 3].into());
 }
+
+/// Guards against a departure that is undone by one of a former process, and against departures that are dropped
+/// in the order of names, or kept without a bound.
+#[test]
+fn departures_are_kept_by_start_and_dropped_by_age() {
+    let mut state = Desired::default();
+    let depart = |number: usize, started_at| {
+        let target = format!("t{:05}", MAX_DEPARTURES - number);
+        Command::Depart { target, started_at }
+    };
+    assert_eq!(state.apply(1, depart(0, 7)), Applied::Departure);
+    assert!(state.is_redundant(&depart(0, 7)) && state.is_redundant(&depart(0, 6)));
+    assert_eq!(state.apply(2, depart(0, 6)), Applied::Unchanged);
+    assert!(!state.is_redundant(&depart(0, 8)));
+    for number in 1..=MAX_DEPARTURES {
+        state.apply(2 + number as u64, depart(number, 7));
+    }
+    assert_eq!(state.departures.len(), MAX_DEPARTURES);
+    assert!(!state.is_redundant(&depart(0, 7)), "the earliest was dropped");
+    assert!(state.is_redundant(&depart(1, 7)));
+    let drop = Command::DropDepartures { up_to: 4 };
+    assert!(!state.is_redundant(&drop));
+    state.apply(9000, drop.clone());
+    assert!(state.is_redundant(&drop) && state.is_redundant(&depart(3, 7)));
+    assert_eq!(state.departures.len(), MAX_DEPARTURES - 2);
+}
