fleet: departures in a module of their own; desired: former states are built on each other

Five forms of the stored state listed the same fields; each is now the one before and its new table, with the same bytes (states_of_earlier_releases_are_read). What departures add to heartbeats and to the leader is one file.

--- a/coordination/fleet/src/heartbeats.rs
+++ b/coordination/fleet/src/heartbeats.rs
@@ -1,11 +1,9 @@
 //! Heartbeats and deregistrations of targets, and their distribution to the other hosts.
 //!
-//! That a target takes no more requests is told to all hosts at once, and recorded in the log before the target
-//! gets its acknowledgement: heartbeats that it sent before may arrive after all processes have been killed.
+//! That a target takes no more requests is told to all hosts at once; the log keeps it.
 
 use std::time::Duration;
 
-use desired::Command;
 use wire::{FleetMsg, HostId, TargetRecord, TargetState};
 
 use crate::{
@@ -52,36 +50,6 @@
         self.record_departure(now, tag, target, started_at);
     }
 
-    /// Records in the log that a target's process takes no more requests, and answers the call that said so.
-    fn record_departure(&mut self, now: Duration, tag: Tag, target: String, started_at: u64) {
-        let command = Command::Depart { target, started_at };
-        let is_recorded = self.desired.is_redundant(&command);
-        self.operator_calls.change(now, tag, command);
-        if is_recorded {
-            self.operator_calls.confirm(tag);
-        }
-    }
-
-    /// Applies the departures in the log.
-    pub(crate) fn apply_departures(&mut self, now: Duration) {
-        let departures: Vec<(String, u64)> =
-            self.desired.departures.iter().map(|(id, it)| (id.clone(), it.started_at)).collect();
-        for (id, started_at) in departures {
-            self.apply_departure(now, &id, started_at);
-        }
-    }
-
-    /// Sends no more requests to a target's process, by the log. Where that process isn't in use, it counts as
-    /// ended: no request of this host is in progress there.
-    pub(crate) fn apply_departure(&mut self, now: Duration, id: &str, started_at: u64) {
-        let known = self.targets.get(id).map(|it| &it.record);
-        let record = match known.filter(|it| it.started_at == started_at) {
-            Some(known) => TargetRecord { state: TargetState::Leaving, ..known.clone() },
-            None => self.targets.complete_ending(id, started_at),
-        };
-        self.update_target(now, &record);
-    }
-
     /// Whether this host can tell all others of a target that takes no more requests. A host that has
     /// just started doesn't know them.
     pub fn can_announce(&self) -> bool {
--- a/coordination/fleet/src/lead.rs
+++ b/coordination/fleet/src/lead.rs
@@ -17,7 +17,6 @@
     Event, Host,
     confirm::{Confirmations, ConfirmedWhen},
     feed::FeedWriter,
-    former::ENDED_LIFE,
     holder::{HOLD_LEASES, HOLDER_MARGIN},
     io::Tag,
     operator::PendingRead,
@@ -63,7 +62,7 @@
     /// The latest proposed change of the list of hosts.
     pub(crate) list_proposed: Option<Command>,
     /// A log index, and when departures up to it were known here.
-    departures_seen: Option<(Duration, Index)>,
+    pub(crate) departures_seen: Option<(Duration, Index)>,
     pending_reads: Vec<PendingRead>,
     pub(crate) software: SoftwareWatch,
 }
@@ -285,23 +284,6 @@
         self.drop_departures(now);
     }
 
-    /// Proposes to drop the departures that have been in the log for so long that no heartbeat from before them
-    /// can be under way.
-    fn drop_departures(&mut self, now: Duration) {
-        let Some(leading) = &mut self.leading else { return };
-        let newest = self.desired.departures.values().map(|it| it.index).max();
-        match (leading.departures_seen, newest) {
-            (_, None) => leading.departures_seen = None,
-            (None, Some(newest)) => leading.departures_seen = Some((now, newest)),
-            (Some((at, up_to)), Some(_)) if now >= at + ENDED_LIFE => {
-                leading.departures_seen = None;
-                let command = Command::DropDepartures { up_to };
-                self.step_log(now, LogInput::Propose(encode(&command).into()));
-            }
-            (Some(_), Some(_)) => {}
-        }
-    }
-
     /// Number of voters needed to tolerate the loss of `tolerated` of them at once.
     fn voters_needed(&self) -> usize {
         2 * self.settings.tolerated_losses + 1
--- a/coordination/fleet/src/lib.rs
+++ b/coordination/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod confirm;
 mod connections;
 mod crash_reports;
+mod departures;
 mod event;
 mod exchange;
 mod feed;
--- a/state/desired/src/lib.rs
+++ b/state/desired/src/lib.rs
@@ -205,42 +205,57 @@
     pub departures: BTreeMap<String, Departure>,
 }
 
-/// The desired state as it was stored before it had departures.
+/// The desired state as the first release stored it. Later ones added tables at the end.
 #[derive(Deserialize)]
-struct WithoutDepartures {
+struct FirstState {
     config: Option<Document>,
     versions: BTreeMap<String, u64>,
     holders: BTreeMap<DomainId, Holder>,
+}
+
+/// The desired state as it was stored before it had software versions.
+#[derive(Deserialize)]
+struct WithoutSoftware {
+    first: FirstState,
     quarantined: BTreeMap<Suspect, Quarantined>,
-    software: BTreeMap<String, DefaultSoftware>,
-    hosts: BTreeSet<HostId>,
 }
 
 /// The desired state as it was stored before it had a list of hosts.
 #[derive(Deserialize)]
 struct WithoutHosts {
-    config: Option<Document>,
-    versions: BTreeMap<String, u64>,
-    holders: BTreeMap<DomainId, Holder>,
-    quarantined: BTreeMap<Suspect, Quarantined>,
+    former: WithoutSoftware,
     software: BTreeMap<String, DefaultSoftware>,
 }
 
-/// The desired state as it was stored before it had software versions.
+/// The desired state as it was stored before it had departures.
 #[derive(Deserialize)]
-struct WithoutSoftware {
-    config: Option<Document>,
-    versions: BTreeMap<String, u64>,
-    holders: BTreeMap<DomainId, Holder>,
-    quarantined: BTreeMap<Suspect, Quarantined>,
+struct WithoutDepartures {
+    former: WithoutHosts,
+    hosts: BTreeSet<HostId>,
 }
 
-/// The desired state as it was stored before it had quarantined suspects.
-#[derive(Deserialize)]
-struct WithoutQuarantine {
-    config: Option<Document>,
-    versions: BTreeMap<String, u64>,
-    holders: BTreeMap<DomainId, Holder>,
+impl From<FirstState> for Desired {
+    fn from(FirstState { config, versions, holders }: FirstState) -> Desired {
+        Desired { config, versions, holders, ..Desired::default() }
+    }
+}
+
+impl From<WithoutSoftware> for Desired {
+    fn from(WithoutSoftware { first, quarantined }: WithoutSoftware) -> Desired {
+        Desired { quarantined, ..first.into() }
+    }
+}
+
+impl From<WithoutHosts> for Desired {
+    fn from(WithoutHosts { former, software }: WithoutHosts) -> Desired {
+        Desired { software, ..former.into() }
+    }
+}
+
+impl From<WithoutDepartures> for Desired {
+    fn from(WithoutDepartures { former, hosts }: WithoutDepartures) -> Desired {
+        Desired { hosts, ..former.into() }
+    }
 }
 
 impl Desired {
@@ -251,28 +266,14 @@
     ///
     /// If the bytes are neither.
     pub fn decode(bytes: &[u8]) -> Result<Desired, DecodeError> {
-        let error = match decode_state(bytes) {
-            Ok(desired) => return Ok(desired),
-            Err(error) => error,
-        };
-        if let Ok(former) = decode_state::<WithoutDepartures>(bytes) {
-            let WithoutDepartures { config, versions, holders, quarantined, software, hosts } =
-                former;
-            let known = Desired { config, versions, holders, quarantined, ..Desired::default() };
-            return Ok(Desired { software, hosts, ..known });
-        }
-        if let Ok(former) = decode_state::<WithoutHosts>(bytes) {
-            let WithoutHosts { config, versions, holders, quarantined, software } = former;
-            let known = Desired { config, versions, holders, quarantined, ..Desired::default() };
-            return Ok(Desired { software, ..known });
-        }
-        if let Ok(former) = decode_state::<WithoutSoftware>(bytes) {
-            let WithoutSoftware { config, versions, holders, quarantined } = former;
-            return Ok(Desired { config, versions, holders, quarantined, ..Desired::default() });
-        }
-        let Ok(former) = decode_state::<WithoutQuarantine>(bytes) else { return Err(error) };
-        let WithoutQuarantine { config, versions, holders } = former;
-        Ok(Desired { config, versions, holders, ..Desired::default() })
+        decode_state(bytes).or_else(|error| {
+            let former = decode_state::<WithoutDepartures>(bytes).map(Desired::from);
+            let former = former.or_else(|_| decode_state::<WithoutHosts>(bytes).map(Desired::from));
+            let former =
+                former.or_else(|_| decode_state::<WithoutSoftware>(bytes).map(Desired::from));
+            let former = former.or_else(|_| decode_state::<FirstState>(bytes).map(Desired::from));
+            former.map_err(|_| error)
+        })
     }
 
     /// Applies the command at log index `index`.
