platform: the id of a target is bounded

A heartbeat or deregistration with an id of more than 128 bytes is refused with 400, which names the field (a_long_id_is_refused_by_name; before, both were read).

--- a/edge/src/control.rs
+++ b/edge/src/control.rs
@@ -146,7 +146,7 @@
 }
 
 async fn deregister(edge: &Rc<Edge>, id: &str, body: &[u8]) -> Answer {
-    let started_at = match registry::read_deregistration(body) {
+    let started_at = match registry::read_deregistration(id, body) {
         Ok(started_at) => started_at,
         Err(cause) => return reject_call(edge, &format!("deregistration of {id}: {cause}")),
     };
