--- a/coordination/fleet/tests/versions.rs
+++ b/coordination/fleet/tests/versions.rs
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Names a version at a host, and names it again where that is not answered.
+    /// Names a version at a host.
     fn name(&mut self, host: HostId, version: u64) {
         let tag = self.world.tag();
         let command = Command::Version { adapter: ADAPTER.to_owned(), version };
