fleet, desired: a departure's mark is compared, not searched, each tick; what stood twice stands once

A table that drops its earliest entry by log index was written for departures beside the one for quarantined suspects: both call drop_earliest. Assertions and bounds are unchanged.

--- a/coordination/fleet/src/departures.rs
+++ b/coordination/fleet/src/departures.rs
@@ -50,16 +50,18 @@
     /// can be under way.
     pub(crate) fn drop_departures(&mut self, now: Duration) {
         let Some(leading) = &mut self.leading else { return };
-        let newest = self.desired.departures.values().map(|it| it.index).max();
-        match (leading.departures_seen, newest) {
-            (_, None) => leading.departures_seen = None,
-            (None, Some(newest)) => leading.departures_seen = Some((now, newest)),
-            (Some((at, up_to)), Some(_)) if now >= at + ENDED_LIFE => {
-                leading.departures_seen = None;
-                let command = Command::DropDepartures { up_to };
-                self.step_log(now, LogInput::Propose(encode(&command).into()));
-            }
-            (Some(_), Some(_)) => {}
+        let Some((at, up_to)) = leading.departures_seen else {
+            let newest = self.desired.departures.values().map(|it| it.index).max();
+            leading.departures_seen = newest.map(|it| (now, it));
+            return;
+        };
+        if now < at + ENDED_LIFE {
+            return;
+        }
+        leading.departures_seen = None;
+        let command = Command::DropDepartures { up_to };
+        if !self.desired.is_redundant(&command) {
+            self.step_log(now, LogInput::Propose(encode(&command).into()));
         }
     }
 }
--- a/coordination/fleet/tests/versions.rs
+++ b/coordination/fleet/tests/versions.rs
@@ -119,12 +119,7 @@
     /// Whether a host would send a request to a target that holds this version.
     fn may_begin(&mut self, host: HostId, version: u64) -> bool {
         let Some(reservation) = self.reserve(host, version) else { return false };
-        self.world.call(host, |it, now| {
-            ((), {
-                it.end(now, &reservation, Outcome::Left);
-                Vec::new()
-            })
-        });
+        self.world.call(host, |it, now| (it.end(now, &reservation, Outcome::Left), Vec::new()));
         true
     }
 
--- a/edge/tests/common/mod.rs
+++ b/edge/tests/common/mod.rs
@@ -316,7 +316,11 @@
 }
 
 /// Sends one heartbeat, and waits until the next one is due.
-async fn send_heartbeat(record: &mut TargetRecord, control: &[SocketAddr], held: &[(String, u64)]) {
+pub async fn send_heartbeat(
+    record: &mut TargetRecord,
+    control: &[SocketAddr],
+    held: &[(String, u64)],
+) {
     record.sequence += 1;
     let (path, body) = stand_in::heartbeat(record, held);
     let addr = control[record.sequence as usize % control.len()];
--- a/edge/tests/departures.rs
+++ b/edge/tests/departures.rs
@@ -16,6 +16,7 @@
     CONTROL, Cluster, ENTRY, call, document, ip,
     paced::PacedTarget,
     seeds::{number, run_seeds},
+    send_heartbeat,
 };
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -144,10 +145,7 @@
 ) -> (String, String) {
     let end = Instant::now() + span;
     while Instant::now() < end {
-        record.sequence += 1;
-        let (path, body) = stand_in::heartbeat(record, &[]);
-        tell(control[record.sequence as usize % control.len()], &path, &body).await;
-        sleep(ms(100)).await;
+        send_heartbeat(record, control, &[]).await;
     }
     record.sequence += 1;
     stand_in::heartbeat(record, &[])
--- a/state/desired/src/lib.rs
+++ b/state/desired/src/lib.rs
@@ -163,6 +163,21 @@
     Some(text.into())
 }
 
+/// Drops the entry with the lowest log index from a table that has more than `max` entries.
+fn drop_earliest<K: Ord + Clone, V>(
+    table: &mut BTreeMap<K, V>,
+    max: usize,
+    index: impl Fn(&V) -> Index,
+) {
+    if table.len() <= max {
+        return;
+    }
+    let earliest = table.iter().min_by_key(|(_, it)| index(it)).map(|(key, _)| key.clone());
+    if let Some(earliest) = earliest {
+        table.remove(&earliest);
+    }
+}
+
 /// What applying a command changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Applied {
@@ -364,12 +379,7 @@
             return Applied::Unchanged;
         }
         self.quarantined.insert(suspect, Quarantined { failed_trials, index });
-        if self.quarantined.len() > MAX_QUARANTINED {
-            let oldest = self.quarantined.iter().min_by_key(|(_, it)| it.index);
-            if let Some((&oldest, _)) = oldest {
-                self.quarantined.remove(&oldest);
-            }
-        }
+        drop_earliest(&mut self.quarantined, MAX_QUARANTINED, |it| it.index);
         Applied::Quarantine
     }
 
@@ -378,12 +388,7 @@
             return Applied::Unchanged;
         }
         self.departures.insert(target, Departure { started_at, index });
-        if self.departures.len() > MAX_DEPARTURES {
-            let earliest = self.departures.iter().min_by_key(|(_, it)| it.index);
-            if let Some(earliest) = earliest.map(|(target, _)| target.clone()) {
-                self.departures.remove(&earliest);
-            }
-        }
+        drop_earliest(&mut self.departures, MAX_DEPARTURES, |it| it.index);
         Applied::Departure
     }
 
