--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -44,6 +44,8 @@
     processes: Vec<(&'static str, Child)>,
     record: File,
     started: Instant,
+    /// Whether the whole system starts for the first time.
+    bootstrap: bool,
 }
 
 impl Drop for Fleet {
@@ -75,6 +77,7 @@
             processes: Vec::new(),
             record,
             started: Instant::now(),
+            bootstrap: true,
         };
         let first = (std::process::id() ^ nanos) % 180;
         for offset in 0..180 {
@@ -105,6 +108,15 @@
         SocketAddr::from((self.ip(name), CONTROL))
     }
 
+    pub fn frontend(&self, name: &str) -> SocketAddr {
+        SocketAddr::from((self.ip(name), FRONTEND))
+    }
+
+    /// Returns an address beside those of the machines.
+    pub fn other_addr(&self, port: u16) -> SocketAddr {
+        SocketAddr::from((Ipv4Addr::new(127, self.network, 200, 1), port))
+    }
+
     /// Returns the data folder of a machine.
     pub fn data(&self, name: &str) -> PathBuf {
         self.folder.join(format!("{name}-data"))
@@ -140,7 +152,7 @@
         let log = File::create(self.folder.join(format!("{name}.log"))).map_err(|it| it.to_string())?;
         command.stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
         let process = command.spawn().map_err(|it| it.to_string())?;
-        if self.processes.is_empty() {
+        if self.processes.is_empty() && self.bootstrap {
             self.started = Instant::now();
         }
         self.processes.push((name, process));
@@ -166,10 +178,21 @@
         self.note(&format!("{name} goes on"));
     }
 
-    #[allow(dead_code)]
-    pub fn kill(&mut self, name: &str) {
+    /// Ends a machine's process and removes its data folder.
+    pub fn lose_disk(&mut self, name: &str) {
         self.signal(name, SIGKILL);
-        self.note(&format!("{name} is killed"));
+        for (_, process) in self.processes.iter_mut().filter(|it| it.0 == name) {
+            let _ = process.wait();
+        }
+        self.processes.retain(|it| it.0 != name);
+        let _ = fs::remove_dir_all(self.data(name));
+        self.note(&format!("{name} loses power and its disk"));
+    }
+
+    /// Starts a machine's process again. It is no first start of the system.
+    pub fn start_later(&mut self, name: &'static str) -> Result<(), String> {
+        self.bootstrap = false;
+        self.start(name)
     }
 
     /// Notes the lines of the hosts' logs about leaders and alarms.
@@ -193,13 +216,13 @@
         };
         let (name, zone, seeds) = (machine.name, machine.zone, seeds.join(","));
         let (counted, quota) = (machine.disk, if machine.disk { 0.45 } else { 0.25 });
-        let (first, last) = PEERS;
+        let ((first, last), bootstrap) = (PEERS, self.bootstrap);
         format!(
             "nodeName={name}\nrole=edge\nmachineClass=edge\nserves=edge,control_plane,registry\nip={ip}\n\
              zone=zone-{zone}\nregion=region\nzones.zone-1=region\nzones.zone-2=region\nzones.zone-3=region\n\
              listenAddresses.frontend={ip}:{FRONTEND}\nlistenAddresses.ready={ip}:{READY}\n\
              listenAddresses.controlPlane={ip}:{CONTROL}\nlistenAddresses.directory={ip}:{DIRECTORY}\n\
-             portRange={first},{last}\nseeds={seeds}\nbootstrap=true\nfaultCounted={counted}\n\
+             portRange={first},{last}\nseeds={seeds}\nbootstrap={bootstrap}\nfaultCounted={counted}\n\
              limits.cpuQuota={quota}\nlimits.cores=1\nlimits.memoryMb=260\nlimits.maxFds=4100\n\
              limits.linkMbps=1000.0\nlimits.diskMb=64\ndataDir={data}\ndiscovery=self_register\n\
              entryPoint=registry\nheartbeatMs=1200\n\
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -4,9 +4,11 @@
 //! `standin-3 CASE RECORD` exits with 0 if the rule held, 1 if it was broken, and 2 if the case couldn't run. Without
 //! the disruption (`TROUBLE=0`) it does the same but for that.
 
-mod founding;
+mod first_disk;
 mod fleet;
+mod founding;
 mod http;
+mod replica;
 
 use std::process::ExitCode;
 
@@ -24,6 +26,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let played = match case.as_str() {
+        "first_disk" => first_disk::play(record, trouble),
         "founding" => founding::play(record, trouble),
         _ => Err(format!("there is no case {case}")),
     };
