--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -1,4 +1,4 @@
-//! The platform: starts hosts with their settings on loopback addresses, freezes and wakes them, and ends them.
+//! The platform: starts hosts with their settings on loopback addresses, freezes them, and ends them.
 
 use std::{
     fs::{self, File},
@@ -19,7 +19,6 @@
 const METRICS: u16 = 9464;
 
 const SIGKILL: i32 = 9;
-const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
 
 unsafe extern "C" {
@@ -173,18 +172,27 @@
         self.note(&format!("{name} stands still"));
     }
 
-    pub fn thaw(&mut self, name: &str) {
-        self.signal(name, SIGCONT);
-        self.note(&format!("{name} goes on"));
+    pub fn runs(&self, name: &str) -> bool {
+        self.processes.iter().any(|it| it.0 == name)
     }
 
-    /// Ends a machine's process and removes its data folder.
-    pub fn lose_disk(&mut self, name: &str) {
+    fn end(&mut self, name: &str) {
         self.signal(name, SIGKILL);
         for (_, process) in self.processes.iter_mut().filter(|it| it.0 == name) {
             let _ = process.wait();
         }
         self.processes.retain(|it| it.0 != name);
+    }
+
+    /// Ends a machine's process.
+    pub fn lose_power(&mut self, name: &str) {
+        self.end(name);
+        self.note(&format!("{name} loses power"));
+    }
+
+    /// Ends a machine's process and removes its data folder.
+    pub fn lose_disk(&mut self, name: &str) {
+        self.end(name);
         let _ = fs::remove_dir_all(self.data(name));
         self.note(&format!("{name} loses power and its disk"));
     }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,9 +6,9 @@
 
 mod first_disk;
 mod fleet;
-mod founding;
 mod http;
 mod replica;
+mod two_disks;
 
 use std::process::ExitCode;
 
@@ -27,7 +27,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let played = match case.as_str() {
         "first_disk" => first_disk::play(record, trouble),
-        "founding" => founding::play(record, trouble),
+        "two_disks" => two_disks::play(record, trouble),
         _ => Err(format!("there is no case {case}")),
     };
     match played {
