--- a/review/standin-3/two_disks.rs
+++ b/review/standin-3/two_disks.rs
@@ -70,7 +70,8 @@
         for name in fleet.names() {
             let path = "/poplarhollow/Config.Fetch";
             let answer = call(fleet.control(name), "GET", path, "", Duration::from_secs(2));
-            let has_it = answer.as_ref().is_some_and(|it| it.status == 200 && it.body.contains(VERSION));
+            let has_it =
+                answer.as_ref().is_some_and(|it| it.status == 200 && it.body.contains(VERSION));
             shown += u32::from(has_it);
             let status = answer.map(|it| it.status);
             fleet.note(&format!("operator reads at {name}: {status:?}, version 3 shown: {has_it}"));
@@ -78,7 +79,11 @@
     }
     fleet.note_logs();
     let is_broken = shown == 0;
-    fleet.note(if is_broken { "version 3 was acknowledged and is gone" } else { "version 3 is there" });
+    fleet.note(if is_broken {
+        "version 3 was acknowledged and is gone"
+    } else {
+        "version 3 is there"
+    });
     Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
 }
 
