--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -4,6 +4,7 @@
 //! `standin-3 CASE RECORD` exits with 0 if the rule held, 1 if it was broken, and 2 if the case couldn't run. Without
 //! the disruption (`TROUBLE=0`) it does the same but for that.
 
+mod bad_config;
 mod first_disk;
 mod fleet;
 mod http;
@@ -26,6 +27,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let played = match case.as_str() {
+        "bad_config" => bad_config::play(record, trouble),
         "first_disk" => first_disk::play(record, trouble),
         "two_disks" => two_disks::play(record, trouble),
         _ => Err(format!("there is no case {case}")),
